--- /dev/null
+++ b/jujubebarrow/callers/applications.py
@@ -0,0 +1,46 @@
+"""Web application of the callers' interface."""
+
+from pydantic import BaseModel
+from tornado.web import Application
+
+from jujubebarrow.callers.base_handlers import BaseHandler, UnknownPathHandler
+from jujubebarrow.callers.caller_contexts import CallerContext
+from jujubebarrow.callers.job_handlers import CallerJobHandler
+from jujubebarrow.callers.request_handlers import QueueRequestHandler
+
+
+class Health(BaseModel):
+    """Whether the balancer may send requests here."""
+
+    ready: bool
+
+
+class HealthHandler(BaseHandler):
+    """Answers the balancer."""
+
+    context: CallerContext
+
+    def initialize(self, context: CallerContext) -> None:  # type: ignore[override]
+        """Take over the services."""
+        super().initialize(context.metrics)
+        self.context = context
+
+    def get(self) -> None:
+        """Tell whether this instance takes work."""
+        ready = self.context.is_ready() and not self.context.is_stopping()
+        self.answer(Health(ready=ready), status=200 if ready else 503)
+
+
+def make_caller_application(context: CallerContext) -> Application:
+    """Return the callers' web application."""
+    arguments = {"context": context}
+    return Application(
+        [
+            (r"/v1/queues/([^/]+)/requests", QueueRequestHandler, arguments),
+            (r"/v1/jobs/([0-9a-f]+)", CallerJobHandler, arguments),
+            (r"/v1/health", HealthHandler, arguments),
+        ],
+        default_handler_class=UnknownPathHandler,
+        default_handler_args={"metrics": context.metrics},
+        log_function=lambda handler: None,
+    )
--- /dev/null
+++ b/jujubebarrow/callers/authenticators.py
@@ -0,0 +1,88 @@
+"""Recognises teams by their keys."""
+
+from collections.abc import Callable
+from hashlib import sha256
+from typing import NamedTuple
+
+from jujubebarrow.configurations.configurations import Configuration
+from jujubebarrow.configurations.records import KeyState, Queue
+from jujubebarrow.errors.exceptions import RefusalError
+from jujubebarrow.errors.kinds import ErrorKind
+from jujubebarrow.identifiers import OPEN_TEAM, KeyDigest, TeamId
+
+SCHEME = "bearer"
+STALE_RETRY_SECONDS = 2.0
+
+
+class Caller(NamedTuple):
+    """Team of a caller and the digest of its key."""
+
+    team: TeamId
+    key: KeyDigest
+
+
+OPEN_CALLER = Caller(OPEN_TEAM, KeyDigest(""))
+
+
+def digest_key(key: str) -> KeyDigest:
+    """Return the digest under which a key is kept."""
+    return KeyDigest(sha256(key.encode()).hexdigest())
+
+
+def read_bearer(header: str | None) -> str:
+    """Return the key in an Authorization header.
+
+    Raises:
+        RefusalError: There is none.
+    """
+    scheme, _, key = (header or "").partition(" ")
+    if scheme.lower() != SCHEME or not key.strip():
+        raise RefusalError(ErrorKind.UNAUTHENTICATED, "no bearer key")
+    return key.strip()
+
+
+class Authenticator:
+    """Checks keys against a configuration that is fresh enough.
+
+    Args:
+        configuration: Keys, teams and queues.
+        is_fresh: Tells whether a withdrawn key would be known.
+    """
+
+    def __init__(self, configuration: Configuration, is_fresh: Callable[[], bool]):
+        self._configuration = configuration
+        self._is_fresh = is_fresh
+
+    def authenticate(self, header: str | None) -> Caller:
+        """Return the caller that a key belongs to.
+
+        Raises:
+            RefusalError: The key opens nothing, or it cannot be verified.
+        """
+        digest = digest_key(read_bearer(header))
+        if not self._is_fresh():
+            raise RefusalError(
+                ErrorKind.CONFIGURATION_STALE, retry_after=STALE_RETRY_SECONDS
+            )
+        key = self._configuration.key(digest)
+        if key is None or self._configuration.team(key.team) is None:
+            raise RefusalError(ErrorKind.UNAUTHENTICATED, "unknown key")
+        if key.state is KeyState.WITHDRAWN:
+            raise RefusalError(ErrorKind.KEY_WITHDRAWN)
+        return Caller(TeamId(key.team), digest)
+
+    def authorise(self, header: str | None, name: str) -> tuple[Caller, Queue]:
+        """Return the caller and the queue that it may use.
+
+        Raises:
+            RefusalError: There is no such queue or the caller may not use it.
+        """
+        queue = self._configuration.queue(name)
+        if queue is not None and queue.open:
+            return OPEN_CALLER, queue
+        caller = self.authenticate(header)
+        if queue is None:
+            raise RefusalError(ErrorKind.UNKNOWN_QUEUE, name)
+        if queue.teams and caller.team not in queue.teams:
+            raise RefusalError(ErrorKind.FORBIDDEN_QUEUE, name)
+        return caller, queue
--- /dev/null
+++ b/jujubebarrow/callers/request_handlers.py
@@ -0,0 +1,115 @@
+"""Requests of callers."""
+
+import json
+
+from jujubebarrow.callers.authenticators import Caller
+from jujubebarrow.callers.body_handlers import BodyHandler
+from jujubebarrow.callers.caller_contexts import CallerContext
+from jujubebarrow.callers.deadlines import read_timeout
+from jujubebarrow.callers.job_documents import JobDocument
+from jujubebarrow.configurations.records import Queue
+from jujubebarrow.errors.exceptions import RefusalError
+from jujubebarrow.errors.kinds import ErrorKind
+from jujubebarrow.homes.run_results import RunResult
+from jujubebarrow.jobs.job_states import JobState
+from jujubebarrow.peers.messages import Forward
+
+ASYNC_PREFERENCE = "respond-async"
+IDEMPOTENCY_KEY_LIMIT = 255
+DEFAULT_TYPE = "application/octet-stream"
+
+
+class QueueRequestHandler(BodyHandler):
+    """Runs a request at once, or accepts it as a job."""
+
+    context: CallerContext
+    caller: Caller
+    queue: Queue
+    timeout: float
+    arrived: float
+
+    def initialize(self, context: CallerContext) -> None:  # type: ignore[override]
+        """Take over the services."""
+        super().initialize(context.metrics)
+        self.context = context
+        self.body_limit = context.settings.body_limit
+
+    def prepare(self) -> None:
+        """Check everything that needs no body."""
+        self.arrived = self.context.clock.monotonic()
+        if self.context.is_stopping():
+            raise RefusalError(ErrorKind.SHUTTING_DOWN, retry_after=1.0)
+        if not self.context.is_ready():
+            raise RefusalError(ErrorKind.NOT_READY, retry_after=1.0)
+        if self.request.method != "POST":
+            raise RefusalError(ErrorKind.BAD_REQUEST, "only POST")
+        headers = self.request.headers
+        self.caller, self.queue = self.context.authenticator.authorise(
+            headers.get("Authorization"), self.path_args[0]
+        )
+        super().prepare()
+        self.timeout = read_timeout(
+            headers.get("Request-Timeout"),
+            headers.get("Deadline"),
+            self.context.clock.wall(),
+            self.context.settings.default_deadline,
+            self.context.settings.deadline_limit,
+        )
+        self._check_idempotency_key(headers.get("Idempotency-Key", ""))
+
+    def _check_idempotency_key(self, key: str) -> None:
+        if len(key) > IDEMPOTENCY_KEY_LIMIT:
+            raise RefusalError(ErrorKind.BAD_REQUEST, "Idempotency-Key is too long")
+        if not key and not self.queue.idempotent:
+            raise RefusalError(ErrorKind.IDEMPOTENCY_KEY_REQUIRED)
+
+    async def post(self, name: str) -> None:
+        """Run the request or accept the job."""
+        body = self.body
+        content_type = self.request.headers.get("Content-Type", DEFAULT_TYPE)
+        _check_json(content_type, body)
+        forward = Forward(
+            request=self.request_id,
+            queue=name,
+            team=self.caller.team,
+            key=self.caller.key,
+            remaining=self.timeout,
+            idempotency_key=self.request.headers.get("Idempotency-Key", ""),
+            content_type=content_type,
+            body=body,
+            priority=self.queue.priority,
+        )
+        if ASYNC_PREFERENCE in self.request.headers.get("Prefer", ""):
+            await self._accept(forward)
+            return
+        result = await self.context.requests.run(forward)
+        self._answer(name, result)
+
+    async def _accept(self, forward: Forward) -> None:
+        job_id = await self.context.jobs.accept(forward)
+        self.set_header("Location", f"/v1/jobs/{job_id}")
+        self.set_header("Preference-Applied", ASYNC_PREFERENCE)
+        self.metrics.count("answered", "accepted")
+        document = JobDocument(id=job_id, queue=forward.queue, state=JobState.ACCEPTED)
+        self.answer(document, status=202)
+
+    def _answer(self, name: str, result: RunResult) -> None:
+        self.set_status(result.status)
+        self.set_header("Content-Type", result.content_type)
+        self.set_header("Request-Id", self.request_id)
+        self.set_header("Run-State", "ran")
+        if result.replayed:
+            self.set_header("Idempotent-Replayed", "true")
+        self.finish(result.body)
+        self.metrics.count("answered", "replayed" if result.replayed else "run")
+        elapsed = self.context.clock.monotonic() - self.arrived
+        self.metrics.record(name, "total", elapsed)
+
+
+def _check_json(content_type: str, body: bytes) -> None:
+    if not content_type.startswith("application/json"):
+        return
+    try:
+        json.loads(body)
+    except ValueError as error:
+        raise RefusalError(ErrorKind.BAD_JSON, type(error).__name__) from error
--- /dev/null
+++ b/jujubebarrow/configurations/record_kinds.py
@@ -0,0 +1,17 @@
+"""Kinds of configuration records."""
+
+from enum import Enum
+
+
+class RecordKind(Enum):
+    """Kind of a record, which is also a part of its row's key."""
+
+    POOL = "pools"
+    QUEUE = "queues"
+    TEAM = "teams"
+    KEY = "keys"
+    PRESET = "presets"
+    SELECTION = "selections"
+    INSTANCE = "instances"
+    MAINTENANCE = "maintenance"
+    BUDGET = "budgets"
--- /dev/null
+++ b/jujubebarrow/errors/answers.py
@@ -0,0 +1,110 @@
+"""Table from error kind to the answer a caller gets."""
+
+from dataclasses import dataclass
+
+from jujubebarrow.errors.kinds import ErrorKind
+from jujubebarrow.errors.run_states import RunState
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """Answer to a caller for one error kind.
+
+    Attributes:
+        status: HTTP status code.
+        title: Sentence for the caller.
+        run: What is known of the run.
+        repeatable: Whether the same request may succeed later.
+    """
+
+    status: int
+    title: str
+    run: RunState
+    repeatable: bool
+
+
+_NOT_RUN = RunState.NOT_RUN
+_UNKNOWN = RunState.UNKNOWN
+
+ANSWERS: dict[ErrorKind, Answer] = {
+    ErrorKind.UNAUTHENTICATED: Answer(
+        401, "The request carries no valid key.", _NOT_RUN, False
+    ),
+    ErrorKind.KEY_WITHDRAWN: Answer(401, "The key is withdrawn.", _NOT_RUN, False),
+    ErrorKind.FORBIDDEN_QUEUE: Answer(
+        403, "The team of this key may not use this queue.", _NOT_RUN, False
+    ),
+    ErrorKind.FORBIDDEN: Answer(
+        403, "This operation needs another key.", _NOT_RUN, False
+    ),
+    ErrorKind.UNKNOWN_QUEUE: Answer(
+        404, "There is no queue of this name.", _NOT_RUN, False
+    ),
+    ErrorKind.NOT_FOUND: Answer(404, "There is no such resource.", _NOT_RUN, False),
+    ErrorKind.BAD_REQUEST: Answer(400, "The request is malformed.", _NOT_RUN, False),
+    ErrorKind.BAD_JSON: Answer(400, "The body is not valid JSON.", _NOT_RUN, False),
+    ErrorKind.BAD_DEADLINE: Answer(400, "The deadline is invalid.", _NOT_RUN, False),
+    ErrorKind.IDEMPOTENCY_KEY_REQUIRED: Answer(
+        400, "This queue needs an Idempotency-Key header.", _NOT_RUN, False
+    ),
+    ErrorKind.IDEMPOTENCY_KEY_REUSED: Answer(
+        422, "The Idempotency-Key was used with another body.", _NOT_RUN, False
+    ),
+    ErrorKind.BODY_TOO_LARGE: Answer(413, "The body is too large.", _NOT_RUN, False),
+    ErrorKind.CONFIGURATION_STALE: Answer(
+        503, "Keys cannot be verified at the moment.", _NOT_RUN, True
+    ),
+    ErrorKind.STORE_UNAVAILABLE: Answer(
+        503, "The platform's table is unavailable.", _NOT_RUN, True
+    ),
+    ErrorKind.QUEUE_FULL: Answer(503, "The queue is full.", _NOT_RUN, True),
+    ErrorKind.DEADLINE_UNREACHABLE: Answer(
+        503, "The expected wait is longer than the deadline.", _NOT_RUN, True
+    ),
+    ErrorKind.DEADLINE_PASSED: Answer(
+        504, "The deadline passed before the work was started.", _NOT_RUN, True
+    ),
+    ErrorKind.TEAM_LIMIT: Answer(
+        429, "The team is at its upper limit.", _NOT_RUN, True
+    ),
+    ErrorKind.NO_UPSTREAM: Answer(503, "No upstream can take work.", _NOT_RUN, True),
+    ErrorKind.UPSTREAM_REFUSED: Answer(
+        503, "The upstreams refused to start the work.", _NOT_RUN, True
+    ),
+    ErrorKind.UPSTREAM_TIMEOUT: Answer(
+        504, "The upstream did not answer in time.", _UNKNOWN, True
+    ),
+    ErrorKind.UPSTREAM_INCOMPLETE: Answer(
+        502, "The upstream's answer was incomplete.", _UNKNOWN, True
+    ),
+    ErrorKind.PEER_UNREACHABLE: Answer(
+        503, "The responsible instance cannot be reached.", _NOT_RUN, True
+    ),
+    ErrorKind.PEER_LOST: Answer(
+        502, "The responsible instance was lost while it worked.", _UNKNOWN, True
+    ),
+    ErrorKind.RUN_UNKNOWN: Answer(
+        409, "An earlier request with this key may have run.", _UNKNOWN, False
+    ),
+    ErrorKind.IN_PROGRESS: Answer(
+        409, "An earlier request with this key is in progress.", _UNKNOWN, True
+    ),
+    ErrorKind.NEVER_RUNS: Answer(
+        422, "No instance can ever run this work.", _NOT_RUN, False
+    ),
+    ErrorKind.CANCELLED: Answer(410, "The job was cancelled.", _NOT_RUN, False),
+    ErrorKind.REVISION_CONFLICT: Answer(
+        412, "The record changed since it was read.", _NOT_RUN, True
+    ),
+    ErrorKind.BUDGET_EXCEEDED: Answer(
+        409, "The pool's availability budget does not allow this.", _NOT_RUN, True
+    ),
+    ErrorKind.NOT_READY: Answer(503, "This instance is not ready.", _NOT_RUN, True),
+    ErrorKind.SHUTTING_DOWN: Answer(
+        503, "This instance is shutting down.", _NOT_RUN, True
+    ),
+    ErrorKind.INVARIANT_BROKEN: Answer(
+        500, "An internal check failed.", _UNKNOWN, False
+    ),
+    ErrorKind.INTERNAL: Answer(500, "An unexpected error occurred.", _UNKNOWN, False),
+}
--- /dev/null
+++ b/jujubebarrow/homes/borrowers.py
@@ -0,0 +1,150 @@
+"""Borrows parts of upper limits from peers."""
+
+from abc import ABC, abstractmethod
+from asyncio import Task, create_task, gather, sleep
+from collections.abc import Callable
+
+from jujubebarrow.errors.exceptions import PeerLostError
+from jujubebarrow.identifiers import TeamId
+from jujubebarrow.limits.ledgers import LimitLedger
+from jujubebarrow.limits.loans import Loan
+from jujubebarrow.metrics.registries import MetricsRegistry
+from jujubebarrow.peers.messages import (
+    LoanExtension,
+    LoanReply,
+    LoanRequest,
+    LoanReturn,
+    Reply,
+)
+from jujubebarrow.peers.messages import Request as PeerRequest
+from jujubebarrow.settings.settings import Settings
+
+SHORTEST_PAUSE_SECONDS = 0.05
+LONGEST_PAUSE_SECONDS = 1.0
+
+
+class PeerCalls(ABC):
+    """Requests to peers."""
+
+    @abstractmethod
+    def peers_alive(self) -> list[str]:
+        """Return the instances that answered lately, in random order."""
+
+    @abstractmethod
+    async def request(
+        self, instance: str, message: PeerRequest, timeout: float
+    ) -> Reply:
+        """Send a request and wait for its reply.
+
+        Raises:
+            PeerLostError: There is no reply.
+        """
+
+
+class Borrower:
+    """Asks peers for units of teams that lack them, one round at a time.
+
+    Args:
+        ledger: Gets the loans.
+        peers: Peers to ask.
+        settings: Timeouts.
+        metrics: Where loans are counted.
+        on_loan: Called after a loan was taken.
+    """
+
+    def __init__(
+        self,
+        ledger: LimitLedger,
+        peers: PeerCalls,
+        settings: Settings,
+        metrics: MetricsRegistry,
+        on_loan: Callable[[], None],
+    ):
+        self._ledger = ledger
+        self._peers = peers
+        self._settings = settings
+        self._metrics = metrics
+        self._on_loan = on_loan
+        self._pauses: dict[TeamId, float] = {}
+        self._rounds: dict[TeamId, Task[None]] = {}
+
+    async def close(self) -> None:
+        """Stop all rounds."""
+        rounds = list(self._rounds.values())
+        for task in rounds:
+            task.cancel()
+        await gather(*rounds, return_exceptions=True)
+
+    def want(self, team: TeamId, units: int) -> None:
+        """Borrow units of a team unless a round for it is under way."""
+        if team in self._rounds:
+            return
+        task = create_task(self._borrow(team, units))
+        self._rounds[team] = task
+        task.add_done_callback(lambda done: self._rounds.pop(team, None))
+
+    async def _borrow(self, team: TeamId, units: int) -> None:
+        missing = units
+        for peer in self._peers.peers_alive():
+            missing -= await self._ask(peer, team, missing)
+            if missing <= 0:
+                break
+        if missing < units:
+            self._pauses.pop(team, None)
+            self._on_loan()
+        pause = self._pauses.get(team, SHORTEST_PAUSE_SECONDS)
+        self._pauses[team] = min(LONGEST_PAUSE_SECONDS, pause * 2)
+        await sleep(pause)
+
+    async def _ask(self, peer: str, team: TeamId, units: int) -> int:
+        request = LoanRequest(team=team, wanted=units)
+        try:
+            reply = await self._peers.request(
+                peer, request, self._settings.peer_timeout
+            )
+        except PeerLostError:
+            # A loan whose answer was lost ends by itself at the lender.
+            self._metrics.count("loan", "lost")
+            return 0
+        if not isinstance(reply, LoanReply) or reply.count == 0:
+            self._metrics.count("loan", "none")
+            return 0
+        until = reply.until - self._settings.clock_error
+        self._ledger.take(team, Loan(reply.loan, peer, reply.count, until))
+        self._metrics.count("loan", "taken")
+        return reply.count
+
+    async def extend(self, team: TeamId, loan_id: str) -> float:
+        """Ask the lender to end a loan later and return its end.
+
+        Returns:
+            End in seconds since the epoch; unchanged if the lender did not agree.
+        """
+        loan = self._ledger.find_taken(team, loan_id)
+        if loan is None:
+            return 0.0
+        request = LoanExtension(team=team, loan=loan_id)
+        try:
+            reply = await self._peers.request(
+                loan.peer, request, self._settings.peer_timeout
+            )
+        except PeerLostError:
+            self._metrics.count("loan", "extension-lost")
+            return loan.until
+        if isinstance(reply, LoanReply) and reply.loan == loan_id:
+            until = reply.until - self._settings.clock_error
+            self._ledger.prolong(team, loan_id, until)
+            self._metrics.count("loan", "extended")
+        return loan.until
+
+    async def return_idle(self) -> None:
+        """Give unused units back to their lenders."""
+        for team, loan in self._ledger.return_idle():
+            message = LoanReturn(team=team, loan=loan.loan, count=loan.count)
+            try:
+                await self._peers.request(
+                    loan.peer, message, self._settings.peer_timeout
+                )
+                self._metrics.count("loan", "returned")
+            except PeerLostError:
+                self._metrics.count("loan", "return-lost")
--- /dev/null
+++ b/jujubebarrow/limits/ledgers.py
@@ -0,0 +1,163 @@
+"""Upper limits of all teams at one instance."""
+
+from itertools import count
+from typing import NamedTuple
+
+from jujubebarrow.clocks.clocks import Clock
+from jujubebarrow.configurations.configurations import Configuration
+from jujubebarrow.identifiers import TeamId
+from jujubebarrow.invariants.monitors import InvariantMonitor
+from jujubebarrow.limits.floors import floor_of
+from jujubebarrow.limits.holdings import Holding
+from jujubebarrow.limits.loans import Loan
+from jujubebarrow.limits.permits import Permit
+
+LOAN_IDLE_SECONDS = 2.0
+
+
+class SeatGrant(NamedTuple):
+    """Seat of this instance and the time from which its part may be used."""
+
+    seat: int
+    usable_from: float
+
+
+class LimitLedger:
+    """Keeps every team within its upper limit without asking anyone.
+
+    Each seat owns a fixed part of each limit. A part moves only as a loan that
+    the lender subtracts before the borrower adds it, and that ends by itself.
+
+    Args:
+        configuration: Source of the limits.
+        clock: Time source.
+        monitor: Checks the limits.
+        seats: Number of seats.
+        clock_error: Greatest difference between two hosts' clocks, in seconds.
+        incarnation: This process, which makes loan identifiers unique.
+    """
+
+    def __init__(
+        self,
+        configuration: Configuration,
+        clock: Clock,
+        monitor: InvariantMonitor,
+        seats: int,
+        clock_error: float,
+        incarnation: str,
+    ):
+        self._configuration = configuration
+        self._clock = clock
+        self._monitor = monitor
+        self._seats = seats
+        self._clock_error = clock_error
+        self._incarnation = incarnation
+        self._grant: SeatGrant | None = None
+        self._holdings: dict[TeamId, Holding] = {}
+        self._serial = count(1)
+
+    @property
+    def grant(self) -> SeatGrant | None:
+        """Seat of this instance, or None while it has none."""
+        return self._grant
+
+    def set_grant(self, grant: SeatGrant | None) -> None:
+        """Set or remove the seat of this instance."""
+        self._grant = grant
+
+    def floor(self, team: TeamId) -> int:
+        """Return the part of a team's limit that this instance owns now."""
+        record = self._configuration.team(team)
+        if record is None or self._grant is None:
+            return 0
+        if self._clock.wall() < self._grant.usable_from:
+            return 0
+        return floor_of(record.limit, self._grant.seat, self._seats, team)
+
+    def running(self, team: TeamId) -> int:
+        """Return how many tasks of a team run from here."""
+        holding = self._holdings.get(team)
+        return holding.running if holding else 0
+
+    def usable(self, team: TeamId) -> int:
+        """Return the units of a team that this instance can use now."""
+        holding = self._holding(team)
+        holding.expire(self._clock.wall())
+        return max(0, self.floor(team) - holding.lent) + holding.borrowed
+
+    def acquire(self, team: TeamId, lease_end: float) -> Permit | None:
+        """Take a unit for a task whose lease ends at a moment.
+
+        Args:
+            team: Team.
+            lease_end: Seconds since the epoch.
+        """
+        now = self._clock.wall()
+        return self._holding(team).acquire(self.floor(team), now, lease_end)
+
+    def release(self, permit: Permit) -> None:
+        """Give back a unit."""
+        self._holding(permit.team).release(permit, self._clock.wall())
+
+    def lend(self, team: TeamId, wanted: int, peer: str, period: float) -> Loan | None:
+        """Lend free units to a peer.
+
+        Args:
+            team: Team.
+            wanted: Units asked for.
+            peer: Incarnation of the borrower.
+            period: Length of the loan in seconds.
+        """
+        now = self._clock.wall()
+        loan_id = f"{self._incarnation}/{next(self._serial)}"
+        offer = Loan(loan_id, peer, wanted, now + period)
+        return self._holding(team).lend(offer, self.floor(team), now)
+
+    def extend(self, team: TeamId, loan_id: str, period: float) -> Loan | None:
+        """End a loan given later, if it has not ended.
+
+        Args:
+            team: Team.
+            loan_id: Loan.
+            period: Seconds from now to its new end.
+        """
+        now = self._clock.wall()
+        return self._holding(team).extend(loan_id, now + period, now)
+
+    def prolong(self, team: TeamId, loan_id: str, until: float) -> None:
+        """End a loan taken later, after its lender agreed."""
+        self._holding(team).prolong(loan_id, until)
+
+    def find_taken(self, team: TeamId, loan_id: str) -> Loan | None:
+        """Return a loan taken, or None if it has ended."""
+        return self._holding(team).find_taken(loan_id)
+
+    def take(self, team: TeamId, loan: Loan) -> None:
+        """Add units that a peer lent."""
+        loan.idle_since = self._clock.wall()
+        self._holding(team).take(loan)
+
+    def restore(self, team: TeamId, loan_id: str, units: int) -> None:
+        """Take back units that a borrower returned early."""
+        self._holding(team).restore(loan_id, units)
+
+    def return_idle(self) -> list[tuple[TeamId, Loan]]:
+        """Remove and return the unused parts of idle loans."""
+        now = self._clock.wall()
+        return [
+            (team, loan)
+            for team, holding in self._holdings.items()
+            for loan in holding.return_idle(now, LOAN_IDLE_SECONDS)
+        ]
+
+    def lent_until(self) -> float:
+        """Return the end of the last loan given, in seconds since the epoch."""
+        ends = [holding.lent_until() for holding in self._holdings.values()]
+        return max(ends, default=0.0)
+
+    def _holding(self, team: TeamId) -> Holding:
+        holding = self._holdings.get(team)
+        if holding is None:
+            holding = Holding(team, self._monitor, self._clock_error)
+            self._holdings[team] = holding
+        return holding
--- /dev/null
+++ b/jujubebarrow/maintenance/waves.py
@@ -0,0 +1,81 @@
+"""Choice of the instances that a maintenance wave takes next."""
+
+from collections import defaultdict
+
+from jujubebarrow.configurations.configurations import Configuration
+from jujubebarrow.configurations.instance_states import InstanceState
+from jujubebarrow.configurations.record_kinds import RecordKind
+from jujubebarrow.configurations.records import Instance, Maintenance
+from jujubebarrow.maintenance.observations import FleetObservations
+
+BUSY_WAIT_SECONDS = 0.5
+"""Expected wait above which a pool gives no instance to maintenance."""
+
+
+def pending_instances(
+    configuration: Configuration, wave: Maintenance
+) -> dict[str, Instance]:
+    """Return the instances that a wave has still to maintain."""
+    pools = wave.pools or configuration.names(RecordKind.POOL)
+    return {
+        name: instance
+        for pool in pools
+        for name, instance in configuration.pool_instances(pool).items()
+        if instance.maintained < wave.started
+    }
+
+
+def has_too_many_failures(
+    configuration: Configuration, wave: Maintenance, observations: FleetObservations
+) -> bool:
+    """Return whether failures in a wave's pools call for a pause."""
+    pools = wave.pools or configuration.names(RecordKind.POOL)
+    failed = [
+        name
+        for pool in pools
+        for name, instance in configuration.pool_instances(pool).items()
+        if instance.state is InstanceState.FAILED or name in observations.unreachable
+    ]
+    return len(failed) >= wave.failure_limit
+
+
+def choose_candidates(
+    configuration: Configuration, wave: Maintenance, observations: FleetObservations
+) -> list[str]:
+    """Return instances in the order in which a wave takes them.
+
+    Each pool finishes one rack before the next, and gives nothing while its
+    queue is long.
+    """
+    pending = pending_instances(configuration, wave)
+    racks: dict[str, dict[str, list[str]]] = defaultdict(lambda: defaultdict(list))
+    for name, instance in pending.items():
+        racks[instance.pool][instance.rack].append(name)
+    chosen = []
+    for pool in sorted(racks):
+        if _is_busy(observations, pool):
+            continue
+        rack = _current_rack(configuration, racks[pool], pool)
+        chosen.extend(sorted(_serving(racks[pool][rack], pending)))
+    return chosen
+
+
+def _is_busy(observations: FleetObservations, pool: str) -> bool:
+    demand = observations.demands.get(pool)
+    return demand is not None and demand.wait > BUSY_WAIT_SECONDS
+
+
+def _current_rack(
+    configuration: Configuration, racks: dict[str, list[str]], pool: str
+) -> str:
+    out = {
+        instance.rack
+        for instance in configuration.pool_instances(pool).values()
+        if instance.state in (InstanceState.DRAINING, InstanceState.REBOOTING)
+    }
+    started = sorted(out & racks.keys())
+    return started[0] if started else min(racks)
+
+
+def _serving(names: list[str], instances: dict[str, Instance]) -> list[str]:
+    return [name for name in names if instances[name].state is InstanceState.SERVING]
--- /dev/null
+++ b/jujubebarrow/metrics/registries.py
@@ -0,0 +1,64 @@
+"""Counters and latency histograms of one process."""
+
+from collections import Counter
+
+from hdrh.histogram import HdrHistogram
+
+LOWEST_MICROSECONDS = 1
+HIGHEST_MICROSECONDS = 3_600_000_000
+SIGNIFICANT_DIGITS = 2
+PERCENTILES = (50.0, 99.0, 99.9)
+
+
+class MetricsRegistry:
+    """Counters by name and label, and latencies by queue and stage."""
+
+    def __init__(self) -> None:
+        self._counters: Counter[tuple[str, str]] = Counter()
+        self._histograms: dict[tuple[str, str], HdrHistogram] = {}
+
+    def count(self, name: str, label: str = "", amount: int = 1) -> None:
+        """Add to a counter."""
+        self._counters[name, label] += amount
+
+    def value(self, name: str, label: str = "") -> int:
+        """Return a counter's value."""
+        return self._counters[name, label]
+
+    def record(self, queue: str, stage: str, seconds: float) -> None:
+        """Record a latency in seconds."""
+        histogram = self._histograms.get((queue, stage))
+        if histogram is None:
+            histogram = HdrHistogram(
+                LOWEST_MICROSECONDS, HIGHEST_MICROSECONDS, SIGNIFICANT_DIGITS
+            )
+            self._histograms[queue, stage] = histogram
+        histogram.record_value(max(LOWEST_MICROSECONDS, int(seconds * 1e6)))
+
+    def percentile(self, queue: str, stage: str, percent: float) -> float:
+        """Return a latency percentile in seconds, 0 if nothing was recorded."""
+        histogram = self._histograms.get((queue, stage))
+        if histogram is None:
+            return 0.0
+        return histogram.get_value_at_percentile(percent) / 1e6
+
+    def render(self) -> str:
+        """Return all metrics in the Prometheus text format."""
+        lines = [
+            f'jujubebarrow_{name}_total{{kind="{label}"}} {value}'
+            for (name, label), value in sorted(self._counters.items())
+        ]
+        for queue, stage in sorted(self._histograms):
+            lines.extend(self._render_histogram(queue, stage))
+        return "\n".join(lines) + "\n"
+
+    def _render_histogram(self, queue: str, stage: str) -> list[str]:
+        labels = f'queue="{queue}",stage="{stage}"'
+        lines = [
+            f'jujubebarrow_latency_seconds{{{labels},quantile="{percent / 100}"}} '
+            f"{self.percentile(queue, stage, percent):.6f}"
+            for percent in PERCENTILES
+        ]
+        total = self._histograms[queue, stage].get_total_count()
+        lines.append(f"jujubebarrow_latency_seconds_count{{{labels}}} {total}")
+        return lines
--- /dev/null
+++ b/jujubebarrow/operators/record_checks.py
@@ -0,0 +1,120 @@
+"""Checks of records that operators write."""
+
+from pydantic import ValidationError
+
+from jujubebarrow.configurations.configurations import Configuration
+from jujubebarrow.configurations.instance_states import InstanceState
+from jujubebarrow.configurations.record_kinds import RecordKind
+from jujubebarrow.configurations.records import (
+    RECORD_TYPES,
+    Instance,
+    Key,
+    Preset,
+    Queue,
+    Record,
+    Selection,
+)
+from jujubebarrow.errors.exceptions import RefusalError
+from jujubebarrow.errors.kinds import ErrorKind
+
+WRITABLE_KINDS = frozenset(
+    {
+        RecordKind.POOL,
+        RecordKind.QUEUE,
+        RecordKind.TEAM,
+        RecordKind.PRESET,
+        RecordKind.INSTANCE,
+    }
+)
+"""Kinds that are written as a whole; others have commands of their own."""
+KEPT_FIELDS = ("pool", "state", "cause", "target", "maintained", "moved")
+"""Fields of an instance that only its own commands change."""
+
+
+def read_kind(text: str) -> RecordKind:
+    """Return a kind of record by its name.
+
+    Raises:
+        RefusalError: There is no such kind.
+    """
+    try:
+        return RecordKind(text)
+    except ValueError as error:
+        raise RefusalError(ErrorKind.NOT_FOUND, f"no records {text}") from error
+
+
+def parse_record(kind: RecordKind, body: bytes) -> Record:
+    """Return the record in a body.
+
+    Raises:
+        RefusalError: With every fault's path.
+    """
+    if kind not in WRITABLE_KINDS:
+        raise RefusalError(ErrorKind.BAD_REQUEST, f"{kind.value} have own commands")
+    try:
+        return RECORD_TYPES[kind].model_validate_json(body)
+    except ValidationError as error:
+        faults = [
+            f"{'.'.join(str(part) for part in detail['loc'])}: {detail['msg']}"
+            for detail in error.errors()
+        ]
+        raise RefusalError(ErrorKind.BAD_REQUEST, "; ".join(faults)) from error
+
+
+def check_references(configuration: Configuration, record: Record) -> None:
+    """Refuse a record that names others which do not exist."""
+    match record:
+        case Queue(pool=pool, teams=teams):
+            _require(configuration, RecordKind.POOL, [pool])
+            _require(configuration, RecordKind.TEAM, teams)
+        case Instance(pool=pool):
+            _require(configuration, RecordKind.POOL, [pool])
+        case Preset(sizes=sizes):
+            _require(configuration, RecordKind.POOL, list(sizes))
+        case Key(team=team):
+            _require(configuration, RecordKind.TEAM, [team])
+        case Selection(preset=preset):
+            _require(configuration, RecordKind.PRESET, [preset])
+
+
+def _require(configuration: Configuration, kind: RecordKind, names: list[str]) -> None:
+    for name in names:
+        if configuration.row(kind, name) is None:
+            raise RefusalError(ErrorKind.BAD_REQUEST, f"{kind.value}: no {name}")
+
+
+def check_instance(old: Instance | None, new: Instance) -> None:
+    """Refuse to change an instance's pool or state past its budget."""
+    if old is None:
+        if new.state is not InstanceState.SERVING:
+            raise RefusalError(ErrorKind.BAD_REQUEST, "a new instance is serving")
+        return
+    for field in KEPT_FIELDS:
+        if getattr(old, field) != getattr(new, field):
+            raise RefusalError(
+                ErrorKind.BAD_REQUEST, f"{field} changes by drain, resume or move"
+            )
+
+
+def check_unused(configuration: Configuration, kind: RecordKind, name: str) -> None:
+    """Refuse to delete a record that others name."""
+    users: list[str] = []
+    if kind is RecordKind.POOL:
+        users = list(configuration.pool_instances(name))
+        users += [
+            queue
+            for queue in configuration.names(RecordKind.QUEUE)
+            if (record := configuration.queue(queue)) and record.pool == name
+        ]
+    elif kind is RecordKind.TEAM:
+        users = [
+            key[:12]
+            for key in configuration.names(RecordKind.KEY)
+            if (record := configuration.key(key)) and record.team == name
+        ]
+    elif kind is RecordKind.PRESET and configuration.preset == name:
+        users = ["the preset in force"]
+    if users:
+        raise RefusalError(
+            ErrorKind.BAD_REQUEST, f"{name} is used by {', '.join(users[:5])}"
+        )
--- /dev/null
+++ b/jujubebarrow/operators/record_handlers.py
@@ -0,0 +1,99 @@
+"""Records of the configuration."""
+
+from jujubebarrow.configurations.record_kinds import RecordKind
+from jujubebarrow.configurations.records import Budget, Instance
+from jujubebarrow.errors.exceptions import RefusalError
+from jujubebarrow.errors.kinds import ErrorKind
+from jujubebarrow.maintenance.changes import Change
+from jujubebarrow.operators.documents import RecordDocument, RecordList
+from jujubebarrow.operators.operator_handlers import OperatorHandler
+from jujubebarrow.operators.record_checks import (
+    WRITABLE_KINDS,
+    check_instance,
+    check_references,
+    check_unused,
+    parse_record,
+    read_kind,
+)
+
+
+class RecordsHandler(OperatorHandler):
+    """Lists the records of a kind."""
+
+    def get(self, kind_name: str) -> None:
+        """List records."""
+        kind = read_kind(kind_name)
+        records = [
+            describe(self, kind, name)
+            for name in self.context.configuration.names(kind)
+        ]
+        self.answer(RecordList(records=records))
+
+
+class RecordHandler(OperatorHandler):
+    """Shows, writes and deletes one record."""
+
+    def get(self, kind_name: str, name: str) -> None:
+        """Show a record."""
+        self.answer(describe(self, read_kind(kind_name), name))
+
+    async def put(self, kind_name: str, name: str) -> None:
+        """Write a record whose revision the operator has read."""
+        kind = read_kind(kind_name)
+        record = parse_record(kind, self.body)
+        configuration = self.context.configuration
+        check_references(configuration, record)
+        if isinstance(record, Instance):
+            check_instance(configuration.instance(name), record)
+        change = Change(
+            writes={(kind, name): record},
+            conditions={(kind, name): self._read_revision()},
+            reason=f"{kind.value} {name} written",
+            subject=name,
+        )
+        await self.commit(change)
+
+    async def delete(self, kind_name: str, name: str) -> None:
+        """Delete a record that nothing names."""
+        kind = read_kind(kind_name)
+        if kind not in WRITABLE_KINDS:
+            raise RefusalError(ErrorKind.BAD_REQUEST, f"{kind.value} stay")
+        check_unused(self.context.configuration, kind, name)
+        change = Change(
+            writes={(kind, name): None},
+            conditions={(kind, name): self._read_revision()},
+            reason=f"{kind.value} {name} deleted",
+            subject=name,
+        )
+        self._leave_budget(change, kind, name)
+        await self.commit(change)
+
+    def _leave_budget(self, change: Change, kind: RecordKind, name: str) -> None:
+        configuration = self.context.configuration
+        instance = configuration.instance(name)
+        if kind is not RecordKind.INSTANCE or instance is None:
+            return
+        key = (RecordKind.BUDGET, instance.pool)
+        rest = set(configuration.budget(instance.pool).unavailable) - {name}
+        change.writes[key] = Budget(unavailable=sorted(rest))
+        change.conditions[key] = configuration.row_revision(*key)
+
+    def _read_revision(self) -> int:
+        if self.request.headers.get("If-None-Match") == "*":
+            return 0
+        text = self.request.headers.get("If-Match", "").strip('"')
+        if not text.isdigit():
+            raise RefusalError(
+                ErrorKind.BAD_REQUEST, "If-Match must name the revision that was read"
+            )
+        return int(text)
+
+
+def describe(handler: OperatorHandler, kind: RecordKind, name: str) -> RecordDocument:
+    """Return a record's document or refuse."""
+    row = handler.context.configuration.row(kind, name)
+    if row is None or row.value is None:
+        raise RefusalError(ErrorKind.NOT_FOUND, f"{kind.value} {name}")
+    return RecordDocument(
+        kind=kind.value, name=name, revision=row.revision, value=row.value
+    )
--- /dev/null
+++ b/jujubebarrow/operators/status_readers.py
@@ -0,0 +1,146 @@
+"""Whole state of the system as seen from one entry instance."""
+
+from collections import Counter
+
+from jujubebarrow.clocks.clocks import Clock
+from jujubebarrow.configurations.configurations import Configuration
+from jujubebarrow.configurations.record_kinds import RecordKind
+from jujubebarrow.configurations.records import Preset
+from jujubebarrow.identifiers import TeamId
+from jujubebarrow.limits.ledgers import LimitLedger
+from jujubebarrow.members.peer_directories import PeerDirectory, PeerRecord
+from jujubebarrow.operators.documents import (
+    FleetStatus,
+    InstanceStatus,
+    PoolPlan,
+    PresetPlan,
+    TeamStatus,
+    WaveProgress,
+)
+from jujubebarrow.services.configuration_services import ConfigurationService
+from jujubebarrow.services.status_reporters import StatusReporter
+
+
+class StatusReader:
+    """Joins the own status, the peers' and the configuration.
+
+    Args:
+        configuration: Records in force.
+        configurations: Age of the configuration.
+        directory: Peers.
+        reporter: Own status.
+        ledger: Upper limits.
+        clock: Time source.
+    """
+
+    def __init__(
+        self,
+        configuration: Configuration,
+        configurations: ConfigurationService,
+        directory: PeerDirectory,
+        reporter: StatusReporter,
+        ledger: LimitLedger,
+        clock: Clock,
+    ):
+        self._configuration = configuration
+        self._configurations = configurations
+        self._directory = directory
+        self._reporter = reporter
+        self._ledger = ledger
+        self._clock = clock
+
+    def read(self) -> FleetStatus:
+        """Return the whole state."""
+        own = self._reporter.whole()
+        instances = [InstanceStatus(reachable=True, silent=0.0, status=own)]
+        instances += [self._describe(record) for record in self._directory.all()]
+        instances.sort(key=lambda item: item.status.instance)
+        return FleetStatus(
+            preset=self._configuration.preset,
+            revision=self._configuration.revision,
+            age=own.age,
+            fresh=self._configurations.is_fresh(),
+            platform=self._configurations.reaches_platform,
+            instances=instances,
+            teams=self._teams(own.usage),
+        )
+
+    def _describe(self, record: PeerRecord) -> InstanceStatus:
+        status = record.status.model_copy(
+            update={"usage": record.usage, "pools": record.pools}
+        )
+        return InstanceStatus(
+            reachable=self._directory.is_alive(status.instance),
+            silent=round(self._clock.monotonic() - record.seen, 2),
+            status=status,
+        )
+
+    def _teams(self, own: dict[str, int | None]) -> list[TeamStatus]:
+        running: Counter[str] = Counter()
+        usages = [own] + [dict(record.usage) for record in self._directory.alive()]
+        for usage in usages:
+            for cell, number in usage.items():
+                running[cell.partition("/")[2]] += number or 0
+        return [
+            TeamStatus(
+                team=name,
+                limit=record.limit,
+                running=running[name],
+                usable=self._ledger.usable(TeamId(name)),
+            )
+            for name in self._configuration.names(RecordKind.TEAM)
+            if (record := self._configuration.team(name)) is not None
+        ]
+
+    def plan_preset(self, name: str) -> PresetPlan | None:
+        """Return the effect of a preset, or None if there is no such preset."""
+        preset = self._configuration.find(RecordKind.PRESET, name, Preset)
+        if preset is None:
+            return None
+        return PresetPlan(
+            preset=name,
+            in_force=self._configuration.preset == name,
+            maintenance=preset.maintenance,
+            moves=preset.moves,
+            pools=[
+                self._plan_pool(pool, preset.sizes.get(pool)) for pool in self._pools()
+            ],
+        )
+
+    def _pools(self) -> list[str]:
+        return self._configuration.names(RecordKind.POOL)
+
+    def _plan_pool(self, name: str, wanted: int | None) -> PoolPlan:
+        record = self._configuration.pool(name)
+        size = len(self._configuration.pool_instances(name))
+        return PoolPlan(
+            pool=name,
+            size=size,
+            wanted=size if wanted is None else wanted,
+            unavailable=len(self._configuration.budget(name).unavailable),
+            unavailable_limit=record.unavailable_limit if record else 0,
+        )
+
+    def waves(self) -> list[WaveProgress]:
+        """Return the progress of all maintenance waves."""
+        progress = []
+        for name, wave in self._configuration.waves().items():
+            pools = wave.pools or self._pools()
+            instances = [
+                instance
+                for pool in pools
+                for instance in self._configuration.pool_instances(pool).values()
+            ]
+            done = sum(1 for item in instances if item.maintained >= wave.started)
+            elapsed = self._clock.wall() - wave.started
+            rest = len(instances) - done
+            progress.append(
+                WaveProgress(
+                    name=name,
+                    total=len(instances),
+                    done=done,
+                    paused=wave.paused,
+                    remaining=round(elapsed / done * rest, 1) if done else None,
+                )
+            )
+        return progress
--- /dev/null
+++ b/jujubebarrow/peers/links.py
@@ -0,0 +1,190 @@
+"""Dialling side of a link to one peer."""
+
+from asyncio import (
+    CancelledError,
+    Future,
+    Task,
+    create_task,
+    get_running_loop,
+    sleep,
+    wait_for,
+)
+from collections.abc import Callable
+from itertools import count
+from random import Random
+from secrets import token_bytes
+
+from loguru import logger
+from websockets.asyncio.client import ClientConnection, connect
+from websockets.exceptions import WebSocketException
+
+from jujubebarrow.errors.exceptions import PeerLostError
+from jujubebarrow.metrics.registries import MetricsRegistry
+from jujubebarrow.peers.codecs import ProtocolError, decode, encode
+from jujubebarrow.peers.identities import PeerIdentity
+from jujubebarrow.peers.messages import (
+    PROTOCOL_VERSION,
+    Challenge,
+    Hello,
+    Reply,
+    Request,
+    Welcome,
+)
+from jujubebarrow.peers.proofs import NONCE_BYTES, prove, verify
+from jujubebarrow.settings.settings import Settings
+
+SHORTEST_BACKOFF_SECONDS = 0.1
+LONGEST_BACKOFF_SECONDS = 2.0
+
+
+class PeerLink:
+    """Keeps a connection to one address and matches replies to requests.
+
+    Args:
+        address: IP and port to dial.
+        identity: This process.
+        settings: Secret, timeouts and limits.
+        metrics: Where dropped messages are counted.
+        random: Source of jitter.
+        on_connect: Called when the link is up.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        identity: PeerIdentity,
+        settings: Settings,
+        metrics: MetricsRegistry,
+        random: Random,
+        on_connect: Callable[["PeerLink"], None],
+    ):
+        self.address = address
+        self._identity = identity
+        self._settings = settings
+        self._metrics = metrics
+        self._random = random
+        self._on_connect = on_connect
+        self._connection: ClientConnection | None = None
+        self._peer: PeerIdentity | None = None
+        self._pending: dict[int, Future[Reply]] = {}
+        self._serials = count(1)
+        self._task: Task[None] | None = None
+
+    @property
+    def peer(self) -> PeerIdentity | None:
+        """Identity of the process at the other end, while connected."""
+        return self._peer if self._connection else None
+
+    def open(self) -> None:
+        """Start to dial."""
+        self._task = create_task(self._dial())
+
+    async def close(self) -> None:
+        """Stop dialling and close the connection."""
+        if self._task is None:
+            return
+        self._task.cancel()
+        try:
+            await self._task
+        except CancelledError:
+            pass
+
+    async def request(self, message: Request, timeout: float) -> Reply:
+        """Send a request and wait for its reply.
+
+        Args:
+            message: Request; its serial number is replaced.
+            timeout: Seconds to wait.
+
+        Raises:
+            PeerLostError: No link, the link failed, or no reply in time.
+        """
+        if self._connection is None:
+            raise PeerLostError(self.address, sent=False)
+        serial = next(self._serials)
+        frame = encode(message.model_copy(update={"serial": serial}))
+        future: Future[Reply] = get_running_loop().create_future()
+        self._pending[serial] = future
+        try:
+            await self._connection.send(frame)
+            return await wait_for(future, timeout)
+        except (WebSocketException, OSError, TimeoutError) as error:
+            raise PeerLostError(self.address, sent=True) from error
+        finally:
+            self._pending.pop(serial, None)
+
+    async def _dial(self) -> None:
+        backoff = SHORTEST_BACKOFF_SECONDS
+        while True:
+            try:
+                await self._run_connection()
+                backoff = SHORTEST_BACKOFF_SECONDS
+            except (WebSocketException, OSError, TimeoutError, ProtocolError) as error:
+                self._metrics.count("peer_link_failure", type(error).__name__)
+            finally:
+                self._drop()
+            await sleep(backoff * self._random.uniform(0.5, 1.0))
+            backoff = min(LONGEST_BACKOFF_SECONDS, backoff * 2)
+
+    async def _run_connection(self) -> None:
+        async with connect(
+            f"ws://{self.address}",
+            compression=None,
+            ping_interval=None,
+            max_size=self._settings.peer_message_limit,
+            open_timeout=self._settings.peer_timeout,
+            close_timeout=self._settings.peer_timeout,
+            proxy=None,
+        ) as connection:
+            self._peer = await self._shake_hands(connection)
+            self._connection = connection
+            logger.info("peer link up to {}", self._peer.instance)
+            self._on_connect(self)
+            async for frame in connection:
+                self._receive(frame)
+
+    async def _shake_hands(self, connection: ClientConnection) -> PeerIdentity:
+        timeout = self._settings.peer_timeout
+        challenge = decode(await wait_for(connection.recv(), timeout))
+        if not isinstance(challenge, Challenge):
+            raise ProtocolError("no challenge")
+        if challenge.version != PROTOCOL_VERSION:
+            raise ProtocolError(f"version {challenge.version}")
+        nonce = token_bytes(NONCE_BYTES)
+        proof = prove(self._settings.peer_secret, challenge.nonce, self._identity)
+        hello = Hello(
+            version=PROTOCOL_VERSION,
+            instance=self._identity.instance,
+            incarnation=self._identity.incarnation,
+            zone=self._identity.zone,
+            nonce=nonce,
+            proof=proof,
+        )
+        await connection.send(encode(hello))
+        welcome = decode(await wait_for(connection.recv(), timeout))
+        if not isinstance(welcome, Welcome):
+            raise ProtocolError("no welcome")
+        peer = PeerIdentity(welcome.instance, welcome.incarnation, welcome.zone)
+        if not verify(self._settings.peer_secret, nonce, peer, welcome.proof):
+            raise ProtocolError("wrong proof")
+        return peer
+
+    def _receive(self, frame: bytes | str) -> None:
+        reply = decode(frame)
+        to = getattr(reply, "to", None)
+        if to != self._identity.incarnation:
+            self._metrics.count("peer_reply_dropped", "crossed")
+            return
+        future = self._pending.get(reply.serial)  # type: ignore[union-attr]
+        if future is None or future.done():
+            self._metrics.count("peer_reply_dropped", "late")
+            return
+        future.set_result(reply)  # type: ignore[arg-type]
+
+    def _drop(self) -> None:
+        if self._connection is not None and self._peer is not None:
+            logger.info("peer link down to {}", self._peer.instance)
+        self._connection = None
+        for future in self._pending.values():
+            if not future.done():
+                future.set_exception(PeerLostError(self.address, sent=True))
--- /dev/null
+++ b/jujubebarrow/peers/servers.py
@@ -0,0 +1,118 @@
+"""Accepting side of peer links."""
+
+from asyncio import Task, create_task, wait_for
+from secrets import token_bytes
+
+from loguru import logger
+from websockets.asyncio.server import Server, ServerConnection, serve
+from websockets.exceptions import WebSocketException
+
+from jujubebarrow.metrics.registries import MetricsRegistry
+from jujubebarrow.peers.codecs import ProtocolError, decode, encode
+from jujubebarrow.peers.handlers import PeerHandler
+from jujubebarrow.peers.identities import PeerIdentity
+from jujubebarrow.peers.messages import (
+    PROTOCOL_VERSION,
+    Challenge,
+    Hello,
+    Request,
+    Welcome,
+)
+from jujubebarrow.peers.proofs import NONCE_BYTES, prove, verify
+from jujubebarrow.settings.settings import Settings
+
+
+class PeerServer:
+    """Accepts links of peers that know the secret.
+
+    Args:
+        identity: This process.
+        settings: Address, secret and limits.
+        metrics: Where refused links and messages are counted.
+        handler: Answers the requests.
+    """
+
+    def __init__(
+        self,
+        identity: PeerIdentity,
+        settings: Settings,
+        metrics: MetricsRegistry,
+        handler: PeerHandler,
+    ):
+        self._identity = identity
+        self._settings = settings
+        self._metrics = metrics
+        self._handler = handler
+        self._server: Server | None = None
+        self._tasks: set[Task[None]] = set()
+
+    async def open(self) -> None:
+        """Bind the address, which fails while another process holds it.
+
+        Raises:
+            OSError: The address is in use.
+        """
+        self._server = await serve(
+            self._accept,
+            str(self._settings.address),
+            self._settings.peer_port,
+            compression=None,
+            ping_interval=None,
+            max_size=self._settings.peer_message_limit,
+        )
+
+    async def close(self) -> None:
+        """Close all links."""
+        if self._server is None:
+            return
+        self._server.close()
+        await self._server.wait_closed()
+
+    async def _accept(self, connection: ServerConnection) -> None:
+        try:
+            peer = await self._shake_hands(connection)
+            async for frame in connection:
+                self._receive(connection, frame, peer)
+        except ProtocolError as error:
+            self._metrics.count("peer_message_refused", str(error).split()[0])
+        except (WebSocketException, OSError, TimeoutError) as error:
+            self._metrics.count("peer_link_failure", type(error).__name__)
+
+    async def _shake_hands(self, connection: ServerConnection) -> PeerIdentity:
+        nonce = token_bytes(NONCE_BYTES)
+        challenge = Challenge(version=PROTOCOL_VERSION, nonce=nonce)
+        await connection.send(encode(challenge))
+        frame = await wait_for(connection.recv(), self._settings.peer_timeout)
+        hello = decode(frame)
+        if not isinstance(hello, Hello):
+            raise ProtocolError("hello missing")
+        if hello.version != PROTOCOL_VERSION:
+            raise ProtocolError("version differs")
+        peer = PeerIdentity(hello.instance, hello.incarnation, hello.zone)
+        if not verify(self._settings.peer_secret, nonce, peer, hello.proof):
+            raise ProtocolError("proof wrong")
+        proof = prove(self._settings.peer_secret, hello.nonce, self._identity)
+        await connection.send(encode(Welcome(**self._identity._asdict(), proof=proof)))
+        return peer
+
+    def _receive(
+        self, connection: ServerConnection, frame: bytes | str, peer: PeerIdentity
+    ) -> None:
+        request = decode(frame)
+        if not isinstance(request, Request):
+            raise ProtocolError("request expected")
+        task = create_task(self._answer(connection, request, peer))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _answer(
+        self, connection: ServerConnection, request: Request, peer: PeerIdentity
+    ) -> None:
+        try:
+            reply = await self._handler.handle(request, peer)
+            await connection.send(encode(reply))
+        except WebSocketException:
+            self._metrics.count("peer_reply_dropped", "link")
+        except Exception:
+            logger.exception("request {} of a peer failed", request.kind)
+            self._metrics.count("peer_request_failed", request.kind)
--- /dev/null
+++ b/jujubebarrow/platforms/http_platforms.py
@@ -0,0 +1,133 @@
+"""The platform over HTTP."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+from urllib.parse import quote
+
+from pydantic import BaseModel
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPResponse
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
+
+from jujubebarrow.errors.exceptions import StoreError, TransactionConflictError
+from jujubebarrow.metrics.registries import MetricsRegistry
+from jujubebarrow.platforms.listings import Listing
+from jujubebarrow.platforms.platforms import Platform
+from jujubebarrow.platforms.rows import RowSet
+from jujubebarrow.platforms.transactions import Transaction
+
+COMMIT_ATTEMPTS = 3
+ROW_SET_LIMIT = 256 * 1024 * 1024
+CONNECTION_LIMIT = 32
+
+
+class _Committed(BaseModel):
+    revision: int
+
+
+class _Conflict(BaseModel):
+    nonces: dict[str, str]
+
+
+class HttpPlatform(Platform):
+    """Client of the platform's HTTP interface.
+
+    Args:
+        url: Base address.
+        zone: Availability zone named in each call.
+        timeout: Timeout of a call in seconds.
+        metrics: Where failures and retries are counted.
+    """
+
+    def __init__(self, url: str, zone: str, timeout: float, metrics: MetricsRegistry):
+        self._url = url.rstrip("/")
+        self._headers = {"Availability-Zone": zone}
+        self._timeout = timeout
+        self._metrics = metrics
+        self._client: AsyncHTTPClient = SimpleAsyncHTTPClient(
+            force_instance=True,
+            max_clients=CONNECTION_LIMIT,
+            max_body_size=ROW_SET_LIMIT,
+        )
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._client.close()
+
+    async def commit(self, transaction: Transaction) -> int:
+        """Commit a transaction once and return its revision."""
+        body = transaction.model_dump_json().encode()
+        for attempt in range(COMMIT_ATTEMPTS):
+            try:
+                return await self._commit_once(body, transaction.nonce)
+            except StoreError:
+                if attempt == COMMIT_ATTEMPTS - 1:
+                    raise
+                self._metrics.count("retry", "store-commit")
+        raise StoreError("unreachable")
+
+    async def _commit_once(self, body: bytes, nonce: str) -> int:
+        response = await self._fetch("POST", "/transactions", body, self._timeout)
+        if response.code == 200:
+            return _Committed.model_validate_json(response.body).revision
+        conflict = _Conflict.model_validate_json(response.body)
+        own = [key for key, other in conflict.nonces.items() if other == nonce]
+        if own:
+            # An earlier attempt took effect and its answer was lost.
+            return await self._read_own_revision(own[0], nonce)
+        raise TransactionConflictError(list(conflict.nonces))
+
+    async def _read_own_revision(self, key: str, nonce: str) -> int:
+        rows = await self.read(key)
+        for row in rows.rows:
+            if row.key == key and row.nonce == nonce:
+                return row.revision
+        return rows.revision
+
+    async def read(self, prefix: str) -> RowSet:
+        """Return the rows whose key starts with a prefix."""
+        path = f"/rows?prefix={quote(prefix, safe='')}"
+        response = await self._fetch("GET", path, None, self._timeout)
+        return RowSet.model_validate_json(response.body)
+
+    async def read_changes(self, prefix: str, since: int, wait: float) -> RowSet:
+        """Return rows changed after a revision, waiting some seconds for one."""
+        path = f"/changes?prefix={quote(prefix, safe='')}&since={since}&wait={wait}"
+        response = await self._fetch("GET", path, None, self._timeout + wait)
+        return RowSet.model_validate_json(response.body)
+
+    async def list_instances(self) -> Listing:
+        """Return the lagging list of live and leaving instances."""
+        response = await self._fetch("GET", "/instances", None, self._timeout)
+        return Listing.model_validate_json(response.body)
+
+    async def put_object(self, name: str, data: bytes) -> None:
+        """Store an object."""
+        await self._fetch("PUT", f"/objects/{quote(name)}", data, self._timeout)
+
+    async def get_object(self, name: str) -> bytes:
+        """Return an object's bytes."""
+        path = f"/objects/{quote(name)}"
+        response = await self._fetch("GET", path, None, self._timeout)
+        return response.body
+
+    async def _fetch(
+        self, method: str, path: str, body: bytes | None, timeout: float
+    ) -> HTTPResponse:
+        call: Callable[..., Awaitable[Any]] = self._client.fetch
+        try:
+            response = await call(
+                self._url + path,
+                method=method,
+                body=body,
+                headers=self._headers,
+                connect_timeout=timeout,
+                request_timeout=timeout,
+                raise_error=False,
+            )
+        except (OSError, HTTPClientError) as error:
+            self._metrics.count("store_failure", type(error).__name__)
+            raise StoreError(str(error)) from error
+        if response.code not in (200, 409):
+            self._metrics.count("store_failure", str(response.code))
+            raise StoreError(f"status {response.code}")
+        return response
--- /dev/null
+++ b/jujubebarrow/platforms/listings.py
@@ -0,0 +1,20 @@
+"""The platform's list of instances."""
+
+from enum import Enum
+
+from pydantic import BaseModel, ConfigDict
+
+
+class ListedState(Enum):
+    """State of an instance in the platform's list."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class Listing(BaseModel):
+    """Instances as the platform lists them, with a lag."""
+
+    model_config = ConfigDict(frozen=True)
+
+    instances: dict[str, ListedState]
--- /dev/null
+++ b/jujubebarrow/queues/pool_schedulers.py
@@ -0,0 +1,300 @@
+"""Order in which the requests of one pool are started at their home."""
+
+from collections.abc import Callable, Collection
+
+from jujubebarrow.clocks.clocks import Clock
+from jujubebarrow.configurations.configurations import Configuration
+from jujubebarrow.configurations.records import Priority
+from jujubebarrow.errors.exceptions import RefusalError
+from jujubebarrow.errors.kinds import ErrorKind
+from jujubebarrow.identifiers import OPEN_TEAM, PoolId, QueueId, TeamId
+from jujubebarrow.limits.ledgers import LimitLedger
+from jujubebarrow.queues.entries import Entry
+from jujubebarrow.queues.starts import Start
+from jujubebarrow.queues.team_queues import TeamQueues
+from jujubebarrow.routes.upstream_sets import UpstreamSet
+from jujubebarrow.routes.upstream_slots import UpstreamSlots
+from jujubebarrow.settings.settings import Settings
+from jujubebarrow.shares.run_times import RunTimeEstimate
+from jujubebarrow.shares.usages import TeamUsage
+
+OPEN_SHARE = 1.0
+RESERVED_PART = 0.15
+"""Part of the slots that overnight work leaves free for interactive work."""
+OVERNIGHT_PATIENCE_SECONDS = 30.0
+OVERNIGHT_PART = 0.05
+SHORTEST_ATTEMPT_SECONDS = 1.0
+ATTEMPT_FACTOR = 10.0
+LEASE_MARGIN_SECONDS = 0.5
+FIRST_LEASE_PART = 0.5
+"""First lease of renewed work, as a part of the longest."""
+SHORTEST_RETRY_AFTER_SECONDS = 1.0
+EXPECTED_RUN_PART = 0.5
+"""Part of the expected run time without which a start makes no sense."""
+
+
+class PoolScheduler:
+    """Admission, weighted fair order and choice of upstream for one pool.
+
+    Args:
+        pool: Pool.
+        configuration: Source of teams, queues and keys.
+        ledger: Upper limits.
+        upstreams: Upstreams of the pool in this zone.
+        clock: Time source.
+        settings: Bounds.
+        is_fresh: Tells whether keyed work may be started.
+    """
+
+    def __init__(
+        self,
+        pool: PoolId,
+        configuration: Configuration,
+        ledger: LimitLedger,
+        upstreams: UpstreamSet,
+        clock: Clock,
+        settings: Settings,
+        is_fresh: Callable[[], bool],
+    ):
+        self.pool = pool
+        self.upstreams = upstreams
+        self.usage = TeamUsage()
+        self._configuration = configuration
+        self._ledger = ledger
+        self._clock = clock
+        self._settings = settings
+        self._is_fresh = is_fresh
+        self._queues = {priority: TeamQueues() for priority in Priority}
+        self._run_times: dict[QueueId, RunTimeEstimate] = {}
+        self._running = {priority: 0 for priority in Priority}
+        self._shortages: dict[TeamId, int] = {}
+
+    @property
+    def waiting(self) -> int:
+        """Number of waiting requests."""
+        return sum(len(queues) for queues in self._queues.values())
+
+    @property
+    def running(self) -> int:
+        """Number of requests that occupy a slot."""
+        return sum(self._running.values())
+
+    @property
+    def free_slots(self) -> int:
+        """Slots of upstreams in service that are not occupied from here."""
+        return max(0, self.upstreams.slots - self.running)
+
+    def entries(self) -> list[Entry]:
+        """Return all waiting requests."""
+        return [entry for queues in self._queues.values() for entry in queues]
+
+    def waiting_by_team(self) -> dict[TeamId, int]:
+        """Return the number of waiting requests of each team."""
+        counts: dict[TeamId, int] = {}
+        for queues in self._queues.values():
+            for team in queues.teams:
+                counts[team] = counts.get(team, 0) + queues.waiting(team)
+        return counts
+
+    def run_time(self, queue: QueueId) -> float:
+        """Return the expected run time of a queue's requests in seconds."""
+        return self._estimate(queue).seconds
+
+    def observe(self, queue: QueueId, seconds: float) -> None:
+        """Record the run time of a whole answer."""
+        self._estimate(queue).observe(seconds)
+
+    def _estimate(self, queue: QueueId) -> RunTimeEstimate:
+        estimate = self._run_times.get(queue)
+        if estimate is None:
+            record = self._configuration.queue(queue)
+            estimate = RunTimeEstimate(record.run_time if record else 1.0)
+            self._run_times[queue] = estimate
+        return estimate
+
+    def expected_wait(self, team: TeamId, queue: QueueId, priority: Priority) -> float:
+        """Return the expected wait of one more request, in seconds."""
+        waiting = self._queues[priority].waiting(team)
+        if not waiting and self.free_slots > 0:
+            return 0.0
+        entitled = self._entitled_slots(team, priority)
+        if entitled <= 0:
+            return float("inf")
+        return (waiting + 1) * self.run_time(queue) / entitled
+
+    def pool_wait(self) -> float:
+        """Return the expected time to start all waiting work, in seconds."""
+        slots = max(1, self.upstreams.slots)
+        work = sum(self.run_time(entry.queue) for entry in self.entries())
+        return work / slots
+
+    def _entitled_slots(self, team: TeamId, priority: Priority) -> float:
+        own = self.usage.own()
+        active = set(own) | set(self._queues[priority].teams) | {team}
+        total = sum(self._share(other) for other in active)
+        slots = self.upstreams.slots * self._share(team) / total
+        record = self._configuration.team(team)
+        return min(slots, record.limit) if record else slots
+
+    def _share(self, team: TeamId) -> float:
+        record = self._configuration.team(team)
+        return record.share if record else OPEN_SHARE
+
+    def admit(self, entry: Entry) -> None:
+        """Refuse a request that cannot be answered in time.
+
+        Raises:
+            RefusalError: With the time after which to come back.
+        """
+        self._check_runnable(entry)
+        wait = self.expected_wait(entry.team, entry.queue, entry.priority)
+        if wait == float("inf"):
+            raise RefusalError(
+                ErrorKind.NO_UPSTREAM,
+                f"pool {self.pool}",
+                retry_after=SHORTEST_RETRY_AFTER_SECONDS,
+            )
+        retry_after = max(SHORTEST_RETRY_AFTER_SECONDS, wait)
+        remaining = entry.deadline - self._clock.monotonic()
+        if wait + self.run_time(entry.queue) * EXPECTED_RUN_PART > remaining:
+            raise RefusalError(
+                ErrorKind.DEADLINE_UNREACHABLE,
+                f"expected wait {wait:.2f} s, deadline in {remaining:.2f} s",
+                retry_after=retry_after,
+            )
+        if wait > self._settings.queue_wait_limit:
+            raise RefusalError(
+                ErrorKind.QUEUE_FULL,
+                f"expected wait {wait:.2f} s",
+                retry_after=retry_after,
+            )
+
+    def _check_runnable(self, entry: Entry) -> None:
+        instances = self._configuration.pool_instances(self.pool).values()
+        largest = max((instance.cores for instance in instances), default=None)
+        if largest is not None and entry.cores > largest:
+            raise RefusalError(
+                ErrorKind.NEVER_RUNS,
+                f"needs {entry.cores} cores, the largest instance has {largest}",
+            )
+        record = self._configuration.team(entry.team)
+        if record is not None and record.limit == 0:
+            raise RefusalError(ErrorKind.TEAM_LIMIT, "the upper limit is 0")
+
+    def enqueue(self, entry: Entry) -> None:
+        """Add an admitted request."""
+        self._queues[entry.priority].append(entry)
+
+    def requeue(self, entry: Entry) -> None:
+        """Add a request again, before the others of its team."""
+        self._queues[entry.priority].push_front(entry)
+
+    def remove(self, entry: Entry) -> bool:
+        """Remove a waiting request; return False if it does not wait."""
+        return self._queues[entry.priority].remove(entry)
+
+    def shortages(self) -> dict[TeamId, int]:
+        """Return and forget the units that teams lacked at the last starts."""
+        shortages = self._shortages
+        self._shortages = {}
+        return shortages
+
+    def next_start(self) -> Start | None:
+        """Choose the next request and where it runs, or None."""
+        if not self.waiting:
+            return None
+        for priority in self._priorities():
+            start = self._start_from(priority)
+            if start is not None:
+                return start
+        return None
+
+    def _priorities(self) -> list[Priority]:
+        order = [Priority.INTERACTIVE, Priority.OVERNIGHT]
+        if self._overnight_is_due():
+            order.reverse()
+        return [priority for priority in order if self._may_start(priority)]
+
+    def _may_start(self, priority: Priority) -> bool:
+        if not len(self._queues[priority]):
+            return False
+        if priority is Priority.INTERACTIVE:
+            return True
+        slots = self.upstreams.slots
+        reserve = min(slots - 1, max(1, int(slots * RESERVED_PART)))
+        return self.free_slots > reserve or self._overnight_is_due()
+
+    def _overnight_is_due(self) -> bool:
+        queues = self._queues[Priority.OVERNIGHT]
+        part = max(1, int(self.upstreams.slots * OVERNIGHT_PART))
+        if not len(queues) or self._running[Priority.OVERNIGHT] >= part:
+            return False
+        oldest = min(queues.head(team).arrived for team in queues.teams)
+        return self._clock.monotonic() - oldest > OVERNIGHT_PATIENCE_SECONDS
+
+    def _start_from(self, priority: Priority) -> Start | None:
+        queues = self._queues[priority]
+        for team in sorted(queues.teams, key=lambda team: self._rank(queues, team)):
+            start = self._start_team(queues, team)
+            if start is not None:
+                return start
+        return None
+
+    def _rank(self, queues: TeamQueues, team: TeamId) -> tuple[float, float]:
+        weighted = (self.usage.running(team) + 1) / self._share(team)
+        return weighted, queues.head(team).arrived
+
+    def _start_team(self, queues: TeamQueues, team: TeamId) -> Start | None:
+        if team != OPEN_TEAM and not self._is_fresh():
+            return None
+        entry = queues.head(team)
+        member = self.upstreams.choose(entry.tried)
+        if member is None:
+            return None
+        start = self._make_start(entry, member)
+        if start is None:
+            self._shortages[team] = self._waiting_for(team)
+            return None
+        queues.remove(entry)
+        member.occupy()
+        self.usage.start(team)
+        self._running[entry.priority] += 1
+        return start
+
+    def _waiting_for(self, team: TeamId) -> int:
+        return sum(queues.waiting(team) for queues in self._queues.values())
+
+    def _make_start(self, entry: Entry, member: UpstreamSlots) -> Start | None:
+        timeout = self._timeout(entry)
+        period = min(timeout + LEASE_MARGIN_SECONDS, self._settings.task_lease)
+        if entry.renewed:
+            # Short enough for a loan; the first renewal makes it longer.
+            period = self._settings.task_lease * FIRST_LEASE_PART
+        lease_end = self._clock.wall() + period
+        if entry.team == OPEN_TEAM:
+            return Start(entry, member, None, timeout, lease_end)
+        permit = self._ledger.acquire(entry.team, lease_end)
+        if permit is None:
+            return None
+        return Start(entry, member, permit, timeout, lease_end)
+
+    def _timeout(self, entry: Entry) -> float:
+        remaining = entry.deadline - self._clock.monotonic()
+        if not entry.idempotent or entry.renewed:
+            return remaining
+        attempt = max(
+            SHORTEST_ATTEMPT_SECONDS, ATTEMPT_FACTOR * self.run_time(entry.queue)
+        )
+        return min(remaining, attempt)
+
+    def finish(self, start: Start) -> None:
+        """Give back the slot and the permit of a task that has ended."""
+        start.member.vacate()
+        self.usage.end(start.entry.team)
+        self._running[start.entry.priority] -= 1
+        if start.permit is not None:
+            self._ledger.release(start.permit)
+
+    def teams_running(self) -> Collection[TeamId]:
+        """Return the teams that run something from here."""
+        return self.usage.own().keys()
--- /dev/null
+++ b/jujubebarrow/routes/homes.py
@@ -0,0 +1,95 @@
+"""Which instance is home of a pool in a zone."""
+
+from dataclasses import dataclass
+
+from jujubebarrow.members.peer_directories import PeerDirectory
+from jujubebarrow.peers.messages import PoolReport
+from jujubebarrow.routes.rendezvous import rank
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """Home that may run a request.
+
+    Attributes:
+        instance: Instance id.
+        zone: Its availability zone.
+        wait: Expected wait there in seconds, the way included.
+    """
+
+    instance: str
+    zone: str
+    wait: float
+
+
+class HomeDirectory:
+    """Finds the homes of pools among the instances that take work.
+
+    Args:
+        instance: This instance.
+        zone: Its availability zone.
+        directory: Peers.
+    """
+
+    def __init__(self, instance: str, zone: str, directory: PeerDirectory):
+        self._instance = instance
+        self._zone = zone
+        self._directory = directory
+        self._own_ready = False
+        self._members: dict[str, tuple[str, ...]] = {}
+        self._homes: dict[tuple[str, str], str] = {}
+
+    def refresh(self, own_ready: bool) -> bool:
+        """Take over which instances take work; return whether it changed."""
+        self._own_ready = own_ready
+        zones: dict[str, list[str]] = {}
+        if own_ready:
+            zones.setdefault(self._zone, []).append(self._instance)
+        for record in self._directory.alive():
+            status = record.status
+            if status.ready and not status.leaving:
+                zones.setdefault(status.zone, []).append(status.instance)
+        members = {zone: tuple(sorted(names)) for zone, names in zones.items()}
+        if members == self._members:
+            return False
+        self._members = members
+        self._homes.clear()
+        return True
+
+    def home(self, pool: str, zone: str) -> str | None:
+        """Return the home of a pool in a zone, or None if the zone has none."""
+        key = (pool, zone)
+        if key not in self._homes:
+            members = self._members.get(zone, ())
+            if not members:
+                return None
+            self._homes[key] = rank(pool, members)[0]
+        return self._homes[key]
+
+    def is_home(self, pool: str) -> bool:
+        """Return whether this instance is the pool's home in its zone."""
+        return self.home(pool, self._zone) == self._instance
+
+    def candidates(self, pool: str) -> list[Candidate]:
+        """Return where a request may go, the own zone first, then by wait."""
+        own = self.home(pool, self._zone)
+        found = [Candidate(own, self._zone, 0.0)] if own is not None else []
+        others = [
+            candidate
+            for zone in self._members
+            if zone != self._zone
+            and (candidate := self._remote_candidate(pool, zone)) is not None
+        ]
+        others.sort(key=lambda candidate: candidate.wait)
+        return found + others
+
+    def _remote_candidate(self, pool: str, zone: str) -> Candidate | None:
+        instance = self.home(pool, zone)
+        record = self._directory.get(instance) if instance else None
+        if instance is None or record is None:
+            return None
+        report: PoolReport | None = record.pools.get(pool)
+        if report is None or report.slots == 0:
+            return None
+        wait = report.wait if report.free_slots == 0 else 0.0
+        return Candidate(instance, zone, wait + record.round_trip)
--- /dev/null
+++ b/jujubebarrow/routes/rendezvous.py
@@ -0,0 +1,17 @@
+"""Rendezvous hashing."""
+
+from collections.abc import Iterable
+from hashlib import blake2b
+
+
+def rank(key: str, members: Iterable[str]) -> list[str]:
+    """Return members in the order of preference for a key.
+
+    All callers that know the same members agree, and the loss of a member
+    changes only what it owned.
+    """
+    return sorted(members, key=lambda member: _weight(key, member), reverse=True)
+
+
+def _weight(key: str, member: str) -> bytes:
+    return blake2b(f"{key}\0{member}".encode(), digest_size=8).digest()
--- /dev/null
+++ b/jujubebarrow/services/commit_batchers.py
@@ -0,0 +1,106 @@
+"""Group commit of single-row writes."""
+
+from asyncio import Future, Task, create_task, get_running_loop
+from collections import deque
+from dataclasses import dataclass
+from typing import Any
+from uuid import uuid4
+
+from jujubebarrow.errors.exceptions import StoreError, TransactionConflictError
+from jujubebarrow.metrics.registries import MetricsRegistry
+from jujubebarrow.platforms.platforms import Platform
+from jujubebarrow.platforms.transactions import Transaction
+
+
+@dataclass(slots=True, eq=False)
+class _Write:
+    key: str
+    value: dict[str, Any] | None
+    revision: int
+    done: "Future[int]"
+
+
+class CommitBatcher:
+    """Joins concurrent conditional writes into one transaction at a time.
+
+    Args:
+        platform: Table.
+        batch: Most rows in a transaction.
+        metrics: Where transactions and rows are counted.
+    """
+
+    def __init__(self, platform: Platform, batch: int, metrics: MetricsRegistry):
+        self._platform = platform
+        self._batch = batch
+        self._metrics = metrics
+        self._waiting: deque[_Write] = deque()
+        self._task: Task[None] | None = None
+
+    async def write(self, key: str, value: dict[str, Any] | None, revision: int) -> int:
+        """Write one row if it still has a revision.
+
+        Args:
+            key: Row.
+            value: New value; None deletes the row.
+            revision: Revision that the row must have; 0 if it must not exist.
+
+        Returns:
+            Revision of the write.
+
+        Raises:
+            TransactionConflictError: The row has another revision.
+            StoreError: Unknown whether the write took effect.
+        """
+        done: Future[int] = get_running_loop().create_future()
+        self._waiting.append(_Write(key, value, revision, done))
+        if self._task is None or self._task.done():
+            self._task = create_task(self._run())
+        return await done
+
+    async def _run(self) -> None:
+        while self._waiting:
+            await self._commit(self._take_batch())
+
+    def _take_batch(self) -> list[_Write]:
+        batch: dict[str, _Write] = {}
+        while self._waiting and len(batch) < self._batch:
+            if self._waiting[0].key in batch:
+                break
+            write = self._waiting.popleft()
+            if not write.done.cancelled():
+                batch[write.key] = write
+        return list(batch.values())
+
+    async def _commit(self, batch: list[_Write]) -> None:
+        if not batch:
+            return
+        transaction = Transaction(
+            conditions={write.key: write.revision for write in batch},
+            writes={write.key: write.value for write in batch},
+            nonce=uuid4().hex,
+        )
+        self._metrics.count("store_transaction")
+        self._metrics.count("store_row", amount=len(batch))
+        try:
+            revision = await self._platform.commit(transaction)
+        except TransactionConflictError as error:
+            self._split(batch, error)
+        except StoreError as error:
+            for write in batch:
+                _fail(write, error)
+        else:
+            for write in batch:
+                if not write.done.done():
+                    write.done.set_result(revision)
+
+    def _split(self, batch: list[_Write], error: TransactionConflictError) -> None:
+        for write in reversed(batch):
+            if write.key in error.keys:
+                _fail(write, TransactionConflictError([write.key]))
+            else:
+                self._waiting.appendleft(write)
+
+
+def _fail(write: _Write, error: Exception) -> None:
+    if not write.done.done():
+        write.done.set_exception(error)
--- /dev/null
+++ b/jujubebarrow/services/job_services.py
@@ -0,0 +1,392 @@
+"""Accepts jobs, supervises them and keeps their outcome."""
+
+from asyncio import Task, create_task, gather, sleep
+from collections.abc import Callable
+from uuid import uuid4
+
+from pydantic import BaseModel
+
+from jujubebarrow.claims.claims import Outcome, digest_body
+from jujubebarrow.clocks.clocks import Clock
+from jujubebarrow.configurations.configurations import Configuration
+from jujubebarrow.configurations.records import Priority
+from jujubebarrow.errors.exceptions import (
+    RefusalError,
+    StoreError,
+    TransactionConflictError,
+)
+from jujubebarrow.errors.kinds import ErrorKind
+from jujubebarrow.homes.run_results import RunResult
+from jujubebarrow.jobs.job_states import OPEN_STATES, JobState
+from jujubebarrow.jobs.jobs import CLOSED_PREFIX, OPEN_PREFIX, Job, job_id
+from jujubebarrow.jobs.verdicts import JobVerdict, judge_refusal, judge_result
+from jujubebarrow.metrics.registries import MetricsRegistry
+from jujubebarrow.peers.identities import PeerIdentity
+from jujubebarrow.peers.messages import Forward
+from jujubebarrow.platforms.platforms import Platform
+from jujubebarrow.platforms.transactions import Transaction
+from jujubebarrow.services.commit_batchers import CommitBatcher
+from jujubebarrow.services.explanations import ExplanationLog
+from jujubebarrow.services.request_services import RequestService
+from jujubebarrow.settings.settings import Settings
+
+INLINE_BODY_LIMIT = 4096
+RUN_LIMIT_SECONDS = 6 * 3600.0
+STORE_RETRY_SECONDS = 1.0
+
+
+class StoredJob(BaseModel):
+    """Job with its id and the revision of its row."""
+
+    job_id: str
+    job: Job
+    revision: int
+
+
+class JobService:
+    """Runs jobs through the same path as other requests.
+
+    Every attempt is claimed under a key of its own, so that a second supervisor
+    finds what became of it.
+
+    Args:
+        identity: This process.
+        platform: Table and object store.
+        batcher: Group commit.
+        requests: Runs the attempts.
+        configuration: Records in force.
+        clock: Time source.
+        settings: Bounds.
+        metrics: Where states are counted.
+        explanations: Where states are recorded.
+        has_ended: Tells whether an instance's process has ended for certain.
+    """
+
+    def __init__(
+        self,
+        identity: PeerIdentity,
+        platform: Platform,
+        batcher: CommitBatcher,
+        requests: RequestService,
+        configuration: Configuration,
+        clock: Clock,
+        settings: Settings,
+        metrics: MetricsRegistry,
+        explanations: ExplanationLog,
+        has_ended: Callable[[str, str], bool],
+    ):
+        self._identity = identity
+        self._platform = platform
+        self._batcher = batcher
+        self._requests = requests
+        self._configuration = configuration
+        self._clock = clock
+        self._settings = settings
+        self._metrics = metrics
+        self._explanations = explanations
+        self._has_ended = has_ended
+        self._supervisors: dict[str, Task[None]] = {}
+        self._feed_revision = 0
+        self._open: dict[str, StoredJob] = {}
+
+    async def close(self) -> None:
+        """Hand all jobs over to other instances."""
+        supervised = list(self._supervisors)
+        tasks = list(self._supervisors.values())
+        for task in tasks:
+            task.cancel()
+        await gather(*tasks, return_exceptions=True)
+        await gather(*(self._hand_over(name) for name in supervised))
+
+    async def _hand_over(self, name: str) -> None:
+        try:
+            stored = await self._read(OPEN_PREFIX, name)
+            if stored and stored.job.incarnation == self._identity.incarnation:
+                update = {"runner": "", "incarnation": "", "reason": "handed over"}
+                await self._write(stored, update)
+        except (RefusalError, StoreError, TransactionConflictError):
+            # Another instance adopts it once this one has left the list.
+            self._metrics.count("job_hand_over_failed")
+
+    async def accept(self, request: Forward) -> str:
+        """Accept a job durably and return its id.
+
+        Raises:
+            RefusalError: The job was not accepted.
+        """
+        key = request.idempotency_key or uuid4().hex
+        name = job_id(request.team, request.queue, key)
+        job = await self._make_job(request)
+        try:
+            value = job.model_dump(mode="json")
+            if await self._read(CLOSED_PREFIX, name) is not None:
+                raise TransactionConflictError([name])
+            revision = await self._batcher.write(OPEN_PREFIX + name, value, 0)
+        except TransactionConflictError:
+            return await self._accept_again(name, job)
+        except StoreError as error:
+            raise RefusalError(
+                ErrorKind.STORE_UNAVAILABLE, "job", retry_after=STORE_RETRY_SECONDS
+            ) from error
+        self._metrics.count("job", JobState.ACCEPTED.value)
+        self._supervise(StoredJob(job_id=name, job=job, revision=revision))
+        return name
+
+    async def _make_job(self, request: Forward) -> Job:
+        body, stored = request.body.decode("latin-1"), ""
+        if len(body) > INLINE_BODY_LIMIT:
+            body, stored = "", uuid4().hex
+            try:
+                await self._platform.put_object(stored, request.body)
+            except StoreError as error:
+                raise RefusalError(
+                    ErrorKind.STORE_UNAVAILABLE, "job", retry_after=STORE_RETRY_SECONDS
+                ) from error
+        return Job(
+            team=request.team,
+            key=request.key,
+            queue=request.queue,
+            content_type=request.content_type,
+            body=body,
+            stored=stored,
+            body_digest=digest_body(request.body),
+            created=self._clock.wall(),
+            runner=self._identity.instance,
+            incarnation=self._identity.incarnation,
+        )
+
+    async def _accept_again(self, name: str, job: Job) -> str:
+        stored = await self._find(name)
+        if stored is None:
+            raise RefusalError(ErrorKind.IN_PROGRESS, retry_after=STORE_RETRY_SECONDS)
+        if stored.job.body_digest != job.body_digest:
+            raise RefusalError(ErrorKind.IDEMPOTENCY_KEY_REUSED)
+        return name
+
+    async def get(self, name: str, team: str | None) -> Job:
+        """Return a job.
+
+        Args:
+            name: Id of the job.
+            team: Team that asks; None for an operator.
+
+        Raises:
+            RefusalError: There is no such job of this team.
+        """
+        stored = await self._find(name)
+        if stored is None or team not in (None, stored.job.team):
+            raise RefusalError(ErrorKind.NOT_FOUND, "job")
+        return stored.job
+
+    async def list_open(self) -> dict[str, Job]:
+        """Return all jobs that are not finished."""
+        try:
+            rows = await self._platform.read(OPEN_PREFIX)
+        except StoreError as error:
+            raise RefusalError(ErrorKind.STORE_UNAVAILABLE, "jobs") from error
+        return {
+            row.key.removeprefix(OPEN_PREFIX): Job.model_validate(row.value)
+            for row in rows.rows
+        }
+
+    async def cancel(self, name: str, team: str | None) -> Job:
+        """Cancel a job that has not started; ask a running one to end.
+
+        Raises:
+            RefusalError: There is no such job, or it changed meanwhile.
+        """
+        stored = await self._find(name)
+        if stored is None or team not in (None, stored.job.team):
+            raise RefusalError(ErrorKind.NOT_FOUND, "job")
+        job = stored.job
+        if job.state not in OPEN_STATES:
+            return job
+        try:
+            if job.state is JobState.ACCEPTED and job.attempts == 0:
+                return await self._close_job(stored, JobState.CANCELLED, "cancelled")
+            update = {"cancelling": True, "reason": "cancelled while it ran"}
+            return (await self._write(stored, update)).job
+        except TransactionConflictError as error:
+            raise RefusalError(ErrorKind.REVISION_CONFLICT, "job") from error
+        except StoreError as error:
+            raise RefusalError(ErrorKind.STORE_UNAVAILABLE, "job") from error
+
+    async def _find(self, name: str) -> StoredJob | None:
+        # A job closes in one transaction, so that one of the readings finds it.
+        found = await self._read(OPEN_PREFIX, name)
+        return found or await self._read(CLOSED_PREFIX, name)
+
+    async def _read(self, prefix: str, name: str) -> StoredJob | None:
+        try:
+            rows = await self._platform.read(prefix + name)
+        except StoreError as error:
+            raise RefusalError(
+                ErrorKind.STORE_UNAVAILABLE, "job", retry_after=STORE_RETRY_SECONDS
+            ) from error
+        if not rows.rows:
+            return None
+        row = rows.rows[0]
+        job = Job.model_validate(row.value)
+        return StoredJob(job_id=name, job=job, revision=row.revision)
+
+    async def _write(self, stored: StoredJob, update: dict[str, object]) -> StoredJob:
+        job = stored.job.model_copy(update=update)
+        revision = await self._batcher.write(
+            OPEN_PREFIX + stored.job_id, job.model_dump(mode="json"), stored.revision
+        )
+        return StoredJob(job_id=stored.job_id, job=job, revision=revision)
+
+    async def _close_job(
+        self,
+        stored: StoredJob,
+        state: JobState,
+        reason: str,
+        outcome: Outcome | None = None,
+    ) -> Job:
+        update = {"state": state, "reason": reason, "outcome": outcome, "body": ""}
+        job = stored.job.model_copy(update=update)
+        open_key = OPEN_PREFIX + stored.job_id
+        closed_key = CLOSED_PREFIX + stored.job_id
+        transaction = Transaction(
+            conditions={open_key: stored.revision, closed_key: 0},
+            writes={open_key: None, closed_key: job.model_dump(mode="json")},
+            nonce=uuid4().hex,
+        )
+        await self._platform.commit(transaction)
+        self._metrics.count("job", state.value)
+        self._explanations.add(stored.job_id, f"{state.value}: {reason}")
+        return job
+
+    async def adopt(self) -> None:
+        """Take over jobs whose supervisor has ended.
+
+        Raises:
+            StoreError: The platform does not answer.
+        """
+        changes = await self._platform.read_changes(OPEN_PREFIX, self._feed_revision, 0)
+        for row in changes.rows:
+            name = row.key.removeprefix(OPEN_PREFIX)
+            self._open.pop(name, None)
+            if row.value is not None:
+                job = Job.model_validate(row.value)
+                stored = StoredJob(job_id=name, job=job, revision=row.revision)
+                self._open[name] = stored
+        self._feed_revision = changes.revision
+        for stored in list(self._open.values()):
+            if self._is_orphaned(stored):
+                await self._adopt(stored)
+
+    def _is_orphaned(self, stored: StoredJob) -> bool:
+        job = stored.job
+        if stored.job_id in self._supervisors:
+            return False
+        if job.incarnation in ("", self._identity.incarnation):
+            return True
+        return self._has_ended(job.runner, job.incarnation)
+
+    async def _adopt(self, stored: StoredJob) -> None:
+        update = {
+            "runner": self._identity.instance,
+            "incarnation": self._identity.incarnation,
+            "reason": f"adopted from {stored.job.runner or 'a hand-over'}",
+        }
+        try:
+            adopted = await self._write(stored, update)
+        except TransactionConflictError:
+            return
+        self._metrics.count("job_adopted")
+        self._supervise(adopted)
+
+    def _supervise(self, stored: StoredJob) -> None:
+        task = create_task(self._run(stored))
+        self._supervisors[stored.job_id] = task
+        task.add_done_callback(lambda done: self._supervisors.pop(stored.job_id, None))
+
+    async def _run(self, stored: StoredJob) -> None:
+        current: StoredJob | None = stored
+        while current is not None:
+            try:
+                current = await self._step(current)
+            except TransactionConflictError:
+                current = await self._reread(stored.job_id)
+            except (StoreError, RefusalError):
+                self._metrics.count("retry", "job-store")
+                await sleep(STORE_RETRY_SECONDS)
+                current = await self._reread(stored.job_id)
+
+    async def _reread(self, name: str) -> StoredJob | None:
+        while True:
+            try:
+                stored = await self._read(OPEN_PREFIX, name)
+                break
+            except RefusalError:
+                await sleep(STORE_RETRY_SECONDS)
+        if stored is None or stored.job.incarnation != self._identity.incarnation:
+            return None
+        return stored
+
+    async def _step(self, stored: StoredJob) -> StoredJob | None:
+        """Make one attempt; return None once the job is closed."""
+        if stored.job.cancelling:
+            await self._close_job(stored, JobState.CANCELLED, "cancelled")
+            return None
+        if stored.job.state is JobState.ACCEPTED:
+            update = {
+                "state": JobState.RUNNING,
+                "attempts": max(1, stored.job.attempts),
+            }
+            stored = await self._write(stored, update)
+        verdict, outcome = await self._attempt(stored)
+        if verdict.state not in OPEN_STATES:
+            # Read again, since a cancellation may have changed the row.
+            latest = await self._reread(stored.job_id)
+            if latest is not None:
+                await self._close_job(latest, verdict.state, verdict.reason, outcome)
+            return None
+        await sleep(verdict.pause)
+        if not verdict.counted:
+            return await self._reread(stored.job_id)
+        update = {"attempts": stored.job.attempts + 1, "reason": verdict.reason}
+        return await self._write(stored, update)
+
+    async def _attempt(self, stored: StoredJob) -> tuple[JobVerdict, Outcome | None]:
+        job = stored.job
+        queue = self._configuration.queue(job.queue)
+        idempotent = queue.idempotent if queue else False
+        limit = self._settings.job_attempts
+        try:
+            result = await self._requests.run(await self._make_request(stored))
+        except RefusalError as error:
+            lease = self._settings.task_lease + self._settings.clock_error
+            verdict = judge_refusal(error, idempotent, job.attempts, limit, lease)
+            return verdict, None
+        return judge_result(result, job.attempts, limit), _make_outcome(result)
+
+    async def _make_request(self, stored: StoredJob) -> Forward:
+        job = stored.job
+        body = job.body.encode("latin-1")
+        if job.stored:
+            try:
+                body = await self._platform.get_object(job.stored)
+            except StoreError as error:
+                raise RefusalError(ErrorKind.STORE_UNAVAILABLE, "job body") from error
+        return Forward(
+            request=f"job-{stored.job_id}",
+            queue=job.queue,
+            team=job.team,
+            key=job.key,
+            remaining=RUN_LIMIT_SECONDS,
+            idempotency_key=f"job-{stored.job_id}-{job.attempts}",
+            content_type=job.content_type,
+            body=body,
+            priority=Priority.OVERNIGHT,
+            job=True,
+        )
+
+
+def _make_outcome(result: RunResult) -> Outcome:
+    return Outcome(
+        status=result.status,
+        content_type=result.content_type,
+        body=result.body.decode("latin-1"),
+    )
--- /dev/null
+++ b/jujubebarrow/services/peer_request_handlers.py
@@ -0,0 +1,185 @@
+"""Answers requests of peers."""
+
+from collections.abc import Callable
+
+from jujubebarrow.configurations.configurations import Configuration
+from jujubebarrow.errors.exceptions import RefusalError
+from jujubebarrow.errors.kinds import ErrorKind
+from jujubebarrow.homes.home_services import HomeService
+from jujubebarrow.identifiers import TeamId
+from jujubebarrow.limits.ledgers import LimitLedger
+from jujubebarrow.limits.loans import Loan
+from jujubebarrow.peers.handlers import PeerHandler
+from jujubebarrow.peers.identities import PeerIdentity
+from jujubebarrow.peers.messages import (
+    Answered,
+    Changes,
+    ChangesRequest,
+    ExplainRequest,
+    Explanations,
+    Forward,
+    LoanExtension,
+    LoanReply,
+    LoanRequest,
+    LoanReturn,
+    Ping,
+    Pong,
+    Refused,
+    Reply,
+    Request,
+    Returned,
+    StatusReply,
+    StatusRequest,
+)
+from jujubebarrow.services.explanations import ExplanationLog
+from jujubebarrow.services.seat_services import SeatService
+from jujubebarrow.services.status_reporters import StatusReporter
+from jujubebarrow.settings.settings import Settings
+
+
+class PeerRequestHandler(PeerHandler):
+    """Answers each kind of request.
+
+    Args:
+        instance: This instance.
+        settings: Periods.
+        configuration: Records in force.
+        ledger: Upper limits.
+        home: Runs forwarded requests.
+        seats: Knows the holders of seats.
+        reporter: Builds the status.
+        explanations: Recent decisions.
+        on_address: Called with the address of each peer that dials.
+        is_stopping: Tells whether this instance takes no more work.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        settings: Settings,
+        configuration: Configuration,
+        ledger: LimitLedger,
+        home: HomeService,
+        seats: SeatService,
+        reporter: StatusReporter,
+        explanations: ExplanationLog,
+        on_address: Callable[[str], None],
+        is_stopping: Callable[[], bool],
+    ):
+        self._instance = instance
+        self._settings = settings
+        self._configuration = configuration
+        self._ledger = ledger
+        self._home = home
+        self._seats = seats
+        self._reporter = reporter
+        self._explanations = explanations
+        self._on_address = on_address
+        self._is_stopping = is_stopping
+
+    async def handle(self, request: Request, peer: PeerIdentity) -> Reply:
+        """Return the reply to a request."""
+        match request:
+            case Forward():
+                return await self._forward(request, peer)
+            case Ping():
+                return self._ping(request, peer)
+            case LoanRequest():
+                return self._lend(request, peer)
+            case LoanExtension():
+                return self._extend(request, peer)
+            case LoanReturn():
+                return self._restore(request, peer)
+            case ChangesRequest():
+                return self._changes(request, peer)
+            case ExplainRequest():
+                return self._explain(request, peer)
+            case StatusRequest():
+                return StatusReply(
+                    serial=request.serial,
+                    to=peer.incarnation,
+                    status=self._reporter.whole(),
+                )
+
+    def _ping(self, request: Ping, peer: PeerIdentity) -> Pong:
+        self._on_address(request.address)
+        self._seats.note_holder(peer.incarnation, request.seat)
+        status = self._reporter.changes(peer.incarnation, request.acknowledged)
+        return Pong(serial=request.serial, to=peer.incarnation, status=status)
+
+    async def _forward(self, request: Forward, peer: PeerIdentity) -> Reply:
+        try:
+            if self._is_stopping():
+                raise RefusalError(ErrorKind.SHUTTING_DOWN, retry_after=1.0)
+            result = await self._home.run(request)
+        except RefusalError as error:
+            return Refused(
+                serial=request.serial,
+                to=peer.incarnation,
+                error=error.kind,
+                detail=error.detail,
+                run=error.run,
+                retry_after=error.retry_after,
+            )
+        return Answered(
+            serial=request.serial,
+            to=peer.incarnation,
+            request=request.request,
+            status=result.status,
+            content_type=result.content_type,
+            length=len(result.body),
+            body=result.body,
+            upstream=result.upstream,
+            replayed=result.replayed,
+        )
+
+    def _lend(self, request: LoanRequest, peer: PeerIdentity) -> LoanReply:
+        team = TeamId(request.team)
+        wanted = request.wanted
+        # What waits here for this team comes before what waits elsewhere.
+        if self._home.waiting(team):
+            wanted = 0
+        loan = None
+        if wanted and not self._is_stopping():
+            loan = self._ledger.lend(
+                team, wanted, peer.incarnation, self._settings.loan_period
+            )
+        return _reply_loan(request.serial, peer, loan)
+
+    def _extend(self, request: LoanExtension, peer: PeerIdentity) -> LoanReply:
+        loan = self._ledger.extend(
+            TeamId(request.team), request.loan, self._settings.loan_period
+        )
+        return _reply_loan(request.serial, peer, loan)
+
+    def _restore(self, request: LoanReturn, peer: PeerIdentity) -> Returned:
+        self._ledger.restore(TeamId(request.team), request.loan, request.count)
+        self._home.pump_all()
+        return Returned(serial=request.serial, to=peer.incarnation)
+
+    def _changes(self, request: ChangesRequest, peer: PeerIdentity) -> Changes:
+        return Changes(
+            serial=request.serial,
+            to=peer.incarnation,
+            rows=self._configuration.changes(request.since),
+        )
+
+    def _explain(self, request: ExplainRequest, peer: PeerIdentity) -> Explanations:
+        return Explanations(
+            serial=request.serial,
+            to=peer.incarnation,
+            lines=[
+                (entry.time, self._instance, entry.sentence)
+                for entry in self._explanations.find(request.subject)
+            ],
+        )
+
+
+def _reply_loan(serial: int, peer: PeerIdentity, loan: Loan | None) -> LoanReply:
+    return LoanReply(
+        serial=serial,
+        to=peer.incarnation,
+        loan=loan.loan if loan else "",
+        count=loan.count if loan else 0,
+        until=loan.until if loan else 0.0,
+    )
--- /dev/null
+++ b/jujubebarrow/services/peer_services.py
@@ -0,0 +1,199 @@
+"""Links to all peers, and heartbeats on them."""
+
+from asyncio import CancelledError, Task, create_task, sleep
+from collections.abc import Callable
+from random import Random
+
+from jujubebarrow.clocks.clocks import Clock
+from jujubebarrow.configurations.configurations import Configuration
+from jujubebarrow.configurations.freshness import Attestation, FreshnessLease
+from jujubebarrow.errors.exceptions import PeerLostError
+from jujubebarrow.members.peer_directories import PeerDirectory, PeerRecord
+from jujubebarrow.metrics.registries import MetricsRegistry
+from jujubebarrow.peers.deltas import apply_delta
+from jujubebarrow.peers.identities import PeerIdentity
+from jujubebarrow.peers.links import PeerLink
+from jujubebarrow.peers.messages import (
+    Changes,
+    ChangesRequest,
+    PeerStatus,
+    Ping,
+    Pong,
+    Reply,
+    Request,
+)
+from jujubebarrow.services.configuration_services import ConfigurationService
+from jujubebarrow.services.seat_services import SeatService
+from jujubebarrow.settings.settings import Settings
+
+
+class PeerService:
+    """Dials every known peer and keeps the directory up to date.
+
+    Args:
+        identity: This process.
+        settings: Addresses and periods.
+        metrics: Where failures are counted.
+        clock: Time source.
+        random: Source of jitter.
+        directory: Gets the peers' status.
+        configuration: Records in force here.
+        freshness: Gets the peers' attestations.
+        configurations: Gets changes that a peer knows first.
+        seats: Knows the holders of seats.
+        on_status: Called after each heartbeat with the peer's record.
+    """
+
+    def __init__(
+        self,
+        identity: PeerIdentity,
+        settings: Settings,
+        metrics: MetricsRegistry,
+        clock: Clock,
+        random: Random,
+        directory: PeerDirectory,
+        configuration: Configuration,
+        freshness: FreshnessLease,
+        configurations: ConfigurationService,
+        seats: SeatService,
+        on_status: Callable[[PeerRecord], None],
+    ):
+        self._identity = identity
+        self._settings = settings
+        self._metrics = metrics
+        self._clock = clock
+        self._random = random
+        self._directory = directory
+        self._configuration = configuration
+        self._freshness = freshness
+        self._configurations = configurations
+        self._seats = seats
+        self._on_status = on_status
+        self._links: dict[str, PeerLink] = {}
+        self._heartbeats: dict[str, Task[None]] = {}
+        self._own_address = f"{settings.address}:{settings.dialled_port}"
+
+    @property
+    def address(self) -> str:
+        """Address under which peers dial this process."""
+        return self._own_address
+
+    def open(self) -> None:
+        """Dial the first peers."""
+        for address in self._settings.peers:
+            self.add(address)
+
+    async def close(self) -> None:
+        """Close all links."""
+        for address in list(self._links):
+            await self._remove(address)
+
+    def add(self, address: str) -> None:
+        """Dial an address unless there is a link to it."""
+        if address in self._links or address == self._own_address:
+            return
+        link = PeerLink(
+            address,
+            self._identity,
+            self._settings,
+            self._metrics,
+            self._random,
+            self._start_heartbeats,
+        )
+        self._links[address] = link
+        link.open()
+
+    async def _remove(self, address: str) -> None:
+        heartbeat = self._heartbeats.pop(address, None)
+        if heartbeat is not None:
+            heartbeat.cancel()
+        await self._links.pop(address).close()
+
+    def link(self, instance: str) -> PeerLink | None:
+        """Return the link to an instance, if it is up."""
+        for link in self._links.values():
+            if link.peer is not None and link.peer.instance == instance:
+                return link
+        return None
+
+    async def request(self, instance: str, message: Request, timeout: float) -> Reply:
+        """Send a request to an instance and wait for its reply.
+
+        Raises:
+            PeerLostError: There is no reply.
+        """
+        link = self.link(instance)
+        if link is None:
+            raise PeerLostError(instance, sent=False)
+        return await link.request(message, timeout)
+
+    def _start_heartbeats(self, link: PeerLink) -> None:
+        old = self._heartbeats.get(link.address)
+        if old is not None:
+            old.cancel()
+        self._heartbeats[link.address] = create_task(self._beat(link))
+
+    async def _beat(self, link: PeerLink) -> None:
+        period = self._settings.heartbeat_period
+        while link.peer is not None:
+            try:
+                await self._beat_once(link)
+            except PeerLostError:
+                self._metrics.count("heartbeat_missed")
+            except CancelledError:
+                raise
+            await sleep(period * self._random.uniform(0.9, 1.1))
+
+    async def _beat_once(self, link: PeerLink) -> None:
+        seat = self._seats.number
+        asked = self._clock.monotonic()
+        record = self._directory.get(link.peer.instance) if link.peer else None
+        ping = Ping(
+            serial=0,
+            acknowledged=record.version_for(link.peer) if record else 0,
+            instance=self._identity.instance,
+            incarnation=self._identity.incarnation,
+            address=self._own_address,
+            seat=seat,
+        )
+        pong = await link.request(ping, self._settings.peer_timeout)
+        if not isinstance(pong, Pong):
+            self._metrics.count("peer_reply_dropped", "kind")
+            return
+        if seat is not None:
+            self._seats.note_answer(pong.status.incarnation)
+        self._note(pong.status, asked)
+        if pong.status.revision > self._configuration.revision:
+            await self._fetch_changes(link)
+
+    def _note(self, status: PeerStatus, asked: float) -> None:
+        record = self._directory.get(status.instance)
+        if record is None or record.status.incarnation != status.incarnation:
+            record = PeerRecord(status)
+            self._directory.put(record)
+        record.status = status
+        record.seen = self._clock.monotonic()
+        record.round_trip = record.seen - asked
+        apply_delta(record.usage, status.usage, status.full)
+        apply_delta(record.pools, status.pools, status.full)
+        self._seats.note_holder(status.incarnation, status.seat)
+        age = float("inf") if status.age is None else status.age
+        attestation = Attestation(asked, status.revision, age, status.write_pending)
+        self._freshness.attest(
+            status.incarnation, attestation, self._configuration.revision
+        )
+        self._on_status(record)
+
+    async def _fetch_changes(self, link: PeerLink) -> None:
+        since = self._configuration.revision
+        request = ChangesRequest(since=since)
+        reply = await link.request(request, self._settings.peer_timeout)
+        # The feed may have been faster; older rows must not follow newer ones.
+        if isinstance(reply, Changes) and since == self._configuration.revision:
+            self._configurations.take(reply.rows)
+
+    def peers_alive(self) -> list[str]:
+        """Return the instances that answered lately, in random order."""
+        names = [record.status.instance for record in self._directory.alive()]
+        self._random.shuffle(names)
+        return names
--- /dev/null
+++ b/jujubebarrow/services/request_services.py
@@ -0,0 +1,170 @@
+"""Takes callers' requests to a home, here or at a peer."""
+
+from jujubebarrow.clocks.clocks import Clock
+from jujubebarrow.configurations.configurations import Configuration
+from jujubebarrow.errors.exceptions import PeerLostError, RefusalError
+from jujubebarrow.errors.kinds import ErrorKind
+from jujubebarrow.errors.run_states import RunState
+from jujubebarrow.homes.home_services import HomeService
+from jujubebarrow.homes.run_results import RunResult
+from jujubebarrow.invariants.monitors import InvariantMonitor
+from jujubebarrow.metrics.registries import MetricsRegistry
+from jujubebarrow.peers.messages import Answered, Forward, Refused, Reply
+from jujubebarrow.retries.budgets import RetryBudget
+from jujubebarrow.routes.homes import Candidate, HomeDirectory
+from jujubebarrow.services.explanations import ExplanationLog
+from jujubebarrow.services.peer_services import PeerService
+from jujubebarrow.settings.settings import Settings
+
+ELSEWHERE_KINDS = frozenset(
+    {
+        ErrorKind.QUEUE_FULL,
+        ErrorKind.DEADLINE_UNREACHABLE,
+        ErrorKind.NO_UPSTREAM,
+        ErrorKind.UPSTREAM_REFUSED,
+        ErrorKind.PEER_UNREACHABLE,
+        ErrorKind.SHUTTING_DOWN,
+        ErrorKind.NOT_READY,
+    }
+)
+"""Refusals after which another home may take the request."""
+HOME_LIMIT = 3
+"""Most homes that one request is offered to."""
+REPLY_MARGIN_SECONDS = 1.0
+
+
+class RequestService:
+    """Chooses the home of each request and tries another when it may.
+
+    Args:
+        instance: This instance.
+        configuration: Records in force.
+        homes: Where the homes are.
+        home: Own home service.
+        peers: Links to peers.
+        clock: Time source.
+        settings: Bounds.
+        metrics: Where retries are counted.
+        monitor: Checks that answers belong to their requests.
+        explanations: Where routes are recorded.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        configuration: Configuration,
+        homes: HomeDirectory,
+        home: HomeService,
+        peers: PeerService,
+        clock: Clock,
+        settings: Settings,
+        metrics: MetricsRegistry,
+        monitor: InvariantMonitor,
+        explanations: ExplanationLog,
+    ):
+        self._instance = instance
+        self._configuration = configuration
+        self._homes = homes
+        self._home = home
+        self._peers = peers
+        self._clock = clock
+        self._settings = settings
+        self._metrics = metrics
+        self._monitor = monitor
+        self._explanations = explanations
+        self._budget = RetryBudget(settings.retry_ratio, settings.retry_reserve)
+
+    async def run(self, request: Forward) -> RunResult:
+        """Run a request at a home and return the whole answer.
+
+        Raises:
+            RefusalError: There is no answer; it tells whether the request ran.
+        """
+        queue = self._configuration.queue(request.queue)
+        if queue is None:
+            raise RefusalError(ErrorKind.UNKNOWN_QUEUE, request.queue)
+        self._budget.deposit()
+        deadline = self._clock.monotonic() + request.remaining
+        candidates = self._homes.candidates(queue.pool)[:HOME_LIMIT]
+        refusal: RefusalError | None = None
+        maybe_ran = False
+        for candidate in candidates:
+            try:
+                return await self._offer(request, candidate, deadline)
+            except RefusalError as error:
+                maybe_ran = maybe_ran or error.run is not RunState.NOT_RUN
+                refusal = _prefer(refusal, error)
+                if not self._may_go_elsewhere(error, queue.idempotent, deadline):
+                    break
+        refusal = refusal or RefusalError(
+            ErrorKind.NO_UPSTREAM, f"no home of pool {queue.pool}", retry_after=1.0
+        )
+        if maybe_ran and refusal.run is RunState.NOT_RUN:
+            refusal.run = RunState.UNKNOWN
+        raise refusal
+
+    def _may_go_elsewhere(
+        self, error: RefusalError, idempotent: bool, deadline: float
+    ) -> bool:
+        if self._clock.monotonic() >= deadline:
+            return False
+        if error.kind is ErrorKind.PEER_LOST:
+            if not idempotent or not self._budget.withdraw():
+                return False
+        elif error.kind not in ELSEWHERE_KINDS or error.run is not RunState.NOT_RUN:
+            return False
+        self._metrics.count("retry", f"home-{error.kind.value}")
+        return True
+
+    async def _offer(
+        self, request: Forward, candidate: Candidate, deadline: float
+    ) -> RunResult:
+        remaining = deadline - self._clock.monotonic()
+        if candidate.wait >= remaining:
+            raise RefusalError(
+                ErrorKind.DEADLINE_UNREACHABLE, candidate.zone, candidate.wait
+            )
+        offered = request.model_copy(update={"remaining": remaining})
+        if candidate.instance == self._instance:
+            return await self._home.run(offered)
+        self._metrics.count("forwarded", candidate.zone)
+        return await self._forward(offered, candidate.instance, remaining)
+
+    async def _forward(
+        self, request: Forward, instance: str, remaining: float
+    ) -> RunResult:
+        timeout = remaining + REPLY_MARGIN_SECONDS
+        try:
+            reply = await self._peers.request(instance, request, timeout)
+        except PeerLostError as error:
+            kind = ErrorKind.PEER_LOST if error.sent else ErrorKind.PEER_UNREACHABLE
+            raise RefusalError(kind, instance, retry_after=1.0) from error
+        return self._read_reply(request, reply)
+
+    def _read_reply(self, request: Forward, reply: Reply) -> RunResult:
+        if isinstance(reply, Refused):
+            raise RefusalError(reply.error, reply.detail, reply.retry_after, reply.run)
+        self._monitor.check(
+            isinstance(reply, Answered) and reply.request == request.request,
+            "crossed-answer",
+            request.request,
+        )
+        assert isinstance(reply, Answered)
+        self._monitor.check(
+            len(reply.body) == reply.length, "incomplete-answer", request.request
+        )
+        return RunResult(
+            reply.status,
+            reply.content_type,
+            reply.body,
+            reply.upstream,
+            reply.replayed,
+        )
+
+
+def _prefer(first: RefusalError | None, second: RefusalError) -> RefusalError:
+    # The own zone's reason tells the caller more than that of a zone it
+    # overflowed to, unless the request may have run there.
+    if first is None or second.run is not RunState.NOT_RUN:
+        return second
+    return first
--- /dev/null
+++ b/jujubebarrow/services/seat_services.py
@@ -0,0 +1,244 @@
+"""Claims a seat for this instance and hands it back."""
+
+from asyncio import CancelledError, Task, create_task, sleep
+from collections.abc import Callable
+from uuid import uuid4
+
+from loguru import logger
+
+from jujubebarrow.clocks.clocks import Clock
+from jujubebarrow.configurations.freshness import FreshnessLease
+from jujubebarrow.errors.exceptions import StoreError, TransactionConflictError
+from jujubebarrow.limits.ledgers import LimitLedger, SeatGrant
+from jujubebarrow.members.absences import AbsenceTracker
+from jujubebarrow.members.seat_claims import SeatOffer, choose_seat
+from jujubebarrow.members.seats import SEAT_PREFIX, Seat, seat_key
+from jujubebarrow.metrics.registries import MetricsRegistry
+from jujubebarrow.peers.identities import PeerIdentity
+from jujubebarrow.platforms.platforms import Platform
+from jujubebarrow.platforms.transactions import Transaction
+from jujubebarrow.settings.settings import Settings
+
+CLAIM_ATTEMPTS = 4
+"""Claims in one refresh, each after losing a race for a seat."""
+
+
+class SeatService:
+    """Reads the platform's list and the seats, and holds one seat.
+
+    Args:
+        identity: This process.
+        platform: Table and list.
+        ledger: Gets the seat.
+        freshness: Gets the other holders.
+        absences: Gets the list.
+        clock: Time source.
+        settings: Periods.
+        metrics: Where claims are counted.
+        on_change: Called after each reading.
+    """
+
+    def __init__(
+        self,
+        identity: PeerIdentity,
+        platform: Platform,
+        ledger: LimitLedger,
+        freshness: FreshnessLease,
+        absences: AbsenceTracker,
+        clock: Clock,
+        settings: Settings,
+        metrics: MetricsRegistry,
+        on_change: Callable[[], None],
+    ):
+        self._identity = identity
+        self._platform = platform
+        self._ledger = ledger
+        self._freshness = freshness
+        self._absences = absences
+        self._clock = clock
+        self._settings = settings
+        self._metrics = metrics
+        self._on_change = on_change
+        self._seats: dict[str, tuple[Seat, int]] = {}
+        self._announced: dict[str, float] = {}
+        self._awaited: set[str] = set()
+        self._settled = False
+        self._task: Task[None] | None = None
+
+    @property
+    def number(self) -> int | None:
+        """Number of the own seat, or None."""
+        return self._ledger.grant.seat if self._ledger.grant else None
+
+    @property
+    def may_write(self) -> bool:
+        """Whether this instance may accept configuration changes.
+
+        It may once every other holder has answered it, and so counts it among
+        those whose silence leaves a doubt.
+        """
+        return self.number is not None and self._settled and not self._awaited
+
+    def addresses(self) -> dict[str, str]:
+        """Return the peer addresses of all other holders by instance."""
+        return {
+            seat.instance: seat.peer_address
+            for seat, _ in self._seats.values()
+            if seat.instance and seat.incarnation != self._identity.incarnation
+        }
+
+    def has_ended(self, instance: str, incarnation: str) -> bool:
+        """Return whether an instance's process has ended for certain."""
+        if self._absences.is_gone(instance):
+            return True
+        for seat, _ in self._seats.values():
+            if seat.instance == instance:
+                return seat.incarnation != incarnation
+        return False
+
+    def note_holder(self, incarnation: str, seat: int | None) -> None:
+        """Count a peer among the holders as soon as it says that it is one."""
+        if seat is None:
+            return
+        self._announced[incarnation] = self._clock.monotonic()
+        self._freshness.set_holders(frozenset(self._holders()))
+
+    def note_answer(self, incarnation: str) -> None:
+        """Record that a peer answered a heartbeat that named the own seat."""
+        self._awaited.discard(incarnation)
+
+    def _holders(self) -> set[str]:
+        seated = {seat.incarnation for seat, _ in self._seats.values() if seat.instance}
+        return (seated | self._announced.keys()) - {self._identity.incarnation}
+
+    def open(self) -> None:
+        """Start to read the list and the seats."""
+        self._task = create_task(self._run())
+
+    async def close(self) -> None:
+        """Stop reading."""
+        if self._task is None:
+            return
+        self._task.cancel()
+        try:
+            await self._task
+        except CancelledError:
+            pass
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                await self._refresh()
+            except StoreError:
+                self._metrics.count("retry", "seat-refresh")
+            self._on_change()
+            await sleep(self._settings.list_period)
+
+    async def _refresh(self) -> None:
+        self._absences.update(await self._platform.list_instances())
+        await self._read_seats()
+        if not self._absences.is_listed(self._identity.instance):
+            return
+        attempts = 0
+        while self.number is None and attempts < CLAIM_ATTEMPTS:
+            attempts += 1
+            if await self._claim():
+                return
+            await self._read_seats()
+
+    async def _read_seats(self) -> None:
+        asked = self._clock.monotonic()
+        rows = await self._platform.read(SEAT_PREFIX)
+        # Who announced itself before the reading is in it if it holds a seat.
+        self._announced = {
+            incarnation: time
+            for incarnation, time in self._announced.items()
+            if time >= asked
+        }
+        self._seats = {
+            row.key: (Seat.model_validate(row.value), row.revision) for row in rows.rows
+        }
+        for seat, _ in self._seats.values():
+            if seat.instance:
+                self._absences.expect(seat.instance)
+        self._freshness.set_holders(frozenset(self._holders()))
+        self._check_own()
+        if self._settled:
+            self._awaited &= self._holders()
+        elif self.number is not None:
+            # Read after the claim, so that of two new holders one knows the other.
+            self._awaited = self._holders()
+            self._settled = True
+
+    def _check_own(self) -> None:
+        if self.number is None:
+            return
+        row = self._seats.get(seat_key(self.number))
+        if row is None or row[0].incarnation != self._identity.incarnation:
+            logger.error("seat {} was taken over", self.number)
+            self._metrics.count("seat_lost")
+            self._ledger.set_grant(None)
+            self._settled = False
+
+    async def _claim(self) -> bool:
+        """Claim a seat; return False if another instance was faster."""
+        quarantine = self._settings.task_lease + 2 * self._settings.clock_error
+        offer = choose_seat(
+            self._seats,
+            self._settings.seats,
+            self._identity.instance,
+            self._absences.is_gone,
+            self._clock.wall(),
+            quarantine,
+        )
+        if offer is None:
+            return True
+        try:
+            await self._write(offer.number, offer.revision, self._own_seat(offer))
+        except TransactionConflictError:
+            self._metrics.count("retry", "seat-claim")
+            return False
+        self._ledger.set_grant(SeatGrant(offer.number, offer.usable_from))
+        logger.info("holds seat {}", offer.number)
+        await self._read_seats()
+        return True
+
+    def _own_seat(self, offer: SeatOffer) -> Seat:
+        address = f"{self._settings.address}:{self._settings.dialled_port}"
+        return Seat(
+            instance=self._identity.instance,
+            incarnation=self._identity.incarnation,
+            zone=self._identity.zone,
+            peer_address=address,
+            usable_from=offer.usable_from,
+        )
+
+    async def _write(self, number: int, revision: int, seat: Seat) -> None:
+        transaction = Transaction(
+            conditions={seat_key(number): revision},
+            writes={seat_key(number): seat.model_dump()},
+            nonce=uuid4().hex,
+        )
+        await self._platform.commit(transaction)
+
+    async def release(self) -> None:
+        """Hand the seat back after all own work has ended."""
+        number = self.number
+        if number is None:
+            return
+        usable_from = self._ledger.lent_until() + self._settings.clock_error
+        self._ledger.set_grant(None)
+        row = self._seats.get(seat_key(number))
+        if row is None:
+            return
+        released = Seat(
+            instance="",
+            incarnation="",
+            zone="",
+            peer_address="",
+            usable_from=max(usable_from, row[0].usable_from),
+        )
+        try:
+            await self._write(number, row[1], released)
+        except (StoreError, TransactionConflictError):
+            self._metrics.count("seat_release_failed")
--- /dev/null
+++ b/jujubebarrow/standins/platforms.py
@@ -0,0 +1,153 @@
+"""Stand-in of the platform: table, object store and list, with faults."""
+
+import argparse
+import json
+import random
+from asyncio import Event, run, sleep
+from typing import Any
+
+from tornado.web import Application, RequestHandler
+
+from jujubebarrow.platforms.transactions import Transaction
+from jujubebarrow.standins.tables import Table
+
+
+class PlatformState:
+    """State of the stand-in and its present faults.
+
+    Args:
+        seed: Seed of the faults.
+        lag: Seconds by which the list of instances is late.
+    """
+
+    def __init__(self, seed: int, lag: float):
+        self.table = Table()
+        self.objects: dict[str, bytes] = {}
+        self.instances: dict[str, str] = {}
+        self.lag = lag
+        self.random = random.Random(seed)
+        self.faults: dict[str, Any] = {}
+        self.reads = 0
+        self.writes = 0
+
+
+class _Handler(RequestHandler):
+    def initialize(self, state: PlatformState) -> None:
+        self.state = state
+
+    async def prepare(self) -> None:
+        faults = self.state.faults
+        zone = self.request.headers.get("Availability-Zone", "")
+        if faults.get("slow"):
+            await sleep(faults["slow"])
+        if faults.get("down") or zone in faults.get("cut_zones", []):
+            self.send_error(503)
+
+    def lose_answer(self) -> bool:
+        return self.state.random.random() < self.state.faults.get("lose_answers", 0)
+
+
+class _Transactions(_Handler):
+    async def post(self) -> None:
+        transaction = Transaction.model_validate_json(self.request.body)
+        self.state.writes += 1
+        conflicts = self.state.table.commit(transaction)
+        if not conflicts:
+            await self.state.table.notify()
+        if self.lose_answer():
+            self.send_error(504)
+        elif conflicts:
+            self.set_status(409)
+            self.finish({"nonces": conflicts})
+        else:
+            self.finish({"revision": self.state.table.revision})
+
+
+class _Rows(_Handler):
+    def get(self) -> None:
+        self.state.reads += 1
+        rows = self.state.table.read(self.get_argument("prefix"))
+        self.finish(rows.model_dump_json())
+
+
+class _Changes(_Handler):
+    async def get(self) -> None:
+        self.state.reads += 1
+        rows = await self.state.table.wait_changes(
+            self.get_argument("prefix"),
+            int(self.get_argument("since")),
+            float(self.get_argument("wait")),
+        )
+        self.finish(rows.model_dump_json())
+
+
+class _Objects(_Handler):
+    def get(self, name: str) -> None:
+        if name not in self.state.objects:
+            self.send_error(404)
+            return
+        self.finish(self.state.objects[name])
+
+    def put(self, name: str) -> None:
+        self.state.objects[name] = self.request.body
+
+
+class _Instances(_Handler):
+    def get(self) -> None:
+        self.finish({"instances": self.state.instances})
+
+
+class _Administration(RequestHandler):
+    """Faults and the true list, for tests and demos only."""
+
+    def initialize(self, state: PlatformState) -> None:
+        self.state = state
+
+    def get(self) -> None:
+        self.finish({"reads": self.state.reads, "writes": self.state.writes})
+
+    async def post(self) -> None:
+        document = json.loads(self.request.body)
+        self.state.faults = document.get("faults", self.state.faults)
+        listed = document.get("instances")
+        if listed is not None:
+            await sleep(self.state.lag)
+            self.state.instances = listed
+
+
+def make_application(state: PlatformState) -> Application:
+    """Return the stand-in's web application."""
+    arguments = {"state": state}
+    return Application(
+        [
+            (r"/transactions", _Transactions, arguments),
+            (r"/rows", _Rows, arguments),
+            (r"/changes", _Changes, arguments),
+            (r"/objects/(.+)", _Objects, arguments),
+            (r"/instances", _Instances, arguments),
+            (r"/administration", _Administration, arguments),
+        ],
+        log_function=lambda handler: None,
+    )
+
+
+async def serve(address: str, port: int, seed: int, lag: float) -> None:
+    """Serve until the process is ended."""
+    state = PlatformState(seed, lag)
+    make_application(state).listen(port, address, max_body_size=256 * 1024 * 1024)
+    await Event().wait()
+
+
+def main() -> None:
+    """Run the stand-in as a process."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--address", default="127.0.0.1")
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--lag", type=float, default=1.0)
+    options = parser.parse_args()
+    run(serve(options.address, options.port, options.seed, options.lag))
+
+
+if __name__ == "__main__":
+    main()
