Let every seat be held, and recall loans that their lender needs

Cause: with four entry instances and eight seats, half of every team's limit was of no use; and a unit that was lent stayed with a borrower that used it now and then, while its lender waited. Orders of a team with limit 8 at 1.1 mean running waited for seconds. Ruled out: the order of queues (wait was for permits, not slots) and the claims (3 ms). Conclusion: instances share out free seats, give one to an instance without, and loans go back after 0.3 s idle or at once when recalled.

--- a/jujubebarrow/benches/loads.py
+++ b/jujubebarrow/benches/loads.py
@@ -14,6 +14,7 @@
 
 SHORTEST_PAUSE_SECONDS = 0.1
 LONGEST_PAUSE_SECONDS = 2.0
+HEALTH_SECONDS = 0.25
 
 
 @dataclass(frozen=True)
@@ -56,16 +57,36 @@
         """Set up the random sources."""
         self._balancer = Random(self.seed)
         self._tasks: list[Task[None]] = []
+        self._ready: list[EntryInstance] = list(self.fleet.entries.values())
 
     async def run(self, seconds: float) -> None:
         """Send for some seconds, then wait for all answers."""
-        await gather(
-            *(
-                self._run_stream(number, stream, seconds)
-                for number, stream in enumerate(self.streams)
+        balancer = create_task(self._check_health())
+        try:
+            await gather(
+                *(
+                    self._run_stream(number, stream, seconds)
+                    for number, stream in enumerate(self.streams)
+                )
             )
-        )
-        await gather(*self._tasks)
+            await gather(*self._tasks)
+        finally:
+            balancer.cancel()
+
+    async def _check_health(self) -> None:
+        """Do as the platform's balancer does."""
+        while True:
+            entries = list(self.fleet.entries.values())
+            checks = await gather(*(self._is_ready(entry) for entry in entries))
+            ready = [e for e, good in zip(entries, checks, strict=True) if good]
+            self._ready = ready or entries
+            await sleep(HEALTH_SECONDS)
+
+    async def _is_ready(self, entry: EntryInstance) -> bool:
+        if entry.process is None or not entry.process.running:
+            return False
+        url = f"http://{LOOPBACK}:{entry.caller_port}/v1/health"
+        return (await self.fleet.fetch("GET", url)).code == 200
 
     async def _run_stream(
         self, number: int, stream: LoadStream, seconds: float
@@ -112,14 +133,16 @@
         return await self.fleet.fetch("POST", url, {"key": outcome.key}, **headers)
 
     def _choose(self) -> EntryInstance:
-        entries = list(self.fleet.entries.values())
-        live = [item for item in entries if item.process and item.process.running]
-        return self._balancer.choice(live)
+        return self._balancer.choice(self._ready)
 
     def _read(
         self, stream: LoadStream, outcome: RequestOutcome, response: HTTPResponse
     ) -> bool:
         """Take over an answer; return whether it is final."""
+        if isinstance(response.error, ConnectionRefusedError):
+            # Nothing was sent; the balancer has not noticed yet.
+            outcome.attempts -= 1
+            return False
         if response.code == NO_ANSWER:
             outcome.kind = OutcomeKind.UNKNOWN
             outcome.error = "no-answer"
--- a/jujubebarrow/daemons/daemons.py
+++ b/jujubebarrow/daemons/daemons.py
@@ -51,7 +51,7 @@
 from jujubebarrow.upstreams.http_upstreams import HttpUpstreams
 
 TICK_SECONDS = 0.1
-MAINTENANCE_TICKS = 5
+PROBE_TICKS = 5
 STOP_POLL_SECONDS = 0.05
 RECORD_SECONDS = 5.0
 LEAVE_NOTICE_SECONDS = 1.5
@@ -72,6 +72,7 @@
         self._stopping = False
         self._stop = Event()
         self._ticker: Task[None] | None = None
+        self._probing: Task[None] | None = None
         self.identity = PeerIdentity(settings.instance, uuid4().hex, settings.zone)
         self._build_state()
         self._build_services()
@@ -127,6 +128,7 @@
             settings,
             self.metrics,
             self._refresh,
+            self._ready_peers,
         )
         self._claims = ClaimStore(
             self._platform,
@@ -184,6 +186,7 @@
             self._reporter,
             self._explanations,
             self._peers.add,
+            self._borrower.hurry,
             lambda: self._stopping,
         )
         self._peer_server = PeerServer(self.identity, settings, self.metrics, handler)
@@ -245,6 +248,13 @@
         """Whether this instance takes work."""
         return self.configuration.revision > 0 and not self._stopping
 
+    def _ready_peers(self) -> frozenset[str]:
+        return frozenset(
+            record.status.instance
+            for record in self._directory.alive()
+            if record.status.ready and not record.status.leaving
+        )
+
     def _may_control(self) -> bool:
         return self._seats.may_write and not self._stopping
 
@@ -381,12 +391,9 @@
             if self._homes.refresh(self.is_ready):
                 self._home.refresh()
             self._home.pump_all()
-            if ticks % MAINTENANCE_TICKS == 0:
-                create_task(self._maintain())
-
-    async def _maintain(self) -> None:
-        await self._borrower.return_idle()
-        await self._prober.probe(self._own_pools())
+            self._borrower.hurry()
+            if ticks % PROBE_TICKS == 0:
+                self._probing = create_task(self._prober.probe(self._own_pools()))
 
     async def _finish_work(self) -> None:
         logger.info("stopping instance {}", self._settings.instance)
--- a/jujubebarrow/homes/borrowers.py
+++ b/jujubebarrow/homes/borrowers.py
@@ -21,6 +21,8 @@
 
 SHORTEST_PAUSE_SECONDS = 0.05
 LONGEST_PAUSE_SECONDS = 1.0
+ASK_TIMEOUT_SECONDS = 0.5
+"""Time for a peer to answer, so that a frozen one delays only shortly."""
 
 
 class PeerCalls(ABC):
@@ -67,10 +69,11 @@
         self._on_loan = on_loan
         self._pauses: dict[TeamId, float] = {}
         self._rounds: dict[TeamId, Task[None]] = {}
+        self._returns: set[Task[None]] = set()
 
     async def close(self) -> None:
         """Stop all rounds."""
-        rounds = list(self._rounds.values())
+        rounds = [*self._rounds.values(), *self._returns]
         for task in rounds:
             task.cancel()
         await gather(*rounds, return_exceptions=True)
@@ -85,7 +88,7 @@
 
     async def _borrow(self, team: TeamId, units: int) -> None:
         missing = units
-        for peer in self._peers.peers_alive():
+        for peer in self._candidates(team):
             missing -= await self._ask(peer, team, missing)
             if missing <= 0:
                 break
@@ -96,12 +99,16 @@
         self._pauses[team] = min(LONGEST_PAUSE_SECONDS, pause * 2)
         await sleep(pause)
 
+    def _candidates(self, team: TeamId) -> list[str]:
+        # Asking a borrower also recalls what was lent to it.
+        borrowers = self._ledger.borrowers(team)
+        others = [peer for peer in self._peers.peers_alive() if peer not in borrowers]
+        return borrowers + others
+
     async def _ask(self, peer: str, team: TeamId, units: int) -> int:
         request = LoanRequest(team=team, wanted=units)
         try:
-            reply = await self._peers.request(
-                peer, request, self._settings.peer_timeout
-            )
+            reply = await self._peers.request(peer, request, ASK_TIMEOUT_SECONDS)
         except PeerLostError:
             # A loan whose answer was lost ends by itself at the lender.
             self._metrics.count("loan", "lost")
@@ -137,14 +144,18 @@
             self._metrics.count("loan", "extended")
         return loan.until
 
-    async def return_idle(self) -> None:
-        """Give unused units back to their lenders."""
+    def hurry(self) -> None:
+        """Give units back that are idle or recalled."""
         for team, loan in self._ledger.return_idle():
-            message = LoanReturn(team=team, loan=loan.loan, count=loan.count)
-            try:
-                await self._peers.request(
-                    loan.peer, message, self._settings.peer_timeout
-                )
-                self._metrics.count("loan", "returned")
-            except PeerLostError:
-                self._metrics.count("loan", "return-lost")
+            task = create_task(self._return(team, loan))
+            self._returns.add(task)
+            task.add_done_callback(self._returns.discard)
+
+    async def _return(self, team: TeamId, loan: Loan) -> None:
+        message = LoanReturn(team=team, loan=loan.loan, count=loan.count)
+        try:
+            await self._peers.request(loan.peer, message, self._settings.peer_timeout)
+            self._metrics.count("loan", "returned")
+        except PeerLostError:
+            # The loan ends by itself at the lender.
+            self._metrics.count("loan", "return-lost")
--- a/jujubebarrow/limits/holdings.py
+++ b/jujubebarrow/limits/holdings.py
@@ -47,6 +47,10 @@
         """Return unused units of the seat's own part."""
         return max(0, floor - self.lent - self._used)
 
+    def overdrawn(self, floor: int) -> bool:
+        """Return whether more is used and lent than a part holds."""
+        return self._used + self.lent > floor
+
     def expire(self, now: float) -> None:
         """Take back loans given and drop loans taken that have ended."""
         for key, loan in list(self._given.items()):
@@ -77,7 +81,8 @@
             )
             return Permit(self._team, None)
         for loan in self._taken.values():
-            if loan.used < loan.count and lease_end <= loan.until:
+            free = loan.used < loan.count and not loan.recalled
+            if free and lease_end <= loan.until:
                 loan.used += 1
                 return Permit(self._team, loan.loan)
         return None
@@ -138,7 +143,8 @@
         returned = []
         for key, loan in list(self._taken.items()):
             unused = loan.count - loan.used
-            if unused == 0 or now - loan.idle_since < idle:
+            kept = now - loan.idle_since < idle and not loan.recalled
+            if unused == 0 or kept:
                 continue
             loan.count = loan.used
             if loan.count == 0:
@@ -146,6 +152,16 @@
             returned.append(Loan(loan.loan, loan.peer, unused, loan.until))
         return returned
 
+    def recall(self, peer: str) -> None:
+        """Mark the loans of a lender that needs them back."""
+        for loan in self._taken.values():
+            if loan.peer == peer:
+                loan.recalled = True
+
+    def borrowers(self) -> list[str]:
+        """Return the peers that hold loans given."""
+        return list({loan.peer for loan in self._given.values()})
+
     def restore(self, loan_id: str, count: int) -> None:
         """Take back units that a borrower returned early."""
         loan = self._given.get(loan_id)
--- a/jujubebarrow/limits/ledgers.py
+++ b/jujubebarrow/limits/ledgers.py
@@ -1,7 +1,6 @@
 """Upper limits of all teams at one instance."""
 
 from itertools import count
-from typing import NamedTuple
 
 from jujubebarrow.clocks.clocks import Clock
 from jujubebarrow.configurations.configurations import Configuration
@@ -12,14 +11,7 @@
 from jujubebarrow.limits.loans import Loan
 from jujubebarrow.limits.permits import Permit
 
-LOAN_IDLE_SECONDS = 2.0
-
-
-class SeatGrant(NamedTuple):
-    """Seat of this instance and the time from which its part may be used."""
-
-    seat: int
-    usable_from: float
+LOAN_IDLE_SECONDS = 0.3
 
 
 class LimitLedger:
@@ -52,27 +44,50 @@
         self._seats = seats
         self._clock_error = clock_error
         self._incarnation = incarnation
-        self._grant: SeatGrant | None = None
+        self._grants: dict[int, float] = {}
         self._holdings: dict[TeamId, Holding] = {}
         self._serial = count(1)
 
     @property
-    def grant(self) -> SeatGrant | None:
-        """Seat of this instance, or None while it has none."""
-        return self._grant
+    def seats(self) -> list[int]:
+        """Seats of this instance."""
+        return list(self._grants)
 
-    def set_grant(self, grant: SeatGrant | None) -> None:
-        """Set or remove the seat of this instance."""
-        self._grant = grant
+    def add_seat(self, seat: int, usable_from: float) -> None:
+        """Add a seat.
+
+        Args:
+            seat: Number of the seat.
+            usable_from: Time from which its part may be used, in seconds since
+                the epoch.
+        """
+        self._grants[seat] = usable_from
+
+    def drop_seat(self, seat: int) -> None:
+        """Remove a seat, whatever runs on it."""
+        self._grants.pop(seat, None)
+
+    def try_drop_seat(self, seat: int) -> bool:
+        """Remove a seat if nothing runs or is lent on its part."""
+        usable_from = self._grants.pop(seat)
+        for team, holding in self._holdings.items():
+            holding.expire(self._clock.wall())
+            if holding.overdrawn(self.floor(team)):
+                self._grants[seat] = usable_from
+                return False
+        return True
 
     def floor(self, team: TeamId) -> int:
         """Return the part of a team's limit that this instance owns now."""
         record = self._configuration.team(team)
-        if record is None or self._grant is None:
-            return 0
-        if self._clock.wall() < self._grant.usable_from:
+        if record is None:
             return 0
-        return floor_of(record.limit, self._grant.seat, self._seats, team)
+        now = self._clock.wall()
+        return sum(
+            floor_of(record.limit, seat, self._seats, team)
+            for seat, usable_from in self._grants.items()
+            if now >= usable_from
+        )
 
     def running(self, team: TeamId) -> int:
         """Return how many tasks of a team run from here."""
@@ -105,7 +120,7 @@
         Args:
             team: Team.
             wanted: Units asked for.
-            peer: Incarnation of the borrower.
+            peer: Instance that borrows.
             period: Length of the loan in seconds.
         """
         now = self._clock.wall()
@@ -141,6 +156,14 @@
         """Take back units that a borrower returned early."""
         self._holding(team).restore(loan_id, units)
 
+    def recall(self, team: TeamId, peer: str) -> None:
+        """Start nothing more on the loans of a lender that needs them back."""
+        self._holding(team).recall(peer)
+
+    def borrowers(self, team: TeamId) -> list[str]:
+        """Return the peers that hold loans of a team."""
+        return self._holding(team).borrowers()
+
     def return_idle(self) -> list[tuple[TeamId, Loan]]:
         """Remove and return the unused parts of idle loans."""
         now = self._clock.wall()
--- a/jujubebarrow/limits/loans.py
+++ b/jujubebarrow/limits/loans.py
@@ -9,10 +9,11 @@
 
     Attributes:
         loan: Identifier, unique to the lender.
-        peer: Incarnation of the other side.
+        peer: Instance at the other side.
         count: Units.
         until: End in seconds since the epoch.
         used: Units used by running tasks, at the borrower only.
+        recalled: Whether the lender needs it back, so that no task may start on it.
         idle_since: Time since which units are unused, in seconds since the epoch.
     """
 
@@ -21,4 +22,5 @@
     count: int
     until: float
     used: int = 0
+    recalled: bool = False
     idle_since: float = 0.0
--- a/jujubebarrow/members/seat_claims.py
+++ b/jujubebarrow/members/seat_claims.py
@@ -5,6 +5,7 @@
 from hashlib import blake2b
 
 from jujubebarrow.members.seats import Seat, seat_key
+from jujubebarrow.peers.identities import PeerIdentity
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,7 +27,7 @@
 def choose_seat(
     seats: dict[str, tuple[Seat, int]],
     count: int,
-    instance: str,
+    identity: PeerIdentity,
     is_gone: Callable[[str], bool],
     now: float,
     quarantine: float,
@@ -41,16 +42,16 @@
     Args:
         seats: Rows with their revisions, by key.
         count: Number of seats.
-        instance: This instance.
+        identity: This process.
         is_gone: Tells whether an instance has ended for certain.
         now: Seconds since the epoch.
         quarantine: Longest life of a task's lease or a loan, in seconds.
     """
-    own = _find_own(seats, count, instance)
+    own = _find_own(seats, count, identity)
     if own is not None:
         number, revision = own
         return SeatOffer(number, revision, now + quarantine)
-    for number in _order(count, instance):
+    for number in _order(count, identity.instance):
         offer = _offer(seats.get(seat_key(number)), number, is_gone, now, quarantine)
         if offer is not None:
             return offer
@@ -64,11 +65,13 @@
 
 
 def _find_own(
-    seats: dict[str, tuple[Seat, int]], count: int, instance: str
+    seats: dict[str, tuple[Seat, int]], count: int, identity: PeerIdentity
 ) -> tuple[int, int] | None:
     for number in range(count):
         row = seats.get(seat_key(number))
-        if row is not None and row[0].instance == instance:
+        if row is None or row[0].instance != identity.instance:
+            continue
+        if row[0].incarnation != identity.incarnation:
             return number, row[1]
     return None
 
--- a/jujubebarrow/services/peer_request_handlers.py
+++ b/jujubebarrow/services/peer_request_handlers.py
@@ -50,6 +50,7 @@
         reporter: Builds the status.
         explanations: Recent decisions.
         on_address: Called with the address of each peer that dials.
+        on_recall: Called after a lender asked for its loans.
         is_stopping: Tells whether this instance takes no more work.
     """
 
@@ -64,6 +65,7 @@
         reporter: StatusReporter,
         explanations: ExplanationLog,
         on_address: Callable[[str], None],
+        on_recall: Callable[[], None],
         is_stopping: Callable[[], bool],
     ):
         self._instance = instance
@@ -75,6 +77,7 @@
         self._reporter = reporter
         self._explanations = explanations
         self._on_address = on_address
+        self._on_recall = on_recall
         self._is_stopping = is_stopping
 
     async def handle(self, request: Request, peer: PeerIdentity) -> Reply:
@@ -136,13 +139,15 @@
     def _lend(self, request: LoanRequest, peer: PeerIdentity) -> LoanReply:
         team = TeamId(request.team)
         wanted = request.wanted
+        self._ledger.recall(team, peer.instance)
+        self._on_recall()
         # What waits here for this team comes before what waits elsewhere.
         if self._home.waiting(team):
             wanted = 0
         loan = None
         if wanted and not self._is_stopping():
             loan = self._ledger.lend(
-                team, wanted, peer.incarnation, self._settings.loan_period
+                team, wanted, peer.instance, self._settings.loan_period
             )
         return _reply_loan(request.serial, peer, loan)
 
--- a/jujubebarrow/services/seat_services.py
+++ b/jujubebarrow/services/seat_services.py
@@ -1,6 +1,7 @@
 """Claims a seat for this instance and hands it back."""
 
 from asyncio import CancelledError, Task, create_task, sleep
+from collections import Counter
 from collections.abc import Callable
 from uuid import uuid4
 
@@ -9,8 +10,9 @@
 from jujubebarrow.clocks.clocks import Clock
 from jujubebarrow.configurations.freshness import FreshnessLease
 from jujubebarrow.errors.exceptions import StoreError, TransactionConflictError
-from jujubebarrow.limits.ledgers import LimitLedger, SeatGrant
+from jujubebarrow.limits.ledgers import LimitLedger
 from jujubebarrow.members.absences import AbsenceTracker
+from jujubebarrow.members.seat_balances import SeatBalance
 from jujubebarrow.members.seat_claims import SeatOffer, choose_seat
 from jujubebarrow.members.seats import SEAT_PREFIX, Seat, seat_key
 from jujubebarrow.metrics.registries import MetricsRegistry
@@ -24,7 +26,11 @@
 
 
 class SeatService:
-    """Reads the platform's list and the seats, and holds one seat.
+    """Reads the platform's list and the seats, and holds seats.
+
+    Every seat is to be held by someone, since its part of the limits is of no
+    use otherwise. Instances therefore hold several seats while there are fewer
+    instances than seats, and hand one over to an instance that has none.
 
     Args:
         identity: This process.
@@ -36,6 +42,7 @@
         settings: Periods.
         metrics: Where claims are counted.
         on_change: Called after each reading.
+        ready_peers: Returns the peers that take work.
     """
 
     def __init__(
@@ -49,6 +56,7 @@
         settings: Settings,
         metrics: MetricsRegistry,
         on_change: Callable[[], None],
+        ready_peers: Callable[[], frozenset[str]],
     ):
         self._identity = identity
         self._platform = platform
@@ -59,6 +67,7 @@
         self._settings = settings
         self._metrics = metrics
         self._on_change = on_change
+        self._ready_peers = ready_peers
         self._seats: dict[str, tuple[Seat, int]] = {}
         self._announced: dict[str, float] = {}
         self._awaited: set[str] = set()
@@ -67,8 +76,8 @@
 
     @property
     def number(self) -> int | None:
-        """Number of the own seat, or None."""
-        return self._ledger.grant.seat if self._ledger.grant else None
+        """Number of the first own seat, or None."""
+        return min(self._ledger.seats, default=None)
 
     @property
     def may_write(self) -> bool:
@@ -139,12 +148,12 @@
         await self._read_seats()
         if not self._absences.is_listed(self._identity.instance):
             return
-        attempts = 0
-        while self.number is None and attempts < CLAIM_ATTEMPTS:
-            attempts += 1
-            if await self._claim():
-                return
+        for _ in range(CLAIM_ATTEMPTS):
+            if not self._balance().wants_seat or await self._claim():
+                break
             await self._read_seats()
+        if self._balance().gives_seat:
+            await self._hand_over()
 
     async def _read_seats(self) -> None:
         asked = self._clock.monotonic()
@@ -165,28 +174,49 @@
         self._check_own()
         if self._settled:
             self._awaited &= self._holders()
-        elif self.number is not None:
+        elif self._ledger.seats:
             # Read after the claim, so that of two new holders one knows the other.
             self._awaited = self._holders()
             self._settled = True
 
     def _check_own(self) -> None:
-        if self.number is None:
-            return
-        row = self._seats.get(seat_key(self.number))
-        if row is None or row[0].incarnation != self._identity.incarnation:
-            logger.error("seat {} was taken over", self.number)
-            self._metrics.count("seat_lost")
-            self._ledger.set_grant(None)
+        for number in self._ledger.seats:
+            row = self._seats.get(seat_key(number))
+            if row is None or row[0].incarnation != self._identity.incarnation:
+                logger.error("seat {} was taken over", number)
+                self._metrics.count("seat_lost")
+                self._ledger.drop_seat(number)
+        if not self._ledger.seats:
             self._settled = False
 
+    def _balance(self) -> SeatBalance:
+        rows = [seat for seat, _ in self._seats.values() if seat.instance]
+        stale = [seat for seat in rows if self._is_stale(seat)]
+        held = Counter(
+            seat.instance
+            for seat in rows
+            if seat not in stale and not self._absences.is_gone(seat.instance)
+        )
+        return SeatBalance(
+            instance=self._identity.instance,
+            seats=self._settings.seats,
+            held=dict(held),
+            ready=self._ready_peers(),
+            stale=len(stale),
+        )
+
+    def _is_stale(self, seat: Seat) -> bool:
+        if seat.instance != self._identity.instance:
+            return False
+        return seat.incarnation != self._identity.incarnation
+
     async def _claim(self) -> bool:
         """Claim a seat; return False if another instance was faster."""
         quarantine = self._settings.task_lease + 2 * self._settings.clock_error
         offer = choose_seat(
             self._seats,
             self._settings.seats,
-            self._identity.instance,
+            self._identity,
             self._absences.is_gone,
             self._clock.wall(),
             quarantine,
@@ -198,11 +228,18 @@
         except TransactionConflictError:
             self._metrics.count("retry", "seat-claim")
             return False
-        self._ledger.set_grant(SeatGrant(offer.number, offer.usable_from))
+        self._ledger.add_seat(offer.number, offer.usable_from)
         logger.info("holds seat {}", offer.number)
         await self._read_seats()
         return True
 
+    async def _hand_over(self) -> None:
+        """Release one of several seats for an instance that has none."""
+        for number in reversed(self._ledger.seats):
+            if self._ledger.try_drop_seat(number):
+                await self._write_release(number, self._clock.wall())
+                return
+
     def _own_seat(self, offer: SeatOffer) -> Seat:
         address = f"{self._settings.address}:{self._settings.dialled_port}"
         return Seat(
@@ -222,12 +259,13 @@
         await self._platform.commit(transaction)
 
     async def release(self) -> None:
-        """Hand the seat back after all own work has ended."""
-        number = self.number
-        if number is None:
-            return
+        """Hand all seats back after all own work has ended."""
         usable_from = self._ledger.lent_until() + self._settings.clock_error
-        self._ledger.set_grant(None)
+        for number in self._ledger.seats:
+            self._ledger.drop_seat(number)
+            await self._write_release(number, usable_from)
+
+    async def _write_release(self, number: int, usable_from: float) -> None:
         row = self._seats.get(seat_key(number))
         if row is None:
             return
