--- /dev/null
+++ b/jujubebarrow/commands/main.py
@@ -0,0 +1,72 @@
+"""Entry point of the command line."""
+
+import sys
+
+from cleo.application import Application
+
+from jujubebarrow import __version__
+from jujubebarrow.commands.check_commands import CheckCommand
+from jujubebarrow.commands.fleet_commands import (
+    InstanceDrainCommand,
+    InstanceMoveCommand,
+    InstanceResumeCommand,
+    JobCancelCommand,
+    JobListCommand,
+    JobShowCommand,
+    KeyGrantCommand,
+    KeyWithdrawCommand,
+    MaintenanceEndCommand,
+    MaintenanceListCommand,
+    MaintenancePauseCommand,
+    MaintenanceStartCommand,
+    PresetPlanCommand,
+    PresetUseCommand,
+)
+from jujubebarrow.commands.record_commands import (
+    DeleteCommand,
+    ListCommand,
+    SetCommand,
+    ShowCommand,
+)
+from jujubebarrow.commands.status_commands import ExplainCommand, StatusCommand
+
+COMMANDS = (
+    CheckCommand,
+    StatusCommand,
+    ExplainCommand,
+    ListCommand,
+    ShowCommand,
+    SetCommand,
+    DeleteCommand,
+    KeyGrantCommand,
+    KeyWithdrawCommand,
+    PresetPlanCommand,
+    PresetUseCommand,
+    InstanceDrainCommand,
+    InstanceMoveCommand,
+    InstanceResumeCommand,
+    MaintenanceListCommand,
+    MaintenanceStartCommand,
+    MaintenancePauseCommand,
+    MaintenanceEndCommand,
+    JobListCommand,
+    JobShowCommand,
+    JobCancelCommand,
+)
+
+
+def make_application() -> Application:
+    """Return the command line's application."""
+    application = Application("jujubebarrow", __version__)
+    for command in COMMANDS:
+        application.add(command())
+    return application
+
+
+def main() -> None:
+    """Run one command."""
+    sys.exit(make_application().run())
+
+
+if __name__ == "__main__":
+    main()
