Separate the roles of an instance from its sockets

Cause: the daemon's module held wiring, sockets and signals, so that randomised runs could not drive the shipped wiring without real ports. Ruled out: a second wiring for tests, which would drift.

--- a/jujubebarrow/peers/links.py
+++ b/jujubebarrow/peers/links.py
@@ -22,6 +22,7 @@
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.peers.codecs import ProtocolError, decode, encode
 from jujubebarrow.peers.identities import PeerIdentity
+from jujubebarrow.peers.link_types import Link
 from jujubebarrow.peers.messages import (
     PROTOCOL_VERSION,
     Challenge,
@@ -37,7 +38,7 @@
 LONGEST_BACKOFF_SECONDS = 2.0
 
 
-class PeerLink:
+class PeerLink(Link):
     """Keeps a connection to one address and matches replies to requests.
 
     Args:
@@ -56,9 +57,9 @@
         settings: Settings,
         metrics: MetricsRegistry,
         random: Random,
-        on_connect: Callable[["PeerLink"], None],
+        on_connect: Callable[[Link], None],
     ):
-        self.address = address
+        super().__init__(address)
         self._identity = identity
         self._settings = settings
         self._metrics = metrics
--- a/jujubebarrow/services/peer_services.py
+++ b/jujubebarrow/services/peer_services.py
@@ -8,11 +8,12 @@
 from jujubebarrow.configurations.configurations import Configuration
 from jujubebarrow.configurations.freshness import Attestation, FreshnessLease
 from jujubebarrow.errors.exceptions import PeerLostError
+from jujubebarrow.homes.borrowers import PeerCalls
 from jujubebarrow.members.peer_directories import PeerDirectory, PeerRecord
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.peers.deltas import apply_delta
 from jujubebarrow.peers.identities import PeerIdentity
-from jujubebarrow.peers.links import PeerLink
+from jujubebarrow.peers.link_types import Link, LinkFactory
 from jujubebarrow.peers.messages import (
     Changes,
     ChangesRequest,
@@ -27,7 +28,7 @@
 from jujubebarrow.settings.settings import Settings
 
 
-class PeerService:
+class PeerService(PeerCalls):
     """Dials every known peer and keeps the directory up to date.
 
     Args:
@@ -42,6 +43,7 @@
         configurations: Gets changes that a peer knows first.
         seats: Knows the holders of seats.
         on_status: Called after each heartbeat with the peer's record.
+        connect: Makes links.
     """
 
     def __init__(
@@ -57,6 +59,7 @@
         configurations: ConfigurationService,
         seats: SeatService,
         on_status: Callable[[PeerRecord], None],
+        connect: LinkFactory,
     ):
         self._identity = identity
         self._settings = settings
@@ -69,7 +72,8 @@
         self._configurations = configurations
         self._seats = seats
         self._on_status = on_status
-        self._links: dict[str, PeerLink] = {}
+        self._connect = connect
+        self._links: dict[str, Link] = {}
         self._heartbeats: dict[str, Task[None]] = {}
         self._own_address = f"{settings.address}:{settings.dialled_port}"
 
@@ -92,14 +96,7 @@
         """Dial an address unless there is a link to it."""
         if address in self._links or address == self._own_address:
             return
-        link = PeerLink(
-            address,
-            self._identity,
-            self._settings,
-            self._metrics,
-            self._random,
-            self._start_heartbeats,
-        )
+        link = self._connect(address, self._start_heartbeats)
         self._links[address] = link
         link.open()
 
@@ -109,7 +106,7 @@
             heartbeat.cancel()
         await self._links.pop(address).close()
 
-    def link(self, instance: str) -> PeerLink | None:
+    def link(self, instance: str) -> Link | None:
         """Return the link to an instance, if it is up."""
         for link in self._links.values():
             if link.peer is not None and link.peer.instance == instance:
@@ -127,13 +124,13 @@
             raise PeerLostError(instance, sent=False)
         return await link.request(message, timeout)
 
-    def _start_heartbeats(self, link: PeerLink) -> None:
+    def _start_heartbeats(self, link: Link) -> None:
         old = self._heartbeats.get(link.address)
         if old is not None:
             old.cancel()
         self._heartbeats[link.address] = create_task(self._beat(link))
 
-    async def _beat(self, link: PeerLink) -> None:
+    async def _beat(self, link: Link) -> None:
         period = self._settings.heartbeat_period
         while link.peer is not None:
             try:
@@ -144,7 +141,7 @@
                 raise
             await sleep(period * self._random.uniform(0.9, 1.1))
 
-    async def _beat_once(self, link: PeerLink) -> None:
+    async def _beat_once(self, link: Link) -> None:
         seat = self._seats.number
         asked = self._clock.monotonic()
         record = self._directory.get(link.peer.instance) if link.peer else None
@@ -184,7 +181,7 @@
         )
         self._on_status(record)
 
-    async def _fetch_changes(self, link: PeerLink) -> None:
+    async def _fetch_changes(self, link: Link) -> None:
         since = self._configuration.revision
         request = ChangesRequest(since=since)
         reply = await link.request(request, self._settings.peer_timeout)
