Drive whole instances through random faults in virtual time

Cause: the promises had only been seen to hold in one demo. Conclusion: acceptance is conditional on the closed row too, and a job without a first attempt is named to its supervisor.

--- a/jujubebarrow/daemons/nodes.py
+++ b/jujubebarrow/daemons/nodes.py
@@ -197,6 +197,7 @@
             self._explanations,
             self._peers.add,
             self._borrower.hurry,
+            lambda name: self.jobs.supervise_later(name),
             lambda: self._stopping,
         )
         self.requests = RequestService(
@@ -225,6 +226,7 @@
             self.metrics,
             self._explanations,
             self._seats.has_ended,
+            self._peers,
         )
         moves = MovePlanner(settings.move_hold, settings.move_wait)
         observer = FleetObserver(
--- a/jujubebarrow/metrics/registries.py
+++ b/jujubebarrow/metrics/registries.py
@@ -21,6 +21,10 @@
         """Add to a counter."""
         self._counters[name, label] += amount
 
+    def counters(self) -> dict[tuple[str, str], int]:
+        """Return all counters by name and label."""
+        return dict(self._counters)
+
     def value(self, name: str, label: str = "") -> int:
         """Return a counter's value."""
         return self._counters[name, label]
--- a/jujubebarrow/peers/messages.py
+++ b/jujubebarrow/peers/messages.py
@@ -228,8 +228,16 @@
     count: int = Field(ge=1)
 
 
+class SuperviseRequest(Message):
+    """Names a job that seems to wait for its supervisor."""
+
+    kind: Literal["supervise-request"] = "supervise-request"
+    serial: int = 0
+    job: str
+
+
 class Returned(Message):
-    """Confirms a returned loan."""
+    """Confirms a message that needs no other answer."""
 
     kind: Literal["returned"] = "returned"
     serial: int
@@ -292,6 +300,7 @@
     | LoanRequest
     | LoanExtension
     | LoanReturn
+    | SuperviseRequest
     | ChangesRequest
     | ExplainRequest
     | StatusRequest
--- a/jujubebarrow/platforms/http_platforms.py
+++ b/jujubebarrow/platforms/http_platforms.py
@@ -4,30 +4,21 @@
 from typing import Any
 from urllib.parse import quote
 
-from pydantic import BaseModel
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPResponse
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
-from jujubebarrow.errors.exceptions import StoreError, TransactionConflictError
+from jujubebarrow.errors.exceptions import StoreError
 from jujubebarrow.metrics.registries import MetricsRegistry
+from jujubebarrow.platforms.commit_answers import CommitAnswer
 from jujubebarrow.platforms.listings import Listing
 from jujubebarrow.platforms.platforms import Platform
 from jujubebarrow.platforms.rows import RowSet
 from jujubebarrow.platforms.transactions import Transaction
 
-COMMIT_ATTEMPTS = 3
 ROW_SET_LIMIT = 256 * 1024 * 1024
 CONNECTION_LIMIT = 32
 
 
-class _Committed(BaseModel):
-    revision: int
-
-
-class _Conflict(BaseModel):
-    nonces: dict[str, str]
-
-
 class HttpPlatform(Platform):
     """Client of the platform's HTTP interface.
 
@@ -39,10 +30,10 @@
     """
 
     def __init__(self, url: str, zone: str, timeout: float, metrics: MetricsRegistry):
+        super().__init__(metrics)
         self._url = url.rstrip("/")
         self._headers = {"Availability-Zone": zone}
         self._timeout = timeout
-        self._metrics = metrics
         self._client: AsyncHTTPClient = SimpleAsyncHTTPClient(
             force_instance=True,
             max_clients=CONNECTION_LIMIT,
@@ -53,35 +44,11 @@
         """Close all connections."""
         self._client.close()
 
-    async def commit(self, transaction: Transaction) -> int:
-        """Commit a transaction once and return its revision."""
+    async def try_commit(self, transaction: Transaction) -> CommitAnswer:
+        """Send a transaction once and return the answer."""
         body = transaction.model_dump_json().encode()
-        for attempt in range(COMMIT_ATTEMPTS):
-            try:
-                return await self._commit_once(body, transaction.nonce)
-            except StoreError:
-                if attempt == COMMIT_ATTEMPTS - 1:
-                    raise
-                self._metrics.count("retry", "store-commit")
-        raise StoreError("unreachable")
-
-    async def _commit_once(self, body: bytes, nonce: str) -> int:
         response = await self._fetch("POST", "/transactions", body, self._timeout)
-        if response.code == 200:
-            return _Committed.model_validate_json(response.body).revision
-        conflict = _Conflict.model_validate_json(response.body)
-        own = [key for key, other in conflict.nonces.items() if other == nonce]
-        if own:
-            # An earlier attempt took effect and its answer was lost.
-            return await self._read_own_revision(own[0], nonce)
-        raise TransactionConflictError(list(conflict.nonces))
-
-    async def _read_own_revision(self, key: str, nonce: str) -> int:
-        rows = await self.read(key)
-        for row in rows.rows:
-            if row.key == key and row.nonce == nonce:
-                return row.revision
-        return rows.revision
+        return CommitAnswer.model_validate_json(response.body)
 
     async def read(self, prefix: str) -> RowSet:
         """Return the rows whose key starts with a prefix."""
--- a/jujubebarrow/platforms/platforms.py
+++ b/jujubebarrow/platforms/platforms.py
@@ -2,18 +2,28 @@
 
 from abc import ABC, abstractmethod
 
+from jujubebarrow.errors.exceptions import StoreError, TransactionConflictError
+from jujubebarrow.metrics.registries import MetricsRegistry
+from jujubebarrow.platforms.commit_answers import CommitAnswer
 from jujubebarrow.platforms.listings import Listing
 from jujubebarrow.platforms.rows import RowSet
 from jujubebarrow.platforms.transactions import Transaction
 
+COMMIT_ATTEMPTS = 3
+
 
 class Platform(ABC):
     """Transactional table, object store and list of instances.
 
     Every method raises ``StoreError`` when the platform does not answer.
+
+    Args:
+        metrics: Where retries are counted.
     """
 
-    @abstractmethod
+    def __init__(self, metrics: MetricsRegistry):
+        self._metrics = metrics
+
     async def commit(self, transaction: Transaction) -> int:
         """Commit a transaction once and return its revision.
 
@@ -23,6 +33,37 @@
             TransactionConflictError: A condition did not hold.
             StoreError: Unknown whether the transaction took effect.
         """
+        attempts = 0
+        while True:
+            attempts += 1
+            try:
+                return await self._commit_once(transaction)
+            except StoreError:
+                if attempts == COMMIT_ATTEMPTS:
+                    raise
+                self._metrics.count("retry", "store-commit")
+
+    async def _commit_once(self, transaction: Transaction) -> int:
+        answer = await self.try_commit(transaction)
+        if not answer.nonces:
+            return answer.revision
+        nonce = transaction.nonce
+        own = [key for key, other in answer.nonces.items() if other == nonce]
+        if own:
+            # An earlier attempt took effect and its answer was lost.
+            return await self._read_own_revision(own[0], nonce)
+        raise TransactionConflictError(list(answer.nonces))
+
+    async def _read_own_revision(self, key: str, nonce: str) -> int:
+        rows = await self.read(key)
+        for row in rows.rows:
+            if row.key == key and row.nonce == nonce:
+                return row.revision
+        return rows.revision
+
+    @abstractmethod
+    async def try_commit(self, transaction: Transaction) -> CommitAnswer:
+        """Send a transaction once and return the answer."""
 
     @abstractmethod
     async def read(self, prefix: str) -> RowSet:
--- a/jujubebarrow/services/commit_batchers.py
+++ b/jujubebarrow/services/commit_batchers.py
@@ -9,7 +9,7 @@
 from jujubebarrow.errors.exceptions import StoreError, TransactionConflictError
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.platforms.platforms import Platform
-from jujubebarrow.platforms.transactions import Transaction
+from jujubebarrow.platforms.transactions import ABSENT, Transaction
 
 
 @dataclass(slots=True, eq=False)
@@ -17,8 +17,16 @@
     key: str
     value: dict[str, Any] | None
     revision: int
+    absent: str
     done: "Future[int]"
 
+    @property
+    def conditions(self) -> dict[str, int]:
+        conditions = {self.key: self.revision}
+        if self.absent:
+            conditions[self.absent] = ABSENT
+        return conditions
+
 
 class CommitBatcher:
     """Joins concurrent conditional writes into one transaction at a time.
@@ -36,13 +44,20 @@
         self._waiting: deque[_Write] = deque()
         self._task: Task[None] | None = None
 
-    async def write(self, key: str, value: dict[str, Any] | None, revision: int) -> int:
+    async def write(
+        self,
+        key: str,
+        value: dict[str, Any] | None,
+        revision: int,
+        absent: str = "",
+    ) -> int:
         """Write one row if it still has a revision.
 
         Args:
             key: Row.
             value: New value; None deletes the row.
             revision: Revision that the row must have; 0 if it must not exist.
+            absent: Another row that must not exist, if there is such a one.
 
         Returns:
             Revision of the write.
@@ -52,7 +67,7 @@
             StoreError: Unknown whether the write took effect.
         """
         done: Future[int] = get_running_loop().create_future()
-        self._waiting.append(_Write(key, value, revision, done))
+        self._waiting.append(_Write(key, value, revision, absent, done))
         if self._task is None or self._task.done():
             self._task = create_task(self._run())
         return await done
@@ -75,7 +90,11 @@
         if not batch:
             return
         transaction = Transaction(
-            conditions={write.key: write.revision for write in batch},
+            conditions={
+                key: revision
+                for write in batch
+                for key, revision in write.conditions.items()
+            },
             writes={write.key: write.value for write in batch},
             nonce=uuid4().hex,
         )
@@ -95,7 +114,7 @@
 
     def _split(self, batch: list[_Write], error: TransactionConflictError) -> None:
         for write in reversed(batch):
-            if write.key in error.keys:
+            if not write.conditions.keys().isdisjoint(error.keys):
                 _fail(write, TransactionConflictError([write.key]))
             else:
                 self._waiting.appendleft(write)
--- a/jujubebarrow/services/job_services.py
+++ b/jujubebarrow/services/job_services.py
@@ -11,20 +11,22 @@
 from jujubebarrow.configurations.configurations import Configuration
 from jujubebarrow.configurations.records import Priority
 from jujubebarrow.errors.exceptions import (
+    PeerLostError,
     RefusalError,
     StoreError,
     TransactionConflictError,
 )
 from jujubebarrow.errors.kinds import ErrorKind
+from jujubebarrow.homes.borrowers import PeerCalls
 from jujubebarrow.homes.run_results import RunResult
 from jujubebarrow.jobs.job_states import OPEN_STATES, JobState
 from jujubebarrow.jobs.jobs import CLOSED_PREFIX, OPEN_PREFIX, Job, job_id
 from jujubebarrow.jobs.verdicts import JobVerdict, judge_refusal, judge_result
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.peers.identities import PeerIdentity
-from jujubebarrow.peers.messages import Forward
+from jujubebarrow.peers.messages import Forward, SuperviseRequest
 from jujubebarrow.platforms.platforms import Platform
-from jujubebarrow.platforms.transactions import Transaction
+from jujubebarrow.platforms.transactions import ABSENT, Transaction
 from jujubebarrow.services.commit_batchers import CommitBatcher
 from jujubebarrow.services.explanations import ExplanationLog
 from jujubebarrow.services.request_services import RequestService
@@ -33,6 +35,9 @@
 INLINE_BODY_LIMIT = 4096
 RUN_LIMIT_SECONDS = 6 * 3600.0
 STORE_RETRY_SECONDS = 1.0
+CONFLICT_PAUSE_SECONDS = 0.2
+STUCK_SECONDS = 5.0
+"""Time after which a job without a first attempt is named to its supervisor."""
 
 
 class StoredJob(BaseModel):
@@ -60,6 +65,7 @@
         metrics: Where states are counted.
         explanations: Where states are recorded.
         has_ended: Tells whether an instance's process has ended for certain.
+        peers: Supervisors of other jobs.
     """
 
     def __init__(
@@ -74,6 +80,7 @@
         metrics: MetricsRegistry,
         explanations: ExplanationLog,
         has_ended: Callable[[str, str], bool],
+        peers: PeerCalls,
     ):
         self._identity = identity
         self._platform = platform
@@ -85,14 +92,17 @@
         self._metrics = metrics
         self._explanations = explanations
         self._has_ended = has_ended
+        self._peers = peers
         self._supervisors: dict[str, Task[None]] = {}
         self._feed_revision = 0
         self._open: dict[str, StoredJob] = {}
+        self._noticed: dict[str, tuple[int, float]] = {}
+        self._checks: set[Task[None]] = set()
 
     async def close(self) -> None:
         """Hand all jobs over to other instances."""
         supervised = list(self._supervisors)
-        tasks = list(self._supervisors.values())
+        tasks = [*self._supervisors.values(), *self._checks]
         for task in tasks:
             task.cancel()
         await gather(*tasks, return_exceptions=True)
@@ -118,13 +128,19 @@
         name = job_id(request.team, request.queue, key)
         job = await self._make_job(request)
         try:
-            value = job.model_dump(mode="json")
-            if await self._read(CLOSED_PREFIX, name) is not None:
-                raise TransactionConflictError([name])
-            revision = await self._batcher.write(OPEN_PREFIX + name, value, 0)
+            # A late write must not open a job again that has been closed.
+            revision = await self._batcher.write(
+                OPEN_PREFIX + name,
+                job.model_dump(mode="json"),
+                ABSENT,
+                CLOSED_PREFIX + name,
+            )
         except TransactionConflictError:
             return await self._accept_again(name, job)
         except StoreError as error:
+            # The write may still take effect, and a repeat may be told so by
+            # another instance.
+            self.supervise_later(name)
             raise RefusalError(
                 ErrorKind.STORE_UNAVAILABLE, "job", retry_after=STORE_RETRY_SECONDS
             ) from error
@@ -161,8 +177,20 @@
             raise RefusalError(ErrorKind.IN_PROGRESS, retry_after=STORE_RETRY_SECONDS)
         if stored.job.body_digest != job.body_digest:
             raise RefusalError(ErrorKind.IDEMPOTENCY_KEY_REUSED)
+        self.supervise_later(name)
         return name
 
+    def supervise_later(self, name: str) -> None:
+        """Supervise a job if it is stored under this process."""
+        task = create_task(self._supervise_stored(name))
+        self._checks.add(task)
+        task.add_done_callback(self._checks.discard)
+
+    async def _supervise_stored(self, name: str) -> None:
+        stored = await self._reread(name)
+        if stored is not None and name not in self._supervisors:
+            self._supervise(stored)
+
     async def get(self, name: str, team: str | None) -> Job:
         """Return a job.
 
@@ -275,6 +303,30 @@
         for stored in list(self._open.values()):
             if self._is_orphaned(stored):
                 await self._adopt(stored)
+            elif self._is_stuck(stored):
+                await self._remind(stored)
+
+    def _is_stuck(self, stored: StoredJob) -> bool:
+        """Return whether a job has waited too long for its first attempt."""
+        if stored.job.state is not JobState.ACCEPTED or stored.job.attempts:
+            self._noticed.pop(stored.job_id, None)
+            return False
+        now = self._clock.monotonic()
+        revision, since = self._noticed.get(stored.job_id, (0, now))
+        if revision != stored.revision:
+            self._noticed[stored.job_id] = (stored.revision, now)
+            return False
+        return now - since >= STUCK_SECONDS
+
+    async def _remind(self, stored: StoredJob) -> None:
+        """Name a job to its supervisor, which may not know that it was stored."""
+        self._noticed.pop(stored.job_id, None)
+        request = SuperviseRequest(job=stored.job_id)
+        timeout = self._settings.peer_timeout
+        try:
+            await self._peers.request(stored.job.runner, request, timeout)
+        except PeerLostError:
+            self._metrics.count("job_reminder_lost")
 
     def _is_orphaned(self, stored: StoredJob) -> bool:
         job = stored.job
@@ -308,6 +360,7 @@
             try:
                 current = await self._step(current)
             except TransactionConflictError:
+                await sleep(CONFLICT_PAUSE_SECONDS)
                 current = await self._reread(stored.job_id)
             except (StoreError, RefusalError):
                 self._metrics.count("retry", "job-store")
--- a/jujubebarrow/services/peer_request_handlers.py
+++ b/jujubebarrow/services/peer_request_handlers.py
@@ -30,6 +30,7 @@
     Returned,
     StatusReply,
     StatusRequest,
+    SuperviseRequest,
 )
 from jujubebarrow.services.explanations import ExplanationLog
 from jujubebarrow.services.seat_services import SeatService
@@ -51,6 +52,7 @@
         explanations: Recent decisions.
         on_address: Called with the address of each peer that dials.
         on_recall: Called after a lender asked for its loans.
+        on_supervise: Called with a job that seems to wait for its supervisor.
         is_stopping: Tells whether this instance takes no more work.
     """
 
@@ -66,6 +68,7 @@
         explanations: ExplanationLog,
         on_address: Callable[[str], None],
         on_recall: Callable[[], None],
+        on_supervise: Callable[[str], None],
         is_stopping: Callable[[], bool],
     ):
         self._instance = instance
@@ -78,6 +81,7 @@
         self._explanations = explanations
         self._on_address = on_address
         self._on_recall = on_recall
+        self._on_supervise = on_supervise
         self._is_stopping = is_stopping
 
     async def handle(self, request: Request, peer: PeerIdentity) -> Reply:
@@ -93,6 +97,9 @@
                 return self._extend(request, peer)
             case LoanReturn():
                 return self._restore(request, peer)
+            case SuperviseRequest():
+                self._on_supervise(request.job)
+                return Returned(serial=request.serial, to=peer.incarnation)
             case ChangesRequest():
                 return self._changes(request, peer)
             case ExplainRequest():
--- a/jujubebarrow/standins/platforms.py
+++ b/jujubebarrow/standins/platforms.py
@@ -51,16 +51,14 @@
     async def post(self) -> None:
         transaction = Transaction.model_validate_json(self.request.body)
         self.state.writes += 1
-        conflicts = self.state.table.commit(transaction)
-        if not conflicts:
+        answer = self.state.table.commit(transaction)
+        if not answer.nonces:
             await self.state.table.notify()
         if self.lose_answer():
             self.send_error(504)
-        elif conflicts:
-            self.set_status(409)
-            self.finish({"nonces": conflicts})
-        else:
-            self.finish({"revision": self.state.table.revision})
+            return
+        self.set_status(409 if answer.nonces else 200)
+        self.finish(answer.model_dump_json())
 
 
 class _Rows(_Handler):
--- a/jujubebarrow/standins/tables.py
+++ b/jujubebarrow/standins/tables.py
@@ -3,6 +3,7 @@
 from asyncio import Condition, wait_for
 from typing import Any
 
+from jujubebarrow.platforms.commit_answers import CommitAnswer
 from jujubebarrow.platforms.row_indexes import RowIndex
 from jujubebarrow.platforms.rows import Row, RowSet
 from jujubebarrow.platforms.transactions import ABSENT, Transaction
@@ -16,23 +17,19 @@
         self._rows = RowIndex()
         self._changed = Condition()
 
-    def commit(self, transaction: Transaction) -> dict[str, str]:
-        """Apply a transaction.
-
-        Returns:
-            Nonces of the rows whose condition failed; empty if it took effect.
-        """
+    def commit(self, transaction: Transaction) -> CommitAnswer:
+        """Apply a transaction if its conditions hold."""
         conflicts = {
             key: self._nonce(key)
             for key, revision in transaction.conditions.items()
             if self._row_revision(key) != revision
         }
         if conflicts:
-            return conflicts
+            return CommitAnswer(revision=self.revision, nonces=conflicts)
         self.revision += 1
         for key, value in transaction.writes.items():
             self._write(key, value, transaction.nonce)
-        return {}
+        return CommitAnswer(revision=self.revision)
 
     def _write(self, key: str, value: dict[str, Any] | None, nonce: str) -> None:
         row = Row(key=key, revision=self.revision, nonce=nonce, value=value)
--- /dev/null
+++ b/jujubebarrow/tests/fakes/fake_links.py
@@ -0,0 +1,90 @@
+"""Peer links in memory, through the shipped codec."""
+
+from asyncio import CancelledError, Task, create_task, shield, sleep, wait_for
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from jujubebarrow.errors.exceptions import PeerLostError
+from jujubebarrow.peers.codecs import decode, encode
+from jujubebarrow.peers.identities import PeerIdentity
+from jujubebarrow.peers.link_types import Link
+from jujubebarrow.peers.messages import Reply, Request
+
+if TYPE_CHECKING:
+    from jujubebarrow.tests.fakes.worlds import World
+
+DIAL_SECONDS = 0.2
+
+
+class FakeLink(Link):
+    def __init__(
+        self,
+        world: "World",
+        identity: PeerIdentity,
+        address: str,
+        on_connect: Callable[[Link], None],
+    ):
+        super().__init__(address)
+        self._world = world
+        self._identity = identity
+        self._on_connect = on_connect
+        self._peer: PeerIdentity | None = None
+        self._task: Task[None] | None = None
+
+    @property
+    def peer(self) -> PeerIdentity | None:
+        return self._peer
+
+    def open(self) -> None:
+        self._task = create_task(self._dial())
+
+    async def close(self) -> None:
+        if self._task is not None:
+            self._task.cancel()
+            try:
+                await self._task
+            except CancelledError:
+                pass
+
+    async def _dial(self) -> None:
+        while True:
+            found = self._world.find(self.address)
+            target = found.identity if found and self._up(found.identity) else None
+            if target != self._peer:
+                self._peer = target
+                if target is not None:
+                    self._on_connect(self)
+            await sleep(DIAL_SECONDS)
+
+    def _up(self, target: PeerIdentity) -> bool:
+        return self._world.network.linked(self._identity.instance, target.instance)
+
+    async def request(self, message: Request, timeout: float) -> Reply:
+        target = self._world.find(self.address)
+        if self._peer is None or target is None or target.identity != self._peer:
+            raise PeerLostError(self.address, sent=False)
+        try:
+            return await wait_for(self._exchange(message, target), timeout)
+        except TimeoutError as error:
+            raise PeerLostError(self.address, sent=True) from error
+
+    async def _exchange(self, message: Request, target) -> Reply:
+        network = self._world.network
+        await network.gate(self._identity.incarnation, self._identity.instance)
+        frame = encode(message.model_copy(update={"serial": 7}))
+        await network.delay()
+        if not self._up(target.identity):
+            await sleep(60)
+        await network.gate(target.identity.incarnation, target.identity.instance)
+        work = target.handler.handle(decode(frame), self._identity)
+        # Runs on after this side has given up, as a real peer does.
+        running = create_task(work, context=target.context)
+        target.tasks.add(running)
+        reply = decode(encode(await shield(running)))
+        await network.delay()
+        await network.gate(target.identity.incarnation, target.identity.instance)
+        lost = network.random.random() < network.reply_loss
+        if lost or not self._up(target.identity):
+            await sleep(60)
+        await network.gate(self._identity.incarnation, self._identity.instance)
+        return reply  # type: ignore[return-value]
--- /dev/null
+++ b/jujubebarrow/tests/fakes/fake_platforms.py
@@ -0,0 +1,107 @@
+"""The platform in memory, one adapter for each process."""
+
+from asyncio import get_running_loop, sleep
+
+from jujubebarrow.errors.exceptions import StoreError
+from jujubebarrow.metrics.registries import MetricsRegistry
+from jujubebarrow.peers.identities import PeerIdentity
+from jujubebarrow.platforms.commit_answers import CommitAnswer
+from jujubebarrow.platforms.listings import Listing
+from jujubebarrow.platforms.platforms import Platform
+from jujubebarrow.platforms.rows import RowSet
+from jujubebarrow.platforms.transactions import Transaction
+from jujubebarrow.standins.tables import Table
+from jujubebarrow.tests.fakes.fake_networks import FakeNetwork
+from jujubebarrow.tests.fakes.table_audits import TableAudit
+
+TIMEOUT_SECONDS = 1.0
+
+
+class PlatformState:
+    """Table, objects, list and faults, shared by all processes."""
+
+    def __init__(self, network: FakeNetwork):
+        self.network = network
+        self.table = Table()
+        self.audit = TableAudit(self.table)
+        self.objects: dict[str, bytes] = {}
+        self.listing: dict[str, str] = {}
+        self.answer_loss = 0.0
+        self.late_writes = 0.0
+        self.slowness = 0.0
+
+
+class FakePlatform(Platform):
+    def __init__(
+        self, state: PlatformState, identity: PeerIdentity, metrics: MetricsRegistry
+    ):
+        super().__init__(metrics)
+        self._state = state
+        self._network = state.network
+        self._identity = identity
+
+    async def _reach(self) -> None:
+        await self._network.gate(self._identity.incarnation, self._identity.instance)
+        await self._network.delay()
+        if self._state.slowness:
+            await sleep(self._network.random.uniform(0, self._state.slowness))
+        if not self._network.reaches_platform(self._identity.instance):
+            await sleep(TIMEOUT_SECONDS)
+            await self._leave()
+            raise StoreError("down")
+
+    async def _leave(self) -> None:
+        await self._network.gate(self._identity.incarnation, self._identity.instance)
+
+    async def try_commit(self, transaction: Transaction) -> CommitAnswer:
+        await self._reach()
+        random = self._network.random
+        if random.random() < self._state.late_writes:
+            delay = random.uniform(0.1, 2 * TIMEOUT_SECONDS)
+            get_running_loop().call_later(delay, self._apply, transaction)
+            await sleep(TIMEOUT_SECONDS)
+            raise StoreError("late")
+        answer = self._apply(transaction)
+        await self._state.table.notify()
+        await self._network.delay()
+        await self._leave()
+        if random.random() < self._state.answer_loss:
+            raise StoreError("answer lost")
+        return answer
+
+    def _apply(self, transaction: Transaction) -> CommitAnswer:
+        answer = self._state.table.commit(transaction)
+        if not answer.nonces:
+            self._state.audit.check(transaction)
+        return answer
+
+    async def read(self, prefix: str) -> RowSet:
+        await self._reach()
+        rows = self._state.table.read(prefix)
+        await self._network.delay()
+        await self._leave()
+        return rows
+
+    async def read_changes(self, prefix: str, since: int, wait: float) -> RowSet:
+        await self._reach()
+        rows = await self._state.table.wait_changes(prefix, since, wait)
+        if not self._network.reaches_platform(self._identity.instance):
+            await sleep(TIMEOUT_SECONDS)
+            raise StoreError("down")
+        await self._network.delay()
+        await self._leave()
+        return rows
+
+    async def list_instances(self) -> Listing:
+        await self._reach()
+        listing = dict(self._state.listing)
+        await self._leave()
+        return Listing.model_validate({"instances": listing})
+
+    async def put_object(self, name: str, data: bytes) -> None:
+        await self._reach()
+        self._state.objects[name] = data
+
+    async def get_object(self, name: str) -> bytes:
+        await self._reach()
+        return self._state.objects[name]
--- /dev/null
+++ b/jujubebarrow/tests/fakes/fake_workers.py
@@ -0,0 +1,162 @@
+"""Upstream workers in memory, with their own record."""
+
+from asyncio import Future, create_task, get_running_loop, shield, sleep, wait_for
+from collections.abc import Callable
+from contextvars import Context
+from dataclasses import dataclass, field
+
+from jujubebarrow.errors.exceptions import DispatchError
+from jujubebarrow.peers.identities import PeerIdentity
+from jujubebarrow.tests.fakes.fake_networks import FakeNetwork
+from jujubebarrow.upstreams.upstreams import (
+    TaskAnswer,
+    TaskRequest,
+    UpstreamReport,
+    Upstreams,
+)
+
+TIMEOUT_SECONDS = 1.0
+STEP_SECONDS = 0.05
+
+
+@dataclass
+class Run:
+    task: TaskRequest
+    worker: str
+    started: float
+    lease: float
+    done: bool = False
+
+
+@dataclass
+class FakeWorker:
+    name: str
+    zone: str
+    network: FakeNetwork
+    on_start: Callable[[Run], None]
+    on_broken: Callable[[str], None]
+    slots: int = 4
+    run_time: float = 0.1
+    draining: bool = False
+    down: bool = False
+    fault: str = ""
+    running: dict[str, Run] = field(default_factory=dict)
+    record: list[Run] = field(default_factory=list)
+
+    def now(self) -> float:
+        return get_running_loop().time()
+
+    def refusal(self, lease: float) -> str:
+        if self.draining:
+            return "draining"
+        if len(self.running) >= self.slots:
+            return "full"
+        return "lease-lapsed" if self.now() >= lease else ""
+
+    async def arrive(self, task: TaskRequest) -> "Future[TaskAnswer]":
+        """Start a task and return its answer to come, or refuse it."""
+        while self.fault == "freeze":
+            await sleep(STEP_SECONDS)
+        reason = self.refusal(task.lease_end)
+        if reason:
+            raise DispatchError(reason, started=False, refusal=reason)
+        run = Run(task, self.name, self.now(), task.lease_end)
+        self.record.append(run)
+        self.running[task.task] = run
+        self.on_start(run)
+        return create_task(self._perform(run), context=Context())  # type: ignore[return-value]
+
+    async def _perform(self, run: Run) -> TaskAnswer:
+        end = self.now() + self.run_time * self.network.random.uniform(0.5, 2.0)
+        fault = self.fault
+        try:
+            while self.now() < end:
+                if self.now() >= run.lease:
+                    return TaskAnswer(500, "text/plain", b"stopped")
+                await sleep(min(STEP_SECONDS, end - self.now()))
+            if fault == "fail":
+                return TaskAnswer(500, "text/plain", b"failed")
+            run.done = True
+            if fault == "truncate":
+                raise DispatchError("truncated", started=True)
+            return TaskAnswer(200, "text/plain", run.task.body)
+        finally:
+            del self.running[run.task.task]
+
+    def reboot(self) -> None:
+        if self.running:
+            self.on_broken(f"{self.name} rebooted while it ran work")
+        self.draining = False
+
+
+class FakeUpstreams(Upstreams):
+    """What one process sees of the workers."""
+
+    def __init__(
+        self,
+        workers: dict[str, FakeWorker],
+        identity: PeerIdentity,
+        network: FakeNetwork,
+    ):
+        self._workers = workers
+        self._identity = identity
+        self._network = network
+
+    async def _reach(self, address: str) -> FakeWorker:
+        await self._gate()
+        await self._network.delay()
+        await self._gate()
+        worker = self._workers[address]
+        pair = frozenset({worker.zone, self._identity.zone})
+        if worker.down or pair in self._network.cut_zones:
+            raise DispatchError("no connection", started=False)
+        return worker
+
+    async def _gate(self) -> None:
+        await self._network.gate(self._identity.incarnation, self._identity.instance)
+
+    async def run(self, address: str, task: TaskRequest) -> TaskAnswer:
+        worker = await self._reach(address)
+        arrival = create_task(worker.arrive(task), context=Context())
+        try:
+            answer = await wait_for(self._finish(arrival), task.timeout)
+        except TimeoutError as error:
+            raise DispatchError("timeout", started=True, timed_out=True) from error
+        await self._network.delay()
+        await self._gate()
+        return answer
+
+    async def _finish(self, arrival) -> TaskAnswer:
+        return await shield(await shield(arrival))
+
+    async def renew(self, address: str, task: str, lease_end: float) -> bool:
+        worker = await self._reach(address)
+        run = worker.running.get(task)
+        if run is None:
+            return False
+        run.lease = lease_end
+        return True
+
+    async def stop(self, address: str, task: str) -> None:
+        worker = await self._reach(address)
+        if task in worker.running:
+            worker.running[task].lease = 0.0
+
+    async def probe(self, address: str) -> UpstreamReport:
+        worker = await self._reach(address)
+        if worker.fault == "freeze":
+            await sleep(TIMEOUT_SECONDS)
+            raise DispatchError("timeout", started=False, timed_out=True)
+        return UpstreamReport(len(worker.running), worker.draining)
+
+    async def drain(self, address: str) -> None:
+        (await self._reach(address)).draining = True
+
+    async def resume(self, address: str) -> None:
+        (await self._reach(address)).draining = False
+
+    async def reboot(self, address: str) -> None:
+        worker = await self._reach(address)
+        if worker.running:
+            return
+        worker.reboot()
--- /dev/null
+++ b/jujubebarrow/tests/fakes/table_audits.py
@@ -0,0 +1,67 @@
+"""What must hold in the table after every transaction."""
+
+from jujubebarrow.configurations.instance_states import InstanceState
+from jujubebarrow.configurations.records import Budget, Instance, MoveCause, Pool
+from jujubebarrow.platforms.transactions import Transaction
+from jujubebarrow.standins.tables import Table
+
+PLANNED = (MoveCause.MAINTENANCE, MoveCause.MOVE, MoveCause.OPERATOR)
+
+
+class TableAudit:
+    """Checks budgets and pools, and keeps the limits of teams over time."""
+
+    def __init__(self, table: Table):
+        self._table = table
+        self.broken: list[str] = []
+        self.planned_stops = 0
+
+    def check(self, transaction: Transaction) -> None:
+        if not any(key.startswith("config/") for key in transaction.writes):
+            return
+        rows = {row.key: row.value for row in self._table.read("config/")}.items()
+        instances: dict[str, Instance] = {}
+        budgets: dict[str, Budget] = {}
+        pools: dict[str, Pool] = {}
+        for key, value in rows:
+            _, kind, name = key.split("/", 2)
+            if kind == "instances":
+                instances[name] = Instance.model_validate(value)
+            elif kind == "budgets":
+                budgets[name] = Budget.model_validate(value)
+            elif kind == "pools":
+                pools[name] = Pool.model_validate(value)
+        self._check_budgets(instances, budgets)
+        self._check_planned(transaction, instances, budgets, pools)
+
+    def _check_budgets(
+        self, instances: dict[str, Instance], budgets: dict[str, Budget]
+    ) -> None:
+        listed = {name for budget in budgets.values() for name in budget.unavailable}
+        count = sum(len(budget.unavailable) for budget in budgets.values())
+        out = {
+            name
+            for name, instance in instances.items()
+            if instance.state is not InstanceState.SERVING
+        }
+        if listed != out or count != len(out):
+            self.broken.append(f"budgets list {sorted(listed)}, out are {sorted(out)}")
+
+    def _check_planned(
+        self,
+        transaction: Transaction,
+        instances: dict[str, Instance],
+        budgets: dict[str, Budget],
+        pools: dict[str, Pool],
+    ) -> None:
+        for key, value in transaction.writes.items():
+            if not key.startswith("config/instances/") or value is None:
+                continue
+            instance = Instance.model_validate(value)
+            if instance.state is not InstanceState.DRAINING:
+                continue
+            self.planned_stops += 1
+            unavailable = budgets[instance.pool].unavailable
+            limit = pools[instance.pool].unavailable_limit
+            if instance.cause in PLANNED and len(unavailable) > limit:
+                self.broken.append(f"{key}: {len(unavailable)} out of {limit}")
--- /dev/null
+++ b/jujubebarrow/tests/fakes/world_runs.py
@@ -0,0 +1,326 @@
+"""One randomised run of a world: load, faults, healing, checks."""
+
+from asyncio import create_task, sleep
+from dataclasses import dataclass
+
+from loguru import logger
+
+from jujubebarrow.configurations.record_kinds import RecordKind
+from jujubebarrow.configurations.records import (
+    Maintenance,
+    Preset,
+    Priority,
+    Queue,
+    Team,
+)
+from jujubebarrow.jobs.jobs import CLOSED_PREFIX, OPEN_PREFIX
+from jujubebarrow.tests.fakes.virtual_loops import run_virtual
+from jujubebarrow.tests.fakes.world_callers import Call, WorldCallers
+from jujubebarrow.tests.fakes.worlds import World
+
+QUEUES = {
+    "labels": Queue(pool="labels"),
+    "verify": Queue(pool="labels", open=True),
+    "certificates": Queue(pool="certificates", idempotent=False),
+    "overnight": Queue(pool="labels", priority=Priority.OVERNIGHT),
+}
+TEAMS = {
+    "tuna": Team(share=2, limit=8),
+    "reef": Team(share=1, limit=5),
+    "prawn": Team(share=1, limit=3),
+}
+STREAMS = [
+    ("labels", "tuna", False),
+    ("labels", "reef", False),
+    ("labels", "prawn", False),
+    ("certificates", "tuna", False),
+    ("certificates", "reef", False),
+    ("certificates", "prawn", False),
+    ("verify", "", False),
+    ("overnight", "tuna", True),
+    ("overnight", "prawn", True),
+]
+WARM_UP_SECONDS = 4.0
+FAULT_SECONDS = 30.0
+RECOVERY_SECONDS = 90.0
+RATE = 8.0
+
+
+@dataclass(frozen=True)
+class Fault:
+    """Fault of a schedule.
+
+    Attributes:
+        at: Seconds after the warm-up.
+        kind: Method of the run that makes it.
+        target: Chooses what it strikes.
+        length: Seconds until it ends.
+    """
+
+    at: float
+    kind: str
+    target: int
+    length: float
+
+
+FAULT_KINDS = (
+    "kill",
+    "replace",
+    "freeze",
+    "cut_platform",
+    "cut_zone",
+    "isolate_zone",
+    "platform_down",
+    "lose_answers",
+    "late_writes",
+    "slow_store",
+    "lose_replies",
+    "worker_down",
+    "worker_freeze",
+    "worker_fail",
+    "worker_truncate",
+    "worker_leaves",
+    "kill_zone",
+    "lower_limit",
+    "withdraw_key",
+    "maintain",
+    "switch_preset",
+)
+
+
+class WorldRun:
+    """Runs one schedule of faults."""
+
+    def __init__(self, seed: int, faults: list[Fault]):
+        self.world = World(seed)
+        self.callers = WorldCallers(self.world)
+        self._faults = sorted(faults, key=lambda fault: fault.at)
+
+    def run(self) -> "WorldRun":
+        logger.disable("jujubebarrow")
+        run_virtual(self._run())
+        return self
+
+    async def _run(self) -> None:
+        world = self.world
+        await world.open(world.team_records(TEAMS, QUEUES))
+        for team in TEAMS:
+            world.grant(team, f"key of {team}")
+        await sleep(WARM_UP_SECONDS)
+        load = create_task(self.callers.send(STREAMS, FAULT_SECONDS, RATE))
+        strikes = [create_task(self._strike(fault)) for fault in self._faults]
+        await load
+        for strike in strikes:
+            await strike
+        self._heal()
+        await self.callers.finish()
+        await sleep(RECOVERY_SECONDS)
+        self._check_end()
+        for host in world.live_hosts():
+            world.kill(host)
+
+    async def _strike(self, fault: Fault) -> None:
+        await sleep(fault.at)
+        await getattr(self, f"_{fault.kind}")(fault)
+
+    def _host(self, fault: Fault):
+        hosts = list(self.world.hosts.values())
+        return hosts[fault.target % len(hosts)]
+
+    def _zone(self, fault: Fault) -> str:
+        return self.world.zones[fault.target % len(self.world.zones)]
+
+    def _worker(self, fault: Fault):
+        workers = self.world.all_workers
+        return workers[fault.target % len(workers)]
+
+    def _team(self, fault: Fault) -> str:
+        return list(TEAMS)[fault.target % len(TEAMS)]
+
+    async def _kill(self, fault: Fault) -> None:
+        host = self._host(fault)
+        self.world.kill(host)
+        await sleep(fault.length)
+        if host.node is None:
+            await self.world.start(host)
+
+    async def _replace(self, fault: Fault) -> None:
+        """An instance disappears with its list entry and comes back later."""
+        host = self._host(fault)
+        self.world.kill(host)
+        self.world.platform.listing.pop(host.name, None)
+        await sleep(fault.length + 12)
+        self.world.platform.listing[host.name] = "live"
+        if host.node is None:
+            await self.world.start(host)
+
+    async def _kill_zone(self, fault: Fault) -> None:
+        zone = self._zone(fault)
+        hosts = [host for host in self.world.hosts.values() if host.zone == zone]
+        for host in hosts:
+            self.world.kill(host)
+        await sleep(fault.length)
+        for host in hosts:
+            if host.node is None:
+                await self.world.start(host)
+
+    async def _freeze(self, fault: Fault) -> None:
+        name = self._host(fault).name
+        self.world.network.freeze(name)
+        await sleep(fault.length)
+        self.world.network.thaw(name)
+
+    async def _cut_platform(self, fault: Fault) -> None:
+        zones = self.world.network.zones_without_platform
+        zones.add(self._zone(fault))
+        await sleep(fault.length)
+        zones.discard(self._zone(fault))
+
+    async def _cut_zone(self, fault: Fault) -> None:
+        pair = frozenset(self.world.zones)
+        self.world.network.cut_zones.add(pair)
+        await sleep(fault.length)
+        self.world.network.cut_zones.discard(pair)
+
+    async def _isolate_zone(self, fault: Fault) -> None:
+        pair = frozenset(self.world.zones)
+        self.world.network.cut_zones.add(pair)
+        await self._cut_platform(fault)
+        self.world.network.cut_zones.discard(pair)
+
+    async def _platform_down(self, fault: Fault) -> None:
+        self.world.network.platform_down = True
+        await sleep(fault.length)
+        self.world.network.platform_down = False
+
+    async def _lose_answers(self, fault: Fault) -> None:
+        self.world.platform.answer_loss = 0.4
+        await sleep(fault.length)
+        self.world.platform.answer_loss = 0.0
+
+    async def _late_writes(self, fault: Fault) -> None:
+        self.world.platform.late_writes = 0.3
+        await sleep(fault.length)
+        self.world.platform.late_writes = 0.0
+
+    async def _slow_store(self, fault: Fault) -> None:
+        self.world.platform.slowness = 2.0
+        await sleep(fault.length)
+        self.world.platform.slowness = 0.0
+
+    async def _lose_replies(self, fault: Fault) -> None:
+        self.world.network.reply_loss = 0.2
+        await sleep(fault.length)
+        self.world.network.reply_loss = 0.0
+
+    async def _worker_down(self, fault: Fault) -> None:
+        worker = self._worker(fault)
+        worker.down = True
+        await sleep(fault.length)
+        worker.down = False
+
+    async def _worker_fault(self, fault: Fault, name: str) -> None:
+        worker = self._worker(fault)
+        worker.fault = name
+        await sleep(fault.length)
+        worker.fault = ""
+
+    async def _worker_freeze(self, fault: Fault) -> None:
+        await self._worker_fault(fault, "freeze")
+
+    async def _worker_fail(self, fault: Fault) -> None:
+        await self._worker_fault(fault, "fail")
+
+    async def _worker_truncate(self, fault: Fault) -> None:
+        await self._worker_fault(fault, "truncate")
+
+    async def _worker_leaves(self, fault: Fault) -> None:
+        worker = self._worker(fault)
+        self.world.platform.listing[worker.name] = "leaving"
+        await sleep(fault.length)
+        self.world.platform.listing[worker.name] = "live"
+
+    async def _lower_limit(self, fault: Fault) -> None:
+        team = self._team(fault)
+        record = TEAMS[team]
+        lowered = record.model_copy(update={"limit": 1})
+        self.world.write(RecordKind.TEAM, team, lowered)
+        await sleep(fault.length)
+        self.world.write(RecordKind.TEAM, team, record)
+
+    async def _withdraw_key(self, fault: Fault) -> None:
+        team = self._team(fault)
+        if team not in self.world.withdrawn:
+            self.world.withdraw(team)
+        await sleep(fault.length)
+
+    async def _maintain(self, fault: Fault) -> None:
+        wave = Maintenance(started=self.world.now, failure_limit=3)
+        self.world.write(RecordKind.MAINTENANCE, f"wave-{fault.target}", wave)
+
+    async def _switch_preset(self, fault: Fault) -> None:
+        sizes = {"labels": 5, "certificates": 3}
+        preset = Preset(sizes=sizes, maintenance=False)
+        self.world.write(RecordKind.PRESET, "ordinary", preset)
+        await sleep(fault.length)
+        self.world.write(RecordKind.PRESET, "ordinary", Preset(maintenance=True))
+
+    def _heal(self) -> None:
+        self.world.network.heal()
+        platform = self.world.platform
+        platform.answer_loss = platform.late_writes = platform.slowness = 0.0
+        for worker in self.world.all_workers:
+            worker.fault = ""
+            worker.down = False
+
+    def _check_end(self) -> None:
+        for call in self.callers.calls:
+            self._check_call(call)
+        revisions = {
+            host.node.configuration.revision  # type: ignore[union-attr]
+            for host in self.world.live_hosts()
+        }
+        if len(revisions) != 1:
+            self.world.note_broken(f"revisions {sorted(revisions)} after healing")
+        for team in TEAMS:
+            self._check_usable(team)
+
+    def _check_call(self, call: Call) -> None:
+        started = self.world.start_counts[f"{call.queue}/{call.key}"]
+        name = f"{call.queue} {call.key}"
+        if call.kind == "answered" and started == 0:
+            self.world.note_broken(f"{name} was answered but never started")
+        if call.kind == "not-run" and not call.maybe_ran and started:
+            self.world.note_broken(f"{name} was started, but told not run")
+        if call.kind == "accepted":
+            self._check_job(call)
+
+    def _check_job(self, call: Call) -> None:
+        table = self.world.platform.table
+        closed = table.read(CLOSED_PREFIX + call.job_id).rows
+        if not closed or closed[0].value is None:
+            rows = table.read(OPEN_PREFIX + call.job_id).rows
+            self.world.note_broken(f"job {call.job_id} is not finished: {rows}")
+            return
+        state = closed[0].value["state"]
+        runs = [
+            run
+            for worker in self.world.all_workers
+            for run in worker.record
+            if run.task.key.startswith(f"job-{call.job_id}-") and run.done
+        ]
+        lost = state == "done" and not runs
+        withdrawn = call.team in self.world.withdrawn
+        if lost or (state != "done" and not withdrawn):
+            text = f"job {call.job_id} is {state} after {len(runs)} runs"
+            self.world.note_broken(f"{text}: {closed[0].value['reason']}")
+
+    def _check_usable(self, team: str) -> None:
+        """After recovery the whole limit is usable again."""
+        usable = sum(
+            host.node.ledger.usable(team)  # type: ignore[union-attr,arg-type]
+            for host in self.world.live_hosts()
+        )
+        limit = self.world.limit_in_force(team)
+        if usable != limit:
+            self.world.note_broken(f"{team} can use {usable} of {limit} in the end")
--- /dev/null
+++ b/jujubebarrow/tests/proof_system.py
@@ -0,0 +1,29 @@
+"""Long randomised runs of whole instances in virtual time."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from jujubebarrow.tests.fakes.world_runs import FAULT_KINDS, Fault, WorldRun
+
+FAULTS = st.builds(
+    Fault,
+    at=st.floats(0, 28),
+    kind=st.sampled_from(FAULT_KINDS),
+    target=st.integers(0, 11),
+    length=st.sampled_from([0.5, 3.0, 9.0, 20.0]),
+)
+
+
+class SystemProof(unittest.TestCase):
+    def test_quiet_run_answers_everything(self) -> None:
+        run = WorldRun(1, []).run()
+        self.assertEqual(run.world.verdict(), [])
+        kinds = {call.kind for call in run.callers.calls}
+        self.assertEqual(kinds, {"answered", "accepted"})
+
+    @given(st.integers(0, 2**32), st.lists(FAULTS, min_size=1, max_size=6))
+    def test_random_faults(self, seed: int, faults: list[Fault]) -> None:
+        run = WorldRun(seed, faults).run()
+        self.assertEqual(run.world.verdict(), [])
