Drop silent peer links, and settle seats whose claim lost its answer

Conclusion: two missed heartbeats drop a link and fail what waits on it; a seat that the table says is ours is taken, but never one under release.

--- a/jujubebarrow/peers/link_types.py
+++ b/jujubebarrow/peers/link_types.py
@@ -26,6 +26,13 @@
     def open(self) -> None:
         """Start to dial."""
 
+    @abstractmethod
+    async def reset(self) -> None:
+        """Drop a connection whose peer is silent, and dial again.
+
+        All requests under way fail.
+        """
+
     @abstractmethod
     async def close(self) -> None:
         """Stop dialling and close the connection."""
--- a/jujubebarrow/peers/links.py
+++ b/jujubebarrow/peers/links.py
@@ -80,6 +80,13 @@
         """Start to dial."""
         self._task = create_task(self._dial())
 
+    async def reset(self) -> None:
+        """Drop a connection whose peer is silent, and dial again."""
+        connection = self._connection
+        self._drop()
+        if connection is not None:
+            connection.transport.abort()
+
     async def close(self) -> None:
         """Stop dialling and close the connection."""
         if self._task is None:
--- a/jujubebarrow/services/job_services.py
+++ b/jujubebarrow/services/job_services.py
@@ -188,7 +188,7 @@
 
     async def _supervise_stored(self, name: str) -> None:
         stored = await self._reread(name)
-        if stored is not None and name not in self._supervisors:
+        if stored is not None:
             self._supervise(stored)
 
     async def get(self, name: str, team: str | None) -> Job:
@@ -350,6 +350,8 @@
         self._supervise(adopted)
 
     def _supervise(self, stored: StoredJob) -> None:
+        if stored.job_id in self._supervisors:
+            return
         task = create_task(self._run(stored))
         self._supervisors[stored.job_id] = task
         task.add_done_callback(lambda done: self._supervisors.pop(stored.job_id, None))
--- a/jujubebarrow/services/peer_services.py
+++ b/jujubebarrow/services/peer_services.py
@@ -1,6 +1,6 @@
 """Links to all peers, and heartbeats on them."""
 
-from asyncio import CancelledError, Task, create_task, sleep
+from asyncio import Task, create_task, sleep
 from collections.abc import Callable
 from random import Random
 
@@ -27,6 +27,9 @@
 from jujubebarrow.services.seat_services import SeatService
 from jujubebarrow.settings.settings import Settings
 
+MISSES = 2
+"""Missed heartbeats in a row after which a link is dropped."""
+
 
 class PeerService(PeerCalls):
     """Dials every known peer and keeps the directory up to date.
@@ -132,13 +135,18 @@
 
     async def _beat(self, link: Link) -> None:
         period = self._settings.heartbeat_period
+        misses = 0
         while link.peer is not None:
             try:
                 await self._beat_once(link)
+                misses = 0
             except PeerLostError:
                 self._metrics.count("heartbeat_missed")
-            except CancelledError:
-                raise
+                misses += 1
+            if misses == MISSES:
+                # Requests under way would wait for as long as their deadline.
+                await link.reset()
+                return
             await sleep(period * self._random.uniform(0.9, 1.1))
 
     async def _beat_once(self, link: Link) -> None:
--- a/jujubebarrow/services/seat_services.py
+++ b/jujubebarrow/services/seat_services.py
@@ -71,6 +71,7 @@
         self._seats: dict[str, tuple[Seat, int]] = {}
         self._announced: dict[str, float] = {}
         self._awaited: set[str] = set()
+        self._releasing: set[int] = set()
         self._settled = False
         self._task: Task[None] | None = None
 
@@ -148,6 +149,7 @@
         await self._read_seats()
         if not self._absences.is_listed(self._identity.instance):
             return
+        await self._resolve_lost_answers()
         for _ in range(CLAIM_ATTEMPTS):
             if not self._balance().wants_seat or await self._claim():
                 break
@@ -189,6 +191,19 @@
         if not self._ledger.seats:
             self._settled = False
 
+    async def _resolve_lost_answers(self) -> None:
+        """Take seats whose claim was not confirmed, and repeat releases."""
+        for number in range(self._settings.seats):
+            row = self._seats.get(seat_key(number))
+            own = row is not None and row[0].incarnation == self._identity.incarnation
+            if row is None or not own:
+                self._releasing.discard(number)
+            elif number in self._releasing:
+                # A release may still be on its way, so it is never taken back.
+                await self._write_release(number, row[0].usable_from)
+            elif number not in self._ledger.seats:
+                self._ledger.add_seat(number, row[0].usable_from)
+
     def _balance(self) -> SeatBalance:
         rows = [seat for seat, _ in self._seats.values() if seat.instance]
         stale = [seat for seat in rows if self._is_stale(seat)]
@@ -269,6 +284,7 @@
         row = self._seats.get(seat_key(number))
         if row is None:
             return
+        self._releasing.add(number)
         released = Seat(
             instance="",
             incarnation="",
