--- /dev/null
+++ b/jujubebarrow/benches/decisions.py
@@ -0,0 +1,161 @@
+"""Time of decisions at growing sizes."""
+
+import time
+from statistics import median
+
+from jujubebarrow.clocks.manual_clocks import ManualClock
+from jujubebarrow.configurations.configurations import Configuration, row_key
+from jujubebarrow.configurations.record_kinds import RecordKind
+from jujubebarrow.configurations.records import (
+    Instance,
+    Maintenance,
+    Pool,
+    Preset,
+    Priority,
+    Queue,
+    Record,
+    Selection,
+    Team,
+)
+from jujubebarrow.identifiers import KeyDigest, PoolId, QueueId, RequestId, TeamId
+from jujubebarrow.invariants.monitors import InvariantMonitor
+from jujubebarrow.limits.ledgers import LimitLedger
+from jujubebarrow.maintenance.observations import FleetObservations
+from jujubebarrow.maintenance.planners import FleetPlanner
+from jujubebarrow.metrics.registries import MetricsRegistry
+from jujubebarrow.platforms.rows import Row
+from jujubebarrow.pools.move_planners import MovePlanner
+from jujubebarrow.queues.entries import Entry
+from jujubebarrow.queues.pool_schedulers import PoolScheduler
+from jujubebarrow.routes.upstream_sets import UpstreamSet
+from jujubebarrow.settings.loaders import check_settings
+from jujubebarrow.settings.settings import Settings
+
+ROUNDS = 7
+STARTS = 400
+POOLS = 74
+LIMIT = 100_000
+
+
+def make_settings() -> Settings:
+    """Return settings for decisions without sockets."""
+    return check_settings(
+        {
+            "instance": "entry-0",
+            "zone": "zone-a",
+            "address": "127.0.0.1",
+            "caller_port": 1,
+            "operator_port": 2,
+            "peer_port": 3,
+            "platform_url": "http://127.0.0.1:4",
+            "peer_secret": "secret of decisions",
+            "operator_key_digest": "0" * 64,
+        }
+    )
+
+
+def make_configuration(
+    records: dict[tuple[RecordKind, str], Record],
+) -> Configuration:
+    """Return a configuration with some records."""
+    metrics = MetricsRegistry()
+    configuration = Configuration(metrics, InvariantMonitor(metrics))
+    rows = [
+        Row(key=row_key(kind, name), revision=number, value=record.model_dump())
+        for number, ((kind, name), record) in enumerate(records.items(), 1)
+    ]
+    configuration.apply(rows)
+    return configuration
+
+
+def make_instance(pool: str, number: int) -> Instance:
+    """Return an instance of a pool."""
+    return Instance(
+        pool=pool,
+        zone="zone-a",
+        rack=f"rack-{number // 4}",
+        address=f"10.0.{number // 250}.{number % 250 + 1}:80",
+    )
+
+
+def time_start(workers: int, teams: int) -> float:
+    """Return the seconds of one admission, start and end, all teams waiting."""
+    scheduler, entries = _make_scheduler(workers, teams)
+    times = []
+    for _ in range(ROUNDS):
+        for entry in entries[:teams]:
+            scheduler.enqueue(entry)
+        start = time.perf_counter()
+        for number in range(STARTS):
+            entry = entries[number % len(entries)]
+            scheduler.admit(entry)
+            scheduler.enqueue(entry)
+            chosen = scheduler.next_start()
+            assert chosen is not None
+            scheduler.finish(chosen)
+        times.append((time.perf_counter() - start) / STARTS)
+        for entry in scheduler.entries():
+            scheduler.remove(entry)
+    return median(times)
+
+
+def _make_scheduler(workers: int, teams: int) -> tuple[PoolScheduler, list[Entry]]:
+    records: dict[tuple[RecordKind, str], Record] = {
+        (RecordKind.TEAM, f"team-{n}"): Team(limit=LIMIT) for n in range(teams)
+    }
+    records[RecordKind.QUEUE, "labels"] = Queue(pool="labels")
+    instances = {f"w-{n}": make_instance("labels", n) for n in range(workers)}
+    configuration = make_configuration(records)
+    clock = ManualClock()
+    metrics = MetricsRegistry()
+    monitor = InvariantMonitor(metrics)
+    ledger = LimitLedger(configuration, clock, monitor, 1, 0.0, "bench")
+    ledger.add_seat(0, 0.0)
+    upstreams = UpstreamSet(clock, 5, 5.0)
+    upstreams.update(instances, frozenset())
+    scheduler = PoolScheduler(
+        PoolId("labels"),
+        configuration,
+        ledger,
+        upstreams,
+        clock,
+        make_settings(),
+        lambda: True,
+    )
+    entries = [_make_entry(f"team-{number}", clock) for number in range(teams)]
+    return scheduler, entries
+
+
+def _make_entry(team: str, clock: ManualClock) -> Entry:
+    return Entry(
+        request=RequestId(team),
+        pool=PoolId("labels"),
+        queue=QueueId("labels"),
+        team=TeamId(team),
+        key=KeyDigest(""),
+        priority=Priority.INTERACTIVE,
+        idempotent=True,
+        arrived=clock.monotonic(),
+        deadline=clock.monotonic() + 1000,
+    )
+
+
+def time_control(instances: int) -> float:
+    """Return the seconds of one round of planning with a wave under way."""
+    records: dict[tuple[RecordKind, str], Record] = {
+        (RecordKind.POOL, f"pool-{n}"): Pool(unavailable_limit=1) for n in range(POOLS)
+    }
+    for number in range(instances):
+        record = make_instance(f"pool-{number % POOLS}", number)
+        records[RecordKind.INSTANCE, f"i-{number}"] = record
+    records[RecordKind.PRESET, "ordinary"] = Preset(maintenance=True)
+    records[RecordKind.SELECTION, "preset"] = Selection(preset="ordinary")
+    records[RecordKind.MAINTENANCE, "week"] = Maintenance(started=1.0)
+    configuration = make_configuration(records)
+    planner = FleetPlanner(MovePlanner(20.0, 1.0), MetricsRegistry())
+    times = []
+    for _ in range(ROUNDS):
+        start = time.perf_counter()
+        planner.plan(configuration, FleetObservations(), 1000.0)
+        times.append(time.perf_counter() - start)
+    return median(times)
--- a/jujubebarrow/peers/links.py
+++ b/jujubebarrow/peers/links.py
@@ -114,6 +114,7 @@
         future: Future[Reply] = get_running_loop().create_future()
         self._pending[serial] = future
         try:
+            self._metrics.count("peer_bytes", "sent", len(frame))
             await self._connection.send(frame)
             return await wait_for(future, timeout)
         except (WebSocketException, OSError, TimeoutError) as error:
@@ -178,6 +179,7 @@
         return peer
 
     def _receive(self, frame: bytes | str) -> None:
+        self._metrics.count("peer_bytes", "received", len(frame))
         reply = decode(frame)
         to = getattr(reply, "to", None)
         if to != self._identity.incarnation:
--- a/jujubebarrow/peers/servers.py
+++ b/jujubebarrow/peers/servers.py
@@ -98,6 +98,7 @@
     def _receive(
         self, connection: ServerConnection, frame: bytes | str, peer: PeerIdentity
     ) -> None:
+        self._metrics.count("peer_bytes", "received", len(frame))
         request = decode(frame)
         if not isinstance(request, Request):
             raise ProtocolError("request expected")
@@ -110,7 +111,9 @@
     ) -> None:
         try:
             reply = await self._handler.handle(request, peer)
-            await connection.send(encode(reply))
+            frame = encode(reply)
+            self._metrics.count("peer_bytes", "sent", len(frame))
+            await connection.send(frame)
         except WebSocketException:
             self._metrics.count("peer_reply_dropped", "link")
         except Exception:
--- a/jujubebarrow/standins/processes.py
+++ b/jujubebarrow/standins/processes.py
@@ -32,6 +32,11 @@
         """Whether the process has not ended."""
         return self._process.poll() is None
 
+    @property
+    def pid(self) -> int:
+        """Process id."""
+        return self._process.pid
+
     def kill(self) -> None:
         """End the process at once."""
         if self.running:
