--- a/jujubebarrow/tests/fakes/fake_platforms.py
+++ b/jujubebarrow/tests/fakes/fake_platforms.py
@@ -26,6 +26,7 @@
         self.audit = TableAudit(self.table)
         self.objects: dict[str, bytes] = {}
         self.listing: dict[str, str] = {}
+        self.leaving_since: dict[str, float] = {}
         self.answer_loss = 0.0
         self.late_writes = 0.0
         self.slowness = 0.0
