--- /dev/null
+++ b/jujubebarrow/tests/test_peer_links.py
@@ -0,0 +1,98 @@
+"""Late, doubled and crossed replies on a peer link."""
+
+import asyncio
+import unittest
+from random import Random
+
+from websockets.asyncio.server import serve
+
+from jujubebarrow.benches.decisions import make_settings
+from jujubebarrow.errors.exceptions import PeerLostError
+from jujubebarrow.metrics.registries import MetricsRegistry
+from jujubebarrow.peers.codecs import decode, encode
+from jujubebarrow.peers.identities import PeerIdentity
+from jujubebarrow.peers.links import PeerLink
+from jujubebarrow.peers.messages import (
+    Challenge,
+    Hello,
+    LoanReply,
+    LoanRequest,
+    Welcome,
+)
+from jujubebarrow.peers.proofs import prove
+
+OWN = PeerIdentity("entry-0", "process-0", "zone-a")
+PEER = PeerIdentity("entry-1", "process-1", "zone-a")
+
+
+class PeerLinkTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.settings = make_settings()
+        self.metrics = MetricsRegistry()
+        self.replies: list[tuple[str, int]] = []
+        self.server = await serve(self.accept, "127.0.0.1", 0)
+        port = self.server.sockets[0].getsockname()[1]
+        up = asyncio.Event()
+        self.link = PeerLink(
+            f"127.0.0.1:{port}",
+            OWN,
+            self.settings,
+            self.metrics,
+            Random(1),
+            lambda link: up.set(),
+        )
+        self.link.open()
+        await asyncio.wait_for(up.wait(), 5)
+
+    async def asyncTearDown(self) -> None:
+        await self.link.close()
+        self.server.close()
+        await self.server.wait_closed()
+
+    async def accept(self, connection) -> None:
+        secret = self.settings.peer_secret
+        await connection.send(encode(Challenge(version=1, nonce=b"n" * 16)))
+        hello = decode(await connection.recv())
+        assert isinstance(hello, Hello)
+        proof = prove(secret, hello.nonce, PEER)
+        await connection.send(encode(Welcome(**PEER._asdict(), proof=proof)))
+        async for frame in connection:
+            request = decode(frame)
+            for to, shift in self.replies:
+                await connection.send(self.reply(to, request.serial + shift))
+
+    def reply(self, to: str, serial: int) -> bytes:
+        name = f"{to}/{serial}"
+        return encode(LoanReply(serial=serial, to=to, loan=name, count=1, until=1.0))
+
+    async def ask(self) -> LoanReply:
+        request = LoanRequest(team="tuna", wanted=1)
+        reply = await self.link.request(request, 0.5)
+        assert isinstance(reply, LoanReply)
+        return reply
+
+    async def test_crossed_replies_are_dropped(self) -> None:
+        self.replies = [("process-9", 0), ("process-0", 5), ("process-0", 0)]
+        reply = await self.ask()
+        self.assertEqual(reply.loan, f"process-0/{reply.serial}")
+        self.assertEqual(self.metrics.value("peer_reply_dropped", "crossed"), 1)
+        self.assertEqual(self.metrics.value("peer_reply_dropped", "late"), 1)
+
+    async def test_doubled_replies_are_dropped(self) -> None:
+        self.replies = [("process-0", 0), ("process-0", 0)]
+        first = await self.ask()
+        second = await self.ask()
+        self.assertNotEqual(first.serial, second.serial)
+        self.assertEqual(second.loan, f"process-0/{second.serial}")
+        self.assertGreaterEqual(self.metrics.value("peer_reply_dropped", "late"), 1)
+
+    async def test_no_reply_may_have_arrived(self) -> None:
+        with self.assertRaises(PeerLostError) as caught:
+            await self.ask()
+        self.assertTrue(caught.exception.sent)
+
+    async def test_no_link_was_not_sent(self) -> None:
+        await self.link.reset()
+        with self.assertRaises(PeerLostError) as caught:
+            await self.link.request(LoanRequest(team="tuna", wanted=1), 0.5)
+        self.assertFalse(caught.exception.sent)
--- /dev/null
+++ b/jujubebarrow/tests/test_structure.py
@@ -0,0 +1,73 @@
+"""Rules of the code base."""
+
+import ast
+import re
+import unittest
+from pathlib import Path
+
+from jujubebarrow.errors.answers import ANSWERS
+from jujubebarrow.errors.kinds import ErrorKind
+from jujubebarrow.errors.run_states import RunState
+from jujubebarrow.settings.loaders import setting_unit
+from jujubebarrow.settings.settings import Settings
+
+ROOT = Path(__file__).parent.parent
+DECISIONS = (
+    "claims",
+    "configurations",
+    "jobs",
+    "limits",
+    "maintenance",
+    "members",
+    "pools",
+    "queues",
+    "retries",
+    "routes",
+    "shares",
+)
+FORBIDDEN = ("asyncio", "tornado", "websockets", "pycurl", "socket", "time")
+
+
+def imported_modules(path: Path) -> set[str]:
+    names = set()
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            names |= {alias.name for alias in node.names}
+        elif isinstance(node, ast.ImportFrom) and node.module:
+            names.add(node.module)
+    return names
+
+
+class StructureTest(unittest.TestCase):
+    def test_decisions_do_no_input_or_output(self) -> None:
+        for package in DECISIONS:
+            for path in (ROOT / package).glob("*.py"):
+                roots = {name.split(".")[0] for name in imported_modules(path)}
+                self.assertEqual(roots & set(FORBIDDEN), set(), path)
+
+    def test_every_error_kind_has_an_answer(self) -> None:
+        self.assertEqual(set(ANSWERS), set(ErrorKind))
+        for kind, answer in ANSWERS.items():
+            self.assertIn(answer.status, range(400, 600), kind)
+            if answer.run is RunState.NOT_RUN and answer.status >= 500:
+                self.assertTrue(answer.repeatable, kind)
+
+    def test_settings_page_has_every_setting_with_its_default(self) -> None:
+        page = (ROOT.parent / "docs" / "SETTINGS.md").read_text()
+        rows = dict(re.findall(r"^\| `(\w+)` \| (.*)$", page, re.MULTILINE))
+        self.assertEqual(set(rows), set(Settings.model_fields))
+        for name, field in Settings.model_fields.items():
+            default = "required" if field.is_required() else f"`{field.default}`"
+            expected = f"{default} | {setting_unit(name)} | {field.description}"
+            self.assertTrue(rows[name].startswith(expected), (name, expected))
+
+    def test_callers_page_has_every_error_kind(self) -> None:
+        page = (ROOT.parent / "docs" / "CALLERS.md").read_text()
+        for kind, answer in ANSWERS.items():
+            row = f"| `{kind.value}` | {answer.status} | {answer.run.value} |"
+            self.assertIn(row, page)
+
+    def test_internal_links_of_the_docs(self) -> None:
+        for path in [ROOT.parent / "README.md", *(ROOT.parent / "docs").glob("*.md")]:
+            for target in re.findall(r"\]\(([^)#:]+)(?:#[^)]*)?\)", path.read_text()):
+                self.assertTrue((path.parent / target).exists(), (path.name, target))
