Wait at a stop for requests that peers run

Cause: a stopping instance waited for its own homes only; callers whose request ran at a peer lost their connection (no answer, 3 of 3). Before: the new test failed with 599 three times. After: 200 three times, exit code 0.

--- a/jujubebarrow/daemons/nodes.py
+++ b/jujubebarrow/daemons/nodes.py
@@ -329,9 +329,12 @@
         end = self._clock.monotonic() + self._settings.stop_timeout
         await sleep(LEAVE_NOTICE_PERIODS * self._settings.heartbeat_period)
         await self.jobs.close()
-        while self._home.busy and self._clock.monotonic() < end:
+        while self._is_busy() and self._clock.monotonic() < end:
             await sleep(STOP_POLL_SECONDS)
 
+    def _is_busy(self) -> bool:
+        return bool(self._home.busy or self.requests.active)
+
     def make_caller_context(self) -> CallerContext:
         """Return what the callers' handlers need."""
         return CallerContext(
--- a/jujubebarrow/services/request_services.py
+++ b/jujubebarrow/services/request_services.py
@@ -73,6 +73,12 @@
         self._monitor = monitor
         self._explanations = explanations
         self._budget = RetryBudget(settings.retry_ratio, settings.retry_reserve)
+        self._active = 0
+
+    @property
+    def active(self) -> int:
+        """Requests that have no answer yet."""
+        return self._active
 
     async def run(self, request: Forward) -> RunResult:
         """Run a request at a home and return the whole answer.
@@ -80,6 +86,13 @@
         Raises:
             RefusalError: There is no answer; it tells whether the request ran.
         """
+        self._active += 1
+        try:
+            return await self._run(request)
+        finally:
+            self._active -= 1
+
+    async def _run(self, request: Forward) -> RunResult:
         queue = self._configuration.queue(request.queue)
         if queue is None:
             raise RefusalError(ErrorKind.UNKNOWN_QUEUE, request.queue)
--- a/jujubebarrow/tests/test_failures.py
+++ b/jujubebarrow/tests/test_failures.py
@@ -254,3 +254,29 @@
             *(limit(entry, 10 + n) for n, entry in enumerate(self.entries * 4))
         )
         self.assertEqual(set(codes), {200, 412})
+
+
+class EdgeStopTest(FleetCase):
+    shape = FleetShape(zones=("zone-a",), entries=2, run_time=2.0)
+
+    async def test_stop_waits_for_requests_that_peers_run(self) -> None:
+        homes: set[str] = set()
+
+        async def one_home() -> bool:
+            homes.clear()
+            for entry in self.entries:
+                for item in (await self.fleet.status(entry))["instances"]:
+                    if "labels" in item["status"]["pools"]:
+                        homes.add(item["status"]["instance"])
+            return len(homes) == 1
+
+        await self.fleet.wait_until(one_home, "one home", 10)
+        edge = next(entry for entry in self.entries if entry.name not in homes)
+        requests = [
+            asyncio.create_task(self.fleet.call(edge, "labels", "tuna"))
+            for _ in range(3)
+        ]
+        await asyncio.sleep(0.3)
+        code = await asyncio.to_thread(self.process(edge).stop, 30)
+        answers = [(await request).code for request in requests]
+        self.assertEqual((code, answers), (0, [200] * 3))
