--- a/jujubebarrow/daemons/nodes.py
+++ b/jujubebarrow/daemons/nodes.py
@@ -23,7 +23,7 @@
 from jujubebarrow.operators.status_readers import StatusReader
 from jujubebarrow.peers.identities import PeerIdentity
 from jujubebarrow.peers.link_types import LinkFactory
-from jujubebarrow.peers.messages import PeerStatus
+from jujubebarrow.peers.messages import PeerStatus, PoolReport
 from jujubebarrow.platforms.platforms import Platform
 from jujubebarrow.pools.move_planners import MovePlanner
 from jujubebarrow.routes.homes import HomeDirectory
@@ -42,8 +42,10 @@
 from jujubebarrow.settings.settings import Settings
 from jujubebarrow.upstreams.upstreams import Upstreams
 
-TICK_SECONDS = 0.1
-PROBE_TICKS = 5
+TICK_SECONDS = 0.2
+PROBE_TICKS = 3
+REPORT_SECONDS = 0.5
+"""Age up to which pool reports and usage serve further peers."""
 STOP_POLL_SECONDS = 0.05
 RECORD_SECONDS = 5.0
 LEAVE_NOTICE_PERIODS = 1.5
@@ -84,6 +86,8 @@
         self._upstreams = upstreams
         self._connect = connect
         self._stopping = False
+        self._reported = float("-inf")
+        self._reports: tuple[dict[str, int], dict[str, PoolReport]] = ({}, {})
         self._probing: Task[None] | None = None
         self._build_state()
         self._build_services()
@@ -272,6 +276,7 @@
     def _describe(self) -> PeerStatus:
         settings = self._settings
         age = self.configurations.age
+        usage, reports = self._report_pools()
         return PeerStatus(
             instance=settings.instance,
             incarnation=self.identity.incarnation,
@@ -285,10 +290,23 @@
             write_pending=self.configurations.write_pending,
             controls=self._control.holds,
             platform=self.configurations.reaches_platform,
-            usage=dict(self._home.usage()),
-            pools={pool: self._home.report(pool) for pool in self._own_pools()},
+            usage=dict(usage),
+            pools=dict(reports),
         )
 
+    def _report_pools(self) -> tuple[dict[str, int], dict[str, PoolReport]]:
+        """Return usage and reports, not made anew for each peer.
+
+        What vouches for the configuration is never kept.
+        """
+        now = self._clock.monotonic()
+        if now - self._reported >= REPORT_SECONDS:
+            self._reported = now
+            pools = self._own_pools()
+            reports = {pool: self._home.report(pool) for pool in pools}
+            self._reports = (self._home.usage(), reports)
+        return self._reports
+
     def _own_pools(self) -> list[str]:
         return [
             pool
--- a/jujubebarrow/standins/fleets.py
+++ b/jujubebarrow/standins/fleets.py
@@ -1,8 +1,9 @@
 """A small fleet of real processes on the loopback address."""
 
 import json
+import signal
 import time
-from asyncio import sleep
+from asyncio import current_task, get_running_loop, sleep
 from collections.abc import Awaitable, Callable
 from contextlib import ExitStack
 from dataclasses import dataclass, field
@@ -94,6 +95,10 @@
 
     async def __aenter__(self) -> "Fleet":
         """Start all processes and wait until they are ready."""
+        task = current_task()
+        if task is not None:
+            # So that no process is left behind when this one is told to stop.
+            get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         folder = TemporaryDirectory(prefix="jujubebarrow-")
         self.folder = Path(self._stack.enter_context(folder))
         try:
