--- a/jujubebarrow/claims/claims.py
+++ b/jujubebarrow/claims/claims.py
@@ -7,6 +7,9 @@
 from jujubebarrow.claims.claim_states import ClaimState
 
 CLAIM_PREFIX = "claims/"
+DAY_SECONDS = 86_400.0
+KEPT_DAYS = 1
+"""Whole days for which a claim is kept after the day on which it was made."""
 
 
 class Outcome(BaseModel):
@@ -49,10 +52,35 @@
     outcome: Outcome | None = None
 
 
-def claim_key(team: str, queue: str, idempotency_key: str) -> str:
-    """Return the key of a claim's row."""
+def claim_day(now: float) -> int:
+    """Return the number of the day of a time in seconds since the epoch."""
+    return int(now // DAY_SECONDS)
+
+
+def day_prefix(day: int) -> str:
+    """Return the prefix of the rows of all claims made on a day."""
+    return f"{CLAIM_PREFIX}{day:06d}/"
+
+
+def claim_keys(
+    team: str, queue: str, idempotency_key: str, now: float
+) -> tuple[str, list[str]]:
+    """Return the key of a new claim's row, and those of other days.
+
+    A claim is new only if none of the other rows exists. The next day is among
+    them, since the clock of another instance may be ahead.
+
+    Args:
+        team: Team.
+        queue: Queue.
+        idempotency_key: Key that the caller chose.
+        now: Seconds since the epoch.
+    """
     identity = "\0".join((team, queue, idempotency_key))
-    return CLAIM_PREFIX + blake2b(identity.encode(), digest_size=20).hexdigest()
+    digest = blake2b(identity.encode(), digest_size=20).hexdigest()
+    today = claim_day(now)
+    others = [*range(today - KEPT_DAYS, today), today + 1]
+    return day_prefix(today) + digest, [day_prefix(day) + digest for day in others]
 
 
 def digest_body(body: bytes) -> str:
--- a/jujubebarrow/daemons/nodes.py
+++ b/jujubebarrow/daemons/nodes.py
@@ -27,6 +27,7 @@
 from jujubebarrow.platforms.platforms import Platform
 from jujubebarrow.pools.move_planners import MovePlanner
 from jujubebarrow.routes.homes import HomeDirectory
+from jujubebarrow.services.claim_purgers import ClaimPurger
 from jujubebarrow.services.claim_stores import ClaimStore
 from jujubebarrow.services.commit_batchers import CommitBatcher
 from jujubebarrow.services.configuration_services import ConfigurationService
@@ -249,6 +250,7 @@
             observer,
             self._upstreams,
             self.jobs,
+            ClaimPurger(self._platform, self._clock, self.metrics),
             self._clock,
             settings,
             self.metrics,
--- a/jujubebarrow/platforms/http_platforms.py
+++ b/jujubebarrow/platforms/http_platforms.py
@@ -50,9 +50,9 @@
         response = await self._fetch("POST", "/transactions", body, self._timeout)
         return CommitAnswer.model_validate_json(response.body)
 
-    async def read(self, prefix: str) -> RowSet:
+    async def read(self, prefix: str, limit: int = 0) -> RowSet:
         """Return the rows whose key starts with a prefix."""
-        path = f"/rows?prefix={quote(prefix, safe='')}"
+        path = f"/rows?prefix={quote(prefix, safe='')}&limit={limit}"
         response = await self._fetch("GET", path, None, self._timeout)
         return RowSet.model_validate_json(response.body)
 
--- a/jujubebarrow/platforms/platforms.py
+++ b/jujubebarrow/platforms/platforms.py
@@ -66,8 +66,13 @@
         """Send a transaction once and return the answer."""
 
     @abstractmethod
-    async def read(self, prefix: str) -> RowSet:
-        """Return the rows whose key starts with a prefix."""
+    async def read(self, prefix: str, limit: int = 0) -> RowSet:
+        """Return the rows whose key starts with a prefix.
+
+        Args:
+            prefix: Prefix.
+            limit: Most rows; 0 for all.
+        """
 
     @abstractmethod
     async def read_changes(self, prefix: str, since: int, wait: float) -> RowSet:
--- a/jujubebarrow/services/claim_stores.py
+++ b/jujubebarrow/services/claim_stores.py
@@ -9,7 +9,7 @@
 from uuid import uuid4
 
 from jujubebarrow.claims.claim_states import ClaimState, ClaimVerdict
-from jujubebarrow.claims.claims import Claim, Outcome, claim_key, digest_body
+from jujubebarrow.claims.claims import Claim, Outcome, claim_keys, digest_body
 from jujubebarrow.claims.verdicts import judge
 from jujubebarrow.clocks.clocks import Clock
 from jujubebarrow.errors.exceptions import (
@@ -22,6 +22,7 @@
 from jujubebarrow.peers.identities import PeerIdentity
 from jujubebarrow.platforms.platforms import Platform
 from jujubebarrow.platforms.rows import Row
+from jujubebarrow.platforms.transactions import ABSENT
 from jujubebarrow.services.commit_batchers import CommitBatcher
 
 INLINE_BODY_LIMIT = 4096
@@ -102,16 +103,17 @@
         Raises:
             RefusalError: The request must not be sent now.
         """
-        key = claim_key(team, queue, idempotency_key)
+        now = self._clock.wall()
+        key, others = claim_keys(team, queue, idempotency_key, now)
         digest = digest_body(body)
-        revision: int | None = 0
+        revision: int | None = ABSENT
         poll = SHORTEST_POLL_SECONDS
         while True:
             if revision is not None and key not in self._tickets:
-                ticket = await self._try_claim(key, digest, revision)
+                ticket = await self._try_claim(key, others, digest, revision)
                 if ticket is not None:
                     return ticket
-            found = await self._inspect(key, digest)
+            found = await self._inspect([key, *others], digest)
             if isinstance(found, Outcome):
                 return found
             revision = found
@@ -119,7 +121,7 @@
                 poll = await self._wait(key, poll, deadline)
 
     async def _try_claim(
-        self, key: str, digest: str, revision: int
+        self, key: str, others: list[str], digest: str, revision: int
     ) -> ClaimTicket | None:
         claim = Claim(
             instance=self._identity.instance,
@@ -133,7 +135,7 @@
         self._tickets[key] = ticket
         try:
             ticket.revision = await self._batcher.write(
-                key, claim.model_dump(mode="json"), revision
+                key, claim.model_dump(mode="json"), revision, tuple(others)
             )
         except TransactionConflictError:
             self._forget(ticket, None)
@@ -147,14 +149,27 @@
         self._released.pop(key, None)
         return ticket
 
-    async def _inspect(self, key: str, digest: str) -> Outcome | int | None:
-        """Return an outcome, the revision to claim over, or None to wait."""
-        ticket = self._tickets.get(key)
-        if ticket is not None:
-            return _inspect_ticket(ticket, digest)
-        row = await self._read(key)
-        if row is None:
-            return 0
+    async def _inspect(self, keys: list[str], digest: str) -> Outcome | int | None:
+        """Return an outcome, the revision to claim over, or None to wait.
+
+        Args:
+            keys: Rows where the claim may stand; a new one would be the first.
+            digest: Digest of the body.
+        """
+        for key in keys:
+            ticket = self._tickets.get(key)
+            if ticket is not None:
+                return _inspect_ticket(ticket, digest)
+        for key in keys:
+            row = await self._read(key)
+            if row is not None:
+                return await self._inspect_row(row, digest, key == keys[0])
+        return ABSENT
+
+    async def _inspect_row(
+        self, row: Row, digest: str, replaceable: bool
+    ) -> Outcome | int | None:
+        key = row.key
         claim = Claim.model_validate(row.value)
         verdict = judge(
             claim,
@@ -168,7 +183,8 @@
         if verdict is ClaimVerdict.REPLAY and claim.outcome is not None:
             return await self._load(claim.outcome)
         if verdict is ClaimVerdict.TAKE_OVER:
-            return row.revision
+            # A row of another day is deleted in the background first.
+            return row.revision if replaceable else None
         if verdict is ClaimVerdict.REUSED:
             raise RefusalError(ErrorKind.IDEMPOTENCY_KEY_REUSED)
         if verdict is ClaimVerdict.UNKNOWN:
--- a/jujubebarrow/services/commit_batchers.py
+++ b/jujubebarrow/services/commit_batchers.py
@@ -17,15 +17,12 @@
     key: str
     value: dict[str, Any] | None
     revision: int
-    absent: str
+    absent: tuple[str, ...]
     done: "Future[int]"
 
     @property
     def conditions(self) -> dict[str, int]:
-        conditions = {self.key: self.revision}
-        if self.absent:
-            conditions[self.absent] = ABSENT
-        return conditions
+        return {self.key: self.revision} | dict.fromkeys(self.absent, ABSENT)
 
 
 class CommitBatcher:
@@ -49,7 +46,7 @@
         key: str,
         value: dict[str, Any] | None,
         revision: int,
-        absent: str = "",
+        absent: tuple[str, ...] = (),
     ) -> int:
         """Write one row if it still has a revision.
 
@@ -57,7 +54,7 @@
             key: Row.
             value: New value; None deletes the row.
             revision: Revision that the row must have; 0 if it must not exist.
-            absent: Another row that must not exist, if there is such a one.
+            absent: Other rows that must not exist.
 
         Returns:
             Revision of the write.
--- a/jujubebarrow/services/control_services.py
+++ b/jujubebarrow/services/control_services.py
@@ -24,6 +24,7 @@
 from jujubebarrow.peers.identities import PeerIdentity
 from jujubebarrow.platforms.platforms import Platform
 from jujubebarrow.platforms.transactions import Transaction
+from jujubebarrow.services.claim_purgers import ClaimPurger
 from jujubebarrow.services.configuration_services import ConfigurationService
 from jujubebarrow.services.fleet_observers import FleetObserver
 from jujubebarrow.services.job_services import JobService
@@ -58,6 +59,7 @@
         observer: Sees the fleet.
         upstreams: Carries out commands.
         jobs: Adopts orphaned jobs.
+        purger: Deletes old claims.
         clock: Time source.
         settings: Periods.
         metrics: Where changes are counted.
@@ -74,6 +76,7 @@
         observer: FleetObserver,
         upstreams: Upstreams,
         jobs: JobService,
+        purger: ClaimPurger,
         clock: Clock,
         settings: Settings,
         metrics: MetricsRegistry,
@@ -87,6 +90,7 @@
         self._observer = observer
         self._upstreams = upstreams
         self._jobs = jobs
+        self._purger = purger
         self._clock = clock
         self._settings = settings
         self._metrics = metrics
@@ -150,6 +154,7 @@
         if not await self._renew(self._held_revision):
             return
         await self._jobs.adopt()
+        await self._purger.purge()
         await self._control()
 
     async def _watch(self) -> None:
--- a/jujubebarrow/services/job_services.py
+++ b/jujubebarrow/services/job_services.py
@@ -133,7 +133,7 @@
                 OPEN_PREFIX + name,
                 job.model_dump(mode="json"),
                 ABSENT,
-                CLOSED_PREFIX + name,
+                (CLOSED_PREFIX + name,),
             )
         except TransactionConflictError:
             return await self._accept_again(name, job)
--- a/jujubebarrow/standins/platforms.py
+++ b/jujubebarrow/standins/platforms.py
@@ -64,7 +64,8 @@
 class _Rows(_Handler):
     def get(self) -> None:
         self.state.reads += 1
-        rows = self.state.table.read(self.get_argument("prefix"))
+        limit = int(self.get_argument("limit", "0"))
+        rows = self.state.table.read(self.get_argument("prefix"), limit)
         self.finish(rows.model_dump_json())
 
 
--- a/jujubebarrow/standins/tables.py
+++ b/jujubebarrow/standins/tables.py
@@ -48,9 +48,11 @@
         async with self._changed:
             self._changed.notify_all()
 
-    def read(self, prefix: str) -> RowSet:
-        """Return the live rows under a prefix."""
+    def read(self, prefix: str, limit: int = 0) -> RowSet:
+        """Return the live rows under a prefix, at most a number of them."""
         rows = [row for row in self._rows if row.key.startswith(prefix)]
+        if limit:
+            rows = rows[:limit]
         return RowSet(revision=self.revision, rows=rows)
 
     def changes(self, prefix: str, since: int) -> RowSet:
--- a/jujubebarrow/tests/fakes/fake_platforms.py
+++ b/jujubebarrow/tests/fakes/fake_platforms.py
@@ -76,9 +76,9 @@
             self._state.audit.check(transaction)
         return answer
 
-    async def read(self, prefix: str) -> RowSet:
+    async def read(self, prefix: str, limit: int = 0) -> RowSet:
         await self._reach()
-        rows = self._state.table.read(prefix)
+        rows = self._state.table.read(prefix, limit)
         await self._network.delay()
         await self._leave()
         return rows
--- a/jujubebarrow/tests/fakes/virtual_loops.py
+++ b/jujubebarrow/tests/fakes/virtual_loops.py
@@ -8,12 +8,14 @@
 from jujubebarrow.clocks.clocks import Clock
 
 LONGEST_WAIT_SECONDS = 3600.0
+START_SECONDS = 12 * 86_400.0 - 20.0
 
 
 class VirtualSelector(selectors.DefaultSelector):
     def __init__(self) -> None:
         super().__init__()
-        self.now = 1_000_000.0
+        # Midnight comes in the middle of most runs.
+        self.now = START_SECONDS
 
     def select(self, timeout=None):
         if timeout is None:
--- a/jujubebarrow/tests/fakes/worlds.py
+++ b/jujubebarrow/tests/fakes/worlds.py
@@ -35,7 +35,7 @@
 from jujubebarrow.tests.fakes.fake_networks import FakeNetwork
 from jujubebarrow.tests.fakes.fake_platforms import FakePlatform, PlatformState
 from jujubebarrow.tests.fakes.fake_workers import FakeUpstreams, FakeWorker, Run
-from jujubebarrow.tests.fakes.virtual_loops import LoopClock
+from jujubebarrow.tests.fakes.virtual_loops import START_SECONDS, LoopClock
 
 OWNER: ContextVar["Host | None"] = ContextVar("OWNER", default=None)
 GRACE_SECONDS = 1.0
@@ -89,7 +89,7 @@
         return get_running_loop().time()
 
     def note_broken(self, text: str) -> None:
-        self.broken.append(f"{self.now - 1_000_000:.2f} s: {text}")
+        self.broken.append(f"{self.now - START_SECONDS:.2f} s: {text}")
 
     async def open(self, records: dict[tuple[RecordKind, str], Record]) -> None:
         get_running_loop().set_task_factory(_own_tasks)
