--- a/jujubebarrow/benches/decisions.py
+++ b/jujubebarrow/benches/decisions.py
@@ -1,6 +1,8 @@
 """Time of decisions at growing sizes."""
 
+import gc
 import time
+import tracemalloc
 from statistics import median
 
 from jujubebarrow.clocks.manual_clocks import ManualClock
@@ -159,3 +161,21 @@
         planner.plan(configuration, FleetObservations(), 1000.0)
         times.append(time.perf_counter() - start)
     return median(times)
+
+
+def weigh_configuration(instances: int) -> float:
+    """Return the bytes that a configuration of some instances takes."""
+    tracemalloc.start()
+    configuration = make_configuration(
+        {
+            (RecordKind.INSTANCE, f"i-{number}"): make_instance(
+                f"pool-{number % POOLS}", number
+            )
+            for number in range(instances)
+        }
+    )
+    gc.collect()
+    held = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    assert len(configuration.names(RecordKind.INSTANCE)) == instances
+    return float(held)
--- a/jujubebarrow/benches/slopes.py
+++ b/jujubebarrow/benches/slopes.py
@@ -8,7 +8,11 @@
 from dataclasses import asdict
 from pathlib import Path
 
-from jujubebarrow.benches.decisions import time_control, time_start
+from jujubebarrow.benches.decisions import (
+    time_control,
+    time_start,
+    weigh_configuration,
+)
 from jujubebarrow.benches.fits import fit
 from jujubebarrow.benches.meters import Reading, measure
 from jujubebarrow.standins.fleets import Fleet, FleetShape
@@ -82,6 +86,7 @@
     "team": ((2, 16, 32, 64), by_teams),
     "change/s": ((0, 2, 5, 10), by_changes),
 }
+RECORD_SIZES = (500, 1000, 2000, 4000)
 UNITS = {
     "processor": (100.0, "% of a core"),
     "memory": (1 / 1024**2, "MiB"),
@@ -110,6 +115,9 @@
     for name, (sizes, timed) in TIMED.items():
         points = {float(size): timed(size) * 1000 for size in sizes}
         results[name] = _report(name, points, "ms")
+    name = "memory by instance record"
+    points = {float(n): weigh_configuration(n) / 1024 for n in RECORD_SIZES}
+    results[name] = _report(name, points, "KiB")
     return results
 
 
--- a/jujubebarrow/homes/home_services.py
+++ b/jujubebarrow/homes/home_services.py
@@ -1,16 +1,16 @@
 """Runs requests of the pools that this instance is home of."""
 
-from asyncio import Future, TimerHandle, create_task, get_running_loop, sleep
+from asyncio import CancelledError, Future, TimerHandle, get_running_loop
 from collections.abc import Callable
-from itertools import count
 
 from jujubebarrow.claims.claims import Outcome
 from jujubebarrow.clocks.clocks import Clock
 from jujubebarrow.configurations.configurations import Configuration
-from jujubebarrow.configurations.records import KeyState, Queue
-from jujubebarrow.errors.exceptions import DispatchError, RefusalError
+from jujubebarrow.configurations.records import Queue
+from jujubebarrow.errors.exceptions import RefusalError
 from jujubebarrow.errors.kinds import ErrorKind
 from jujubebarrow.errors.run_states import RunState
+from jujubebarrow.homes.attempts import AttemptRunner
 from jujubebarrow.homes.borrowers import Borrower
 from jujubebarrow.homes.run_results import RunResult
 from jujubebarrow.identifiers import (
@@ -29,21 +29,11 @@
 from jujubebarrow.queues.entries import Entry
 from jujubebarrow.queues.pool_schedulers import PoolScheduler
 from jujubebarrow.queues.starts import Start
-from jujubebarrow.retries.budgets import RetryBudget
 from jujubebarrow.routes.upstream_sets import UpstreamSet
 from jujubebarrow.services.claim_stores import ClaimStore, ClaimTicket
 from jujubebarrow.services.explanations import ExplanationLog
 from jujubebarrow.settings.settings import Settings
-from jujubebarrow.upstreams.upstreams import TaskAnswer, TaskRequest, Upstreams
-
-FULL_PAUSE_SECONDS = 0.05
-REFUSAL_PAUSES = {"full": FULL_PAUSE_SECONDS, "draining": 2.0}
-"""Seconds for which an upstream gets nothing, by its reason for refusing."""
-REFUSAL_LIMIT = 40
-"""Refusals by upstreams after which a request is given up."""
-SERVER_ERROR_STATUS = 500
-RETRY_SECONDS = 1.0
-RENEWALS_PER_LEASE = 3
+from jujubebarrow.upstreams.upstreams import Upstreams
 
 
 class HomeService:
@@ -88,20 +78,26 @@
         self._configuration = configuration
         self._ledger = ledger
         self._claims = claims
-        self._upstreams = upstreams
         self._absences = absences
         self._directory = directory
         self._clock = clock
         self._settings = settings
         self._metrics = metrics
-        self._monitor = monitor
         self._explanations = explanations
         self._is_fresh = is_fresh
         self._schedulers: dict[str, PoolScheduler] = {}
-        self._budget = RetryBudget(settings.retry_ratio, settings.retry_reserve)
+        self._attempts = AttemptRunner(
+            incarnation,
+            configuration,
+            upstreams,
+            clock,
+            settings,
+            metrics,
+            monitor,
+            explanations,
+            self.pump,
+        )
         self._waiters: dict[Entry, Future[Start]] = {}
-        self._serials = count(1)
-        self._held = 0
         self._active = 0
         self._unreachable: dict[str, set[str]] = {}
         self._borrower: Borrower | None = None
@@ -109,11 +105,12 @@
     def set_borrower(self, borrower: Borrower) -> None:
         """Set where lacking units are borrowed."""
         self._borrower = borrower
+        self._attempts.set_borrower(borrower)
 
     @property
     def busy(self) -> int:
         """Requests being handled, and tasks that may still be running."""
-        return self._active + self._held
+        return self._active + self._attempts.held
 
     def scheduler(self, pool: str) -> PoolScheduler:
         """Return the scheduler of a pool."""
@@ -223,7 +220,7 @@
         scheduler = self.scheduler(queue.pool)
         entry = self._make_entry(request, queue, remaining)
         scheduler.admit(entry)
-        self._budget.deposit()
+        self._attempts.budget.deposit()
         if entry.idempotent:
             return await self._run_entry(scheduler, entry, request)
         claimed = await self._claims.claim(
@@ -291,7 +288,7 @@
             while True:
                 if start is None:
                     start = await self._wait_for_start(scheduler, entry)
-                result = await self._attempt(scheduler, start, request)
+                result = await self._attempts.attempt(scheduler, start, request)
                 if result is not None:
                     return result
                 start = None
@@ -312,6 +309,11 @@
         self.pump(scheduler)
         try:
             return await future
+        except CancelledError:
+            if future.done() and not future.cancelled() and not future.exception():
+                # Started in the moment of the cancellation, and never sent.
+                scheduler.finish(future.result())
+            raise
         finally:
             timer.cancel()
             self._waiters.pop(entry, None)
@@ -346,190 +348,6 @@
             if scheduler.waiting:
                 self.pump(scheduler)
 
-    async def _attempt(
-        self, scheduler: PoolScheduler, start: Start, request: Forward
-    ) -> RunResult | None:
-        """Send a request once; return None if it is to be started again."""
-        entry = start.entry
-        self._check_key(scheduler, start)
-        sent = self._clock.monotonic()
-        self._metrics.record(entry.queue, "wait", sent - entry.arrived)
-        self._monitor.check(
-            entry.idempotent or entry.sends == 0, "sent-twice", entry.request
-        )
-        entry.sends += 1
-        try:
-            answer = await self._send(start, self._make_task(start, request))
-        except DispatchError as error:
-            self._note_failure(scheduler, start, error)
-            self._check_retry(scheduler, entry, error)
-            return None
-        except BaseException:
-            self._hold(scheduler, start)
-            raise
-        scheduler.finish(start)
-        self._note_answer(scheduler, start, answer, self._clock.monotonic() - sent)
-        self.pump(scheduler)
-        if self._is_to_be_repeated(scheduler, entry, answer):
-            return None
-        return RunResult(
-            answer.status, answer.content_type, answer.body, start.member.upstream
-        )
-
-    def _check_key(self, scheduler: PoolScheduler, start: Start) -> None:
-        entry = start.entry
-        if not entry.team:
-            return
-        key = self._configuration.key(entry.key)
-        if key is not None and key.state is KeyState.GRANTED:
-            return
-        start.member.ejection.abandon()
-        scheduler.finish(start)
-        raise RefusalError(ErrorKind.KEY_WITHDRAWN)
-
-    def _make_task(self, start: Start, request: Forward) -> TaskRequest:
-        return TaskRequest(
-            task=f"{self._incarnation}-{next(self._serials)}",
-            queue=request.queue,
-            team=request.team,
-            key=request.idempotency_key,
-            content_type=request.content_type,
-            body=request.body,
-            lease_end=start.lease_end,
-            timeout=start.timeout,
-            once=not start.entry.idempotent,
-        )
-
-    async def _send(self, start: Start, task: TaskRequest) -> TaskAnswer:
-        address = start.member.instance.address
-        if not start.entry.renewed:
-            return await self._upstreams.run(address, task)
-        renewal = create_task(self._renew(start, task.task))
-        try:
-            return await self._upstreams.run(address, task)
-        finally:
-            renewal.cancel()
-
-    async def _renew(self, start: Start, task: str) -> None:
-        period = self._settings.task_lease / RENEWALS_PER_LEASE
-        address = start.member.instance.address
-        while True:
-            await sleep(period)
-            lease_end = await self._next_lease_end(start)
-            # Noted first: the upstream may run until then even if no answer comes.
-            start.lease_end = lease_end
-            try:
-                await self._upstreams.renew(address, task, lease_end)
-            except DispatchError:
-                self._metrics.count("retry", "lease-renewal")
-
-    async def _next_lease_end(self, start: Start) -> float:
-        lease_end = self._clock.wall() + self._settings.task_lease
-        permit = start.permit
-        if permit is None or permit.loan is None or self._borrower is None:
-            return lease_end
-        until = await self._borrower.extend(permit.team, permit.loan)
-        return max(start.lease_end, min(lease_end, until))
-
-    def _note_failure(
-        self, scheduler: PoolScheduler, start: Start, error: DispatchError
-    ) -> None:
-        entry = start.entry
-        if error.started:
-            if error.timed_out:
-                scheduler.observe_timeout(entry.queue)
-            entry.tried.add(start.member.upstream)
-            self._fail_member(start)
-            self._hold(scheduler, start)
-            return
-        entry.sends -= 1
-        entry.refusals += 1
-        scheduler.finish(start)
-        if error.refusal:
-            start.member.ejection.abandon()
-            pause = REFUSAL_PAUSES.get(error.refusal, FULL_PAUSE_SECONDS)
-            start.member.block(self._clock.monotonic() + pause)
-        else:
-            entry.tried.add(start.member.upstream)
-            self._fail_member(start)
-
-    def _fail_member(self, start: Start) -> None:
-        if start.member.ejection.fail():
-            self._metrics.count("upstream_ejected")
-            self._explanations.add(start.member.upstream, "ejected after failures")
-
-    def _hold(self, scheduler: PoolScheduler, start: Start) -> None:
-        """Keep slot and permit for as long as the task may be running."""
-        self._held += 1
-        end = start.lease_end + self._settings.clock_error - self._clock.wall()
-        get_running_loop().call_later(max(0.0, end), self._drop, scheduler, start)
-
-    def _drop(self, scheduler: PoolScheduler, start: Start) -> None:
-        self._held -= 1
-        scheduler.finish(start)
-        self.pump(scheduler)
-
-    def _note_answer(
-        self,
-        scheduler: PoolScheduler,
-        start: Start,
-        answer: TaskAnswer,
-        seconds: float,
-    ) -> None:
-        entry = start.entry
-        if answer.status < SERVER_ERROR_STATUS:
-            start.member.ejection.succeed()
-            start.member.last_answer = self._clock.monotonic()
-            scheduler.observe(entry.queue, seconds)
-            self._metrics.record(entry.queue, "run", seconds)
-            return
-        entry.tried.add(start.member.upstream)
-        self._fail_member(start)
-
-    def _is_to_be_repeated(
-        self, scheduler: PoolScheduler, entry: Entry, answer: TaskAnswer
-    ) -> bool:
-        if answer.status < SERVER_ERROR_STATUS or not entry.idempotent:
-            return False
-        return self._may_retry(scheduler, entry, "upstream-failed")
-
-    def _may_retry(self, scheduler: PoolScheduler, entry: Entry, reason: str) -> bool:
-        if self._clock.monotonic() >= entry.deadline:
-            return False
-        if not scheduler.upstreams.has_untried(entry.tried):
-            return False
-        if not self._budget.withdraw():
-            self._metrics.count("retry_budget_empty", reason)
-            return False
-        self._metrics.count("retry", reason)
-        return True
-
-    def _check_retry(
-        self, scheduler: PoolScheduler, entry: Entry, error: DispatchError
-    ) -> None:
-        """Raise the final error unless the request may be started again."""
-        if not error.started:
-            self._check_refusals(scheduler, entry, error)
-            return
-        reason = "upstream-timeout" if error.timed_out else "upstream-incomplete"
-        if entry.idempotent and self._may_retry(scheduler, entry, reason):
-            return
-        kind = ErrorKind.UPSTREAM_INCOMPLETE
-        if error.timed_out:
-            kind = ErrorKind.UPSTREAM_TIMEOUT
-        raise RefusalError(kind, str(error), retry_after=RETRY_SECONDS) from error
-
-    def _check_refusals(
-        self, scheduler: PoolScheduler, entry: Entry, error: DispatchError
-    ) -> None:
-        untried = scheduler.upstreams.has_untried(entry.tried)
-        if untried and entry.refusals < REFUSAL_LIMIT:
-            self._metrics.count("retry", f"upstream-{error.refusal or 'unreachable'}")
-            return
-        raise RefusalError(
-            ErrorKind.UPSTREAM_REFUSED, str(error), retry_after=RETRY_SECONDS
-        ) from error
-
 
 def _report_usage(scheduler: PoolScheduler, record: PeerRecord) -> None:
     prefix = f"{scheduler.pool}/"
--- a/jujubebarrow/peers/link_types.py
+++ b/jujubebarrow/peers/link_types.py
@@ -1,20 +1,22 @@
 """Interface of a link to one peer."""
 
-from abc import ABC, abstractmethod
+from abc import abstractmethod
 from collections.abc import Callable
 
+from jujubebarrow.background_loops import BackgroundLoop
 from jujubebarrow.peers.identities import PeerIdentity
 from jujubebarrow.peers.messages import Reply, Request
 
 
-class Link(ABC):
-    """Connection to one address that is kept up.
+class Link(BackgroundLoop):
+    """Connection to one address that is kept up until it is closed.
 
     Args:
         address: IP and port to dial.
     """
 
     def __init__(self, address: str):
+        super().__init__()
         self.address = address
 
     @property
@@ -22,10 +24,6 @@
     def peer(self) -> PeerIdentity | None:
         """Identity of the process at the other end, while connected."""
 
-    @abstractmethod
-    def open(self) -> None:
-        """Start to dial."""
-
     @abstractmethod
     async def reset(self) -> None:
         """Drop a connection whose peer is silent, and dial again.
@@ -33,10 +31,6 @@
         All requests under way fail.
         """
 
-    @abstractmethod
-    async def close(self) -> None:
-        """Stop dialling and close the connection."""
-
     @abstractmethod
     async def request(self, message: Request, timeout: float) -> Reply:
         """Send a request and wait for its reply.
--- a/jujubebarrow/peers/links.py
+++ b/jujubebarrow/peers/links.py
@@ -1,10 +1,7 @@
 """Dialling side of a link to one peer."""
 
 from asyncio import (
-    CancelledError,
     Future,
-    Task,
-    create_task,
     get_running_loop,
     sleep,
     wait_for,
@@ -69,17 +66,12 @@
         self._peer: PeerIdentity | None = None
         self._pending: dict[int, Future[Reply]] = {}
         self._serials = count(1)
-        self._task: Task[None] | None = None
 
     @property
     def peer(self) -> PeerIdentity | None:
         """Identity of the process at the other end, while connected."""
         return self._peer if self._connection else None
 
-    def open(self) -> None:
-        """Start to dial."""
-        self._task = create_task(self._dial())
-
     async def reset(self) -> None:
         """Drop a connection whose peer is silent, and dial again."""
         connection = self._connection
@@ -87,16 +79,6 @@
         if connection is not None:
             connection.transport.abort()
 
-    async def close(self) -> None:
-        """Stop dialling and close the connection."""
-        if self._task is None:
-            return
-        self._task.cancel()
-        try:
-            await self._task
-        except CancelledError:
-            pass
-
     async def request(self, message: Request, timeout: float) -> Reply:
         """Send a request and wait for its reply.
 
@@ -122,7 +104,7 @@
         finally:
             self._pending.pop(serial, None)
 
-    async def _dial(self) -> None:
+    async def _run(self) -> None:
         backoff = SHORTEST_BACKOFF_SECONDS
         while True:
             try:
--- a/jujubebarrow/services/configuration_services.py
+++ b/jujubebarrow/services/configuration_services.py
@@ -1,12 +1,13 @@
 """Keeps the configuration up to date and changes it."""
 
-from asyncio import CancelledError, Task, create_task, sleep
+from asyncio import sleep
 from collections.abc import Callable
 from random import Random
 from uuid import uuid4
 
 from loguru import logger
 
+from jujubebarrow.background_loops import BackgroundLoop
 from jujubebarrow.clocks.clocks import Clock
 from jujubebarrow.configurations.configurations import (
     CONFIGURATION_PREFIX,
@@ -32,7 +33,7 @@
 CATCH_UP_ATTEMPTS = 3
 
 
-class ConfigurationService:
+class ConfigurationService(BackgroundLoop):
     """Follows the platform's change feed and commits changes.
 
     Args:
@@ -59,6 +60,7 @@
         explanations: ExplanationLog,
         on_change: Callable[[], None],
     ):
+        super().__init__()
         self._configuration = configuration
         self._freshness = freshness
         self._platform = platform
@@ -68,7 +70,6 @@
         self._metrics = metrics
         self._explanations = explanations
         self._on_change = on_change
-        self._task: Task[None] | None = None
         self._reached = False
         self._writes_in_flight = 0
         self._uncertain = False
@@ -92,21 +93,7 @@
         """Return whether work that needs a key may be started."""
         return self._freshness.is_fresh(self._configuration.revision)
 
-    def open(self) -> None:
-        """Start to follow the change feed."""
-        self._task = create_task(self._follow())
-
-    async def close(self) -> None:
-        """Stop to follow the change feed."""
-        if self._task is None:
-            return
-        self._task.cancel()
-        try:
-            await self._task
-        except CancelledError:
-            pass
-
-    async def _follow(self) -> None:
+    async def _run(self) -> None:
         while True:
             try:
                 wait = self._settings.feed_wait if self._reached else 0.0
--- a/jujubebarrow/services/control_services.py
+++ b/jujubebarrow/services/control_services.py
@@ -1,12 +1,13 @@
 """Control of the fleet by the instance that holds the control lease."""
 
-from asyncio import CancelledError, Task, create_task, sleep
+from asyncio import sleep
 from collections.abc import Callable
 from uuid import uuid4
 
 from loguru import logger
 from pydantic import BaseModel, ConfigDict
 
+from jujubebarrow.background_loops import BackgroundLoop
 from jujubebarrow.clocks.clocks import Clock
 from jujubebarrow.configurations.configurations import Configuration
 from jujubebarrow.configurations.instance_states import InstanceState
@@ -44,7 +45,7 @@
     beat: int
 
 
-class ControlService:
+class ControlService(BackgroundLoop):
     """Holds the control lease and carries out the planner's changes.
 
     Every change is conditional on the lease's row, so that a holder that was
@@ -82,6 +83,7 @@
         metrics: MetricsRegistry,
         may_hold: Callable[[], bool],
     ):
+        super().__init__()
         self._identity = identity
         self._platform = platform
         self._configuration = configuration
@@ -99,26 +101,15 @@
         self._beat = 0
         self._seen_revision = -1
         self._seen_at = 0.0
-        self._task: Task[None] | None = None
 
     @property
     def holds(self) -> bool:
         """Whether this instance holds the control lease."""
         return self._held_revision is not None
 
-    def open(self) -> None:
-        """Start to hold or watch the lease."""
-        self._task = create_task(self._run())
-
     async def close(self) -> None:
         """Stop control and hand the lease back."""
-        if self._task is None:
-            return
-        self._task.cancel()
-        try:
-            await self._task
-        except CancelledError:
-            pass
+        await super().close()
         if self._held_revision is not None:
             await self._release(self._held_revision)
 
--- a/jujubebarrow/services/seat_services.py
+++ b/jujubebarrow/services/seat_services.py
@@ -1,12 +1,13 @@
 """Claims a seat for this instance and hands it back."""
 
-from asyncio import CancelledError, Task, create_task, sleep
+from asyncio import sleep
 from collections import Counter
 from collections.abc import Callable
 from uuid import uuid4
 
 from loguru import logger
 
+from jujubebarrow.background_loops import BackgroundLoop
 from jujubebarrow.clocks.clocks import Clock
 from jujubebarrow.configurations.freshness import FreshnessLease
 from jujubebarrow.errors.exceptions import StoreError, TransactionConflictError
@@ -25,7 +26,7 @@
 """Claims in one refresh, each after losing a race for a seat."""
 
 
-class SeatService:
+class SeatService(BackgroundLoop):
     """Reads the platform's list and the seats, and holds seats.
 
     Every seat is to be held by someone, since its part of the limits is of no
@@ -58,6 +59,7 @@
         on_change: Callable[[], None],
         ready_peers: Callable[[], frozenset[str]],
     ):
+        super().__init__()
         self._identity = identity
         self._platform = platform
         self._ledger = ledger
@@ -73,7 +75,6 @@
         self._awaited: set[str] = set()
         self._releasing: set[int] = set()
         self._settled = False
-        self._task: Task[None] | None = None
 
     @property
     def number(self) -> int | None:
@@ -121,20 +122,6 @@
         seated = {seat.incarnation for seat, _ in self._seats.values() if seat.instance}
         return (seated | self._announced.keys()) - {self._identity.incarnation}
 
-    def open(self) -> None:
-        """Start to read the list and the seats."""
-        self._task = create_task(self._run())
-
-    async def close(self) -> None:
-        """Stop reading."""
-        if self._task is None:
-            return
-        self._task.cancel()
-        try:
-            await self._task
-        except CancelledError:
-            pass
-
     async def _run(self) -> None:
         while True:
             try:
--- a/jujubebarrow/tests/fakes/fake_links.py
+++ b/jujubebarrow/tests/fakes/fake_links.py
@@ -1,9 +1,7 @@
 """Peer links in memory, through the shipped codec."""
 
 from asyncio import (
-    CancelledError,
     Future,
-    Task,
     create_task,
     get_running_loop,
     shield,
@@ -38,28 +36,16 @@
         self._identity = identity
         self._on_connect = on_connect
         self._peer: PeerIdentity | None = None
-        self._task: Task[None] | None = None
         self._pending: set[Future[Reply]] = set()
 
     @property
     def peer(self) -> PeerIdentity | None:
         return self._peer
 
-    def open(self) -> None:
-        self._task = create_task(self._dial())
-
-    async def close(self) -> None:
-        if self._task is not None:
-            self._task.cancel()
-            try:
-                await self._task
-            except CancelledError:
-                pass
-
     async def reset(self) -> None:
         self._change_peer(None)
 
-    async def _dial(self) -> None:
+    async def _run(self) -> None:
         while True:
             found = self._world.find(self.address)
             target = found.identity if found and self._up(found.identity) else None
--- a/jujubebarrow/tests/fakes/mutations.py
+++ b/jujubebarrow/tests/fakes/mutations.py
@@ -139,7 +139,7 @@
     Mutation(
         6,
         "work that was started is told not run",
-        _replace("homes.home_services.HomeService._check_retry", _tell_not_run),
+        _replace("homes.attempts.AttemptRunner._check_retry", _tell_not_run),
         "told not run",
         tuple(Fault(1.0, "worker_truncate", n, 20.0) for n in range(8)),
     ),
