--- a/jujubebarrow/tests/test_peer_links.py
+++ b/jujubebarrow/tests/test_peer_links.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import unittest
+from contextlib import suppress
 from random import Random
 
 from websockets.asyncio.server import serve
+from websockets.exceptions import ConnectionClosed
 
 from jujubebarrow.benches.decisions import make_settings
 from jujubebarrow.errors.exceptions import PeerLostError
@@ -56,10 +58,11 @@
         assert isinstance(hello, Hello)
         proof = prove(secret, hello.nonce, PEER)
         await connection.send(encode(Welcome(**PEER._asdict(), proof=proof)))
-        async for frame in connection:
-            request = decode(frame)
-            for to, shift in self.replies:
-                await connection.send(self.reply(to, request.serial + shift))
+        with suppress(ConnectionClosed):
+            async for frame in connection:
+                request = decode(frame)
+                for to, shift in self.replies:
+                    await connection.send(self.reply(to, request.serial + shift))
 
     def reply(self, to: str, serial: int) -> bytes:
         name = f"{to}/{serial}"
