Give each kind of peer message a module

Cause: 25 types stood in one file of 322 lines; the house style asks for one type a file, and a newcomer had to read all to find one. Seen: imports rewritten mechanically, linter clean, all modules import; the tests follow with the records. Conclusion: the closed union stays in one place.

--- a/jujubebarrow/callers/request_handlers.py
+++ b/jujubebarrow/callers/request_handlers.py
@@ -12,7 +12,7 @@
 from jujubebarrow.errors.kinds import ErrorKind
 from jujubebarrow.homes.run_results import RunResult
 from jujubebarrow.jobs.job_states import JobState
-from jujubebarrow.peers.messages import Forward
+from jujubebarrow.peers.forward_messages import Forward
 
 ASYNC_PREFERENCE = "respond-async"
 IDEMPOTENCY_KEY_LIMIT = 255
--- a/jujubebarrow/daemons/nodes.py
+++ b/jujubebarrow/daemons/nodes.py
@@ -23,7 +23,7 @@
 from jujubebarrow.operators.status_readers import StatusReader
 from jujubebarrow.peers.identities import PeerIdentity
 from jujubebarrow.peers.link_types import LinkFactory
-from jujubebarrow.peers.messages import PeerStatus, PoolReport
+from jujubebarrow.peers.status_messages import PeerStatus, PoolReport
 from jujubebarrow.platforms.platforms import Platform
 from jujubebarrow.pools.move_planners import MovePlanner
 from jujubebarrow.routes.homes import HomeDirectory
--- a/jujubebarrow/homes/attempts.py
+++ b/jujubebarrow/homes/attempts.py
@@ -13,7 +13,7 @@
 from jujubebarrow.homes.run_results import RunResult
 from jujubebarrow.invariants.monitors import InvariantMonitor
 from jujubebarrow.metrics.registries import MetricsRegistry
-from jujubebarrow.peers.messages import Forward
+from jujubebarrow.peers.forward_messages import Forward
 from jujubebarrow.queues.entries import Entry
 from jujubebarrow.queues.pool_schedulers import PoolScheduler
 from jujubebarrow.queues.starts import Start
--- a/jujubebarrow/homes/borrowers.py
+++ b/jujubebarrow/homes/borrowers.py
@@ -9,13 +9,13 @@
 from jujubebarrow.limits.ledgers import LimitLedger
 from jujubebarrow.limits.loans import Loan
 from jujubebarrow.metrics.registries import MetricsRegistry
-from jujubebarrow.peers.messages import (
+from jujubebarrow.peers.loan_messages import (
     LoanExtension,
     LoanReply,
     LoanRequest,
     LoanReturn,
-    Reply,
 )
+from jujubebarrow.peers.messages import Reply
 from jujubebarrow.peers.messages import Request as PeerRequest
 from jujubebarrow.settings.settings import Settings
 
--- a/jujubebarrow/homes/home_services.py
+++ b/jujubebarrow/homes/home_services.py
@@ -25,7 +25,8 @@
 from jujubebarrow.members.absences import AbsenceTracker
 from jujubebarrow.members.peer_directories import PeerDirectory, PeerRecord
 from jujubebarrow.metrics.registries import MetricsRegistry
-from jujubebarrow.peers.messages import Forward, PoolReport
+from jujubebarrow.peers.forward_messages import Forward
+from jujubebarrow.peers.status_messages import PoolReport
 from jujubebarrow.queues.entries import Entry
 from jujubebarrow.queues.pool_schedulers import PoolScheduler
 from jujubebarrow.queues.starts import Start
--- a/jujubebarrow/members/peer_directories.py
+++ b/jujubebarrow/members/peer_directories.py
@@ -4,7 +4,7 @@
 
 from jujubebarrow.clocks.clocks import Clock
 from jujubebarrow.peers.identities import PeerIdentity
-from jujubebarrow.peers.messages import PeerStatus, PoolReport
+from jujubebarrow.peers.status_messages import PeerStatus, PoolReport
 
 
 @dataclass(slots=True)
--- a/jujubebarrow/operators/documents.py
+++ b/jujubebarrow/operators/documents.py
@@ -5,7 +5,7 @@
 from pydantic import BaseModel
 
 from jujubebarrow.callers.job_documents import JobDocument
-from jujubebarrow.peers.messages import PeerStatus
+from jujubebarrow.peers.status_messages import PeerStatus
 
 
 class RecordDocument(BaseModel):
--- a/jujubebarrow/operators/status_handlers.py
+++ b/jujubebarrow/operators/status_handlers.py
@@ -10,7 +10,7 @@
     JobList,
 )
 from jujubebarrow.operators.operator_handlers import OperatorHandler
-from jujubebarrow.peers.messages import ExplainRequest, Explanations
+from jujubebarrow.peers.explanation_messages import ExplainRequest, Explanations
 
 
 class StatusHandler(OperatorHandler):
--- a/jujubebarrow/peers/codecs.py
+++ b/jujubebarrow/peers/codecs.py
@@ -7,7 +7,8 @@
 from pydantic import ValidationError
 
 from jujubebarrow.errors.exceptions import JujubebarrowError
-from jujubebarrow.peers.messages import MESSAGES, AnyMessage, Message
+from jujubebarrow.peers.message_bases import Message
+from jujubebarrow.peers.messages import MESSAGES, AnyMessage
 
 
 class ProtocolError(JujubebarrowError):
--- a/jujubebarrow/peers/links.py
+++ b/jujubebarrow/peers/links.py
@@ -18,16 +18,10 @@
 from jujubebarrow.errors.exceptions import PeerLostError
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.peers.codecs import ProtocolError, decode, encode
+from jujubebarrow.peers.handshake_messages import Challenge, Hello, Welcome
 from jujubebarrow.peers.identities import PeerIdentity
 from jujubebarrow.peers.link_types import Link
-from jujubebarrow.peers.messages import (
-    PROTOCOL_VERSION,
-    Challenge,
-    Hello,
-    Reply,
-    Request,
-    Welcome,
-)
+from jujubebarrow.peers.messages import PROTOCOL_VERSION, Reply, Request
 from jujubebarrow.peers.proofs import NONCE_BYTES, prove, verify
 from jujubebarrow.settings.settings import Settings
 
--- a/jujubebarrow/peers/servers.py
+++ b/jujubebarrow/peers/servers.py
@@ -10,14 +10,9 @@
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.peers.codecs import ProtocolError, decode, encode
 from jujubebarrow.peers.handlers import PeerHandler
+from jujubebarrow.peers.handshake_messages import Challenge, Hello, Welcome
 from jujubebarrow.peers.identities import PeerIdentity
-from jujubebarrow.peers.messages import (
-    PROTOCOL_VERSION,
-    Challenge,
-    Hello,
-    Request,
-    Welcome,
-)
+from jujubebarrow.peers.messages import PROTOCOL_VERSION, Request
 from jujubebarrow.peers.proofs import NONCE_BYTES, prove, verify
 from jujubebarrow.settings.settings import Settings
 
--- a/jujubebarrow/routes/homes.py
+++ b/jujubebarrow/routes/homes.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from jujubebarrow.members.peer_directories import PeerDirectory
-from jujubebarrow.peers.messages import PoolReport
+from jujubebarrow.peers.status_messages import PoolReport
 from jujubebarrow.routes.rendezvous import rank
 
 
--- a/jujubebarrow/services/fleet_observers.py
+++ b/jujubebarrow/services/fleet_observers.py
@@ -11,7 +11,7 @@
 from jujubebarrow.maintenance.observations import FleetObservations, PoolDemand
 from jujubebarrow.members.absences import AbsenceTracker
 from jujubebarrow.members.peer_directories import PeerDirectory
-from jujubebarrow.peers.messages import PeerStatus, PoolReport
+from jujubebarrow.peers.status_messages import PeerStatus, PoolReport
 from jujubebarrow.services.status_reporters import StatusReporter
 from jujubebarrow.upstreams.upstreams import Upstreams
 
--- a/jujubebarrow/services/job_services.py
+++ b/jujubebarrow/services/job_services.py
@@ -23,8 +23,9 @@
 from jujubebarrow.jobs.jobs import CLOSED_PREFIX, OPEN_PREFIX, Job, job_id
 from jujubebarrow.jobs.verdicts import JobVerdict, judge_refusal, judge_result
 from jujubebarrow.metrics.registries import MetricsRegistry
+from jujubebarrow.peers.forward_messages import Forward
 from jujubebarrow.peers.identities import PeerIdentity
-from jujubebarrow.peers.messages import Forward, SuperviseRequest
+from jujubebarrow.peers.job_messages import SuperviseRequest
 from jujubebarrow.platforms.platforms import Platform
 from jujubebarrow.platforms.transactions import ABSENT, Transaction
 from jujubebarrow.services.commit_batchers import CommitBatcher
--- a/jujubebarrow/services/peer_request_handlers.py
+++ b/jujubebarrow/services/peer_request_handlers.py
@@ -9,29 +9,22 @@
 from jujubebarrow.identifiers import TeamId
 from jujubebarrow.limits.ledgers import LimitLedger
 from jujubebarrow.limits.loans import Loan
+from jujubebarrow.peers.configuration_messages import Changes, ChangesRequest
+from jujubebarrow.peers.explanation_messages import ExplainRequest, Explanations
+from jujubebarrow.peers.forward_messages import Answered, Forward, Refused
 from jujubebarrow.peers.handlers import PeerHandler
+from jujubebarrow.peers.heartbeat_messages import Ping, Pong
 from jujubebarrow.peers.identities import PeerIdentity
-from jujubebarrow.peers.messages import (
-    Answered,
-    Changes,
-    ChangesRequest,
-    ExplainRequest,
-    Explanations,
-    Forward,
+from jujubebarrow.peers.job_messages import SuperviseRequest
+from jujubebarrow.peers.loan_messages import (
     LoanExtension,
     LoanReply,
     LoanRequest,
     LoanReturn,
-    Ping,
-    Pong,
-    Refused,
-    Reply,
-    Request,
     Returned,
-    StatusReply,
-    StatusRequest,
-    SuperviseRequest,
 )
+from jujubebarrow.peers.messages import Reply, Request
+from jujubebarrow.peers.status_messages import StatusReply, StatusRequest
 from jujubebarrow.services.explanations import ExplanationLog
 from jujubebarrow.services.seat_services import SeatService
 from jujubebarrow.services.status_reporters import StatusReporter
--- a/jujubebarrow/services/peer_services.py
+++ b/jujubebarrow/services/peer_services.py
@@ -11,18 +11,13 @@
 from jujubebarrow.homes.borrowers import PeerCalls
 from jujubebarrow.members.peer_directories import PeerDirectory, PeerRecord
 from jujubebarrow.metrics.registries import MetricsRegistry
+from jujubebarrow.peers.configuration_messages import Changes, ChangesRequest
 from jujubebarrow.peers.deltas import apply_delta
+from jujubebarrow.peers.heartbeat_messages import Ping, Pong
 from jujubebarrow.peers.identities import PeerIdentity
 from jujubebarrow.peers.link_types import Link, LinkFactory
-from jujubebarrow.peers.messages import (
-    Changes,
-    ChangesRequest,
-    PeerStatus,
-    Ping,
-    Pong,
-    Reply,
-    Request,
-)
+from jujubebarrow.peers.messages import Reply, Request
+from jujubebarrow.peers.status_messages import PeerStatus
 from jujubebarrow.services.configuration_services import ConfigurationService
 from jujubebarrow.services.seat_services import SeatService
 from jujubebarrow.settings.settings import Settings
--- a/jujubebarrow/services/request_services.py
+++ b/jujubebarrow/services/request_services.py
@@ -9,7 +9,8 @@
 from jujubebarrow.homes.run_results import RunResult
 from jujubebarrow.invariants.monitors import InvariantMonitor
 from jujubebarrow.metrics.registries import MetricsRegistry
-from jujubebarrow.peers.messages import Answered, Forward, Refused, Reply
+from jujubebarrow.peers.forward_messages import Answered, Forward, Refused
+from jujubebarrow.peers.messages import Reply
 from jujubebarrow.retries.budgets import RetryBudget
 from jujubebarrow.routes.homes import Candidate, HomeDirectory
 from jujubebarrow.services.explanations import ExplanationLog
--- a/jujubebarrow/services/status_reporters.py
+++ b/jujubebarrow/services/status_reporters.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from jujubebarrow.peers.deltas import DeltaEncoder
-from jujubebarrow.peers.messages import PeerStatus, PoolReport
+from jujubebarrow.peers.status_messages import PeerStatus, PoolReport
 
 
 class StatusReporter:
--- a/jujubebarrow/tests/fakes/world_callers.py
+++ b/jujubebarrow/tests/fakes/world_callers.py
@@ -7,7 +7,7 @@
 from jujubebarrow.errors.kinds import ErrorKind
 from jujubebarrow.errors.run_states import RunState
 from jujubebarrow.homes.run_results import RunResult
-from jujubebarrow.peers.messages import Forward
+from jujubebarrow.peers.forward_messages import Forward
 from jujubebarrow.tests.fakes.worlds import Host, World
 
 ATTEMPTS = 5
--- a/jujubebarrow/tests/test_bad_input.py
+++ b/jujubebarrow/tests/test_bad_input.py
@@ -9,7 +9,7 @@
 from websockets.exceptions import ConnectionClosed
 
 from jujubebarrow.peers.codecs import decode, encode
-from jujubebarrow.peers.messages import Challenge, Hello
+from jujubebarrow.peers.handshake_messages import Challenge, Hello
 from jujubebarrow.peers.proofs import prove
 from jujubebarrow.standins.fleets import PEER_SECRET, FleetShape
 from jujubebarrow.standins.ports import LOOPBACK
--- a/jujubebarrow/tests/test_peer_links.py
+++ b/jujubebarrow/tests/test_peer_links.py
@@ -12,15 +12,10 @@
 from jujubebarrow.errors.exceptions import PeerLostError
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.peers.codecs import decode, encode
+from jujubebarrow.peers.handshake_messages import Challenge, Hello, Welcome
 from jujubebarrow.peers.identities import PeerIdentity
 from jujubebarrow.peers.links import PeerLink
-from jujubebarrow.peers.messages import (
-    Challenge,
-    Hello,
-    LoanReply,
-    LoanRequest,
-    Welcome,
-)
+from jujubebarrow.peers.loan_messages import LoanReply, LoanRequest
 from jujubebarrow.peers.proofs import prove
 
 OWN = PeerIdentity("entry-0", "process-0", "zone-a")
