--- a/jujubebarrow/benches/policies.py
+++ b/jujubebarrow/benches/policies.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from jujubebarrow.configurations.records import Priority
+from jujubebarrow.configurations.priorities import Priority
 from jujubebarrow.identifiers import QueueId, TeamId
 from jujubebarrow.queues.pool_schedulers import PoolScheduler
 from jujubebarrow.queues.team_queues import TeamQueues
--- a/jujubebarrow/benches/simulations.py
+++ b/jujubebarrow/benches/simulations.py
@@ -15,19 +15,17 @@
     Configuration,
     row_key,
 )
+from jujubebarrow.configurations.instance_records import Instance
 from jujubebarrow.configurations.instance_states import InstanceState
+from jujubebarrow.configurations.maintenance_records import Maintenance
+from jujubebarrow.configurations.pool_records import Pool
+from jujubebarrow.configurations.preset_records import Preset
+from jujubebarrow.configurations.priorities import Priority
+from jujubebarrow.configurations.queue_records import Queue
+from jujubebarrow.configurations.record_bases import Record
 from jujubebarrow.configurations.record_kinds import RecordKind
-from jujubebarrow.configurations.records import (
-    Instance,
-    Maintenance,
-    Pool,
-    Preset,
-    Priority,
-    Queue,
-    Record,
-    Selection,
-    Team,
-)
+from jujubebarrow.configurations.selection_records import Selection
+from jujubebarrow.configurations.team_records import Team
 from jujubebarrow.errors.exceptions import RefusalError
 from jujubebarrow.identifiers import KeyDigest, PoolId, QueueId, RequestId, TeamId
 from jujubebarrow.invariants.monitors import InvariantMonitor
--- a/jujubebarrow/callers/authenticators.py
+++ b/jujubebarrow/callers/authenticators.py
@@ -5,7 +5,8 @@
 from typing import NamedTuple
 
 from jujubebarrow.configurations.configurations import Configuration
-from jujubebarrow.configurations.records import KeyState, Queue
+from jujubebarrow.configurations.key_states import KeyState
+from jujubebarrow.configurations.queue_records import Queue
 from jujubebarrow.errors.exceptions import RefusalError
 from jujubebarrow.errors.kinds import ErrorKind
 from jujubebarrow.identifiers import OPEN_TEAM, KeyDigest, TeamId
--- a/jujubebarrow/callers/request_handlers.py
+++ b/jujubebarrow/callers/request_handlers.py
@@ -7,7 +7,7 @@
 from jujubebarrow.callers.caller_contexts import CallerContext
 from jujubebarrow.callers.deadlines import read_timeout
 from jujubebarrow.callers.job_documents import JobDocument
-from jujubebarrow.configurations.records import Queue
+from jujubebarrow.configurations.queue_records import Queue
 from jujubebarrow.errors.exceptions import RefusalError
 from jujubebarrow.errors.kinds import ErrorKind
 from jujubebarrow.homes.run_results import RunResult
--- a/jujubebarrow/configurations/configurations.py
+++ b/jujubebarrow/configurations/configurations.py
@@ -6,20 +6,18 @@
 from loguru import logger
 from pydantic import ValidationError
 
+from jujubebarrow.configurations.budget_records import Budget
+from jujubebarrow.configurations.instance_records import Instance
+from jujubebarrow.configurations.key_records import Key
+from jujubebarrow.configurations.maintenance_records import Maintenance
+from jujubebarrow.configurations.pool_records import Pool
+from jujubebarrow.configurations.preset_records import Preset
+from jujubebarrow.configurations.queue_records import Queue
+from jujubebarrow.configurations.record_bases import Record
 from jujubebarrow.configurations.record_kinds import RecordKind
-from jujubebarrow.configurations.records import (
-    RECORD_TYPES,
-    Budget,
-    Instance,
-    Key,
-    Maintenance,
-    Pool,
-    Preset,
-    Queue,
-    Record,
-    Selection,
-    Team,
-)
+from jujubebarrow.configurations.records import RECORD_TYPES
+from jujubebarrow.configurations.selection_records import Selection
+from jujubebarrow.configurations.team_records import Team
 from jujubebarrow.invariants.monitors import InvariantMonitor
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.platforms.row_indexes import RowIndex
--- a/jujubebarrow/homes/attempts.py
+++ b/jujubebarrow/homes/attempts.py
@@ -6,7 +6,7 @@
 
 from jujubebarrow.clocks.clocks import Clock
 from jujubebarrow.configurations.configurations import Configuration
-from jujubebarrow.configurations.records import KeyState
+from jujubebarrow.configurations.key_states import KeyState
 from jujubebarrow.errors.exceptions import DispatchError, RefusalError
 from jujubebarrow.errors.kinds import ErrorKind
 from jujubebarrow.homes.borrowers import Borrower
--- a/jujubebarrow/homes/home_services.py
+++ b/jujubebarrow/homes/home_services.py
@@ -6,7 +6,7 @@
 from jujubebarrow.claims.claims import Outcome
 from jujubebarrow.clocks.clocks import Clock
 from jujubebarrow.configurations.configurations import Configuration
-from jujubebarrow.configurations.records import Queue
+from jujubebarrow.configurations.queue_records import Queue
 from jujubebarrow.errors.exceptions import RefusalError
 from jujubebarrow.errors.kinds import ErrorKind
 from jujubebarrow.errors.run_states import RunState
--- a/jujubebarrow/maintenance/changes.py
+++ b/jujubebarrow/maintenance/changes.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass, field
 
 from jujubebarrow.configurations.configurations import row_key
+from jujubebarrow.configurations.record_bases import Record
 from jujubebarrow.configurations.record_kinds import RecordKind
-from jujubebarrow.configurations.records import Record
 from jujubebarrow.platforms.transactions import Transaction
 
 RecordName = tuple[RecordKind, str]
--- a/jujubebarrow/maintenance/planners.py
+++ b/jujubebarrow/maintenance/planners.py
@@ -3,9 +3,11 @@
 from collections import Counter
 
 from jujubebarrow.configurations.configurations import Configuration
+from jujubebarrow.configurations.instance_records import Instance
 from jujubebarrow.configurations.instance_states import InstanceState
+from jujubebarrow.configurations.maintenance_records import Maintenance
+from jujubebarrow.configurations.move_causes import MoveCause
 from jujubebarrow.configurations.record_kinds import RecordKind
-from jujubebarrow.configurations.records import Instance, Maintenance, MoveCause
 from jujubebarrow.errors.exceptions import RefusalError
 from jujubebarrow.maintenance.changes import Change
 from jujubebarrow.maintenance.observations import FleetObservations
--- a/jujubebarrow/maintenance/transitions.py
+++ b/jujubebarrow/maintenance/transitions.py
@@ -1,9 +1,12 @@
 """Changes of an instance's state, each within its pool's budget."""
 
+from jujubebarrow.configurations.budget_records import Budget
 from jujubebarrow.configurations.configurations import Configuration
+from jujubebarrow.configurations.instance_records import Instance
 from jujubebarrow.configurations.instance_states import InstanceState
+from jujubebarrow.configurations.move_causes import MoveCause
+from jujubebarrow.configurations.pool_records import Pool
 from jujubebarrow.configurations.record_kinds import RecordKind
-from jujubebarrow.configurations.records import Budget, Instance, MoveCause, Pool
 from jujubebarrow.errors.exceptions import RefusalError
 from jujubebarrow.errors.kinds import ErrorKind
 from jujubebarrow.maintenance.changes import Change
--- a/jujubebarrow/maintenance/waves.py
+++ b/jujubebarrow/maintenance/waves.py
@@ -3,9 +3,10 @@
 from collections import defaultdict
 
 from jujubebarrow.configurations.configurations import Configuration
+from jujubebarrow.configurations.instance_records import Instance
 from jujubebarrow.configurations.instance_states import InstanceState
+from jujubebarrow.configurations.maintenance_records import Maintenance
 from jujubebarrow.configurations.record_kinds import RecordKind
-from jujubebarrow.configurations.records import Instance, Maintenance
 from jujubebarrow.maintenance.observations import FleetObservations
 
 BUSY_WAIT_SECONDS = 0.5
--- a/jujubebarrow/operators/fleet_handlers.py
+++ b/jujubebarrow/operators/fleet_handlers.py
@@ -2,8 +2,10 @@
 
 from jujubebarrow.configurations.configurations import SELECTION_NAME
 from jujubebarrow.configurations.instance_states import InstanceState
+from jujubebarrow.configurations.maintenance_records import Maintenance
+from jujubebarrow.configurations.move_causes import MoveCause
 from jujubebarrow.configurations.record_kinds import RecordKind
-from jujubebarrow.configurations.records import Maintenance, MoveCause, Selection
+from jujubebarrow.configurations.selection_records import Selection
 from jujubebarrow.errors.exceptions import DispatchError, RefusalError
 from jujubebarrow.errors.kinds import ErrorKind
 from jujubebarrow.maintenance.changes import Change
--- a/jujubebarrow/operators/key_handlers.py
+++ b/jujubebarrow/operators/key_handlers.py
@@ -3,8 +3,9 @@
 from secrets import token_urlsafe
 
 from jujubebarrow.callers.authenticators import digest_key
+from jujubebarrow.configurations.key_records import Key
+from jujubebarrow.configurations.key_states import KeyState
 from jujubebarrow.configurations.record_kinds import RecordKind
-from jujubebarrow.configurations.records import Key, KeyState
 from jujubebarrow.errors.exceptions import RefusalError
 from jujubebarrow.errors.kinds import ErrorKind
 from jujubebarrow.maintenance.changes import Change
--- a/jujubebarrow/operators/record_checks.py
+++ b/jujubebarrow/operators/record_checks.py
@@ -3,17 +3,15 @@
 from pydantic import ValidationError
 
 from jujubebarrow.configurations.configurations import Configuration
+from jujubebarrow.configurations.instance_records import Instance
 from jujubebarrow.configurations.instance_states import InstanceState
+from jujubebarrow.configurations.key_records import Key
+from jujubebarrow.configurations.preset_records import Preset
+from jujubebarrow.configurations.queue_records import Queue
+from jujubebarrow.configurations.record_bases import Record
 from jujubebarrow.configurations.record_kinds import RecordKind
-from jujubebarrow.configurations.records import (
-    RECORD_TYPES,
-    Instance,
-    Key,
-    Preset,
-    Queue,
-    Record,
-    Selection,
-)
+from jujubebarrow.configurations.records import RECORD_TYPES
+from jujubebarrow.configurations.selection_records import Selection
 from jujubebarrow.errors.exceptions import RefusalError
 from jujubebarrow.errors.kinds import ErrorKind
 
--- a/jujubebarrow/operators/record_handlers.py
+++ b/jujubebarrow/operators/record_handlers.py
@@ -1,7 +1,8 @@
 """Records of the configuration."""
 
+from jujubebarrow.configurations.budget_records import Budget
+from jujubebarrow.configurations.instance_records import Instance
 from jujubebarrow.configurations.record_kinds import RecordKind
-from jujubebarrow.configurations.records import Budget, Instance
 from jujubebarrow.errors.exceptions import RefusalError
 from jujubebarrow.errors.kinds import ErrorKind
 from jujubebarrow.maintenance.changes import Change
--- a/jujubebarrow/operators/status_readers.py
+++ b/jujubebarrow/operators/status_readers.py
@@ -4,8 +4,8 @@
 
 from jujubebarrow.clocks.clocks import Clock
 from jujubebarrow.configurations.configurations import Configuration
+from jujubebarrow.configurations.preset_records import Preset
 from jujubebarrow.configurations.record_kinds import RecordKind
-from jujubebarrow.configurations.records import Preset
 from jujubebarrow.identifiers import TeamId
 from jujubebarrow.limits.ledgers import LimitLedger
 from jujubebarrow.members.peer_directories import PeerDirectory, PeerRecord
--- a/jujubebarrow/peers/forward_messages.py
+++ b/jujubebarrow/peers/forward_messages.py
@@ -2,7 +2,7 @@
 
 from typing import Literal
 
-from jujubebarrow.configurations.records import Priority
+from jujubebarrow.configurations.priorities import Priority
 from jujubebarrow.errors.kinds import ErrorKind
 from jujubebarrow.errors.run_states import RunState
 from jujubebarrow.peers.message_bases import Message
--- a/jujubebarrow/pools/move_planners.py
+++ b/jujubebarrow/pools/move_planners.py
@@ -4,9 +4,10 @@
 from math import ceil
 
 from jujubebarrow.configurations.configurations import Configuration
+from jujubebarrow.configurations.instance_records import Instance
 from jujubebarrow.configurations.instance_states import InstanceState
+from jujubebarrow.configurations.move_causes import MoveCause
 from jujubebarrow.configurations.record_kinds import RecordKind
-from jujubebarrow.configurations.records import Instance, MoveCause
 from jujubebarrow.maintenance.observations import FleetObservations, PoolDemand
 from jujubebarrow.pools.moves import Move
 
--- a/jujubebarrow/queues/entries.py
+++ b/jujubebarrow/queues/entries.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from jujubebarrow.configurations.records import Priority
+from jujubebarrow.configurations.priorities import Priority
 from jujubebarrow.identifiers import (
     KeyDigest,
     PoolId,
--- a/jujubebarrow/queues/pool_schedulers.py
+++ b/jujubebarrow/queues/pool_schedulers.py
@@ -4,7 +4,7 @@
 
 from jujubebarrow.clocks.clocks import Clock
 from jujubebarrow.configurations.configurations import Configuration
-from jujubebarrow.configurations.records import Priority
+from jujubebarrow.configurations.priorities import Priority
 from jujubebarrow.errors.exceptions import RefusalError
 from jujubebarrow.errors.kinds import ErrorKind
 from jujubebarrow.identifiers import OPEN_TEAM, PoolId, QueueId, TeamId
--- a/jujubebarrow/routes/upstream_sets.py
+++ b/jujubebarrow/routes/upstream_sets.py
@@ -3,8 +3,8 @@
 from collections.abc import Collection
 
 from jujubebarrow.clocks.clocks import Clock
+from jujubebarrow.configurations.instance_records import Instance
 from jujubebarrow.configurations.instance_states import InstanceState
-from jujubebarrow.configurations.records import Instance
 from jujubebarrow.identifiers import UpstreamId
 from jujubebarrow.routes.ejections import Ejection
 from jujubebarrow.routes.upstream_slots import UpstreamSlots
--- a/jujubebarrow/routes/upstream_slots.py
+++ b/jujubebarrow/routes/upstream_slots.py
@@ -1,6 +1,6 @@
 """Slots of one upstream as its home instance sees them."""
 
-from jujubebarrow.configurations.records import Instance
+from jujubebarrow.configurations.instance_records import Instance
 from jujubebarrow.identifiers import UpstreamId
 from jujubebarrow.routes.ejections import Ejection
 
--- a/jujubebarrow/services/control_services.py
+++ b/jujubebarrow/services/control_services.py
@@ -10,9 +10,9 @@
 from jujubebarrow.background_loops import BackgroundLoop
 from jujubebarrow.clocks.clocks import Clock
 from jujubebarrow.configurations.configurations import Configuration
+from jujubebarrow.configurations.instance_records import Instance
 from jujubebarrow.configurations.instance_states import InstanceState
 from jujubebarrow.configurations.record_kinds import RecordKind
-from jujubebarrow.configurations.records import Instance
 from jujubebarrow.errors.exceptions import (
     DispatchError,
     RefusalError,
--- a/jujubebarrow/services/fleet_observers.py
+++ b/jujubebarrow/services/fleet_observers.py
@@ -4,9 +4,9 @@
 from collections.abc import Iterable
 
 from jujubebarrow.configurations.configurations import Configuration
+from jujubebarrow.configurations.instance_records import Instance
 from jujubebarrow.configurations.instance_states import InstanceState
 from jujubebarrow.configurations.record_kinds import RecordKind
-from jujubebarrow.configurations.records import Instance
 from jujubebarrow.errors.exceptions import DispatchError
 from jujubebarrow.maintenance.observations import FleetObservations, PoolDemand
 from jujubebarrow.members.absences import AbsenceTracker
--- a/jujubebarrow/services/job_services.py
+++ b/jujubebarrow/services/job_services.py
@@ -9,7 +9,7 @@
 from jujubebarrow.claims.claims import Outcome, digest_body
 from jujubebarrow.clocks.clocks import Clock
 from jujubebarrow.configurations.configurations import Configuration
-from jujubebarrow.configurations.records import Priority
+from jujubebarrow.configurations.priorities import Priority
 from jujubebarrow.errors.exceptions import (
     PeerLostError,
     RefusalError,
--- a/jujubebarrow/tests/fakes/mutations.py
+++ b/jujubebarrow/tests/fakes/mutations.py
@@ -6,7 +6,7 @@
 from unittest.mock import patch
 
 from jujubebarrow.claims.claim_states import ClaimVerdict
-from jujubebarrow.configurations.records import Pool
+from jujubebarrow.configurations.pool_records import Pool
 from jujubebarrow.errors.exceptions import RefusalError
 from jujubebarrow.errors.kinds import ErrorKind
 from jujubebarrow.maintenance.changes import Change
--- a/jujubebarrow/tests/fakes/table_audits.py
+++ b/jujubebarrow/tests/fakes/table_audits.py
@@ -1,7 +1,10 @@
 """What must hold in the table after every transaction."""
 
+from jujubebarrow.configurations.budget_records import Budget
+from jujubebarrow.configurations.instance_records import Instance
 from jujubebarrow.configurations.instance_states import InstanceState
-from jujubebarrow.configurations.records import Budget, Instance, MoveCause, Pool
+from jujubebarrow.configurations.move_causes import MoveCause
+from jujubebarrow.configurations.pool_records import Pool
 from jujubebarrow.platforms.transactions import Transaction
 from jujubebarrow.standins.tables import Table
 
--- a/jujubebarrow/tests/fakes/world_runs.py
+++ b/jujubebarrow/tests/fakes/world_runs.py
@@ -5,14 +5,12 @@
 
 from loguru import logger
 
+from jujubebarrow.configurations.maintenance_records import Maintenance
+from jujubebarrow.configurations.preset_records import Preset
+from jujubebarrow.configurations.priorities import Priority
+from jujubebarrow.configurations.queue_records import Queue
 from jujubebarrow.configurations.record_kinds import RecordKind
-from jujubebarrow.configurations.records import (
-    Maintenance,
-    Preset,
-    Priority,
-    Queue,
-    Team,
-)
+from jujubebarrow.configurations.team_records import Team
 from jujubebarrow.jobs.jobs import CLOSED_PREFIX, OPEN_PREFIX
 from jujubebarrow.tests.fakes.virtual_loops import run_virtual
 from jujubebarrow.tests.fakes.world_callers import Call, WorldCallers
--- a/jujubebarrow/tests/fakes/worlds.py
+++ b/jujubebarrow/tests/fakes/worlds.py
@@ -11,18 +11,16 @@
 
 from jujubebarrow.callers.authenticators import digest_key
 from jujubebarrow.configurations.configurations import row_key
+from jujubebarrow.configurations.instance_records import Instance
+from jujubebarrow.configurations.key_records import Key
+from jujubebarrow.configurations.key_states import KeyState
+from jujubebarrow.configurations.pool_records import Pool
+from jujubebarrow.configurations.preset_records import Preset
+from jujubebarrow.configurations.queue_records import Queue
+from jujubebarrow.configurations.record_bases import Record
 from jujubebarrow.configurations.record_kinds import RecordKind
-from jujubebarrow.configurations.records import (
-    Instance,
-    Key,
-    KeyState,
-    Pool,
-    Preset,
-    Queue,
-    Record,
-    Selection,
-    Team,
-)
+from jujubebarrow.configurations.selection_records import Selection
+from jujubebarrow.configurations.team_records import Team
 from jujubebarrow.daemons.nodes import Node
 from jujubebarrow.maintenance.changes import Change
 from jujubebarrow.metrics.registries import MetricsRegistry
--- a/jujubebarrow/tests/proof_limits.py
+++ b/jujubebarrow/tests/proof_limits.py
@@ -9,7 +9,7 @@
 from jujubebarrow.clocks.manual_clocks import ManualClock
 from jujubebarrow.configurations.configurations import Configuration, row_key
 from jujubebarrow.configurations.record_kinds import RecordKind
-from jujubebarrow.configurations.records import Team
+from jujubebarrow.configurations.team_records import Team
 from jujubebarrow.identifiers import TeamId
 from jujubebarrow.invariants.monitors import InvariantMonitor
 from jujubebarrow.limits.ledgers import LimitLedger
--- a/jujubebarrow/tests/proof_maintenance.py
+++ b/jujubebarrow/tests/proof_maintenance.py
@@ -8,17 +8,15 @@
     Configuration,
     row_key,
 )
+from jujubebarrow.configurations.instance_records import Instance
 from jujubebarrow.configurations.instance_states import InstanceState
+from jujubebarrow.configurations.maintenance_records import Maintenance
+from jujubebarrow.configurations.move_causes import MoveCause
+from jujubebarrow.configurations.pool_records import Pool
+from jujubebarrow.configurations.preset_records import Preset
+from jujubebarrow.configurations.record_bases import Record
 from jujubebarrow.configurations.record_kinds import RecordKind
-from jujubebarrow.configurations.records import (
-    Instance,
-    Maintenance,
-    MoveCause,
-    Pool,
-    Preset,
-    Record,
-    Selection,
-)
+from jujubebarrow.configurations.selection_records import Selection
 from jujubebarrow.errors.exceptions import RefusalError
 from jujubebarrow.invariants.monitors import InvariantMonitor
 from jujubebarrow.maintenance.changes import Change
