Measure what stays usable under each fault, and the recovery

Cause: recovery was only bounded by a check 90 s after healing. Also: commands, operators' handlers and documents have a module for each subject, in place of three shared ones.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 EXAMPLES ?= 2000
 
-.PHONY: venv test demo bench slopes proofs soak experiment format
+.PHONY: venv test demo bench recovery slopes proofs soak experiment format
 
 venv: $(VENV)/.installed
 
@@ -31,6 +31,9 @@
 bench: venv
 	$(BIN)/python -m jujubebarrow.benches.proxies
 
+recovery: venv
+	$(BIN)/python -m jujubebarrow.tests.recoveries
+
 slopes: venv
 	$(BIN)/python -m jujubebarrow.benches.slopes
 
--- /dev/null
+++ b/jujubebarrow/commands/instance_commands.py
@@ -0,0 +1,67 @@
+"""Instances of the fleet."""
+
+from typing import Any, ClassVar
+from urllib.parse import quote
+
+from cleo.helpers import argument, option
+
+from jujubebarrow.commands.base_commands import COMMON_OPTIONS, OperatorCommand
+from jujubebarrow.commands.clients import OperatorClient
+from jujubebarrow.operators.instance_documents import InstanceAction
+from jujubebarrow.operators.record_documents import Committed
+
+
+class _InstanceCommand(OperatorCommand):
+    """Base of commands on one instance of the fleet."""
+
+    action = ""
+    arguments: ClassVar[list[Any]] = [argument("instance", "Instance.")]
+    options = [
+        *COMMON_OPTIONS,
+        option("reason", None, "Kept with the instance.", flag=False),
+    ]
+
+    def run_with(self, client: OperatorClient) -> None:
+        """Start the action; control carries it through."""
+        name = self.argument("instance")
+        request = InstanceAction(
+            action=self.action,
+            target=self.target(),
+            reason=self.option("reason") or "operator",
+        )
+        path = f"/v1/instances/{quote(name, safe='')}/actions"
+        done = client.change("POST", path, Committed, request)
+        self.tell(done, f"{name}: {self.action} at revision {done.revision}")
+
+    def target(self) -> str | None:
+        """Return the pool to move to."""
+        return None
+
+
+class InstanceDrainCommand(_InstanceCommand):
+    """Drains an instance."""
+
+    name = "instance drain"
+    description = "Take an instance out of service once its work has ended."
+    action = "drain"
+
+
+class InstanceResumeCommand(_InstanceCommand):
+    """Puts an instance back into service."""
+
+    name = "instance resume"
+    description = "Put a drained or failed instance back into service."
+    action = "resume"
+
+
+class InstanceMoveCommand(_InstanceCommand):
+    """Moves an instance to another pool."""
+
+    name = "instance move"
+    description = "Drain an instance and put it into another pool."
+    action = "move"
+    arguments = [argument("instance", "Instance."), argument("pool", "Pool.")]
+
+    def target(self) -> str | None:
+        """Return the pool to move to."""
+        return self.argument("pool")
--- a/jujubebarrow/commands/main.py
+++ b/jujubebarrow/commands/main.py
@@ -6,22 +6,24 @@
 
 from jujubebarrow import __version__
 from jujubebarrow.commands.check_commands import CheckCommand
-from jujubebarrow.commands.fleet_commands import (
+from jujubebarrow.commands.instance_commands import (
     InstanceDrainCommand,
     InstanceMoveCommand,
     InstanceResumeCommand,
+)
+from jujubebarrow.commands.job_commands import (
     JobCancelCommand,
     JobListCommand,
     JobShowCommand,
-    KeyGrantCommand,
-    KeyWithdrawCommand,
+)
+from jujubebarrow.commands.key_commands import KeyGrantCommand, KeyWithdrawCommand
+from jujubebarrow.commands.maintenance_commands import (
     MaintenanceEndCommand,
     MaintenanceListCommand,
     MaintenancePauseCommand,
     MaintenanceStartCommand,
-    PresetPlanCommand,
-    PresetUseCommand,
 )
+from jujubebarrow.commands.preset_commands import PresetPlanCommand, PresetUseCommand
 from jujubebarrow.commands.record_commands import (
     DeleteCommand,
     ListCommand,
--- a/jujubebarrow/commands/record_commands.py
+++ b/jujubebarrow/commands/record_commands.py
@@ -9,7 +9,11 @@
 from jujubebarrow.commands.base_commands import OperatorCommand
 from jujubebarrow.commands.clients import OperatorClient
 from jujubebarrow.commands.failures import CommandError, ExitCode
-from jujubebarrow.operators.documents import Committed, RecordDocument, RecordList
+from jujubebarrow.operators.record_documents import (
+    Committed,
+    RecordDocument,
+    RecordList,
+)
 
 KIND_ARGUMENT = argument(
     "kind", "One of pools, queues, teams, presets, instances, keys, budgets."
--- a/jujubebarrow/commands/status_commands.py
+++ b/jujubebarrow/commands/status_commands.py
@@ -7,11 +7,8 @@
 
 from jujubebarrow.commands.base_commands import OperatorCommand
 from jujubebarrow.commands.clients import OperatorClient
-from jujubebarrow.operators.documents import (
-    ExplainedSubject,
-    FleetStatus,
-    InstanceStatus,
-)
+from jujubebarrow.operators.explanation_documents import ExplainedSubject
+from jujubebarrow.operators.status_documents import FleetStatus, InstanceStatus
 
 INSTANCE_HEADERS = [
     "instance",
--- a/jujubebarrow/daemons/nodes.py
+++ b/jujubebarrow/daemons/nodes.py
@@ -272,6 +272,12 @@
             if record.status.ready and not record.status.leaving
         )
 
+    @property
+    def slots(self) -> int:
+        """Slots of upstreams in service in the pools that it is home of."""
+        _, reports = self._report_pools()
+        return sum(report.slots for report in reports.values())
+
     def _may_control(self) -> bool:
         return self._seats.may_write and not self._stopping
 
--- a/jujubebarrow/operators/applications.py
+++ b/jujubebarrow/operators/applications.py
@@ -3,15 +3,11 @@
 from tornado.web import Application
 
 from jujubebarrow.callers.base_handlers import UnknownPathHandler
-from jujubebarrow.operators.fleet_handlers import (
-    InstanceActionHandler,
-    PresetHandler,
-    PresetPlanHandler,
-    WaveHandler,
-    WavesHandler,
-)
+from jujubebarrow.operators.instance_handlers import InstanceActionHandler
 from jujubebarrow.operators.key_handlers import KeyHandler, KeysHandler
+from jujubebarrow.operators.maintenance_handlers import WaveHandler, WavesHandler
 from jujubebarrow.operators.operator_contexts import OperatorContext
+from jujubebarrow.operators.preset_handlers import PresetHandler, PresetPlanHandler
 from jujubebarrow.operators.record_handlers import RecordHandler, RecordsHandler
 from jujubebarrow.operators.status_handlers import (
     ExplainHandler,
--- /dev/null
+++ b/jujubebarrow/operators/instance_handlers.py
@@ -0,0 +1,53 @@
+"""Instances of the fleet."""
+
+from jujubebarrow.configurations.instance_states import InstanceState
+from jujubebarrow.configurations.move_causes import MoveCause
+from jujubebarrow.errors.exceptions import DispatchError, RefusalError
+from jujubebarrow.errors.kinds import ErrorKind
+from jujubebarrow.maintenance.changes import Change
+from jujubebarrow.maintenance.transitions import (
+    bring_back,
+    require_instance,
+    require_pool,
+    take_out,
+)
+from jujubebarrow.operators.instance_documents import InstanceAction
+from jujubebarrow.operators.operator_handlers import OperatorHandler
+
+
+class InstanceActionHandler(OperatorHandler):
+    """Drains, moves and resumes an instance."""
+
+    async def post(self, name: str) -> None:
+        """Start an action; control carries it through."""
+        action = self.read(InstanceAction)
+        match action.action:
+            case "drain":
+                change = self._take_out(name, MoveCause.OPERATOR, None, action)
+            case "move":
+                target = action.target or ""
+                require_pool(self.context.configuration, target)
+                change = self._take_out(name, MoveCause.MOVE, target, action)
+            case "resume":
+                change = await self._resume(name, action)
+            case _:
+                raise RefusalError(ErrorKind.BAD_REQUEST, "drain, resume or move")
+        await self.commit(change)
+
+    def _take_out(
+        self, name: str, cause: MoveCause, target: str | None, action: InstanceAction
+    ) -> Change:
+        return take_out(self.context.configuration, name, cause, target, action.reason)
+
+    async def _resume(self, name: str, action: InstanceAction) -> Change:
+        configuration = self.context.configuration
+        instance = require_instance(configuration, name)
+        if instance.state not in (InstanceState.DRAINING, InstanceState.FAILED):
+            raise RefusalError(
+                ErrorKind.BAD_REQUEST, f"instance {name} is {instance.state.value}"
+            )
+        try:
+            await self.context.upstreams.resume(instance.address)
+        except DispatchError as error:
+            raise RefusalError(ErrorKind.UPSTREAM_TIMEOUT, str(error)) from error
+        return bring_back(configuration, name, action.reason, None)
--- a/jujubebarrow/operators/key_handlers.py
+++ b/jujubebarrow/operators/key_handlers.py
@@ -9,7 +9,7 @@
 from jujubebarrow.errors.exceptions import RefusalError
 from jujubebarrow.errors.kinds import ErrorKind
 from jujubebarrow.maintenance.changes import Change
-from jujubebarrow.operators.documents import GrantedKey, KeyRequest
+from jujubebarrow.operators.key_documents import GrantedKey, KeyRequest
 from jujubebarrow.operators.operator_handlers import OperatorHandler
 from jujubebarrow.operators.record_checks import check_references
 
--- /dev/null
+++ b/jujubebarrow/operators/maintenance_handlers.py
@@ -0,0 +1,58 @@
+"""Maintenance waves."""
+
+from jujubebarrow.configurations.maintenance_records import Maintenance
+from jujubebarrow.configurations.record_kinds import RecordKind
+from jujubebarrow.errors.exceptions import RefusalError
+from jujubebarrow.errors.kinds import ErrorKind
+from jujubebarrow.maintenance.changes import Change
+from jujubebarrow.maintenance.transitions import require_pool
+from jujubebarrow.operators.maintenance_documents import WaveList, WaveRequest
+from jujubebarrow.operators.operator_handlers import OperatorHandler
+
+
+class WavesHandler(OperatorHandler):
+    """Lists maintenance waves."""
+
+    def get(self) -> None:
+        """Show the progress of all waves."""
+        self.answer(WaveList(waves=self.context.status.waves()))
+
+
+class WaveHandler(OperatorHandler):
+    """Starts, pauses, resumes and ends a maintenance wave."""
+
+    async def put(self, name: str) -> None:
+        """Start a wave."""
+        request = self.read(WaveRequest)
+        for pool in request.pools:
+            require_pool(self.context.configuration, pool)
+        wave = Maintenance(
+            pools=request.pools,
+            started=self.context.clock.wall(),
+            failure_limit=request.failure_limit,
+        )
+        await self._write(name, wave, f"maintenance {name} started")
+
+    async def post(self, name: str) -> None:
+        """Pause a wave, or resume a paused one."""
+        wave = self.context.configuration.waves().get(name)
+        if wave is None:
+            raise RefusalError(ErrorKind.NOT_FOUND, f"maintenance {name}")
+        paused = not wave.paused
+        verb = "paused" if paused else "resumed"
+        changed = wave.model_copy(update={"paused": paused})
+        await self._write(name, changed, f"maintenance {name} {verb}")
+
+    async def delete(self, name: str) -> None:
+        """End a wave; instances that are out finish their maintenance."""
+        if name not in self.context.configuration.waves():
+            raise RefusalError(ErrorKind.NOT_FOUND, f"maintenance {name}")
+        await self._write(name, None, f"maintenance {name} ended")
+
+    async def _write(self, name: str, wave: Maintenance | None, reason: str) -> None:
+        key = (RecordKind.MAINTENANCE, name)
+        revision = self.context.configuration.row_revision(*key)
+        change = Change(
+            writes={key: wave}, conditions={key: revision}, reason=reason, subject=name
+        )
+        await self.commit(change)
--- a/jujubebarrow/operators/operator_handlers.py
+++ b/jujubebarrow/operators/operator_handlers.py
@@ -10,8 +10,8 @@
 from jujubebarrow.errors.exceptions import RefusalError
 from jujubebarrow.errors.kinds import ErrorKind
 from jujubebarrow.maintenance.changes import Change
-from jujubebarrow.operators.documents import Committed
 from jujubebarrow.operators.operator_contexts import OperatorContext
+from jujubebarrow.operators.record_documents import Committed
 
 _D = TypeVar("_D", bound=BaseModel)
 
--- /dev/null
+++ b/jujubebarrow/operators/preset_handlers.py
@@ -0,0 +1,44 @@
+"""Presets."""
+
+from jujubebarrow.configurations.configurations import SELECTION_NAME
+from jujubebarrow.configurations.record_kinds import RecordKind
+from jujubebarrow.configurations.selection_records import Selection
+from jujubebarrow.errors.exceptions import RefusalError
+from jujubebarrow.errors.kinds import ErrorKind
+from jujubebarrow.maintenance.changes import Change
+from jujubebarrow.operators.operator_handlers import OperatorHandler
+from jujubebarrow.operators.preset_documents import PresetRequest
+from jujubebarrow.operators.record_checks import check_references
+
+
+class PresetHandler(OperatorHandler):
+    """Puts a preset in force."""
+
+    async def put(self) -> None:
+        """Select a preset."""
+        selection = Selection(preset=self.read(PresetRequest).preset)
+        configuration = self.context.configuration
+        check_references(configuration, selection)
+        name = (RecordKind.SELECTION, SELECTION_NAME)
+        preset = (RecordKind.PRESET, selection.preset)
+        change = Change(
+            writes={name: selection},
+            conditions={
+                name: configuration.row_revision(*name),
+                preset: configuration.row_revision(*preset),
+            },
+            reason=f"preset {selection.preset} in force",
+            subject=selection.preset,
+        )
+        await self.commit(change)
+
+
+class PresetPlanHandler(OperatorHandler):
+    """Foretells the effect of a preset."""
+
+    def get(self, name: str) -> None:
+        """Show what a preset would change."""
+        plan = self.context.status.plan_preset(name)
+        if plan is None:
+            raise RefusalError(ErrorKind.NOT_FOUND, f"preset {name}")
+        self.answer(plan)
--- a/jujubebarrow/operators/record_handlers.py
+++ b/jujubebarrow/operators/record_handlers.py
@@ -6,7 +6,6 @@
 from jujubebarrow.errors.exceptions import RefusalError
 from jujubebarrow.errors.kinds import ErrorKind
 from jujubebarrow.maintenance.changes import Change
-from jujubebarrow.operators.documents import RecordDocument, RecordList
 from jujubebarrow.operators.operator_handlers import OperatorHandler
 from jujubebarrow.operators.record_checks import (
     WRITABLE_KINDS,
@@ -16,6 +15,7 @@
     parse_record,
     read_kind,
 )
+from jujubebarrow.operators.record_documents import RecordDocument, RecordList
 
 
 class RecordsHandler(OperatorHandler):
--- a/jujubebarrow/operators/status_handlers.py
+++ b/jujubebarrow/operators/status_handlers.py
@@ -4,11 +4,8 @@
 
 from jujubebarrow.callers.job_documents import describe_job
 from jujubebarrow.errors.exceptions import PeerLostError
-from jujubebarrow.operators.documents import (
-    ExplainedLine,
-    ExplainedSubject,
-    JobList,
-)
+from jujubebarrow.operators.explanation_documents import ExplainedLine, ExplainedSubject
+from jujubebarrow.operators.job_documents import JobList
 from jujubebarrow.operators.operator_handlers import OperatorHandler
 from jujubebarrow.peers.explanation_messages import ExplainRequest, Explanations
 
--- a/jujubebarrow/operators/status_readers.py
+++ b/jujubebarrow/operators/status_readers.py
@@ -9,13 +9,12 @@
 from jujubebarrow.identifiers import TeamId
 from jujubebarrow.limits.ledgers import LimitLedger
 from jujubebarrow.members.peer_directories import PeerDirectory, PeerRecord
-from jujubebarrow.operators.documents import (
+from jujubebarrow.operators.maintenance_documents import WaveProgress
+from jujubebarrow.operators.preset_documents import PoolPlan, PresetPlan
+from jujubebarrow.operators.status_documents import (
     FleetStatus,
     InstanceStatus,
-    PoolPlan,
-    PresetPlan,
     TeamStatus,
-    WaveProgress,
 )
 from jujubebarrow.services.configuration_services import ConfigurationService
 from jujubebarrow.services.status_reporters import StatusReporter
--- a/jujubebarrow/tests/fakes/world_runs.py
+++ b/jujubebarrow/tests/fakes/world_runs.py
@@ -103,11 +103,15 @@
         run_virtual(self._run())
         return self
 
+    async def open(self) -> None:
+        """Start all instances with a configuration and keys."""
+        await self.world.open(self.world.team_records(TEAMS, QUEUES))
+        for team in TEAMS:
+            self.world.grant(team, f"key of {team}")
+
     async def _run(self) -> None:
         world = self.world
-        await world.open(world.team_records(TEAMS, QUEUES))
-        for team in TEAMS:
-            world.grant(team, f"key of {team}")
+        await self.open()
         await sleep(WARM_UP_SECONDS)
         load = create_task(self.callers.send(STREAMS, FAULT_SECONDS, RATE))
         strikes = [create_task(self._strike(fault)) for fault in self._faults]
