Let only holders of a seat vouch for their configuration

Cause: a new holder asks all other holders before it writes, but nobody without a seat. An instance without one, cut from the platform together with the holders it knew, counted their answers and could take a withdrawn key after the stated seconds. The only holder now vouches for itself, so that one instance alone outlives an outage. Conclusion: kept as a focused test beside the model.

--- a/jujubebarrow/configurations/freshness.py
+++ b/jujubebarrow/configurations/freshness.py
@@ -41,7 +41,8 @@
         self._limit = limit
         self._verified = float("-inf")
         self._attestations: dict[str, Attestation] = {}
-        self._holders: frozenset[str] | None = None
+        self._holders: frozenset[str] = frozenset()
+        self._holds_seat = False
 
     def renew(self, asked: float) -> None:
         """Record that the platform confirmed completeness.
@@ -51,9 +52,15 @@
         """
         self._verified = max(self._verified, asked)
 
-    def set_holders(self, holders: frozenset[str]) -> None:
-        """Set the incarnations of all other holders of a seat."""
+    def set_holders(self, holders: frozenset[str], holds_seat: bool) -> None:
+        """Set who holds a seat.
+
+        Args:
+            holders: Incarnations of all other holders.
+            holds_seat: Whether this process holds one itself.
+        """
         self._holders = holders
+        self._holds_seat = holds_seat
 
     def attest(self, peer: str, attestation: Attestation, revision: int) -> None:
         """Record a peer's answer to a heartbeat.
@@ -81,10 +88,11 @@
         return self.age(revision) <= self._limit
 
     def _vouched(self, revision: int) -> float:
-        if not self._holders:
+        # A new holder asks all other holders before it writes, but no one else.
+        if not self._holds_seat:
             return float("-inf")
         times = [self._vouched_by(holder, revision) for holder in self._holders]
-        return min(times)
+        return min(times, default=self._clock.monotonic())
 
     def _vouched_by(self, holder: str, revision: int) -> float:
         attestation = self._attestations.get(holder)
--- a/jujubebarrow/services/seat_services.py
+++ b/jujubebarrow/services/seat_services.py
@@ -112,12 +112,15 @@
         if seat is None:
             return
         self._announced[incarnation] = self._clock.monotonic()
-        self._freshness.set_holders(frozenset(self._holders()))
+        self._tell_holders()
 
     def note_answer(self, incarnation: str) -> None:
         """Record that a peer answered a heartbeat that named the own seat."""
         self._awaited.discard(incarnation)
 
+    def _tell_holders(self) -> None:
+        self._freshness.set_holders(frozenset(self._holders()), self._settled)
+
     def _holders(self) -> set[str]:
         seated = {seat.incarnation for seat, _ in self._seats.values() if seat.instance}
         return (seated | self._announced.keys()) - {self._identity.incarnation}
@@ -159,7 +162,6 @@
         for seat, _ in self._seats.values():
             if seat.instance:
                 self._absences.expect(seat.instance)
-        self._freshness.set_holders(frozenset(self._holders()))
         self._check_own()
         if self._settled:
             self._awaited &= self._holders()
@@ -167,6 +169,7 @@
             # Read after the claim, so that of two new holders one knows the other.
             self._awaited = self._holders()
             self._settled = True
+        self._tell_holders()
 
     def _check_own(self) -> None:
         for number in self._ledger.seats:
--- a/jujubebarrow/tests/proof_freshness.py
+++ b/jujubebarrow/tests/proof_freshness.py
@@ -1,5 +1,7 @@
 """A configuration that counts as fresh lacks no change older than the limit."""
 
+import unittest
+
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
@@ -7,7 +9,8 @@
 from jujubebarrow.configurations.freshness import Attestation, FreshnessLease
 
 LIMIT = 6.0
-NODES = 3
+NODES = 4
+FIRST_HOLDERS = 2
 NODE = st.integers(0, NODES - 1)
 
 
@@ -39,11 +42,11 @@
         self.reads: list[tuple[Member, float, int]] = []
         self.pings: list[tuple[Member, Member, float, bool]] = []
         self.pongs: list[tuple[Member, Member, Attestation, bool]] = []
-        # Two holders stand; the third instance may join at any time.
-        for node in range(NODES - 1):
+        # Two holders stand; the others may join at any time.
+        for node in range(FIRST_HOLDERS):
             self.claim_seat(node)
-        for one in range(NODES - 1):
-            self.exchange(one)
+        for node in range(FIRST_HOLDERS):
+            self.exchange(node)
 
     @rule(node=NODE)
     def claim_seat(self, node: int) -> None:
@@ -54,8 +57,12 @@
             self._set_holders(member)
 
     def _set_holders(self, member: Member) -> None:
-        member.holders = self.seats - {member.name}
-        member.lease.set_holders(frozenset(member.holders))
+        member.holders |= self.seats - {member.name}
+        self._tell_holders(member)
+
+    def _tell_holders(self, member: Member) -> None:
+        holds = member.awaited is not None
+        member.lease.set_holders(frozenset(member.holders), holds)
 
     @rule(node=NODE)
     def ask_platform(self, node: int) -> None:
@@ -71,6 +78,7 @@
         if not lost:
             member.revision = max(member.revision, revision)
             member.lease.renew(asked)
+            self._set_holders(member)
 
     @rule(node=NODE)
     def write(self, node: int) -> None:
@@ -126,7 +134,7 @@
 
     def _note_holder(self, member: Member, holder: str) -> None:
         member.holders.add(holder)
-        member.lease.set_holders(frozenset(member.holders))
+        self._tell_holders(member)
 
     @precondition(lambda self: self.pongs)
     @rule(data=st.data(), lost=st.booleans())
@@ -162,3 +170,39 @@
 
 class FreshnessProof(FreshnessMachine.TestCase):  # type: ignore[name-defined,misc]
     pass
+
+
+class StrangerTest(unittest.TestCase):
+    """An instance without a seat, which new holders need not ask."""
+
+    def ask(self, machine: FreshnessMachine, one: int, other: int) -> None:
+        machine.ping(one, other)
+        machine._answer(machine.pings.pop())
+        machine._take(machine.pongs.pop())
+
+    def test_holders_that_are_cut_off_do_not_vouch_for_it(self) -> None:
+        machine = FreshnessMachine()
+        machine.ask_platform(3)
+        member, asked, _ = machine.reads.pop()
+        member.lease.renew(asked)
+        machine._set_holders(member)
+        machine.claim_seat(2)
+        for holder in range(FIRST_HOLDERS):
+            self.ask(machine, 2, holder)
+        machine.write(2)
+        writer, revision = machine.writes.pop()
+        writer.revision, writer.pending = revision, 0
+        machine.accepted.append((machine.clock.monotonic(), revision))
+        machine.advance(LIMIT + 1)
+        for holder in range(FIRST_HOLDERS):
+            self.ask(machine, 3, holder)
+        machine.fresh_means_complete()
+
+    def test_the_only_holder_vouches_for_itself(self) -> None:
+        clock = ManualClock()
+        lease = FreshnessLease(clock, LIMIT)
+        clock.advance(100.0)
+        lease.set_holders(frozenset(), True)
+        self.assertTrue(lease.is_fresh(0))
+        lease.set_holders(frozenset(), False)
+        self.assertFalse(lease.is_fresh(0))
