--- a/jujubebarrow/daemons/nodes.py
+++ b/jujubebarrow/daemons/nodes.py
@@ -35,6 +35,7 @@
 from jujubebarrow.services.explanations import ExplanationLog
 from jujubebarrow.services.fleet_observers import FleetObserver
 from jujubebarrow.services.job_services import JobService
+from jujubebarrow.services.job_stores import JobStore
 from jujubebarrow.services.peer_request_handlers import PeerRequestHandler
 from jujubebarrow.services.peer_services import PeerService
 from jujubebarrow.services.request_services import RequestService
@@ -220,10 +221,18 @@
 
     def _build_control(self) -> None:
         settings = self._settings
-        self.jobs = JobService(
+        self.job_store = JobStore(
             self.identity,
             self._platform,
             self._batcher,
+            self._clock,
+            self.metrics,
+            self._explanations,
+        )
+        self.jobs = JobService(
+            self.identity,
+            self._platform,
+            self.job_store,
             self.requests,
             self.configuration,
             self._clock,
@@ -394,6 +403,7 @@
             peers=self._peers,
             explanations=self._explanations,
             jobs=self.jobs,
+            job_store=self.job_store,
             upstreams=self._upstreams,
             may_write=lambda: self._seats.may_write,
         )
--- a/jujubebarrow/operators/operator_contexts.py
+++ b/jujubebarrow/operators/operator_contexts.py
@@ -10,6 +10,7 @@
 from jujubebarrow.services.configuration_services import ConfigurationService
 from jujubebarrow.services.explanations import ExplanationLog
 from jujubebarrow.services.job_services import JobService
+from jujubebarrow.services.job_stores import JobStore
 from jujubebarrow.services.peer_services import PeerService
 from jujubebarrow.settings.settings import Settings
 from jujubebarrow.upstreams.upstreams import Upstreams
@@ -28,5 +29,6 @@
     peers: PeerService
     explanations: ExplanationLog
     jobs: JobService
+    job_store: JobStore
     upstreams: Upstreams
     may_write: Callable[[], bool]
--- a/jujubebarrow/operators/status_handlers.py
+++ b/jujubebarrow/operators/status_handlers.py
@@ -72,7 +72,7 @@
 
     async def get(self) -> None:
         """Show all jobs that are not finished."""
-        jobs = await self.context.jobs.list_open()
+        jobs = await self.context.job_store.list_open()
         documents = [describe_job(name, job) for name, job in sorted(jobs.items())]
         self.answer(JobList(jobs=documents))
 
--- a/jujubebarrow/services/job_services.py
+++ b/jujubebarrow/services/job_services.py
@@ -4,9 +4,7 @@
 from collections.abc import Callable
 from uuid import uuid4
 
-from pydantic import BaseModel
-
-from jujubebarrow.claims.claims import Outcome, digest_body
+from jujubebarrow.claims.claims import Outcome
 from jujubebarrow.clocks.clocks import Clock
 from jujubebarrow.configurations.configurations import Configuration
 from jujubebarrow.configurations.priorities import Priority
@@ -20,20 +18,19 @@
 from jujubebarrow.homes.borrowers import PeerCalls
 from jujubebarrow.homes.run_results import RunResult
 from jujubebarrow.jobs.job_states import OPEN_STATES, JobState
-from jujubebarrow.jobs.jobs import CLOSED_PREFIX, OPEN_PREFIX, Job, job_id
+from jujubebarrow.jobs.jobs import OPEN_PREFIX, Job, job_id
+from jujubebarrow.jobs.stored_jobs import StoredJob
 from jujubebarrow.jobs.verdicts import JobVerdict, judge_refusal, judge_result
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.peers.forward_messages import Forward
 from jujubebarrow.peers.identities import PeerIdentity
 from jujubebarrow.peers.job_messages import SuperviseRequest
 from jujubebarrow.platforms.platforms import Platform
-from jujubebarrow.platforms.transactions import ABSENT, Transaction
-from jujubebarrow.services.commit_batchers import CommitBatcher
 from jujubebarrow.services.explanations import ExplanationLog
+from jujubebarrow.services.job_stores import JobStore
 from jujubebarrow.services.request_services import RequestService
 from jujubebarrow.settings.settings import Settings
 
-INLINE_BODY_LIMIT = 4096
 RUN_LIMIT_SECONDS = 6 * 3600.0
 STORE_RETRY_SECONDS = 1.0
 CONFLICT_PAUSE_SECONDS = 0.2
@@ -41,14 +38,6 @@
 """Time after which a job without a first attempt is named to its supervisor."""
 
 
-class StoredJob(BaseModel):
-    """Job with its id and the revision of its row."""
-
-    job_id: str
-    job: Job
-    revision: int
-
-
 class JobService:
     """Runs jobs through the same path as other requests.
 
@@ -58,7 +47,7 @@
     Args:
         identity: This process.
         platform: Table and object store.
-        batcher: Group commit.
+        store: Jobs in the table.
         requests: Runs the attempts.
         configuration: Records in force.
         clock: Time source.
@@ -73,7 +62,7 @@
         self,
         identity: PeerIdentity,
         platform: Platform,
-        batcher: CommitBatcher,
+        store: JobStore,
         requests: RequestService,
         configuration: Configuration,
         clock: Clock,
@@ -85,7 +74,7 @@
     ):
         self._identity = identity
         self._platform = platform
-        self._batcher = batcher
+        self._store = store
         self._requests = requests
         self._configuration = configuration
         self._clock = clock
@@ -111,10 +100,10 @@
 
     async def _hand_over(self, name: str) -> None:
         try:
-            stored = await self._read(OPEN_PREFIX, name)
+            stored = await self._store.read(OPEN_PREFIX, name)
             if stored and stored.job.incarnation == self._identity.incarnation:
                 update = {"runner": "", "incarnation": "", "reason": "handed over"}
-                await self._write(stored, update)
+                await self._store.write(stored, update)
         except (RefusalError, StoreError, TransactionConflictError):
             # Another instance adopts it once this one has left the list.
             self._metrics.count("job_hand_over_failed")
@@ -127,15 +116,9 @@
         """
         key = request.idempotency_key or uuid4().hex
         name = job_id(request.team, request.queue, key)
-        job = await self._make_job(request)
+        job = await self._store.make(request)
         try:
-            # A late write must not open a job again that has been closed.
-            revision = await self._batcher.write(
-                OPEN_PREFIX + name,
-                job.model_dump(mode="json"),
-                ABSENT,
-                (CLOSED_PREFIX + name,),
-            )
+            stored = await self._store.create(name, job)
         except TransactionConflictError:
             return await self._accept_again(name, job)
         except StoreError as error:
@@ -146,34 +129,11 @@
                 ErrorKind.STORE_UNAVAILABLE, "job", retry_after=STORE_RETRY_SECONDS
             ) from error
         self._metrics.count("job", JobState.ACCEPTED.value)
-        self._supervise(StoredJob(job_id=name, job=job, revision=revision))
+        self._supervise(stored)
         return name
 
-    async def _make_job(self, request: Forward) -> Job:
-        body, stored = request.body.decode("latin-1"), ""
-        if len(body) > INLINE_BODY_LIMIT:
-            body, stored = "", uuid4().hex
-            try:
-                await self._platform.put_object(stored, request.body)
-            except StoreError as error:
-                raise RefusalError(
-                    ErrorKind.STORE_UNAVAILABLE, "job", retry_after=STORE_RETRY_SECONDS
-                ) from error
-        return Job(
-            team=request.team,
-            key=request.key,
-            queue=request.queue,
-            content_type=request.content_type,
-            body=body,
-            stored=stored,
-            body_digest=digest_body(request.body),
-            created=self._clock.wall(),
-            runner=self._identity.instance,
-            incarnation=self._identity.incarnation,
-        )
-
     async def _accept_again(self, name: str, job: Job) -> str:
-        stored = await self._find(name)
+        stored = await self._store.find(name)
         if stored is None:
             raise RefusalError(ErrorKind.IN_PROGRESS, retry_after=STORE_RETRY_SECONDS)
         if stored.job.body_digest != job.body_digest:
@@ -202,29 +162,18 @@
         Raises:
             RefusalError: There is no such job of this team.
         """
-        stored = await self._find(name)
+        stored = await self._store.find(name)
         if stored is None or team not in (None, stored.job.team):
             raise RefusalError(ErrorKind.NOT_FOUND, "job")
         return stored.job
 
-    async def list_open(self) -> dict[str, Job]:
-        """Return all jobs that are not finished."""
-        try:
-            rows = await self._platform.read(OPEN_PREFIX)
-        except StoreError as error:
-            raise RefusalError(ErrorKind.STORE_UNAVAILABLE, "jobs") from error
-        return {
-            row.key.removeprefix(OPEN_PREFIX): Job.model_validate(row.value)
-            for row in rows.rows
-        }
-
     async def cancel(self, name: str, team: str | None) -> Job:
         """Cancel a job that has not started; ask a running one to end.
 
         Raises:
             RefusalError: There is no such job, or it changed meanwhile.
         """
-        stored = await self._find(name)
+        stored = await self._store.find(name)
         if stored is None or team not in (None, stored.job.team):
             raise RefusalError(ErrorKind.NOT_FOUND, "job")
         job = stored.job
@@ -232,60 +181,14 @@
             return job
         try:
             if job.state is JobState.ACCEPTED and job.attempts == 0:
-                return await self._close_job(stored, JobState.CANCELLED, "cancelled")
+                return await self._store.close(stored, JobState.CANCELLED, "cancelled")
             update = {"cancelling": True, "reason": "cancelled while it ran"}
-            return (await self._write(stored, update)).job
+            return (await self._store.write(stored, update)).job
         except TransactionConflictError as error:
             raise RefusalError(ErrorKind.REVISION_CONFLICT, "job") from error
         except StoreError as error:
             raise RefusalError(ErrorKind.STORE_UNAVAILABLE, "job") from error
 
-    async def _find(self, name: str) -> StoredJob | None:
-        # A job closes in one transaction, so that one of the readings finds it.
-        found = await self._read(OPEN_PREFIX, name)
-        return found or await self._read(CLOSED_PREFIX, name)
-
-    async def _read(self, prefix: str, name: str) -> StoredJob | None:
-        try:
-            rows = await self._platform.read(prefix + name)
-        except StoreError as error:
-            raise RefusalError(
-                ErrorKind.STORE_UNAVAILABLE, "job", retry_after=STORE_RETRY_SECONDS
-            ) from error
-        if not rows.rows:
-            return None
-        row = rows.rows[0]
-        job = Job.model_validate(row.value)
-        return StoredJob(job_id=name, job=job, revision=row.revision)
-
-    async def _write(self, stored: StoredJob, update: dict[str, object]) -> StoredJob:
-        job = stored.job.model_copy(update=update)
-        revision = await self._batcher.write(
-            OPEN_PREFIX + stored.job_id, job.model_dump(mode="json"), stored.revision
-        )
-        return StoredJob(job_id=stored.job_id, job=job, revision=revision)
-
-    async def _close_job(
-        self,
-        stored: StoredJob,
-        state: JobState,
-        reason: str,
-        outcome: Outcome | None = None,
-    ) -> Job:
-        update = {"state": state, "reason": reason, "outcome": outcome, "body": ""}
-        job = stored.job.model_copy(update=update)
-        open_key = OPEN_PREFIX + stored.job_id
-        closed_key = CLOSED_PREFIX + stored.job_id
-        transaction = Transaction(
-            conditions={open_key: stored.revision, closed_key: 0},
-            writes={open_key: None, closed_key: job.model_dump(mode="json")},
-            nonce=uuid4().hex,
-        )
-        await self._platform.commit(transaction)
-        self._metrics.count("job", state.value)
-        self._explanations.add(stored.job_id, f"{state.value}: {reason}")
-        return job
-
     async def adopt(self) -> None:
         """Take over jobs whose supervisor has ended.
 
@@ -344,7 +247,7 @@
             "reason": f"adopted from {stored.job.runner or 'a hand-over'}",
         }
         try:
-            adopted = await self._write(stored, update)
+            adopted = await self._store.write(stored, update)
         except TransactionConflictError:
             return
         self._metrics.count("job_adopted")
@@ -373,7 +276,7 @@
     async def _reread(self, name: str) -> StoredJob | None:
         while True:
             try:
-                stored = await self._read(OPEN_PREFIX, name)
+                stored = await self._store.read(OPEN_PREFIX, name)
                 break
             except RefusalError:
                 await sleep(STORE_RETRY_SECONDS)
@@ -384,26 +287,26 @@
     async def _step(self, stored: StoredJob) -> StoredJob | None:
         """Make one attempt; return None once the job is closed."""
         if stored.job.cancelling:
-            await self._close_job(stored, JobState.CANCELLED, "cancelled")
+            await self._store.close(stored, JobState.CANCELLED, "cancelled")
             return None
         if stored.job.state is JobState.ACCEPTED:
             update = {
                 "state": JobState.RUNNING,
                 "attempts": max(1, stored.job.attempts),
             }
-            stored = await self._write(stored, update)
+            stored = await self._store.write(stored, update)
         verdict, outcome = await self._attempt(stored)
         if verdict.state not in OPEN_STATES:
             # Read again, since a cancellation may have changed the row.
             latest = await self._reread(stored.job_id)
             if latest is not None:
-                await self._close_job(latest, verdict.state, verdict.reason, outcome)
+                await self._store.close(latest, verdict.state, verdict.reason, outcome)
             return None
         await sleep(verdict.pause)
         if not verdict.counted:
             return await self._reread(stored.job_id)
         update = {"attempts": stored.job.attempts + 1, "reason": verdict.reason}
-        return await self._write(stored, update)
+        return await self._store.write(stored, update)
 
     async def _attempt(self, stored: StoredJob) -> tuple[JobVerdict, Outcome | None]:
         job = stored.job
