--- a/jujubebarrow/services/claim_stores.py
+++ b/jujubebarrow/services/claim_stores.py
@@ -182,9 +182,13 @@
         self._metrics.count("claim_verdict", verdict.value)
         if verdict is ClaimVerdict.REPLAY and claim.outcome is not None:
             return await self._load(claim.outcome)
+        if verdict is ClaimVerdict.TAKE_OVER and not replaceable:
+            # A row of another day, which may have landed after its deletion was
+            # tried; it goes before a new claim is made.
+            await self._try_delete(key)
+            return None
         if verdict is ClaimVerdict.TAKE_OVER:
-            # A row of another day is deleted in the background first.
-            return row.revision if replaceable else None
+            return row.revision
         if verdict is ClaimVerdict.REUSED:
             raise RefusalError(ErrorKind.IDEMPOTENCY_KEY_REUSED)
         if verdict is ClaimVerdict.UNKNOWN:
--- a/jujubebarrow/tests/proof_system.py
+++ b/jujubebarrow/tests/proof_system.py
@@ -16,6 +16,16 @@
 )
 
 
+LATE_CLAIM_BEFORE_MIDNIGHT = (
+    3068,
+    [
+        Fault(11.71865524321612, "late_writes", 8, 9.0),
+        Fault(22.833382104933357, "maintain", 9, 20.0),
+        Fault(27.14849361242982, "replace", 7, 9.0),
+    ],
+)
+
+
 class SystemProof(unittest.TestCase):
     def test_quiet_run_answers_everything(self) -> None:
         run = WorldRun(1, []).run()
@@ -23,6 +33,10 @@
         kinds = {call.kind for call in run.callers.calls}
         self.assertEqual(kinds, {"answered", "accepted"})
 
+    def test_claim_that_lands_late_and_is_met_again_after_midnight(self) -> None:
+        run = WorldRun(*LATE_CLAIM_BEFORE_MIDNIGHT).run()
+        self.assertEqual(run.world.verdict(), [])
+
     @given(st.integers(0, 2**32), st.lists(FAULTS, min_size=1, max_size=6))
     def test_random_faults(self, seed: int, faults: list[Fault]) -> None:
         run = WorldRun(seed, faults).run()
