Close the connection of each request that must run at most once

Cause: each opens a fresh connection, and the HTTP library kept all of them, 24 at one upstream after 120 certificates at 6 at a time, with no bound below the upstream's 64. Before: the new test counts 24 connections, bound 8 slots. After: within 8. Conclusion: such a connection is closed after its answer.

--- a/jujubebarrow/tests/test_failures.py
+++ b/jujubebarrow/tests/test_failures.py
@@ -2,11 +2,24 @@
 
 import asyncio
 import json
+from pathlib import Path
 
 from jujubebarrow.standins.fleets import FleetShape
 from jujubebarrow.tests.fleet_cases import QUEUES, TEAMS, FleetCase
 
 FRESHNESS = 3.0
+UPSTREAM_SLOTS = 8
+ESTABLISHED = "01"
+
+
+def count_connections(port: int) -> int:
+    """Return the established connections that a local port has accepted."""
+    rows = Path("/proc/net/tcp").read_text().splitlines()[1:]
+    fields = [row.split() for row in rows]
+    return sum(
+        int(field[1].split(":")[1], 16) == port and field[3] == ESTABLISHED
+        for field in fields
+    )
 
 
 class EntryFailureTest(FleetCase):
@@ -158,6 +171,14 @@
         tasks = await self.fleet.all_tasks()
         self.assertEqual(sum(task["key"] == "closed" for task in tasks), 1)
 
+    async def test_connections_stay_within_the_upstreams_limit(self) -> None:
+        port = int(self.fleet.workers["labels-zone-a-0"].rsplit(":", 1)[1])
+        for batch in range(20):
+            keys = [f"many-{batch}-{number}" for number in range(6)]
+            answers = await asyncio.gather(*(self.certificate(key) for key in keys))
+            self.assertEqual({answer.code for answer in answers}, {200})
+        self.assertLessEqual(count_connections(port), UPSTREAM_SLOTS)
+
     async def test_truncated_answer_is_never_a_short_success(self) -> None:
         await self.fault(truncate=True)
         answer = await self.fleet.call(self.entries[0], "labels", "tuna")
--- a/jujubebarrow/upstreams/http_upstreams.py
+++ b/jujubebarrow/upstreams/http_upstreams.py
@@ -34,12 +34,15 @@
 def _allow_reuse(curl: Any) -> None:
     # Handles keep their options from one request to the next.
     curl.setopt(pycurl.FRESH_CONNECT, 0)
+    curl.setopt(pycurl.FORBID_REUSE, 0)
 
 
 def _forbid_reuse(curl: Any) -> None:
     # On a reused connection that the upstream closes without an answer, the
     # library sends the request again by itself.
     curl.setopt(pycurl.FRESH_CONNECT, 1)
+    # Kept open, such connections would only add up at the upstream.
+    curl.setopt(pycurl.FORBID_REUSE, 1)
 
 
 class HttpUpstreams(Upstreams):
