Tell peers which upstreams leave by the platform's list

Before: the schedule, kept as a test, fails. After: it passes; heartbeats carry the names of those that leave, from peers that reach the platform.

--- a/jujubebarrow/daemons/nodes.py
+++ b/jujubebarrow/daemons/nodes.py
@@ -281,6 +281,15 @@
             if record.status.ready and not record.status.leaving
         )
 
+    def _peers_departing(self) -> frozenset[str]:
+        # A zone that is cut from the platform hears of it from its peers.
+        return frozenset(
+            name
+            for record in self._directory.alive()
+            if record.status.platform
+            for name in record.status.departing
+        )
+
     @property
     def slots(self) -> int:
         """Slots of upstreams in service in the pools that it is home of."""
@@ -307,6 +316,7 @@
             write_pending=self.configurations.write_pending,
             controls=self._control.holds,
             platform=self.configurations.reaches_platform,
+            departing=sorted(self._absences.listed_leaving),
             usage=dict(usage),
             pools=dict(reports),
         )
@@ -413,7 +423,8 @@
         while True:
             await sleep(TICK_SECONDS)
             ticks += 1
-            if self._homes.refresh(self.is_ready):
+            members_changed = self._homes.refresh(self.is_ready)
+            if self._absences.report(self._peers_departing()) or members_changed:
                 self._home.refresh()
             self._home.pump_all()
             self._borrower.hurry()
--- a/jujubebarrow/maintenance/observations.py
+++ b/jujubebarrow/maintenance/observations.py
@@ -29,7 +29,6 @@
         unreachable: Instances whose home cannot reach them.
         reported: Instances whose home reports, so that silence means health.
         gone: Instances missing from the platform's list for long enough.
-        leaving: Instances that the platform lists as leaving.
         drained: Draining instances that refuse work and run nothing.
         rebooted: Rebooting instances that answer again.
     """
@@ -38,6 +37,5 @@
     unreachable: set[str] = field(default_factory=set)
     reported: set[str] = field(default_factory=set)
     gone: set[str] = field(default_factory=set)
-    leaving: set[str] = field(default_factory=set)
     drained: set[str] = field(default_factory=set)
     rebooted: set[str] = field(default_factory=set)
--- a/jujubebarrow/members/absences.py
+++ b/jujubebarrow/members/absences.py
@@ -16,12 +16,18 @@
         self._clock = clock
         self._gone_after = gone_after
         self._listing: Listing | None = None
+        self._reported: frozenset[str] = frozenset()
         self._absent_since: dict[str, float] = {}
         self._seen: set[str] = set()
 
     @property
     def leaving(self) -> frozenset[str]:
-        """Instances that the platform lists as leaving."""
+        """Instances that are leaving by the own reading or by those of peers."""
+        return self.listed_leaving | self._reported
+
+    @property
+    def listed_leaving(self) -> frozenset[str]:
+        """Instances that the platform lists as leaving, by the own reading."""
         if self._listing is None:
             return frozenset()
         return frozenset(
@@ -30,6 +36,16 @@
             if state is ListedState.LEAVING
         )
 
+    def report(self, leaving: frozenset[str]) -> bool:
+        """Take over what peers read that reach the platform.
+
+        Returns:
+            Whether it changed.
+        """
+        changed = leaving != self._reported
+        self._reported = leaving
+        return changed
+
     def update(self, listing: Listing) -> None:
         """Take over a reading of the list."""
         self._listing = listing
--- a/jujubebarrow/peers/status_messages.py
+++ b/jujubebarrow/peers/status_messages.py
@@ -39,6 +39,7 @@
         write_pending: Whether a configuration write is in flight.
         controls: Whether it holds the control lease.
         platform: Whether it reaches the platform.
+        departing: Instances that the platform lists as leaving.
         version: Number of this status for its receiver.
         full: Whether usage and pools are whole, not only what changed.
         usage: Changed numbers of running requests, by "pool/team".
@@ -57,6 +58,7 @@
     write_pending: bool
     controls: bool
     platform: bool
+    departing: list[str] = []
     version: int = 0
     full: bool = True
     usage: dict[str, int | None] = {}
--- a/jujubebarrow/services/fleet_observers.py
+++ b/jujubebarrow/services/fleet_observers.py
@@ -49,7 +49,6 @@
         self._add_home(observations, own, reports)
         for record in self._directory.alive():
             self._add_home(observations, record.status, record.pools)
-        observations.leaving = set(self._absences.leaving)
         observations.gone = {
             name
             for name in self._absences.missing()
--- a/jujubebarrow/tests/proof_system.py
+++ b/jujubebarrow/tests/proof_system.py
@@ -25,6 +25,16 @@
     ],
 )
 
+LEAVING_UPSTREAM_OF_A_CUT_ZONE = (
+    4203,
+    [
+        Fault(14.77604433021077, "worker_truncate", 10, 3.0),
+        Fault(18.23779256861438, "worker_freeze", 2, 20.0),
+        Fault(19.030232833168068, "cut_platform", 1, 20.0),
+        Fault(22.09519846620666, "worker_leaves", 3, 20.0),
+    ],
+)
+
 
 class SystemProof(unittest.TestCase):
     def test_quiet_run_answers_everything(self) -> None:
@@ -37,6 +47,10 @@
         run = WorldRun(*LATE_CLAIM_BEFORE_MIDNIGHT).run()
         self.assertEqual(run.world.verdict(), [])
 
+    def test_upstream_that_leaves_a_zone_without_the_platform(self) -> None:
+        run = WorldRun(*LEAVING_UPSTREAM_OF_A_CUT_ZONE).run()
+        self.assertEqual(run.world.verdict(), [])
+
     @given(st.integers(0, 2**32), st.lists(FAULTS, min_size=1, max_size=6))
     def test_random_faults(self, seed: int, faults: list[Fault]) -> None:
         run = WorldRun(seed, faults).run()
