Take out what nothing uses

Cause: a newcomer's reading: parameters that were only stored, a command to stop tasks that nothing sent, and pages that promised it. Conclusion: a running job that is cancelled is not started again, and the pages say just that.

--- a/jujubebarrow/benches/simulations.py
+++ b/jujubebarrow/benches/simulations.py
@@ -76,7 +76,6 @@
         self._maintain = maintain
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._serials = count()
-        self._deadlines: dict[Entry, float] = {}
         self._run_times: dict[Entry, float] = {}
         self._rebooted: dict[str, float] = {}
         self._build()
--- a/jujubebarrow/commands/job_commands.py
+++ b/jujubebarrow/commands/job_commands.py
@@ -43,7 +43,7 @@
     """Cancels a job."""
 
     name = "job cancel"
-    description = "Cancel a job, or ask a running one to end."
+    description = "Cancel a job; one that runs is not started again."
     arguments = [argument("job", "Job id.")]
 
     def run_with(self, client: OperatorClient) -> None:
--- a/jujubebarrow/daemons/nodes.py
+++ b/jujubebarrow/daemons/nodes.py
@@ -216,7 +216,6 @@
             settings,
             self.metrics,
             self.monitor,
-            self._explanations,
         )
 
     def _build_control(self) -> None:
@@ -238,7 +237,6 @@
             self._clock,
             settings,
             self.metrics,
-            self._explanations,
             self._seats.has_ended,
             self._peers,
         )
--- a/jujubebarrow/homes/home_services.py
+++ b/jujubebarrow/homes/home_services.py
@@ -83,7 +83,6 @@
         self._directory = directory
         self._clock = clock
         self._settings = settings
-        self._metrics = metrics
         self._explanations = explanations
         self._is_fresh = is_fresh
         self._schedulers: dict[str, PoolScheduler] = {}
--- a/jujubebarrow/jobs/jobs.py
+++ b/jujubebarrow/jobs/jobs.py
@@ -27,7 +27,7 @@
         runner: Instance that supervises it; empty after a hand-over.
         incarnation: Process that supervises it.
         attempts: Times that it was started.
-        cancelling: Whether its end was asked for.
+        cancelling: Whether it was cancelled while it ran.
         reason: Sentence on its state.
         outcome: Answer of the upstream.
     """
--- a/jujubebarrow/queues/pool_schedulers.py
+++ b/jujubebarrow/queues/pool_schedulers.py
@@ -1,6 +1,6 @@
 """Order in which the requests of one pool are started at their home."""
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable
 
 from jujubebarrow.clocks.clocks import Clock
 from jujubebarrow.configurations.configurations import Configuration
@@ -309,7 +309,3 @@
         self._running[start.entry.priority] -= 1
         if start.permit is not None:
             self._ledger.release(start.permit)
-
-    def teams_running(self) -> Collection[TeamId]:
-        """Return the teams that run something from here."""
-        return self.usage.own().keys()
--- a/jujubebarrow/retries/budgets.py
+++ b/jujubebarrow/retries/budgets.py
@@ -14,11 +14,6 @@
         self._reserve = reserve
         self._tokens = reserve
 
-    @property
-    def tokens(self) -> float:
-        """Retries that may be made now."""
-        return self._tokens
-
     def deposit(self) -> None:
         """Add what one request earns."""
         self._tokens = min(self._reserve, self._tokens + self._ratio)
--- a/jujubebarrow/services/job_services.py
+++ b/jujubebarrow/services/job_services.py
@@ -26,7 +26,6 @@
 from jujubebarrow.peers.identities import PeerIdentity
 from jujubebarrow.peers.job_messages import SuperviseRequest
 from jujubebarrow.platforms.platforms import Platform
-from jujubebarrow.services.explanations import ExplanationLog
 from jujubebarrow.services.job_stores import JobStore
 from jujubebarrow.services.request_services import RequestService
 from jujubebarrow.settings.settings import Settings
@@ -53,7 +52,6 @@
         clock: Time source.
         settings: Bounds.
         metrics: Where states are counted.
-        explanations: Where states are recorded.
         has_ended: Tells whether an instance's process has ended for certain.
         peers: Supervisors of other jobs.
     """
@@ -68,7 +66,6 @@
         clock: Clock,
         settings: Settings,
         metrics: MetricsRegistry,
-        explanations: ExplanationLog,
         has_ended: Callable[[str, str], bool],
         peers: PeerCalls,
     ):
@@ -80,7 +77,6 @@
         self._clock = clock
         self._settings = settings
         self._metrics = metrics
-        self._explanations = explanations
         self._has_ended = has_ended
         self._peers = peers
         self._supervisors: dict[str, Task[None]] = {}
@@ -168,7 +164,7 @@
         return stored.job
 
     async def cancel(self, name: str, team: str | None) -> Job:
-        """Cancel a job that has not started; ask a running one to end.
+        """Cancel a job that has not started; do not start a running one again.
 
         Raises:
             RefusalError: There is no such job, or it changed meanwhile.
--- a/jujubebarrow/services/request_services.py
+++ b/jujubebarrow/services/request_services.py
@@ -13,7 +13,6 @@
 from jujubebarrow.peers.messages import Reply
 from jujubebarrow.retries.budgets import RetryBudget
 from jujubebarrow.routes.homes import Candidate, HomeDirectory
-from jujubebarrow.services.explanations import ExplanationLog
 from jujubebarrow.services.peer_services import PeerService
 from jujubebarrow.settings.settings import Settings
 
@@ -44,10 +43,9 @@
         home: Own home service.
         peers: Links to peers.
         clock: Time source.
-        settings: Bounds.
+        settings: Bounds of retries.
         metrics: Where retries are counted.
         monitor: Checks that answers belong to their requests.
-        explanations: Where routes are recorded.
     """
 
     def __init__(
@@ -61,7 +59,6 @@
         settings: Settings,
         metrics: MetricsRegistry,
         monitor: InvariantMonitor,
-        explanations: ExplanationLog,
     ):
         self._instance = instance
         self._configuration = configuration
@@ -69,10 +66,8 @@
         self._home = home
         self._peers = peers
         self._clock = clock
-        self._settings = settings
         self._metrics = metrics
         self._monitor = monitor
-        self._explanations = explanations
         self._budget = RetryBudget(settings.retry_ratio, settings.retry_reserve)
         self._active = 0
 
--- a/jujubebarrow/standins/workers.py
+++ b/jujubebarrow/standins/workers.py
@@ -180,13 +180,6 @@
             return
         task.lease = float(self.request.headers["Task-Lease"])
 
-    def delete(self, task_id: str) -> None:
-        task = self.state.running.get(task_id)
-        if task is None:
-            self.send_error(404)
-            return
-        task.lease = 0.0
-
 
 class _Faults(_State):
     def post(self) -> None:
--- a/jujubebarrow/tests/fakes/fake_workers.py
+++ b/jujubebarrow/tests/fakes/fake_workers.py
@@ -137,11 +137,6 @@
         run.lease = lease_end
         return True
 
-    async def stop(self, address: str, task: str) -> None:
-        worker = await self._reach(address)
-        if task in worker.running:
-            worker.running[task].lease = 0.0
-
     async def probe(self, address: str) -> UpstreamReport:
         worker = await self._reach(address)
         if worker.fault == "freeze":
--- a/jujubebarrow/upstreams/http_upstreams.py
+++ b/jujubebarrow/upstreams/http_upstreams.py
@@ -89,10 +89,6 @@
         response = await self._command(url, method="PUT", body=b"", headers=headers)
         return response.code == 200
 
-    async def stop(self, address: str, task: str) -> None:
-        """Ask for the end of a task."""
-        await self._command(f"http://{address}/tasks/{task}/lease", method="DELETE")
-
     async def probe(self, address: str) -> UpstreamReport:
         """Return what an upstream says of itself."""
         response = await self._command(f"http://{address}/state", method="GET")
--- a/jujubebarrow/upstreams/upstreams.py
+++ b/jujubebarrow/upstreams/upstreams.py
@@ -64,10 +64,6 @@
     async def renew(self, address: str, task: str, lease_end: float) -> bool:
         """Renew a task's lease; return False if the task does not run."""
 
-    @abstractmethod
-    async def stop(self, address: str, task: str) -> None:
-        """Ask for the end of a task."""
-
     @abstractmethod
     async def probe(self, address: str) -> UpstreamReport:
         """Return what an upstream says of itself.
