Rename the package of the store's interface to stores

Cause: the adapter for the users' platform needs the package name platform, and platforms beside it would be read as the same thing. Ruled out: msgspec structures for rows; peer messages carry rows and are checked by pydantic, which cannot read them.

--- a/jujubebarrow/benches/decisions.py
+++ b/jujubebarrow/benches/decisions.py
@@ -23,13 +23,13 @@
 from jujubebarrow.maintenance.observations import FleetObservations
 from jujubebarrow.maintenance.planners import FleetPlanner
 from jujubebarrow.metrics.registries import MetricsRegistry
-from jujubebarrow.platforms.rows import Row
 from jujubebarrow.pools.move_planners import MovePlanner
 from jujubebarrow.queues.entries import Entry
 from jujubebarrow.queues.pool_schedulers import PoolScheduler
 from jujubebarrow.routes.upstream_sets import UpstreamSet
 from jujubebarrow.settings.loaders import check_settings
 from jujubebarrow.settings.settings import Settings
+from jujubebarrow.stores.rows import Row
 
 ROUNDS = 7
 STARTS = 400
--- a/jujubebarrow/benches/simulations.py
+++ b/jujubebarrow/benches/simulations.py
@@ -33,7 +33,6 @@
 from jujubebarrow.maintenance.observations import FleetObservations, PoolDemand
 from jujubebarrow.maintenance.planners import FleetPlanner
 from jujubebarrow.metrics.registries import MetricsRegistry
-from jujubebarrow.platforms.transactions import Transaction
 from jujubebarrow.pools import move_planners
 from jujubebarrow.pools.move_planners import MovePlanner
 from jujubebarrow.queues.entries import Entry
@@ -41,6 +40,7 @@
 from jujubebarrow.queues.starts import Start
 from jujubebarrow.routes.upstream_sets import UpstreamSet
 from jujubebarrow.standins.tables import Table
+from jujubebarrow.stores.transactions import Transaction
 
 TICK_SECONDS = 1.0
 REBOOT_SECONDS = 3.0
--- a/jujubebarrow/configurations/configurations.py
+++ b/jujubebarrow/configurations/configurations.py
@@ -20,8 +20,8 @@
 from jujubebarrow.configurations.team_records import Team
 from jujubebarrow.invariants.monitors import InvariantMonitor
 from jujubebarrow.metrics.registries import MetricsRegistry
-from jujubebarrow.platforms.row_indexes import RowIndex
-from jujubebarrow.platforms.rows import Row
+from jujubebarrow.stores.row_indexes import RowIndex
+from jujubebarrow.stores.rows import Row
 
 CONFIGURATION_PREFIX = "config/"
 SELECTION_NAME = "preset"
--- a/jujubebarrow/daemons/daemons.py
+++ b/jujubebarrow/daemons/daemons.py
@@ -19,8 +19,8 @@
 from jujubebarrow.peers.link_types import Link
 from jujubebarrow.peers.links import PeerLink
 from jujubebarrow.peers.servers import PeerServer
-from jujubebarrow.platforms.http_platforms import HttpPlatform
 from jujubebarrow.settings.settings import Settings
+from jujubebarrow.stores.http_stores import HttpStore
 from jujubebarrow.upstreams.http_upstreams import HttpUpstreams
 
 BODY_FACTOR = 4
@@ -40,7 +40,7 @@
         self._stop = Event()
         self.metrics = MetricsRegistry()
         self._identity = PeerIdentity(settings.instance, uuid4().hex, settings.zone)
-        self._platform = HttpPlatform(
+        self._platform = HttpStore(
             settings.platform_url, settings.zone, settings.store_timeout, self.metrics
         )
         self._upstreams = HttpUpstreams(settings.probe_timeout)
--- a/jujubebarrow/daemons/nodes.py
+++ b/jujubebarrow/daemons/nodes.py
@@ -24,7 +24,6 @@
 from jujubebarrow.peers.identities import PeerIdentity
 from jujubebarrow.peers.link_types import LinkFactory
 from jujubebarrow.peers.status_messages import PeerStatus, PoolReport
-from jujubebarrow.platforms.platforms import Platform
 from jujubebarrow.pools.move_planners import MovePlanner
 from jujubebarrow.routes.homes import HomeDirectory
 from jujubebarrow.services.claim_purgers import ClaimPurger
@@ -42,6 +41,7 @@
 from jujubebarrow.services.seat_services import SeatService
 from jujubebarrow.services.status_reporters import StatusReporter
 from jujubebarrow.settings.settings import Settings
+from jujubebarrow.stores.stores import Store
 from jujubebarrow.upstreams.upstreams import Upstreams
 
 TICK_SECONDS = 0.2
@@ -62,7 +62,7 @@
         identity: This process.
         clock: Time source.
         random: Source of jitter.
-        platform: Platform's services.
+        platform: Store's services.
         upstreams: Upstreams.
         connect: Makes links to peers.
         metrics: Counters and latencies.
@@ -74,7 +74,7 @@
         identity: PeerIdentity,
         clock: Clock,
         random: Random,
-        platform: Platform,
+        platform: Store,
         upstreams: Upstreams,
         connect: LinkFactory,
         metrics: MetricsRegistry,
--- a/jujubebarrow/maintenance/changes.py
+++ b/jujubebarrow/maintenance/changes.py
@@ -5,7 +5,7 @@
 from jujubebarrow.configurations.configurations import row_key
 from jujubebarrow.configurations.record_bases import Record
 from jujubebarrow.configurations.record_kinds import RecordKind
-from jujubebarrow.platforms.transactions import Transaction
+from jujubebarrow.stores.transactions import Transaction
 
 RecordName = tuple[RecordKind, str]
 
--- a/jujubebarrow/members/absences.py
+++ b/jujubebarrow/members/absences.py
@@ -1,7 +1,7 @@
 """How long instances have been missing from the platform's list."""
 
 from jujubebarrow.clocks.clocks import Clock
-from jujubebarrow.platforms.listings import ListedState, Listing
+from jujubebarrow.stores.listings import ListedState, Listing
 
 
 class AbsenceTracker:
--- a/jujubebarrow/peers/configuration_messages.py
+++ b/jujubebarrow/peers/configuration_messages.py
@@ -3,7 +3,7 @@
 from typing import Literal
 
 from jujubebarrow.peers.message_bases import Message
-from jujubebarrow.platforms.rows import Row
+from jujubebarrow.stores.rows import Row
 
 
 class ChangesRequest(Message):
--- a/jujubebarrow/services/claim_purgers.py
+++ b/jujubebarrow/services/claim_purgers.py
@@ -6,8 +6,8 @@
 from jujubebarrow.clocks.clocks import Clock
 from jujubebarrow.errors.exceptions import TransactionConflictError
 from jujubebarrow.metrics.registries import MetricsRegistry
-from jujubebarrow.platforms.platforms import Platform
-from jujubebarrow.platforms.transactions import Transaction
+from jujubebarrow.stores.stores import Store
+from jujubebarrow.stores.transactions import Transaction
 
 PURGE_ROWS = 200
 """Most claims deleted in one transaction."""
@@ -23,7 +23,7 @@
         metrics: Where deleted claims are counted.
     """
 
-    def __init__(self, platform: Platform, clock: Clock, metrics: MetricsRegistry):
+    def __init__(self, platform: Store, clock: Clock, metrics: MetricsRegistry):
         self._platform = platform
         self._clock = clock
         self._metrics = metrics
--- a/jujubebarrow/services/claim_stores.py
+++ b/jujubebarrow/services/claim_stores.py
@@ -20,10 +20,10 @@
 from jujubebarrow.errors.kinds import ErrorKind
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.peers.identities import PeerIdentity
-from jujubebarrow.platforms.platforms import Platform
-from jujubebarrow.platforms.rows import Row
-from jujubebarrow.platforms.transactions import ABSENT
 from jujubebarrow.services.commit_batchers import CommitBatcher
+from jujubebarrow.stores.rows import Row
+from jujubebarrow.stores.stores import Store
+from jujubebarrow.stores.transactions import ABSENT
 
 INLINE_BODY_LIMIT = 4096
 RELEASED_LIMIT = 100_000
@@ -64,7 +64,7 @@
 
     def __init__(
         self,
-        platform: Platform,
+        platform: Store,
         batcher: CommitBatcher,
         identity: PeerIdentity,
         clock: Clock,
--- a/jujubebarrow/services/commit_batchers.py
+++ b/jujubebarrow/services/commit_batchers.py
@@ -8,8 +8,8 @@
 
 from jujubebarrow.errors.exceptions import StoreError, TransactionConflictError
 from jujubebarrow.metrics.registries import MetricsRegistry
-from jujubebarrow.platforms.platforms import Platform
-from jujubebarrow.platforms.transactions import ABSENT, Transaction
+from jujubebarrow.stores.stores import Store
+from jujubebarrow.stores.transactions import ABSENT, Transaction
 
 
 @dataclass(slots=True, eq=False)
@@ -34,7 +34,7 @@
         metrics: Where transactions and rows are counted.
     """
 
-    def __init__(self, platform: Platform, batch: int, metrics: MetricsRegistry):
+    def __init__(self, platform: Store, batch: int, metrics: MetricsRegistry):
         self._platform = platform
         self._batch = batch
         self._metrics = metrics
--- a/jujubebarrow/services/configuration_services.py
+++ b/jujubebarrow/services/configuration_services.py
@@ -23,11 +23,11 @@
 from jujubebarrow.errors.run_states import RunState
 from jujubebarrow.maintenance.changes import Change
 from jujubebarrow.metrics.registries import MetricsRegistry
-from jujubebarrow.platforms.platforms import Platform
-from jujubebarrow.platforms.rows import Row
-from jujubebarrow.platforms.transactions import Transaction
 from jujubebarrow.services.explanations import ExplanationLog
 from jujubebarrow.settings.settings import Settings
+from jujubebarrow.stores.rows import Row
+from jujubebarrow.stores.stores import Store
+from jujubebarrow.stores.transactions import Transaction
 
 RETRY_SECONDS = 0.5
 CATCH_UP_ATTEMPTS = 3
@@ -52,7 +52,7 @@
         self,
         configuration: Configuration,
         freshness: FreshnessLease,
-        platform: Platform,
+        platform: Store,
         clock: Clock,
         random: Random,
         settings: Settings,
--- a/jujubebarrow/services/control_services.py
+++ b/jujubebarrow/services/control_services.py
@@ -23,13 +23,13 @@
 from jujubebarrow.maintenance.planners import FleetPlanner
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.peers.identities import PeerIdentity
-from jujubebarrow.platforms.platforms import Platform
-from jujubebarrow.platforms.transactions import Transaction
 from jujubebarrow.services.claim_purgers import ClaimPurger
 from jujubebarrow.services.configuration_services import ConfigurationService
 from jujubebarrow.services.fleet_observers import FleetObserver
 from jujubebarrow.services.job_services import JobService
 from jujubebarrow.settings.settings import Settings
+from jujubebarrow.stores.stores import Store
+from jujubebarrow.stores.transactions import Transaction
 from jujubebarrow.upstreams.upstreams import Upstreams
 
 CONTROL_KEY = "control/holder"
@@ -70,7 +70,7 @@
     def __init__(
         self,
         identity: PeerIdentity,
-        platform: Platform,
+        platform: Store,
         configuration: Configuration,
         configurations: ConfigurationService,
         planner: FleetPlanner,
--- a/jujubebarrow/services/job_services.py
+++ b/jujubebarrow/services/job_services.py
@@ -25,10 +25,10 @@
 from jujubebarrow.peers.forward_messages import Forward
 from jujubebarrow.peers.identities import PeerIdentity
 from jujubebarrow.peers.job_messages import SuperviseRequest
-from jujubebarrow.platforms.platforms import Platform
 from jujubebarrow.services.job_stores import JobStore
 from jujubebarrow.services.request_services import RequestService
 from jujubebarrow.settings.settings import Settings
+from jujubebarrow.stores.stores import Store
 
 RUN_LIMIT_SECONDS = 6 * 3600.0
 STORE_RETRY_SECONDS = 1.0
@@ -59,7 +59,7 @@
     def __init__(
         self,
         identity: PeerIdentity,
-        platform: Platform,
+        platform: Store,
         store: JobStore,
         requests: RequestService,
         configuration: Configuration,
--- a/jujubebarrow/services/job_stores.py
+++ b/jujubebarrow/services/job_stores.py
@@ -12,10 +12,10 @@
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.peers.forward_messages import Forward
 from jujubebarrow.peers.identities import PeerIdentity
-from jujubebarrow.platforms.platforms import Platform
-from jujubebarrow.platforms.transactions import ABSENT, Transaction
 from jujubebarrow.services.commit_batchers import CommitBatcher
 from jujubebarrow.services.explanations import ExplanationLog
+from jujubebarrow.stores.stores import Store
+from jujubebarrow.stores.transactions import ABSENT, Transaction
 
 INLINE_BODY_LIMIT = 4096
 STORE_RETRY_SECONDS = 1.0
@@ -36,7 +36,7 @@
     def __init__(
         self,
         identity: PeerIdentity,
-        platform: Platform,
+        platform: Store,
         batcher: CommitBatcher,
         clock: Clock,
         metrics: MetricsRegistry,
--- a/jujubebarrow/services/seat_services.py
+++ b/jujubebarrow/services/seat_services.py
@@ -18,9 +18,9 @@
 from jujubebarrow.members.seats import SEAT_PREFIX, Seat, seat_key
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.peers.identities import PeerIdentity
-from jujubebarrow.platforms.platforms import Platform
-from jujubebarrow.platforms.transactions import Transaction
 from jujubebarrow.settings.settings import Settings
+from jujubebarrow.stores.stores import Store
+from jujubebarrow.stores.transactions import Transaction
 
 CLAIM_ATTEMPTS = 4
 """Claims in one refresh, each after losing a race for a seat."""
@@ -49,7 +49,7 @@
     def __init__(
         self,
         identity: PeerIdentity,
-        platform: Platform,
+        platform: Store,
         ledger: LimitLedger,
         freshness: FreshnessLease,
         absences: AbsenceTracker,
--- a/jujubebarrow/standins/platforms.py
+++ b/jujubebarrow/standins/platforms.py
@@ -6,10 +6,11 @@
 from asyncio import Event, run, sleep
 from typing import Any
 
+from msgspec.json import decode, encode
 from tornado.web import Application, RequestHandler
 
-from jujubebarrow.platforms.transactions import Transaction
 from jujubebarrow.standins.tables import Table
+from jujubebarrow.stores.transactions import Transaction
 
 
 class PlatformState:
@@ -49,7 +50,7 @@
 
 class _Transactions(_Handler):
     async def post(self) -> None:
-        transaction = Transaction.model_validate_json(self.request.body)
+        transaction = decode(self.request.body, type=Transaction)
         self.state.writes += 1
         answer = self.state.table.commit(transaction)
         if not answer.nonces:
@@ -58,7 +59,7 @@
             self.send_error(504)
             return
         self.set_status(409 if answer.nonces else 200)
-        self.finish(answer.model_dump_json())
+        self.finish(encode(answer))
 
 
 class _Rows(_Handler):
@@ -66,7 +67,7 @@
         self.state.reads += 1
         limit = int(self.get_argument("limit", "0"))
         rows = self.state.table.read(self.get_argument("prefix"), limit)
-        self.finish(rows.model_dump_json())
+        self.finish(encode(rows))
 
 
 class _Changes(_Handler):
@@ -77,7 +78,7 @@
             int(self.get_argument("since")),
             float(self.get_argument("wait")),
         )
-        self.finish(rows.model_dump_json())
+        self.finish(encode(rows))
 
 
 class _Objects(_Handler):
--- a/jujubebarrow/standins/tables.py
+++ b/jujubebarrow/standins/tables.py
@@ -3,10 +3,10 @@
 from asyncio import Condition, wait_for
 from typing import Any
 
-from jujubebarrow.platforms.commit_answers import CommitAnswer
-from jujubebarrow.platforms.row_indexes import RowIndex
-from jujubebarrow.platforms.rows import Row, RowSet
-from jujubebarrow.platforms.transactions import ABSENT, Transaction
+from jujubebarrow.stores.commit_answers import CommitAnswer
+from jujubebarrow.stores.row_indexes import RowIndex
+from jujubebarrow.stores.rows import Row, RowSet
+from jujubebarrow.stores.transactions import ABSENT, Transaction
 
 
 class Table:
--- a/jujubebarrow/platforms/commit_answers.py
+++ b/jujubebarrow/stores/commit_answers.py
@@ -1,9 +1,10 @@
 """Answer of the platform's table to a transaction."""
 
-from pydantic import BaseModel, ConfigDict
+from dataclasses import dataclass, field
 
 
-class CommitAnswer(BaseModel):
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CommitAnswer:
     """Revision of the transaction, or the rows whose condition failed.
 
     Attributes:
@@ -12,7 +13,5 @@
             empty if the transaction took effect.
     """
 
-    model_config = ConfigDict(frozen=True)
-
     revision: int
-    nonces: dict[str, str] = {}
+    nonces: dict[str, str] = field(default_factory=dict)
--- a/jujubebarrow/platforms/http_platforms.py
+++ b/jujubebarrow/stores/http_stores.py
@@ -4,22 +4,23 @@
 from typing import Any
 from urllib.parse import quote
 
+from msgspec import json
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPResponse
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
 from jujubebarrow.errors.exceptions import StoreError
 from jujubebarrow.metrics.registries import MetricsRegistry
-from jujubebarrow.platforms.commit_answers import CommitAnswer
-from jujubebarrow.platforms.listings import Listing
-from jujubebarrow.platforms.platforms import Platform
-from jujubebarrow.platforms.rows import RowSet
-from jujubebarrow.platforms.transactions import Transaction
+from jujubebarrow.stores.commit_answers import CommitAnswer
+from jujubebarrow.stores.listings import Listing
+from jujubebarrow.stores.rows import RowSet
+from jujubebarrow.stores.stores import Store
+from jujubebarrow.stores.transactions import Transaction
 
 ROW_SET_LIMIT = 256 * 1024 * 1024
 CONNECTION_LIMIT = 32
 
 
-class HttpPlatform(Platform):
+class HttpStore(Store):
     """Client of the platform's HTTP interface.
 
     Args:
@@ -46,21 +47,21 @@
 
     async def try_commit(self, transaction: Transaction) -> CommitAnswer:
         """Send a transaction once and return the answer."""
-        body = transaction.model_dump_json().encode()
+        body = json.encode(transaction)
         response = await self._fetch("POST", "/transactions", body, self._timeout)
-        return CommitAnswer.model_validate_json(response.body)
+        return json.decode(response.body, type=CommitAnswer)
 
     async def read(self, prefix: str, limit: int = 0) -> RowSet:
         """Return the rows whose key starts with a prefix."""
         path = f"/rows?prefix={quote(prefix, safe='')}&limit={limit}"
         response = await self._fetch("GET", path, None, self._timeout)
-        return RowSet.model_validate_json(response.body)
+        return json.decode(response.body, type=RowSet)
 
     async def read_changes(self, prefix: str, since: int, wait: float) -> RowSet:
         """Return rows changed after a revision, waiting some seconds for one."""
         path = f"/changes?prefix={quote(prefix, safe='')}&since={since}&wait={wait}"
         response = await self._fetch("GET", path, None, self._timeout + wait)
-        return RowSet.model_validate_json(response.body)
+        return json.decode(response.body, type=RowSet)
 
     async def list_instances(self) -> Listing:
         """Return the lagging list of live and leaving instances."""
--- a/jujubebarrow/platforms/row_indexes.py
+++ b/jujubebarrow/stores/row_indexes.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterator
 
-from jujubebarrow.platforms.rows import Row
+from jujubebarrow.stores.rows import Row
 
 
 class RowIndex:
--- a/jujubebarrow/platforms/rows.py
+++ b/jujubebarrow/stores/rows.py
@@ -1,11 +1,11 @@
 """Row of the platform's table."""
 
+from dataclasses import dataclass
 from typing import Any
 
-from pydantic import BaseModel, ConfigDict
 
-
-class Row(BaseModel):
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Row:
     """Row of the table as of one revision.
 
     Attributes:
@@ -15,18 +15,15 @@
         value: Document, or None if the row was deleted.
     """
 
-    model_config = ConfigDict(frozen=True)
-
     key: str
     revision: int
     nonce: str = ""
     value: dict[str, Any] | None = None
 
 
-class RowSet(BaseModel):
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RowSet:
     """Rows and the revision of the table they were read at."""
 
-    model_config = ConfigDict(frozen=True)
-
     revision: int
     rows: list[Row]
--- a/jujubebarrow/platforms/platforms.py
+++ b/jujubebarrow/stores/stores.py
@@ -4,15 +4,15 @@
 
 from jujubebarrow.errors.exceptions import StoreError, TransactionConflictError
 from jujubebarrow.metrics.registries import MetricsRegistry
-from jujubebarrow.platforms.commit_answers import CommitAnswer
-from jujubebarrow.platforms.listings import Listing
-from jujubebarrow.platforms.rows import RowSet
-from jujubebarrow.platforms.transactions import Transaction
+from jujubebarrow.stores.commit_answers import CommitAnswer
+from jujubebarrow.stores.listings import Listing
+from jujubebarrow.stores.rows import RowSet
+from jujubebarrow.stores.transactions import Transaction
 
 COMMIT_ATTEMPTS = 3
 
 
-class Platform(ABC):
+class Store(ABC):
     """Transactional table, object store and list of instances.
 
     Every method raises ``StoreError`` when the platform does not answer.
--- a/jujubebarrow/platforms/transactions.py
+++ b/jujubebarrow/stores/transactions.py
@@ -1,14 +1,14 @@
 """Conditional transaction on the platform's table."""
 
+from dataclasses import dataclass, field
 from typing import Any
 
-from pydantic import BaseModel, ConfigDict
-
 ABSENT = 0
 """Revision that a condition names for a row that must not exist."""
 
 
-class Transaction(BaseModel):
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Transaction:
     """Writes that take effect together if all conditions hold.
 
     Attributes:
@@ -17,8 +17,6 @@
         nonce: Identifies the transaction when its answer is lost.
     """
 
-    model_config = ConfigDict(frozen=True)
-
-    conditions: dict[str, int] = {}
+    conditions: dict[str, int] = field(default_factory=dict)
     writes: dict[str, dict[str, Any] | None]
     nonce: str
--- a/jujubebarrow/tests/fakes/fake_platforms.py
+++ b/jujubebarrow/tests/fakes/fake_platforms.py
@@ -5,12 +5,12 @@
 from jujubebarrow.errors.exceptions import StoreError
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.peers.identities import PeerIdentity
-from jujubebarrow.platforms.commit_answers import CommitAnswer
-from jujubebarrow.platforms.listings import Listing
-from jujubebarrow.platforms.platforms import Platform
-from jujubebarrow.platforms.rows import RowSet
-from jujubebarrow.platforms.transactions import Transaction
 from jujubebarrow.standins.tables import Table
+from jujubebarrow.stores.commit_answers import CommitAnswer
+from jujubebarrow.stores.listings import Listing
+from jujubebarrow.stores.rows import RowSet
+from jujubebarrow.stores.stores import Store
+from jujubebarrow.stores.transactions import Transaction
 from jujubebarrow.tests.fakes.fake_networks import FakeNetwork
 from jujubebarrow.tests.fakes.table_audits import TableAudit
 
@@ -32,7 +32,7 @@
         self.slowness = 0.0
 
 
-class FakePlatform(Platform):
+class FakePlatform(Store):
     def __init__(
         self, state: PlatformState, identity: PeerIdentity, metrics: MetricsRegistry
     ):
--- a/jujubebarrow/tests/fakes/mutations.py
+++ b/jujubebarrow/tests/fakes/mutations.py
@@ -10,7 +10,7 @@
 from jujubebarrow.errors.exceptions import RefusalError
 from jujubebarrow.errors.kinds import ErrorKind
 from jujubebarrow.maintenance.changes import Change
-from jujubebarrow.platforms.transactions import Transaction
+from jujubebarrow.stores.transactions import Transaction
 from jujubebarrow.tests.fakes.world_runs import Fault
 
 Break = Callable[[], AbstractContextManager]
--- a/jujubebarrow/tests/fakes/table_audits.py
+++ b/jujubebarrow/tests/fakes/table_audits.py
@@ -5,8 +5,8 @@
 from jujubebarrow.configurations.instance_states import InstanceState
 from jujubebarrow.configurations.move_causes import MoveCause
 from jujubebarrow.configurations.pool_records import Pool
-from jujubebarrow.platforms.transactions import Transaction
 from jujubebarrow.standins.tables import Table
+from jujubebarrow.stores.transactions import Transaction
 
 PLANNED = (MoveCause.MAINTENANCE, MoveCause.MOVE, MoveCause.OPERATOR)
 
--- a/jujubebarrow/tests/fakes/worlds.py
+++ b/jujubebarrow/tests/fakes/worlds.py
@@ -27,8 +27,8 @@
 from jujubebarrow.peers.handlers import PeerHandler
 from jujubebarrow.peers.identities import PeerIdentity
 from jujubebarrow.peers.link_types import Link
-from jujubebarrow.platforms.transactions import Transaction
 from jujubebarrow.settings.settings import Settings
+from jujubebarrow.stores.transactions import Transaction
 from jujubebarrow.tests.fakes.fake_links import FakeLink
 from jujubebarrow.tests.fakes.fake_networks import FakeNetwork
 from jujubebarrow.tests.fakes.fake_platforms import FakePlatform, PlatformState
--- a/jujubebarrow/tests/proof_limits.py
+++ b/jujubebarrow/tests/proof_limits.py
@@ -16,7 +16,7 @@
 from jujubebarrow.limits.loans import Loan
 from jujubebarrow.limits.permits import Permit
 from jujubebarrow.metrics.registries import MetricsRegistry
-from jujubebarrow.platforms.rows import Row
+from jujubebarrow.stores.rows import Row
 
 TEAM = TeamId("tuna")
 HOSTS = 3
--- a/jujubebarrow/tests/proof_maintenance.py
+++ b/jujubebarrow/tests/proof_maintenance.py
@@ -24,9 +24,9 @@
 from jujubebarrow.maintenance.planners import FleetPlanner
 from jujubebarrow.maintenance.transitions import bring_back, mark_failed, take_out
 from jujubebarrow.metrics.registries import MetricsRegistry
-from jujubebarrow.platforms.transactions import Transaction
 from jujubebarrow.pools.move_planners import MovePlanner
 from jujubebarrow.standins.tables import Table
+from jujubebarrow.stores.transactions import Transaction
 from jujubebarrow.tests.fakes.table_audits import TableAudit
 
 POOLS = ("labels", "orders", "spare")
--- a/jujubebarrow/tests/test_claims.py
+++ b/jujubebarrow/tests/test_claims.py
@@ -7,8 +7,8 @@
 from jujubebarrow.clocks.manual_clocks import ManualClock
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.peers.identities import PeerIdentity
-from jujubebarrow.platforms.transactions import Transaction
 from jujubebarrow.services.claim_purgers import PURGE_ROWS, ClaimPurger
+from jujubebarrow.stores.transactions import Transaction
 from jujubebarrow.tests.fakes.fake_networks import FakeNetwork
 from jujubebarrow.tests.fakes.fake_platforms import FakePlatform, PlatformState
 from jujubebarrow.tests.fakes.virtual_loops import run_virtual
