--- a/jujubebarrow/callers/authenticators.py
+++ b/jujubebarrow/callers/authenticators.py
@@ -1,7 +1,6 @@
 """Recognises teams by their keys."""
 
 from collections.abc import Callable
-from hashlib import sha256
 from typing import NamedTuple
 
 from jujubebarrow.configurations.configurations import Configuration
@@ -10,6 +9,7 @@
 from jujubebarrow.errors.exceptions import RefusalError
 from jujubebarrow.errors.kinds import ErrorKind
 from jujubebarrow.identifiers import OPEN_TEAM, KeyDigest, TeamId
+from jujubebarrow.key_digests import digest_key
 
 SCHEME = "bearer"
 STALE_RETRY_SECONDS = 2.0
@@ -25,11 +25,6 @@
 OPEN_CALLER = Caller(OPEN_TEAM, KeyDigest(""))
 
 
-def digest_key(key: str) -> KeyDigest:
-    """Return the digest under which a key is kept."""
-    return KeyDigest(sha256(key.encode()).hexdigest())
-
-
 def read_bearer(header: str | None) -> str:
     """Return the key in an Authorization header.
 
--- /dev/null
+++ b/jujubebarrow/coordinators/job_ledgers.py
@@ -0,0 +1,219 @@
+"""One accepted job and the progress of its tasks."""
+
+from collections.abc import Iterator
+from typing import Any
+
+from jujubebarrow.coordinators.active_runs import ActiveRun, RunStage
+from jujubebarrow.coordinators.step_states import StepState
+from jujubebarrow.coordinators.task_states import TaskState
+from jujubebarrow.workloads.identifiers import RunNumber, WorkerId, WorkerLife
+from jujubebarrow.workloads.job_phases import JobPhase
+from jujubebarrow.workloads.job_records import JobRecord
+from jujubebarrow.workloads.task_keys import TaskKey
+
+PHASE = "phase"
+RUNS = "tasks"
+FINISHED = "finished"
+BEGUN = "begun"
+CLOSED = "closed"
+
+
+class JobLedger:
+    """Progress of a job, written to the store as one row.
+
+    Args:
+        record: Job as it was accepted.
+        known_at: Time in seconds at which this process learned of it.
+    """
+
+    def __init__(self, record: JobRecord, known_at: float):
+        self.record = record
+        self.known_at = known_at
+        self.phase = JobPhase.QUEUED
+        self.stored_phase: JobPhase | None = None
+        self.has_begun = False
+        self.closed_at = 0.0
+        self._occurrences: dict[int, list[StepState]] = {}
+        self._finished: set[int] = set()
+        self._next_occurrence = 0
+
+    def open_due(self, wall: float, lead: float) -> None:
+        """Open the occurrences whose time has come.
+
+        Args:
+            wall: Unix time in seconds.
+            lead: Time in seconds by which a start may be early.
+        """
+        while self._next_occurrence < self.record.repetitions:
+            number = self._next_occurrence
+            if self.record.due(number) > wall + lead:
+                return
+            self._next_occurrence += 1
+            if number not in self._finished:
+                self._open(number)
+
+    def _open(self, number: int) -> list[StepState]:
+        steps = self._occurrences.get(number)
+        if steps is None:
+            steps = [StepState(spec) for spec in self.record.steps]
+            self._occurrences[number] = steps
+        return steps
+
+    def next_due(self) -> float | None:
+        """Return the Unix time of the next occurrence that is not open."""
+        if self._next_occurrence >= self.record.repetitions or self.phase.is_final:
+            return None
+        return self.record.due(self._next_occurrence)
+
+    def startable(self) -> Iterator[tuple[int, int, StepState]]:
+        """Iterate over the steps whose turn has come, with waiting tasks."""
+        if self.phase.is_final:
+            return
+        for occurrence, steps in self._occurrences.items():
+            for number, step in enumerate(steps):
+                if step.is_done or not step.waiting:
+                    continue
+                if all(steps[before].is_done for before in step.spec.after):
+                    yield occurrence, number, step
+
+    def steps(self) -> Iterator[tuple[int, int, StepState]]:
+        """Iterate over the steps of all open occurrences."""
+        for occurrence, steps in self._occurrences.items():
+            for number, step in enumerate(steps):
+                yield occurrence, number, step
+
+    def active_runs(self) -> Iterator[ActiveRun]:
+        """Iterate over all runs that may be at work."""
+        for _, _, step in self.steps():
+            for task in step.tasks:
+                if task.active is not None:
+                    yield task.active
+
+    def find(self, key: TaskKey) -> TaskState | None:
+        """Return the state of a task of an open occurrence."""
+        step = self.find_step(key)
+        if step is None or not 0 <= key.index < len(step.tasks):
+            return None
+        return step.tasks[key.index]
+
+    def find_step(self, key: TaskKey) -> StepState | None:
+        """Return the step of a task of an open occurrence."""
+        steps = self._occurrences.get(key.occurrence)
+        if steps is None or not 0 <= key.step < len(steps):
+            return None
+        return steps[key.step]
+
+    def begin_run(self, run: ActiveRun) -> None:
+        """Note a planned run."""
+        task = self.find(run.task)
+        assert task is not None and task.active is None and not task.is_done
+        task.active = run
+        task.last_run = run.run
+        self.has_begun = True
+        if self.phase is JobPhase.QUEUED:
+            self.phase = JobPhase.RUNNING
+
+    def note_done(self, key: TaskKey) -> None:
+        """Note that a task has ended as done, and what follows from it."""
+        step = self.find_step(key)
+        if step is None:
+            return
+        step.mark_done(key.index)
+        steps = self._occurrences[key.occurrence]
+        if all(other.is_done for other in steps) and not self.record.is_long_running:
+            self._finished.add(key.occurrence)
+            if not any(
+                task.active is not None for other in steps for task in other.tasks
+            ):
+                del self._occurrences[key.occurrence]
+        everything = len(self._finished) == self.record.repetitions
+        if everything and not self.phase.is_final:
+            self.phase = JobPhase.COMPLETED
+
+    def note_failure(self, task: TaskState, worker: WorkerId) -> None:
+        """Note a failed run; the job fails when its attempts are used up."""
+        task.failures += 1
+        task.avoided = worker
+        if self.record.is_long_running or self.phase.is_final:
+            return
+        if task.failures >= self.record.attempts:
+            self.phase = JobPhase.FAILED
+
+    def cancel(self) -> None:
+        """Note that the caller has cancelled the job."""
+        if not self.phase.is_final:
+            self.phase = JobPhase.CANCELLED
+
+    def to_document(self) -> dict[str, Any]:
+        """Return the stored form of the progress."""
+        document: dict[str, Any] = {PHASE: self.phase.value}
+        if self.closed_at:
+            document[CLOSED] = round(self.closed_at, 1)
+        if self.has_begun:
+            document[BEGUN] = True
+        if self._finished:
+            document[FINISHED] = sorted(self._finished)
+        if not self.phase.is_final or self._has_active_runs():
+            document[RUNS] = self._list_tasks()
+        return document
+
+    def _has_active_runs(self) -> bool:
+        return next(self.active_runs(), None) is not None
+
+    def _list_tasks(self) -> list[list[Any]]:
+        rows = []
+        for occurrence, number, step in self.steps():
+            done = sum(1 << i for i, task in enumerate(step.tasks) if task.is_done)
+            started = [
+                _describe(index, task)
+                for index, task in enumerate(step.tasks)
+                if task.last_run and not task.is_done
+            ]
+            if done or started:
+                rows.append([occurrence, number, f"{done:x}", started])
+        return rows
+
+    def restore(self, document: dict[str, Any], now: float) -> None:
+        """Take over the progress that another process has stored.
+
+        Args:
+            document: Stored form.
+            now: Time in seconds.
+        """
+        self.phase = JobPhase(document[PHASE])
+        self.stored_phase = self.phase
+        self.closed_at = document.get(CLOSED, 0.0)
+        self.has_begun = document.get(BEGUN, False)
+        self._finished = set(document.get(FINISHED, ()))
+        for occurrence, number, done, started in document.get(RUNS, ()):
+            step = self._open(occurrence)[number]
+            mask = int(done, 16)
+            for index in range(len(step.tasks)):
+                if mask >> index & 1:
+                    step.mark_done(index)
+            for row in started:
+                key = TaskKey(self.record.job, occurrence, number, row[0])
+                _restore_task(step, key, row, now)
+
+
+def _describe(index: int, task: TaskState) -> list[Any]:
+    row: list[Any] = [index, task.last_run, task.failures, task.checkpoint]
+    if task.active is not None:
+        row.extend((task.active.life[0], task.active.life[1]))
+    return row
+
+
+def _restore_task(step: StepState, key: TaskKey, row: list[Any], now: float) -> None:
+    task = step.tasks[key.index]
+    task.last_run, task.failures, task.checkpoint = row[1], row[2], row[3]
+    if len(row) > 4:
+        task.active = ActiveRun(
+            task=key,
+            run=RunNumber(row[1]),
+            life=WorkerLife((row[4], row[5])),
+            reserved=step.spec.reserved,
+            usage=step.spec.needs,
+            stage=RunStage.INHERITED,
+            sent=True,
+            progressed_at=now,
+        )
--- /dev/null
+++ b/jujubebarrow/coordinators/planners.py
@@ -0,0 +1,158 @@
+"""Placement of the tasks whose turn has come."""
+
+from collections import Counter
+
+from jujubebarrow.coordinators.active_runs import ActiveRun, RunStage
+from jujubebarrow.coordinators.job_ledgers import JobLedger
+from jujubebarrow.coordinators.pool_states import PoolState
+from jujubebarrow.coordinators.step_states import StepState
+from jujubebarrow.coordinators.worker_ledgers import WorkerLedger
+from jujubebarrow.placements.job_orders import order_key
+from jujubebarrow.placements.placers import choose_gang, choose_worker
+from jujubebarrow.workloads.identifiers import RunNumber, WorkerId
+from jujubebarrow.workloads.task_keys import TaskKey
+
+
+class TaskPlanner:
+    """Plans runs, most urgent job first.
+
+    Args:
+        state: State of the pool.
+    """
+
+    def __init__(self, state: PoolState):
+        self._state = state
+
+    def plan(self, now: float, wall: float) -> list[ActiveRun]:
+        """Plan runs for all tasks that find room.
+
+        Args:
+            now: Time in seconds.
+            wall: Unix time in seconds.
+        """
+        workers = [w for w in self._state.workers.values() if w.takes_tasks(now)]
+        jobs = [job for job in self._state.jobs.values() if not job.phase.is_final]
+        for job in jobs:
+            job.open_due(wall, self._state.terms.early_start)
+        jobs.sort(key=lambda job: order_key(job, now))
+        planned: list[ActiveRun] = []
+        for job in jobs:
+            for occurrence, number, step in job.startable():
+                planned += self._plan_step(job, (occurrence, number), step, workers)
+        return planned
+
+    def _plan_step(
+        self,
+        job: JobLedger,
+        place: tuple[int, int],
+        step: StepState,
+        workers: list[WorkerLedger],
+    ) -> list[ActiveRun]:
+        if step.spec.gang:
+            return self._plan_gang(job, place, step, workers)
+        planned = []
+        present = count_present(step)
+        for index in step.waiting:
+            if not self._state.grants.may_start(job.record.team, step.spec.needs):
+                break
+            task = step.tasks[index]
+            worker = choose_worker(step.spec, workers, present, task.avoided)
+            if worker is None:
+                if step.spec.long_running:
+                    self._make_room(step, workers, present)
+                break
+            present[worker.worker] += 1
+            key = TaskKey(job.record.job, *place, index)
+            number = RunNumber(task.last_run + 1)
+            planned.append(self._begin(job, step, key, number, worker))
+        return planned
+
+    def _plan_gang(
+        self,
+        job: JobLedger,
+        place: tuple[int, int],
+        step: StepState,
+        workers: list[WorkerLedger],
+    ) -> list[ActiveRun]:
+        indexes = step.waiting
+        if len(indexes) < len(step.tasks):
+            return []
+        total = step.spec.needs.times(len(indexes))
+        if not self._state.grants.may_start(job.record.team, total):
+            return []
+        chosen = choose_gang(step.spec, len(indexes), workers)
+        if chosen is None:
+            return []
+        number = RunNumber(max(task.last_run for task in step.tasks) + 1)
+        checkpoint = max(task.checkpoint for task in step.tasks)
+        planned = []
+        for index, worker in zip(indexes, chosen, strict=True):
+            step.tasks[index].checkpoint = checkpoint
+            key = TaskKey(job.record.job, *place, index)
+            planned.append(self._begin(job, step, key, number, worker))
+        return planned
+
+    def _begin(
+        self,
+        job: JobLedger,
+        step: StepState,
+        key: TaskKey,
+        number: RunNumber,
+        worker: WorkerLedger,
+    ) -> ActiveRun:
+        run = ActiveRun(
+            task=key,
+            run=number,
+            life=worker.life,
+            reserved=step.spec.reserved,
+            usage=step.spec.needs,
+        )
+        job.begin_run(run)
+        self._state.add_run(job, run)
+        self._state.mark_changed(job)
+        return run
+
+    def _make_room(
+        self,
+        step: StepState,
+        workers: list[WorkerLedger],
+        present: Counter[WorkerId],
+    ) -> None:
+        """Stop runs that can be repeated so that a long-running task fits."""
+        best: list[ActiveRun] | None = None
+        for worker in workers:
+            if step.spec.label and step.spec.label not in worker.labels:
+                continue
+            most = step.spec.most_per_worker
+            if most and present[worker.worker] >= most:
+                continue
+            chosen = self._choose_victims(step, worker)
+            if chosen is not None and (best is None or len(chosen) < len(best)):
+                best = chosen
+        for run in best or ():
+            self._state.request_stop(run)
+
+    def _choose_victims(
+        self, step: StepState, worker: WorkerLedger
+    ) -> list[ActiveRun] | None:
+        room = worker.free
+        for run in worker.runs.values():
+            if run.stage is RunStage.STOPPING:
+                room = room.plus(run.reserved)
+        victims: list[ActiveRun] = []
+        runs = sorted(worker.runs.values(), key=lambda run: run.percent)
+        for run in runs:
+            if step.spec.reserved.fits(room):
+                return victims
+            job = self._state.jobs.get(run.task.job)
+            movable = run.stage in (RunStage.CONFIRMED, RunStage.RECORDED)
+            if job is None or job.record.is_long_running or not movable:
+                continue
+            victims.append(run)
+            room = room.plus(run.reserved)
+        return victims if step.spec.reserved.fits(room) else None
+
+
+def count_present(step: StepState) -> Counter[WorkerId]:
+    """Return how many tasks of a step may be at work, by worker."""
+    return Counter(task.active.worker for task in step.tasks if task.active is not None)
--- /dev/null
+++ b/jujubebarrow/coordinators/pool_states.py
@@ -0,0 +1,111 @@
+"""Jobs, workers and unsaved changes of one pool."""
+
+from collections import defaultdict
+
+from jujubebarrow.coordinators.active_runs import ActiveRun, RunStage
+from jujubebarrow.coordinators.job_changes import EndMark, JobChange
+from jujubebarrow.coordinators.job_ledgers import JobLedger
+from jujubebarrow.coordinators.task_states import TaskState
+from jujubebarrow.coordinators.terms import CoordinatorTerms
+from jujubebarrow.coordinators.worker_ledgers import CLOCK_RATE, WorkerLedger
+from jujubebarrow.identifiers import JobId, PoolId, QueueId
+from jujubebarrow.limits.grant_books import GrantBook
+from jujubebarrow.workloads.identifiers import FencingToken, WorkerId
+
+
+class PoolState:
+    """State shared by the decisions on one pool.
+
+    Args:
+        pool: Pool.
+        token: Fencing token of its owner.
+        terms: Times.
+        taken_at: Time in seconds at which the pool was taken over.
+    """
+
+    def __init__(
+        self,
+        pool: PoolId,
+        token: FencingToken,
+        terms: CoordinatorTerms,
+        taken_at: float,
+    ):
+        self.pool = pool
+        self.token = token
+        self.terms = terms
+        self.taken_at = taken_at
+        self.jobs: dict[JobId, JobLedger] = {}
+        self.workers: dict[WorkerId, WorkerLedger] = {}
+        self.grants = GrantBook()
+        self.starts: list[ActiveRun] = []
+        self.stops: list[ActiveRun] = []
+        self._changed: dict[QueueId, dict[JobId, None]] = defaultdict(dict)
+        self._ends: dict[JobId, list[EndMark]] = defaultdict(list)
+
+    def get_worker(self, worker: WorkerId) -> WorkerLedger:
+        """Return a worker's ledger, made if it is new."""
+        ledger = self.workers.get(worker)
+        if ledger is None:
+            terms = self.terms
+            lease = terms.longest_lease / CLOCK_RATE
+            expiry = self.taken_at + terms.displaced_hold + lease
+            ledger = WorkerLedger(worker, expiry)
+            self.workers[worker] = ledger
+        return ledger
+
+    def add_run(self, job: JobLedger, run: ActiveRun) -> None:
+        """Reserve what a run needs."""
+        self.get_worker(run.worker).add_run(run)
+        self.grants.add(job.record.team, run.usage)
+
+    def end_run(self, job: JobLedger, task: TaskState, now: float) -> None:
+        """Free what the active run of a task has reserved."""
+        run = task.active
+        if run is None:
+            return
+        task.active = None
+        task.absent_since = now
+        worker = self.workers.get(run.worker)
+        if worker is not None:
+            worker.remove_run(run)
+        self.grants.remove(job.record.team, run.usage)
+
+    def request_stop(self, run: ActiveRun) -> None:
+        """Have a run stopped; its resources stay reserved until it has ended."""
+        if run.stage is RunStage.STOPPING:
+            return
+        if run.stage is RunStage.PLANNED:
+            return
+        run.stage = RunStage.STOPPING
+        run.stopped_at = 0.0
+        self.stops.append(run)
+
+    def mark_changed(self, job: JobLedger, end: EndMark | None = None) -> None:
+        """Note that a job's progress has to be stored."""
+        self._changed[job.record.queue][job.record.job] = None
+        if end is not None:
+            self._ends[job.record.job].append(end)
+
+    def changed_queues(self) -> list[QueueId]:
+        """Return the queues with progress to be stored."""
+        return [queue for queue, jobs in self._changed.items() if jobs]
+
+    def take_changes(self, queue: QueueId, most: int) -> list[JobChange]:
+        """Return, and forget, the unsaved changes of a queue's jobs.
+
+        Args:
+            queue: Queue.
+            most: Most jobs.
+        """
+        names = list(self._changed[queue])[:most]
+        changes = []
+        for name in names:
+            del self._changed[queue][name]
+            ends = self._ends.pop(name, [])
+            ledger = self.jobs.get(name)
+            if ledger is not None:
+                starts = [
+                    run for run in ledger.active_runs() if run.stage is RunStage.PLANNED
+                ]
+                changes.append(JobChange(ledger, ledger.to_document(), starts, ends))
+        return changes
--- /dev/null
+++ b/jujubebarrow/coordinators/reconcilers.py
@@ -0,0 +1,169 @@
+"""What follows from a worker's lists of runs and ends."""
+
+from jujubebarrow.coordinators.active_runs import ActiveRun, RunStage
+from jujubebarrow.coordinators.job_changes import EndMark
+from jujubebarrow.coordinators.orders import StopOrder
+from jujubebarrow.coordinators.pool_states import PoolState
+from jujubebarrow.coordinators.worker_ledgers import WorkerLedger
+from jujubebarrow.logs.decision_logs import DecisionLog
+from jujubebarrow.workloads.identifiers import RunNumber
+from jujubebarrow.workloads.run_ends import RunEnd, RunOutcome
+from jujubebarrow.workloads.task_keys import TaskKey
+from jujubebarrow.workloads.worker_reports import HoldReport, RunningTask
+
+
+class Reconciler:
+    """Compares what a worker says with what is on record.
+
+    Args:
+        state: State of the pool.
+        log: Log of decisions.
+    """
+
+    def __init__(self, state: PoolState, log: DecisionLog):
+        self._state = state
+        self._log = log
+
+    def reconcile(
+        self, worker: WorkerLedger, report: HoldReport, sent_at: float, now: float
+    ) -> list[StopOrder]:
+        """Take over a report; return stops of runs that nobody has on record.
+
+        Args:
+            worker: Worker.
+            report: Its answer.
+            sent_at: Time in seconds at which the question left.
+            now: Time in seconds.
+        """
+        if report.born != worker.born:
+            self.begin_life(worker, report.born, now)
+        worker.note_contact(report.clock, now, self._state.terms.longest_lease)
+        strays = []
+        listed: set[tuple[TaskKey, RunNumber]] = set()
+        for running in report.running:
+            listed.add((running.task, running.run))
+            if not self._note_running(worker, running, now):
+                strays.append(self._make_stop(worker, running))
+        for end in report.ended:
+            listed.add((end.task, end.run))
+            if worker.note_end(end.number):
+                self._note_end(worker, end, now)
+        for key, run in list(worker.runs.items()):
+            if key not in listed and _must_be_listed(run, sent_at):
+                self.note_over(worker, run, "absent from the worker's lists", now)
+        return strays
+
+    def begin_life(self, worker: WorkerLedger, born: int, now: float) -> None:
+        """Note that a worker has started again under its id."""
+        runs = list(worker.runs.values())
+        former = worker.born
+        worker.begin_life(born)
+        if former or runs:
+            self._log.write(
+                "worker_life_began", worker=worker.worker, born=born, lost=len(runs)
+            )
+        for run in runs:
+            if run.life == worker.life:
+                continue
+            if run.unanswered and now < run.open_until:
+                # A late start would be carried out by the new life.
+                run.life = worker.life
+                run.stage = RunStage.RECORDED
+                self._state.request_stop(run)
+            else:
+                self.note_over(worker, run, "worker started again", now)
+
+    def note_over(
+        self, worker: WorkerLedger, run: ActiveRun, reason: str, now: float
+    ) -> None:
+        """Note that a run is certainly over without a listed end."""
+        job = self._state.jobs.get(run.task.job)
+        task = job.find(run.task) if job is not None else None
+        if job is None or task is None or task.active is not run:
+            worker.remove_run(run)
+            return
+        self._log.write(
+            "run_over",
+            task=str(run.task),
+            run=run.run,
+            worker=run.worker,
+            stage=run.stage.value,
+            unanswered=run.unanswered,
+            reason=reason,
+        )
+        self._state.end_run(job, task, now)
+        self._state.mark_changed(job)
+
+    def _note_running(
+        self, worker: WorkerLedger, running: RunningTask, now: float
+    ) -> bool:
+        run = worker.runs.get((running.task, running.run))
+        if run is None:
+            return False
+        if run.stage in (RunStage.RECORDED, RunStage.INHERITED):
+            run.stage = RunStage.CONFIRMED
+            run.confirmed_at = now
+        if running.percent != run.percent:
+            run.percent = running.percent
+            run.progressed_at = now
+        run.load = running.load
+        job = self._state.jobs.get(running.task.job)
+        task = job.find(running.task) if job is not None else None
+        if job is None or task is None:
+            return False
+        if running.checkpoint:
+            task.checkpoint = running.checkpoint
+        if job.phase.is_final:
+            self._state.request_stop(run)
+        return True
+
+    def _make_stop(self, worker: WorkerLedger, running: RunningTask) -> StopOrder:
+        self._log.write(
+            "stray_run", task=str(running.task), run=running.run, worker=worker.worker
+        )
+        return StopOrder(
+            worker=worker.worker,
+            address=worker.address,
+            task=running.task,
+            run=running.run,
+            token=self._state.token,
+        )
+
+    def _note_end(self, worker: WorkerLedger, end: RunEnd, now: float) -> None:
+        run = worker.runs.get((end.task, end.run))
+        job = self._state.jobs.get(end.task.job)
+        task = job.find(end.task) if job is not None else None
+        if run is None or job is None or task is None or task.active is not run:
+            worker.mark_recorded(end.number)
+            return
+        self._state.end_run(job, task, now)
+        if end.checkpoint:
+            task.checkpoint = end.checkpoint
+        if end.outcome is RunOutcome.DONE and not job.record.is_long_running:
+            job.note_done(end.task)
+            worker.score.note(end.task.job, True, now)
+        elif end.outcome is RunOutcome.FAILED:
+            job.note_failure(task, worker.worker)
+            shunned = worker.score.note(end.task.job, False, now)
+            self._log.write(
+                "run_failed",
+                task=str(end.task),
+                run=end.run,
+                worker=worker.worker,
+                failures=task.failures,
+                attempts=job.record.attempts,
+                worker_paused=shunned,
+            )
+        self._state.mark_changed(job, EndMark(worker.life, end.number))
+
+
+def _must_be_listed(run: ActiveRun, sent_at: float) -> bool:
+    """Return whether a report asked for at a time must list a run that exists."""
+    if run.stage is RunStage.INHERITED:
+        # Starts of former owners are refused once this owner's token was seen.
+        return True
+    if run.stage is RunStage.CONFIRMED:
+        return run.confirmed_at < sent_at
+    if run.stage is RunStage.STOPPING:
+        return 0.0 < run.stopped_at < sent_at
+    return False
--- /dev/null
+++ b/jujubebarrow/coordinators/worker_ledgers.py
@@ -0,0 +1,160 @@
+"""What the owner of a pool knows of one worker."""
+
+from collections import OrderedDict
+
+from jujubebarrow.coordinators.active_runs import ActiveRun
+from jujubebarrow.placements.worker_scores import WorkerScore
+from jujubebarrow.workloads.identifiers import RunNumber, WorkerId, WorkerLife
+from jujubebarrow.workloads.resources import NOTHING, Resources
+from jujubebarrow.workloads.task_keys import TaskKey
+from jujubebarrow.workloads.worker_reports import WorkerEntry, WorkerState
+
+CLOCK_RATE = 0.98
+"""Slowest rate of a worker's clock; from the platform's contract."""
+EXPIRY_MARGIN = 0.1
+"""Seconds added to a lease before it is taken as over, for rounding and timers."""
+
+
+class WorkerLedger:
+    """One worker, its reservations and its lease.
+
+    Args:
+        worker: Id.
+        expiry: Time in seconds at which leases of earlier owners have ended.
+    """
+
+    def __init__(self, worker: WorkerId, expiry: float):
+        self.worker = worker
+        self.entry: WorkerEntry | None = None
+        self.born = 0
+        self.address = ""
+        self.runs: dict[tuple[TaskKey, RunNumber], ActiveRun] = {}
+        self.score = WorkerScore()
+        self.lease_end = expiry
+        self.contacted_at = 0.0
+        self.failed_since = 0.0
+        self.acknowledged = 0
+        self.draining_since = 0.0
+        self._clock_reading = 0.0
+        self._clock_read_at: float | None = None
+        self._ends: OrderedDict[int, bool] = OrderedDict()
+        self._reserved = NOTHING
+
+    @property
+    def life(self) -> WorkerLife:
+        """Worker's present life as far as known."""
+        return WorkerLife((self.worker, self.born))
+
+    @property
+    def capacity(self) -> Resources:
+        """Resources in all."""
+        return self.entry.capacity if self.entry else NOTHING
+
+    @property
+    def free(self) -> Resources:
+        """Resources that nothing has reserved."""
+        return self.capacity.minus(self._reserved)
+
+    @property
+    def reserved(self) -> Resources:
+        """Resources of all runs that may be at work."""
+        return self._reserved
+
+    @property
+    def labels(self) -> tuple[str, ...]:
+        """Kind and rack."""
+        return self.entry.labels if self.entry else ()
+
+    @property
+    def is_contacted(self) -> bool:
+        """Whether the worker has seen this owner's token in this life."""
+        return self._clock_read_at is not None
+
+    def takes_tasks(self, now: float) -> bool:
+        """Return whether new tasks may be placed here."""
+        entry = self.entry
+        return (
+            entry is not None
+            and entry.state is WorkerState.READY
+            and self.is_contacted
+            and not self.failed_since
+            and not self.score.is_shunned(now)
+        )
+
+    def add_run(self, run: ActiveRun) -> None:
+        """Reserve the resources of a run."""
+        self.runs[run.task, run.run] = run
+        self._reserved = self._reserved.plus(run.reserved)
+
+    def remove_run(self, run: ActiveRun) -> None:
+        """Free the resources of a run that is over."""
+        if self.runs.pop((run.task, run.run), None) is not None:
+            self._reserved = self._reserved.minus(run.reserved)
+
+    def begin_life(self, born: int) -> None:
+        """Forget what was known of an earlier life."""
+        self.born = born
+        self.acknowledged = 0
+        self._ends.clear()
+        self._clock_read_at = None
+        self.lease_end = 0.0
+        self.score = WorkerScore()
+        self.draining_since = 0.0
+
+    def note_contact(self, clock: float, now: float, longest_lease: float) -> None:
+        """Note an answer of the worker.
+
+        Args:
+            clock: Reading of its clock in seconds.
+            now: Time in seconds.
+            longest_lease: Longest lease in seconds that another owner may have
+                given before this contact.
+        """
+        if self._clock_read_at is None:
+            # A lease given before this contact cannot be longer than that.
+            self.lease_end = now + longest_lease / CLOCK_RATE + EXPIRY_MARGIN
+        self._clock_reading = clock
+        self._clock_read_at = now
+        self.contacted_at = now
+        self.failed_since = 0.0
+
+    def give_lease(self, now: float, length: float) -> float | None:
+        """Return the end of a new lease on the worker's clock in seconds.
+
+        Args:
+            now: Time in seconds.
+            length: Length in seconds.
+        """
+        if self._clock_read_at is None:
+            return None
+        deadline = self._clock_reading + (now - self._clock_read_at) + length
+        latest = self._clock_read_at + (deadline - self._clock_reading) / CLOCK_RATE
+        self.lease_end = max(self.lease_end, latest + EXPIRY_MARGIN)
+        return deadline
+
+    def is_lease_over(self, now: float) -> bool:
+        """Return whether every lease given in this life has certainly ended."""
+        return now > self.lease_end
+
+    def note_end(self, number: int) -> bool:
+        """Note an end in the worker's list; return whether it is new."""
+        if number <= self.acknowledged or number in self._ends:
+            return False
+        self._ends[number] = False
+        return True
+
+    def mark_recorded(self, number: int) -> None:
+        """Note that an end is on record, so that it may be acknowledged."""
+        if number in self._ends:
+            self._ends[number] = True
+        while self._ends:
+            first, recorded = next(iter(self._ends.items()))
+            if not recorded:
+                break
+            del self._ends[first]
+            self.acknowledged = first
+
+    @property
+    def has_unrecorded_ends(self) -> bool:
+        """Whether an end waits to be put on record."""
+        return bool(self._ends)
--- a/jujubebarrow/errors/exceptions.py
+++ b/jujubebarrow/errors/exceptions.py
@@ -51,7 +51,23 @@
 
 
 class StoreError(JujubebarrowError):
-    """The platform's table did not answer; a write may have taken effect."""
+    """The store did not answer as it should.
+
+    Args:
+        detail: What was seen.
+        may_have_applied: Whether a write may have taken effect or still may.
+    """
+
+    def __init__(self, detail: str, may_have_applied: bool = True):
+        super().__init__(detail)
+        self.may_have_applied = may_have_applied
+
+
+class HistoryLostError(StoreError):
+    """The store no longer has the changes since a revision."""
+
+    def __init__(self, detail: str):
+        super().__init__(detail, may_have_applied=False)
 
 
 class TransactionConflictError(JujubebarrowError):
--- a/jujubebarrow/operators/key_handlers.py
+++ b/jujubebarrow/operators/key_handlers.py
@@ -2,12 +2,12 @@
 
 from secrets import token_urlsafe
 
-from jujubebarrow.callers.authenticators import digest_key
 from jujubebarrow.configurations.key_records import Key
 from jujubebarrow.configurations.key_states import KeyState
 from jujubebarrow.configurations.record_kinds import RecordKind
 from jujubebarrow.errors.exceptions import RefusalError
 from jujubebarrow.errors.kinds import ErrorKind
+from jujubebarrow.key_digests import digest_key
 from jujubebarrow.maintenance.changes import Change
 from jujubebarrow.operators.key_documents import GrantedKey, KeyRequest
 from jujubebarrow.operators.operator_handlers import OperatorHandler
--- a/jujubebarrow/operators/operator_handlers.py
+++ b/jujubebarrow/operators/operator_handlers.py
@@ -5,10 +5,11 @@
 
 from pydantic import BaseModel, ValidationError
 
-from jujubebarrow.callers.authenticators import digest_key, read_bearer
+from jujubebarrow.callers.authenticators import read_bearer
 from jujubebarrow.callers.body_handlers import BodyHandler
 from jujubebarrow.errors.exceptions import RefusalError
 from jujubebarrow.errors.kinds import ErrorKind
+from jujubebarrow.key_digests import digest_key
 from jujubebarrow.maintenance.changes import Change
 from jujubebarrow.operators.operator_contexts import OperatorContext
 from jujubebarrow.operators.record_documents import Committed
--- /dev/null
+++ b/jujubebarrow/placements/placers.py
@@ -0,0 +1,90 @@
+"""Choice of a worker for a task."""
+
+from collections import Counter
+from collections.abc import Iterable
+
+from jujubebarrow.coordinators.worker_ledgers import WorkerLedger
+from jujubebarrow.workloads.identifiers import WorkerId
+from jujubebarrow.workloads.step_specs import StepSpec
+
+
+def may_run(step: StepSpec, worker: WorkerLedger, present: int) -> bool:
+    """Return whether a worker may run one more task of a step.
+
+    Args:
+        step: Step.
+        worker: Worker.
+        present: Tasks of the step that may be at work there.
+    """
+    if step.label and step.label not in worker.labels:
+        return False
+    if step.most_per_worker and present >= step.most_per_worker:
+        return False
+    return step.reserved.fits(worker.free)
+
+
+def choose_worker(
+    step: StepSpec,
+    workers: Iterable[WorkerLedger],
+    present: Counter[WorkerId],
+    avoided: WorkerId | None,
+) -> WorkerLedger | None:
+    """Return the worker for a task, or None if none has room.
+
+    Near its data comes first, then a worker other than the one where it failed,
+    then the one with the most processor left: tasks disturb each other the less.
+
+    Args:
+        step: Step of the task.
+        workers: Workers that take tasks.
+        present: Tasks of the step that may be at work, by worker.
+        avoided: Worker on which the task failed last.
+    """
+    best: WorkerLedger | None = None
+    best_rank: tuple[bool, bool, int] | None = None
+    for worker in workers:
+        if not may_run(step, worker, present[worker.worker]):
+            continue
+        near = not step.data_rack or step.data_rack in worker.labels
+        rank = (near, worker.worker != avoided, worker.free.cpu)
+        if best_rank is None or rank > best_rank:
+            best, best_rank = worker, rank
+    return best
+
+
+def choose_gang(
+    step: StepSpec, count: int, workers: list[WorkerLedger]
+) -> list[WorkerLedger] | None:
+    """Return a worker for each task of a gang, or None if not all find room.
+
+    Args:
+        step: Step of the gang.
+        count: Number of tasks.
+        workers: Workers that take tasks.
+    """
+    racks: list[list[WorkerLedger]] = []
+    if step.same_rack or step.data_rack:
+        labels = {label for worker in workers for label in worker.labels}
+        racks = [[w for w in workers if rack in w.labels] for rack in sorted(labels)]
+        racks.sort(key=lambda group: step.data_rack not in group[0].labels)
+    for group in [*racks, workers]:
+        found = _fill(step, count, group)
+        if found is not None:
+            return found
+    return None
+
+
+def _fill(
+    step: StepSpec, count: int, workers: list[WorkerLedger]
+) -> list[WorkerLedger] | None:
+    chosen: list[WorkerLedger] = []
+    for worker in sorted(workers, key=lambda worker: -worker.free.cpu):
+        room = 0
+        while (
+            len(chosen) < count
+            and may_run(step, worker, room)
+            and step.reserved.times(room + 1).fits(worker.free)
+        ):
+            chosen.append(worker)
+            room += 1
+    return chosen if len(chosen) == count else None
--- /dev/null
+++ b/jujubebarrow/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform: translation only, no decisions."""
--- /dev/null
+++ b/jujubebarrow/platform/documents.py
@@ -0,0 +1,270 @@
+"""Documents that the operator and the workers write into the store."""
+
+from typing import Any, TypeVar
+
+from msgspec import Struct, ValidationError, convert, field
+
+from jujubebarrow.fleets.advice_terms import AdviceTerms
+from jujubebarrow.fleets.fleet_maps import FleetMap, index_routes
+from jujubebarrow.fleets.pool_specs import PoolSpec
+from jujubebarrow.fleets.queue_routes import QueueRoute
+from jujubebarrow.fleets.team_specs import TeamSpec
+from jujubebarrow.fleets.wave_requests import WaveRequest
+from jujubebarrow.identifiers import PoolId, QueueId, TeamId, ZoneId
+from jujubebarrow.key_digests import digest_key
+from jujubebarrow.logs.decision_logs import DecisionLog
+from jujubebarrow.metrics.registries import MetricsRegistry
+from jujubebarrow.platform.wire_resources import WireResources
+from jujubebarrow.runtimes.document_readers import DocumentReader
+from jujubebarrow.stores.row_keys import RowKey
+from jujubebarrow.stores.rows import Row
+from jujubebarrow.workloads.identifiers import MachineId, WorkerId
+from jujubebarrow.workloads.worker_reports import WorkerEntry, WorkerState
+
+OPERATOR_TABLE = "op"
+WORKER_TABLE = "servers"
+STATUS_TABLE = "status"
+CONFIG_NAME = "config"
+WAVE_PREFIX = "wave/"
+
+Wire = TypeVar("Wire")
+
+
+class WireAdvice(Struct, rename="pascal"):
+    """Terms of the advice on a queue, in milliseconds."""
+
+    decide_ms: float = 0.0
+    # For each worker that the question names.
+    each_ms: float = 0.0
+    valid_ms: float = 0.0
+
+
+class WireRoute(Struct, rename="pascal"):
+    """A queue."""
+
+    name: str
+    host: str
+    prefix: str
+    # The pool of workers, not an address.
+    backend: str
+    # Longest time for an answer to a caller.
+    timeout_ms: float = 0.0
+    # Time granted on top of a job's work, not a bound on an answer.
+    slo_ms: float = 0.0
+    priority: int = 0
+    # Failed runs of one task, not repeats of a request.
+    max_attempts: int = 1
+    stretch: float = 1.0
+    # Open to callers without a key.
+    public: bool = False
+    advice: WireAdvice | None = None
+
+
+class WireService(Struct, rename="pascal"):
+    """A pool."""
+
+    name: str
+    health_path: str = ""
+    # Workers refuse what exceeds their capacity.
+    enforce_capacity: bool = False
+    # Machines are off and cost nothing.
+    standby: bool = False
+
+
+class WireTenant(Struct, rename="pascal"):
+    """A team."""
+
+    name: str
+    api_keys: list[str] = []
+    weight: float = 1.0
+    # Upper limit over all pools; 0 means none.
+    maximum: WireResources = field(default_factory=WireResources)
+
+
+class WireLimits(Struct, rename="pascal"):
+    """Limits on callers' requests."""
+
+    max_body_bytes: int = 0
+
+
+class WireConfig(Struct, rename="pascal"):
+    """The whole configuration."""
+
+    version: int
+    routes: list[WireRoute] = []
+    services: list[WireService] = []
+    tenants: list[WireTenant] = []
+    limits: WireLimits = field(default_factory=WireLimits)
+
+
+class WireWave(Struct, rename="pascal"):
+    """Maintenance that is due."""
+
+    wave: int
+    machines: list[str]
+    # Time until all machines must have begun.
+    duration_s: float
+    # Most machines down for it at a time.
+    maximum: int
+
+
+class WireWorker(Struct, rename="pascal"):
+    """A worker's registration."""
+
+    backend: str
+    address: str
+    zone: str
+    # "ready" or "draining"; others are not known.
+    state: str
+    capacity: WireResources
+    # Kind and rack.
+    labels: list[str] = []
+    # Least time until a draining worker ends.
+    remaining_ms: float = 0.0
+    # How much longer the worker is slow after its start.
+    cold_left_ms: float = 0.0
+    machine: str = ""
+    # Unix milliseconds of its start.
+    born: int = field(default=0, name="born")
+
+
+class PlatformDocuments(DocumentReader):
+    """Decodes the platform's documents once.
+
+    Args:
+        log: Log of decisions.
+        metrics: Where documents that cannot be read are counted.
+    """
+
+    def __init__(self, log: DecisionLog, metrics: MetricsRegistry):
+        self._log = log
+        self._metrics = metrics
+
+    @property
+    def operator_table(self) -> str:
+        """Table of the operator's documents."""
+        return OPERATOR_TABLE
+
+    @property
+    def worker_table(self) -> str:
+        """Table of the workers' registrations."""
+        return WORKER_TABLE
+
+    def is_fleet(self, row: Row) -> bool:
+        """Return whether a row is the configuration of the fleet."""
+        return RowKey.parse(row.key).name == CONFIG_NAME and row.value is not None
+
+    def read_fleet(self, row: Row) -> FleetMap | None:
+        """Return the configuration, or None, counted, if it cannot be read."""
+        wire = self._convert(row, WireConfig)
+        return _make_fleet(wire) if wire is not None else None
+
+    def read_wave(self, row: Row) -> WaveRequest | None:
+        """Return a request for maintenance, or None if the row is none."""
+        if not RowKey.parse(row.key).name.startswith(WAVE_PREFIX) or row.value is None:
+            return None
+        wire = self._convert(row, WireWave)
+        if wire is None:
+            return None
+        return WaveRequest(
+            wave=wire.wave,
+            machines=tuple(MachineId(name) for name in wire.machines),
+            duration=wire.duration_s,
+            most_at_once=wire.maximum,
+        )
+
+    def worker_of(self, row: Row) -> WorkerId:
+        """Return the worker that a registration is about."""
+        return WorkerId(RowKey.parse(row.key).name)
+
+    def read_worker(self, row: Row) -> WorkerEntry | None:
+        """Return a registration, or None, counted, if it cannot be used."""
+        wire = self._convert(row, WireWorker)
+        if wire is None:
+            return None
+        try:
+            state = WorkerState(wire.state)
+        except ValueError:
+            self._metrics.count("row_unreadable", "worker state")
+            return None
+        return WorkerEntry(
+            worker=self.worker_of(row),
+            born=wire.born,
+            pool=PoolId(wire.backend),
+            address=wire.address,
+            zone=ZoneId(wire.zone),
+            state=state,
+            capacity=wire.capacity.to_resources(),
+            labels=tuple(wire.labels),
+            remaining=wire.remaining_ms / 1000,
+            cold=wire.cold_left_ms / 1000,
+            machine=MachineId(wire.machine),
+        )
+
+    def wave_status(self, wave: int, completed: bool) -> tuple[str, dict[str, Any]]:
+        """Return the key and the document that tell how far a wave is."""
+        key = str(RowKey(STATUS_TABLE, "", f"{WAVE_PREFIX}{wave}"))
+        return key, {"Wave": wave, "State": "completed" if completed else "running"}
+
+    def _convert(self, row: Row, wire_type: type[Wire]) -> Wire | None:
+        try:
+            return convert(row.value, wire_type)
+        except ValidationError as error:
+            self._metrics.count("row_unreadable", RowKey.parse(row.key).table)
+            self._log.write("row_unreadable", key=row.key, detail=str(error))
+            return None
+
+
+def _make_fleet(wire: WireConfig) -> FleetMap:
+    routes = [_make_route(route) for route in wire.routes]
+    return FleetMap(
+        version=wire.version,
+        routes=index_routes(routes),
+        queues={route.queue: route for route in routes},
+        pools={
+            PoolId(service.name): PoolSpec(
+                pool=PoolId(service.name),
+                is_standby=service.standby,
+                guards_capacity=service.enforce_capacity,
+                health_path=service.health_path,
+            )
+            for service in wire.services
+        },
+        teams={
+            TeamId(tenant.name): TeamSpec(
+                team=TeamId(tenant.name),
+                weight=tenant.weight,
+                limit=tenant.maximum.to_resources(),
+            )
+            for tenant in wire.tenants
+        },
+        keys={
+            digest_key(key): TeamId(tenant.name)
+            for tenant in wire.tenants
+            for key in tenant.api_keys
+        },
+        body_limit=wire.limits.max_body_bytes,
+    )
+
+
+def _make_route(wire: WireRoute) -> QueueRoute:
+    advice = None
+    if wire.advice is not None:
+        advice = AdviceTerms(
+            wire.advice.decide_ms / 1000,
+            wire.advice.each_ms / 1000,
+            wire.advice.valid_ms / 1000,
+        )
+    return QueueRoute(
+        queue=QueueId(wire.name),
+        host=wire.host,
+        prefix=wire.prefix,
+        pool=PoolId(wire.backend),
+        is_open=wire.public,
+        target=wire.slo_ms / 1000,
+        stretch=wire.stretch,
+        attempts=wire.max_attempts,
+        priority=wire.priority,
+        timeout=wire.timeout_ms / 1000,
+        advice=advice,
+    )
--- /dev/null
+++ b/jujubebarrow/runtimes/entry_nodes.py
@@ -0,0 +1,155 @@
+"""One entry instance without its sockets."""
+
+from contextlib import AsyncExitStack
+from dataclasses import dataclass
+
+from jujubebarrow.clocks.clocks import Clock
+from jujubebarrow.coordinators.terms import CoordinatorTerms
+from jujubebarrow.fleets.fleet_maps import FleetMap
+from jujubebarrow.gateways.machine_controls import MachineControl
+from jujubebarrow.gateways.worker_gateways import WorkerGateway
+from jujubebarrow.identifiers import IncarnationId, InstanceId, JobId, PoolId
+from jujubebarrow.logs.decision_logs import DecisionLog
+from jujubebarrow.metrics.registries import MetricsRegistry
+from jujubebarrow.ownerships.holders import MAINTENANCE_DUTY, DutyId
+from jujubebarrow.runtimes.document_readers import DocumentReader
+from jujubebarrow.runtimes.fleet_followers import FleetFollower
+from jujubebarrow.runtimes.job_followers import JobFollower
+from jujubebarrow.runtimes.job_intakes import JobIntake
+from jujubebarrow.runtimes.ownership_services import DutyListener, OwnershipService
+from jujubebarrow.runtimes.pool_owners import PoolOwner
+from jujubebarrow.runtimes.worker_followers import WorkerFollower
+from jujubebarrow.stores.stores import Store
+from jujubebarrow.workloads.identifiers import FencingToken
+from jujubebarrow.workloads.job_phases import JobPhase
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EntryTerms:
+    """What an entry instance is told by its settings.
+
+    Attributes:
+        instance: This instance.
+        incarnation: This run of its process.
+        coordinator: Times for the owners of pools.
+        key_freshness: Age of the configuration in seconds at which calls with a
+            key are refused.
+    """
+
+    instance: InstanceId
+    incarnation: IncarnationId
+    coordinator: CoordinatorTerms
+    key_freshness: float
+
+
+class EntryNode(DutyListener):
+    """All parts of an entry instance, over adapters that are passed in.
+
+    Args:
+        terms: Settings.
+        store: Store.
+        reader: Decodes documents of the operator and the workers.
+        gateway: Workers.
+        machines: Machines under the workers.
+        clock: Time source; it must not stand still while a machine is suspended.
+        log: Log of decisions.
+        metrics: Counters.
+    """
+
+    def __init__(
+        self,
+        terms: EntryTerms,
+        store: Store,
+        reader: DocumentReader,
+        gateway: WorkerGateway,
+        machines: MachineControl,
+        clock: Clock,
+        log: DecisionLog,
+        metrics: MetricsRegistry,
+    ):
+        self._terms = terms
+        self._store = store
+        self._gateway = gateway
+        self._machines = machines
+        self._clock = clock
+        self._log = log
+        self._metrics = metrics
+        self._owners: dict[PoolId, PoolOwner] = {}
+        self._stopping = False
+        self.follower = FleetFollower(
+            store, reader, terms.key_freshness, clock, log, metrics
+        )
+        self._workers = WorkerFollower(store, reader, clock, log, metrics)
+        self._jobs = JobFollower(store, clock, log, metrics)
+        self._ownership = OwnershipService(
+            terms.instance, terms.incarnation, store, self, clock, log, metrics
+        )
+        self.intake = JobIntake(store, self._find_phase, clock, log, metrics)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether new callers should be sent here."""
+        return self.follower.is_fresh and not self._stopping
+
+    @property
+    def is_stopping(self) -> bool:
+        """Whether the process is about to end."""
+        return self._stopping
+
+    async def open(self, stack: AsyncExitStack) -> None:
+        """Start all parts; they are stopped with the stack.
+
+        Args:
+            stack: Owner of what is opened.
+        """
+        self.follower.listen(self._apply_fleet)
+        for part in (self.follower, self._workers, self._jobs, self._ownership):
+            part.open()
+            stack.push_async_callback(part.close)
+
+    async def hand_over(self) -> None:
+        """Take no new callers, and let other instances own what this one owned."""
+        self._stopping = True
+        await self._ownership.hand_over()
+
+    def _apply_fleet(self, fleet: FleetMap) -> None:
+        self._ownership.duties = [DutyId(pool) for pool in sorted(fleet.pools)]
+        for owner in self._owners.values():
+            owner.apply_fleet(fleet)
+
+    def _find_phase(self, job: JobId) -> JobPhase | None:
+        for owner in self._owners.values():
+            ledger = owner.coordinator.state.jobs.get(job)
+            if ledger is not None:
+                return ledger.stored_phase
+        return None
+
+    async def on_claimed(self, duty: DutyId, token: FencingToken) -> None:
+        """Begin a duty."""
+        if duty == MAINTENANCE_DUTY:
+            return
+        fleet = self.follower.fleet
+        assert fleet is not None
+        owner = PoolOwner(
+            PoolId(duty),
+            token,
+            self._terms.coordinator,
+            self._ownership,
+            self._store,
+            self._gateway,
+            self._clock,
+            self._log,
+            self._metrics,
+        )
+        self._owners[owner.pool] = owner
+        self._jobs.listen(owner)
+        self._workers.listen(owner)
+        owner.open(fleet)
+
+    async def on_lost(self, duty: DutyId) -> None:
+        """End a duty that another instance has taken over."""
+        owner = self._owners.pop(PoolId(duty), None)
+        if owner is not None:
+            owner.close()
+            self._jobs.unlisten(owner)
+            self._workers.unlisten(owner)
--- /dev/null
+++ b/jujubebarrow/runtimes/job_intakes.py
@@ -0,0 +1,234 @@
+"""Takes, shows and cancels jobs for callers, on every instance."""
+
+from asyncio import wait_for
+from collections.abc import Callable
+from typing import Any
+from uuid import uuid4
+
+from jujubebarrow.clocks.clocks import Clock
+from jujubebarrow.coordinators.job_ledgers import PHASE
+from jujubebarrow.errors.exceptions import (
+    RefusalError,
+    StoreError,
+    TransactionConflictError,
+)
+from jujubebarrow.errors.kinds import ErrorKind
+from jujubebarrow.errors.run_states import RunState
+from jujubebarrow.fleets.queue_routes import QueueRoute
+from jujubebarrow.identifiers import JobId, TeamId
+from jujubebarrow.logs.decision_logs import DecisionLog
+from jujubebarrow.metrics.registries import MetricsRegistry
+from jujubebarrow.runtimes.job_followers import read_job
+from jujubebarrow.runtimes.job_rows import (
+    cancellation_row,
+    job_row,
+    progress_row,
+)
+from jujubebarrow.stores.row_keys import TableName, make_key
+from jujubebarrow.stores.rows import Row
+from jujubebarrow.stores.stores import Store
+from jujubebarrow.stores.transactions import ABSENT, Transaction
+from jujubebarrow.workloads.job_phases import JobPhase
+from jujubebarrow.workloads.job_records import JobRecord
+from jujubebarrow.workloads.job_submissions import JobSubmission
+
+STORE_RETRY_SECONDS = 1.0
+"""Retry-After while the store does not answer; outages last some seconds."""
+ATTEMPTS = 3
+"""Reads of a job that changes meanwhile."""
+
+
+class JobIntake:
+    """Callers' operations on jobs.
+
+    Args:
+        store: Store.
+        find_phase: Returns the stored phase of a job that this instance owns.
+        clock: Time source.
+        log: Log of decisions.
+        metrics: Counters.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        find_phase: Callable[[JobId], JobPhase | None],
+        clock: Clock,
+        log: DecisionLog,
+        metrics: MetricsRegistry,
+    ):
+        self._store = store
+        self._find_phase = find_phase
+        self._clock = clock
+        self._log = log
+        self._metrics = metrics
+
+    async def submit(
+        self,
+        route: QueueRoute,
+        team: TeamId,
+        job: JobId,
+        submission: JobSubmission,
+        timeout: float,
+    ) -> None:
+        """Accept a job: it is stored when this returns.
+
+        A repeat of the same id is accepted again and remains one job.
+
+        Args:
+            route: Route of the queue.
+            team: Team of the key; empty on a queue open to all.
+            job: Id chosen by the caller.
+            submission: Job.
+            timeout: Time in seconds that the caller waits.
+
+        Raises:
+            RefusalError: The job was not accepted, or that is unknown.
+        """
+        fault = submission.find_fault()
+        if fault:
+            raise RefusalError(ErrorKind.BAD_REQUEST, fault)
+        record = _make_record(route, team, job, submission, self._clock.wall())
+        transaction = Transaction(
+            conditions={job_row(route.queue, job): ABSENT},
+            writes={job_row(route.queue, job): record.to_document()},
+            nonce=uuid4().hex,
+        )
+        try:
+            await wait_for(self._store.commit(transaction), timeout)
+        except TransactionConflictError:
+            self._metrics.count("job_repeated", route.queue)
+            self._log.write("job_repeated", job=job, queue=route.queue)
+            return
+        except StoreError as error:
+            raise self._refuse(error) from error
+        except TimeoutError as error:
+            raise RefusalError(ErrorKind.RUN_UNKNOWN, "store", 0.5) from error
+        self._log.write(
+            "job_accepted",
+            job=job,
+            queue=route.queue,
+            pool=route.pool,
+            team=team,
+            steps=[step.count for step in submission.steps],
+        )
+
+    def _refuse(self, error: StoreError) -> RefusalError:
+        if error.may_have_applied:
+            return RefusalError(ErrorKind.RUN_UNKNOWN, str(error), STORE_RETRY_SECONDS)
+        return RefusalError(
+            ErrorKind.STORE_UNAVAILABLE,
+            str(error),
+            STORE_RETRY_SECONDS,
+            RunState.NOT_RUN,
+        )
+
+    async def read_phase(self, route: QueueRoute, team: TeamId, job: JobId) -> JobPhase:
+        """Return the state of an accepted job.
+
+        Raises:
+            RefusalError: There is no such job, or the store does not answer.
+        """
+        phase = self._find_phase(job)
+        if phase is not None:
+            return phase
+        try:
+            document = await self._find(progress_row(route.queue, job))
+            if document is not None:
+                return JobPhase(document[PHASE])
+            _, record, cancelled = await self._read_job(route, job)
+        except StoreError as error:
+            raise RefusalError(
+                ErrorKind.STORE_UNAVAILABLE, str(error), STORE_RETRY_SECONDS
+            ) from error
+        if record is None:
+            raise RefusalError(ErrorKind.NOT_FOUND, job)
+        return JobPhase.CANCELLED if cancelled else JobPhase.QUEUED
+
+    async def _find(self, key: str) -> dict[str, Any] | None:
+        found = await self._store.read(key)
+        return next((row.value for row in found.rows if row.key == key), None)
+
+    async def _read_job(
+        self, route: QueueRoute, job: JobId
+    ) -> tuple[Row | None, JobRecord | None, bool]:
+        key = job_row(route.queue, job)
+        found = await self._store.read(key)
+        row = next((row for row in found.rows if row.key == key), None)
+        record = read_job(row, self._metrics) if row is not None else None
+        cancelled = cancellation_row(route.queue, job)
+        return row, record, any(row.key == cancelled for row in found.rows)
+
+    async def cancel(self, route: QueueRoute, team: TeamId, job: JobId) -> None:
+        """Cancel a job: that is stored when this returns.
+
+        Raises:
+            RefusalError: There is no such job, or the store does not answer.
+        """
+        for _ in range(ATTEMPTS):
+            try:
+                if await self._try_cancel(route, team, job):
+                    return
+            except TransactionConflictError:
+                self._metrics.count("retry", "cancel")
+            except StoreError as error:
+                raise RefusalError(
+                    ErrorKind.RUN_UNKNOWN, str(error), STORE_RETRY_SECONDS
+                ) from error
+        raise RefusalError(ErrorKind.RUN_UNKNOWN, job, STORE_RETRY_SECONDS)
+
+    async def _try_cancel(self, route: QueueRoute, team: TeamId, job: JobId) -> bool:
+        row, record, cancelled = await self._read_job(route, job)
+        if row is None or record is None or record.team != team:
+            raise RefusalError(ErrorKind.NOT_FOUND, job)
+        if cancelled:
+            return True
+        key = cancellation_row(route.queue, job)
+        transaction = Transaction(
+            conditions={row.key: row.revision, key: ABSENT},
+            writes={key: {"at": self._clock.wall()}},
+            nonce=uuid4().hex,
+        )
+        await self._store.commit(transaction)
+        self._log.write("job_cancel_stored", job=job, queue=route.queue)
+        return True
+
+    async def count_pending(self, route: QueueRoute) -> int:
+        """Return the number of a queue's accepted jobs without a started task.
+
+        Raises:
+            RefusalError: The store does not answer.
+        """
+        prefix = make_key(TableName.LOADS, route.queue, "")
+        try:
+            found = await self._store.read(prefix)
+        except StoreError as error:
+            raise RefusalError(
+                ErrorKind.STORE_UNAVAILABLE, str(error), STORE_RETRY_SECONDS
+            ) from error
+        return sum((row.value or {}).get("pending", 0) for row in found.rows)
+
+
+def _make_record(
+    route: QueueRoute,
+    team: TeamId,
+    job: JobId,
+    submission: JobSubmission,
+    now: float,
+) -> JobRecord:
+    return JobRecord(
+        job=job,
+        queue=route.queue,
+        pool=route.pool,
+        team=team,
+        accepted=round(now, 3),
+        payload=submission.payload,
+        steps=submission.steps,
+        first_start=submission.first_start,
+        interval=submission.interval,
+        occurrences=submission.occurrences,
+        target=route.target,
+        stretch=route.stretch,
+        attempts=route.attempts,
+        priority=route.priority,
+    )
--- /dev/null
+++ b/jujubebarrow/runtimes/order_senders.py
@@ -0,0 +1,113 @@
+"""Sends starts and stops until their outcome is known."""
+
+from asyncio import sleep
+from collections.abc import Callable
+
+from jujubebarrow.clocks.clocks import Clock
+from jujubebarrow.coordinators.active_runs import ActiveRun, RunStage
+from jujubebarrow.coordinators.order_results import OrderOutcome
+from jujubebarrow.coordinators.orders import StopOrder
+from jujubebarrow.coordinators.pool_coordinators import PoolCoordinator
+from jujubebarrow.gateways.worker_gateways import WorkerGateway
+from jujubebarrow.logs.decision_logs import DecisionLog
+from jujubebarrow.metrics.registries import MetricsRegistry
+from jujubebarrow.runtimes.task_groups import OwnedTasks
+
+RETRY_SECONDS = 0.4
+"""Pause before an order without an answer is sent again."""
+WAIT_SECONDS = 0.1
+"""Pause while an order can't be sent yet."""
+
+
+class OrderSender:
+    """Sends the orders that the coordinator has released.
+
+    Args:
+        coordinator: Decisions on the pool.
+        gateway: Workers.
+        tasks: Owner of running tasks.
+        may_order: Returns whether this instance certainly owns the pool.
+        on_change: Called when an answer may allow further plans.
+        clock: Time source.
+        log: Log of decisions.
+        metrics: Counters.
+    """
+
+    def __init__(
+        self,
+        coordinator: PoolCoordinator,
+        gateway: WorkerGateway,
+        tasks: OwnedTasks,
+        may_order: Callable[[], bool],
+        on_change: Callable[[], None],
+        clock: Clock,
+        log: DecisionLog,
+        metrics: MetricsRegistry,
+    ):
+        self._coordinator = coordinator
+        self._gateway = gateway
+        self._tasks = tasks
+        self._may_order = may_order
+        self._on_change = on_change
+        self._clock = clock
+        self._log = log
+        self._metrics = metrics
+
+    def send_released(self) -> None:
+        """Begin to send all released orders."""
+        for run in self._coordinator.take_starts():
+            self._tasks.start(self._send_start(run))
+        for run in self._coordinator.take_stops():
+            self._tasks.start(self._send_stop(run))
+
+    async def _send_start(self, run: ActiveRun) -> None:
+        while run.stage is RunStage.RECORDED:
+            if not self._may_order():
+                await sleep(WAIT_SECONDS)
+                continue
+            sent_at = self._clock.monotonic()
+            order = self._coordinator.make_start(run, sent_at)
+            if order is None:
+                if not self._coordinator.is_active(run):
+                    return
+                await sleep(WAIT_SECONDS)
+                continue
+            run.sent = True
+            result = await self._gateway.start(order)
+            now = self._clock.monotonic()
+            self._metrics.count("start", result.outcome.value)
+            self._metrics.record("", "start-task", now - sent_at)
+            self._coordinator.note_start(run, result, sent_at, now)
+            if result.outcome is not OrderOutcome.ACCEPTED:
+                self._log.write(
+                    "start_unconfirmed",
+                    task=str(run.task),
+                    run=run.run,
+                    worker=run.worker,
+                    outcome=result.outcome.value,
+                    detail=result.detail,
+                    unanswered=run.unanswered,
+                )
+                self._on_change()
+            if run.stage is RunStage.RECORDED:
+                await sleep(RETRY_SECONDS)
+
+    async def _send_stop(self, run: ActiveRun) -> None:
+        while True:
+            order = self._coordinator.make_stop(run)
+            if order is None or run.stage is not RunStage.STOPPING:
+                return
+            result = await self._gateway.stop(order)
+            self._metrics.count("stop", result.outcome.value)
+            if self._coordinator.note_stop(run, result, self._clock.monotonic()):
+                self._on_change()
+                return
+            await sleep(RETRY_SECONDS)
+
+    def send_stray(self, order: StopOrder) -> None:
+        """Stop a run that nobody has on record."""
+        self._tasks.start(self._send_once(order))
+
+    async def _send_once(self, order: StopOrder) -> None:
+        result = await self._gateway.stop(order)
+        self._metrics.count("stop_stray", result.outcome.value)
--- /dev/null
+++ b/jujubebarrow/runtimes/ownership_services.py
@@ -0,0 +1,296 @@
+"""Heartbeat of this instance and its claims of duties, in the store."""
+
+from abc import ABC, abstractmethod
+from asyncio import sleep
+from typing import Any
+from uuid import uuid4
+
+from jujubebarrow.background_loops import BackgroundLoop
+from jujubebarrow.clocks.clocks import Clock
+from jujubebarrow.errors.exceptions import StoreError, TransactionConflictError
+from jujubebarrow.identifiers import IncarnationId, InstanceId
+from jujubebarrow.logs.decision_logs import DecisionLog
+from jujubebarrow.metrics.registries import MetricsRegistry
+from jujubebarrow.ownerships.claim_planners import ClaimPlanner
+from jujubebarrow.ownerships.holders import DutyId, DutyRow, InstanceRow
+from jujubebarrow.ownerships.lease_observers import LeaseObserver
+from jujubebarrow.stores.row_keys import RowKey, TableName, make_key
+from jujubebarrow.stores.rows import Row
+from jujubebarrow.stores.stores import Store
+from jujubebarrow.stores.transactions import ABSENT, Transaction
+from jujubebarrow.workloads.identifiers import FencingToken
+
+LEASE = 2.6
+"""Seconds after its heartbeat for which an instance owns its duties; short, so
+that leases of tasks outlast a take-over."""
+RENEW_PERIOD = 0.8
+"""Seconds between heartbeats; three fit into a lease."""
+WATCH_PERIOD = 0.6
+"""Seconds between looks at the owners of all duties."""
+SETTLE = 0.5
+"""Seconds after the start in which other instances' heartbeats are awaited."""
+INSTANCE_PREFIX = "instance/"
+DUTY_PREFIX = "duty/"
+
+
+class DutyListener(ABC):
+    """Takes changes of what this instance owns."""
+
+    @abstractmethod
+    async def on_claimed(self, duty: DutyId, token: FencingToken) -> None:
+        """Begin a duty."""
+
+    @abstractmethod
+    async def on_lost(self, duty: DutyId) -> None:
+        """End a duty that another instance has taken over."""
+
+
+class OwnershipService:
+    """Keeps this instance's lease and claims duties.
+
+    Args:
+        instance: This instance.
+        incarnation: This run of its process.
+        store: Store.
+        listener: Told of claimed and lost duties.
+        clock: Time source; it must not stand still while a machine is suspended.
+        log: Log of decisions.
+        metrics: Counters.
+    """
+
+    def __init__(
+        self,
+        instance: InstanceId,
+        incarnation: IncarnationId,
+        store: Store,
+        listener: DutyListener,
+        clock: Clock,
+        log: DecisionLog,
+        metrics: MetricsRegistry,
+    ):
+        self._instance = instance
+        self._incarnation = incarnation
+        self._store = store
+        self._listener = listener
+        self._clock = clock
+        self._log = log
+        self._metrics = metrics
+        self._observer = LeaseObserver(LEASE)
+        self._planner = ClaimPlanner(instance, self._observer)
+        self._rows: dict[DutyId, DutyRow] = {}
+        self._owned: dict[DutyId, FencingToken] = {}
+        self._revision: int | None = None
+        self._valid_until = float("-inf")
+        self._stopping = False
+        self._started_at = clock.monotonic()
+        self._loops = [
+            _Periodic(self._renew, RENEW_PERIOD),
+            _Periodic(self._watch, WATCH_PERIOD),
+        ]
+        self.duties: list[DutyId] = []
+
+    @property
+    def valid_until(self) -> float:
+        """Time in seconds until which no other instance takes over."""
+        return self._valid_until
+
+    @property
+    def owned(self) -> dict[DutyId, FencingToken]:
+        """Duties of this instance with their fencing tokens."""
+        return self._owned
+
+    @property
+    def rows(self) -> dict[DutyId, DutyRow]:
+        """Owners of all duties as last read."""
+        return self._rows
+
+    def open(self) -> None:
+        """Start the heartbeat and the watch."""
+        for loop in self._loops:
+            loop.open()
+
+    async def close(self) -> None:
+        """Stop both."""
+        for loop in self._loops:
+            await loop.close()
+
+    async def hand_over(self) -> None:
+        """Give all duties back, so that others need not wait for the lease's end."""
+        self._stopping = True
+        conditions = {}
+        writes: dict[str, dict[str, Any] | None] = {}
+        for duty in self._owned:
+            key = _duty_key(duty)
+            conditions[key] = self._rows[duty].revision
+            writes[key] = {"holder": "", "incarnation": ""}
+        writes[self._own_key] = self._describe()
+        transaction = Transaction(
+            conditions=conditions, writes=writes, nonce=uuid4().hex
+        )
+        released = list(self._owned)
+        for duty in released:
+            await self._drop(duty, "handed over")
+        try:
+            await self._store.commit(transaction)
+        except (StoreError, TransactionConflictError) as error:
+            self._log.write("hand_over_failed", duties=released, detail=str(error))
+
+    @property
+    def _own_key(self) -> str:
+        return make_key(TableName.CONTROL, "", INSTANCE_PREFIX + self._instance)
+
+    def _describe(self) -> dict[str, Any]:
+        return {"incarnation": self._incarnation, "stopping": self._stopping}
+
+    async def _renew(self) -> None:
+        if self._stopping:
+            return
+        sent_at = self._clock.monotonic()
+        try:
+            if self._revision is None:
+                self._revision = await self._read_own_revision()
+            transaction = Transaction(
+                conditions={self._own_key: self._revision},
+                writes={self._own_key: self._describe()},
+                nonce=uuid4().hex,
+            )
+            self._revision = await self._store.commit(transaction)
+        except StoreError as error:
+            self._note_failure("heartbeat_failed", str(error))
+            self._revision = None
+            return
+        except TransactionConflictError:
+            # An earlier heartbeat whose answer was lost took effect late.
+            self._revision = None
+            self._metrics.count("heartbeat_conflict")
+            return
+        self._valid_until = max(self._valid_until, sent_at + LEASE)
+
+    async def _read_own_revision(self) -> int:
+        found = await self._store.read(self._own_key)
+        for row in found.rows:
+            if row.key == self._own_key:
+                return row.revision
+        return ABSENT
+
+    def _note_failure(self, event: str, detail: str) -> None:
+        left = round(self._valid_until - self._clock.monotonic(), 3)
+        self._metrics.count(event)
+        if self._owned:
+            self._log.write(event, detail=detail, lease_left=left)
+
+    async def _watch(self) -> None:
+        try:
+            found = await self._store.read(make_key(TableName.CONTROL, "", ""))
+        except StoreError as error:
+            self._note_failure("owners_unread", str(error))
+            return
+        now = self._clock.monotonic()
+        self._take_rows(found.rows, now)
+        for duty in list(self._owned):
+            row = self._rows.get(duty)
+            if row is None or row.revision != self._owned[duty]:
+                await self._drop(duty, "taken over")
+        if self._stopping or now < self._started_at + SETTLE:
+            return
+        if now > self._valid_until:
+            return
+        for duty in self._planner.choose(self.duties, self._rows, now):
+            await self._claim(duty)
+
+    def _take_rows(self, rows: list[Row], now: float) -> None:
+        heartbeats = []
+        self._rows = {}
+        for row in rows:
+            name = RowKey.parse(row.key).name
+            if row.value is None:
+                continue
+            if name.startswith(INSTANCE_PREFIX):
+                heartbeats.append(_read_instance(name, row))
+            elif name.startswith(DUTY_PREFIX):
+                duty = _read_duty(name, row)
+                self._rows[duty.duty] = duty
+        self._observer.observe(heartbeats, now)
+
+    async def _claim(self, duty: DutyId) -> None:
+        row = self._rows.get(duty)
+        key = _duty_key(duty)
+        conditions = {key: row.revision if row else ABSENT}
+        former = self._observer.find(row.holder) if row and row.holder else None
+        if row and former and former.incarnation == row.incarnation:
+            # Fails if the holder's heartbeat came after all.
+            name = make_key(TableName.CONTROL, "", INSTANCE_PREFIX + row.holder)
+            conditions[name] = former.revision
+        value = {"holder": self._instance, "incarnation": self._incarnation}
+        transaction = Transaction(
+            conditions=conditions, writes={key: value}, nonce=uuid4().hex
+        )
+        try:
+            revision = await self._store.commit(transaction)
+        except (StoreError, TransactionConflictError) as error:
+            self._metrics.count("claim_failed", type(error).__name__)
+            return
+        token = FencingToken(revision)
+        self._rows[duty] = DutyRow(duty, self._instance, self._incarnation, revision)
+        self._owned[duty] = token
+        silence = None
+        if row and row.holder:
+            silence = round(
+                self._observer.silence(row.holder, self._clock.monotonic()), 2
+            )
+        self._log.write(
+            "duty_claimed",
+            duty=duty,
+            token=token,
+            former=row.holder if row else "",
+            silence=silence if silence != float("inf") else None,
+        )
+        await self._listener.on_claimed(duty, token)
+
+    async def _drop(self, duty: DutyId, reason: str) -> None:
+        token = self._owned.pop(duty)
+        row = self._rows.get(duty)
+        self._log.write(
+            "duty_dropped",
+            duty=duty,
+            token=token,
+            reason=reason,
+            holder=row.holder if row else "",
+        )
+        await self._listener.on_lost(duty)
+
+
+class _Periodic(BackgroundLoop):
+    def __init__(self, step: Any, period: float):
+        super().__init__()
+        self._step = step
+        self._period = period
+
+    async def _run(self) -> None:
+        while True:
+            await self._step()
+            await sleep(self._period)
+
+
+def _duty_key(duty: DutyId) -> str:
+    return make_key(TableName.CONTROL, "", DUTY_PREFIX + duty)
+
+
+def _read_instance(name: str, row: Row) -> InstanceRow:
+    value = row.value or {}
+    return InstanceRow(
+        InstanceId(name.removeprefix(INSTANCE_PREFIX)),
+        IncarnationId(value["incarnation"]),
+        value["stopping"],
+        row.revision,
+    )
+
+
+def _read_duty(name: str, row: Row) -> DutyRow:
+    value = row.value or {}
+    return DutyRow(
+        DutyId(name.removeprefix(DUTY_PREFIX)),
+        InstanceId(value["holder"]),
+        IncarnationId(value["incarnation"]),
+        row.revision,
+    )
--- a/jujubebarrow/stores/stores.py
+++ b/jujubebarrow/stores/stores.py
@@ -21,6 +21,8 @@
         metrics: Where retries are counted.
     """
 
+    commit_attempts = COMMIT_ATTEMPTS
+
     def __init__(self, metrics: MetricsRegistry):
         self._metrics = metrics
 
@@ -34,13 +36,15 @@
             StoreError: Unknown whether the transaction took effect.
         """
         attempts = 0
+        uncertain = False
         while True:
             attempts += 1
             try:
                 return await self._commit_once(transaction)
-            except StoreError:
-                if attempts == COMMIT_ATTEMPTS:
-                    raise
+            except StoreError as error:
+                uncertain = uncertain or error.may_have_applied
+                if attempts == self.commit_attempts:
+                    raise StoreError(str(error), uncertain) from error
                 self._metrics.count("retry", "store-commit")
 
     async def _commit_once(self, transaction: Transaction) -> int:
@@ -76,7 +80,19 @@
 
     @abstractmethod
     async def read_changes(self, prefix: str, since: int, wait: float) -> RowSet:
-        """Return rows changed after a revision, waiting some seconds for one."""
+        """Return rows changed after a revision, waiting some seconds for one.
+
+        Raises:
+            HistoryLostError: The store no longer has all changes since then.
+        """
+
+    async def list_partitions(self, table: str) -> list[str]:
+        """Return the partitions of a table that have rows.
+
+        A key is made of a table, a partition and a name, with slashes between.
+        """
+        rows = await self.read(f"{table}/")
+        return sorted({row.key.split("/", 2)[1] for row in rows.rows})
 
     @abstractmethod
     async def list_instances(self) -> Listing:
--- a/jujubebarrow/tests/fakes/worlds.py
+++ b/jujubebarrow/tests/fakes/worlds.py
@@ -9,7 +9,6 @@
 from hashlib import sha256
 from random import Random
 
-from jujubebarrow.callers.authenticators import digest_key
 from jujubebarrow.configurations.configurations import row_key
 from jujubebarrow.configurations.instance_records import Instance
 from jujubebarrow.configurations.key_records import Key
@@ -22,6 +21,7 @@
 from jujubebarrow.configurations.selection_records import Selection
 from jujubebarrow.configurations.team_records import Team
 from jujubebarrow.daemons.nodes import Node
+from jujubebarrow.key_digests import digest_key
 from jujubebarrow.maintenance.changes import Change
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.peers.handlers import PeerHandler
--- /dev/null
+++ b/jujubebarrow/workloads/identifiers.py
@@ -0,0 +1,11 @@
+"""Typed identifiers of jobs, tasks and workers."""
+
+from typing import NewType
+
+WorkerId = NewType("WorkerId", str)
+"""Id under which a worker registers; a worker that starts again may keep it."""
+WorkerLife = NewType("WorkerLife", tuple[str, int])
+"""Worker's id and the time of its start in Unix milliseconds."""
+FencingToken = NewType("FencingToken", int)
+RunNumber = NewType("RunNumber", int)
+MachineId = NewType("MachineId", str)
--- /dev/null
+++ b/jujubebarrow/workloads/job_phases.py
@@ -0,0 +1,18 @@
+"""States of a job as its caller sees them."""
+
+from enum import Enum
+
+
+class JobPhase(Enum):
+    """What has become of an accepted job."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+    @property
+    def is_final(self) -> bool:
+        """Whether the job's state can no longer change."""
+        return self in (JobPhase.COMPLETED, JobPhase.FAILED, JobPhase.CANCELLED)
