Take machines through waves of maintenance

Each pool's owner claims machines in the wave's row, drains them and orders the maintenance with the revision of its claim as fencing token. Also: a run that was planned on an idle worker was taken as over because no lease had been given yet (seen as run_over, stage planned, in the log). Ruled out: one holder for the whole fleet, which would need messages to the pools' owners about every drain.

--- /dev/null
+++ b/jujubebarrow/coordinators/evacuations.py
@@ -0,0 +1,80 @@
+"""Emptying of workers whose machine is about to go down."""
+
+from jujubebarrow.coordinators.active_runs import ActiveRun, RunStage
+from jujubebarrow.coordinators.job_ledgers import JobLedger
+from jujubebarrow.coordinators.pool_states import PoolState
+from jujubebarrow.coordinators.step_states import StepState
+from jujubebarrow.coordinators.worker_ledgers import WorkerLedger
+from jujubebarrow.workloads.identifiers import WorkerId
+
+AT_WORK = 100
+"""Progress in percent of a long-running task that is at work."""
+
+
+class Evacuator:
+    """Moves tasks off workers without stopping work that cannot be repeated free.
+
+    Args:
+        state: State of the pool.
+    """
+
+    def __init__(self, state: PoolState):
+        self._state = state
+
+    def evacuate(self, name: WorkerId, patience_over: bool) -> bool:
+        """Stop what should move; return whether the worker is empty.
+
+        Long-running tasks move as far as their step can spare them. Others end by
+        themselves, unless the time for that is over.
+
+        Args:
+            name: Worker.
+            patience_over: Whether other tasks are to be stopped as well.
+        """
+        worker = self._state.workers.get(name)
+        if worker is None:
+            return True
+        for run in list(worker.runs.values()):
+            job = self._state.jobs.get(run.task.job)
+            if job is None or run.stage is RunStage.STOPPING:
+                continue
+            if job.record.is_long_running:
+                if self._can_spare(job, run, worker):
+                    self._state.request_stop(run)
+            elif patience_over:
+                self._state.request_stop(run)
+        return not worker.runs
+
+    def _can_spare(self, job: JobLedger, run: ActiveRun, worker: WorkerLedger) -> bool:
+        step = job.find_step(run.task)
+        if step is None:
+            return True
+        if not step.spec.tolerated_absences:
+            return self._has_place(step, worker)
+        away = count_away(step, run)
+        return away < step.spec.tolerated_absences and self._has_place(step, worker)
+
+    def _has_place(self, step: StepState, left: WorkerLedger) -> bool:
+        """Return whether another worker has room for a task of a step."""
+        for worker in self._state.workers.values():
+            if worker is left or worker.is_cordoned or worker.entry is None:
+                continue
+            if step.spec.reserved.fits(worker.free):
+                return True
+        return False
+
+
+def count_away(step: StepState, run: ActiveRun) -> int:
+    """Return how many other tasks of a step are not known to be at work."""
+    away = 0
+    for task in step.tasks:
+        active = task.active
+        if active is run or task.is_done:
+            continue
+        at_work = (
+            active is not None
+            and active.stage is RunStage.CONFIRMED
+            and active.percent >= AT_WORK
+        )
+        away += not at_work
+    return away
--- a/jujubebarrow/coordinators/pool_coordinators.py
+++ b/jujubebarrow/coordinators/pool_coordinators.py
@@ -129,8 +129,8 @@
     def _check_worker(self, worker: WorkerLedger, now: float) -> None:
         if worker.runs and worker.is_lease_over(now):
             for run in list(worker.runs.values()):
-                if not (run.unanswered and now < run.open_until):
-                    self._reconciler.note_over(worker, run, "lease over", now)
+                if run.sent or worker.entry is None:
+                    self._end_after_lease(worker, run, now)
         if worker.entry is None and not worker.runs and worker.is_lease_over(now):
             del self.state.workers[worker.worker]
             return
@@ -140,6 +140,15 @@
                 for run in list(worker.runs.values()):
                     self.state.request_stop(run)
 
+    def _end_after_lease(
+        self, worker: WorkerLedger, run: ActiveRun, now: float
+    ) -> None:
+        if run.stage is RunStage.PLANNED:
+            return
+        # A start without an answer could still be carried out by a later life.
+        if not (run.unanswered and now < run.open_until):
+            self._reconciler.note_over(worker, run, "lease over", now)
+
     def commit_done(self, changes: list[JobChange], now: float, wall: float) -> None:
         """Release what had to wait until changes were stored."""
         for change in changes:
--- a/jujubebarrow/coordinators/worker_ledgers.py
+++ b/jujubebarrow/coordinators/worker_ledgers.py
@@ -35,6 +35,7 @@
         self.failed_since = 0.0
         self.acknowledged = 0
         self.draining_since = 0.0
+        self.is_cordoned = False
         self._clock_reading = 0.0
         self._clock_read_at: float | None = None
         self._ends: OrderedDict[int, bool] = OrderedDict()
@@ -77,6 +78,7 @@
             entry is not None
             and entry.state is WorkerState.READY
             and self.is_contacted
+            and not self.is_cordoned
             and not self.failed_since
             and not self.score.is_shunned(now)
         )
--- a/jujubebarrow/ownerships/holders.py
+++ b/jujubebarrow/ownerships/holders.py
@@ -6,10 +6,7 @@
 from jujubebarrow.identifiers import IncarnationId, InstanceId
 
 DutyId = NewType("DutyId", str)
-"""What has one owner at a time: a pool, or the maintenance of the fleet."""
-
-MAINTENANCE_DUTY = DutyId("/maintenance")
-"""A slash can't begin the name of a pool."""
+"""What has one owner at a time: a pool."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/jujubebarrow/platform/main.py
+++ b/jujubebarrow/platform/main.py
@@ -149,6 +149,8 @@
             retention=settings.retention + RETENTION_MARGIN,
         ),
         key_freshness=settings.revoke - KEY_MARGIN,
+        downtime=settings.downtime,
+        machine_lease=settings.machine_lease,
     )
 
 
--- a/jujubebarrow/platform/settings_files.py
+++ b/jujubebarrow/platform/settings_files.py
@@ -32,6 +32,7 @@
         retention: How long the outcome of a job must be shown.
         machine_lease: Time after an order for a machine before another holder
             may give one.
+        downtime: Time that a machine is down for maintenance.
         pace_delay: Time until a changed pace shows.
         harm: Time for which a task may be over its target because of others.
         notice: Time during which a task that was away counts as unavailable.
@@ -53,6 +54,7 @@
     grace: float
     retention: float
     machine_lease: float
+    downtime: float
     pace_delay: float
     harm: float
     notice: float
@@ -137,6 +139,7 @@
             grace=self._number("Bounds.GraceS", 6.0),
             retention=self._number("Bounds.status_s", 120.0),
             machine_lease=self._milliseconds("Bounds.LeaseMs", 3.0),
+            downtime=self._number("Bounds.UpkeepS", 2.0),
             pace_delay=self._milliseconds("Bounds.PaceMs", 0.1),
             harm=self._milliseconds("Bounds.HarmMs", 4.0),
             notice=self._milliseconds("Bounds.NoticeMs", 4.5),
--- a/jujubebarrow/runtimes/entry_nodes.py
+++ b/jujubebarrow/runtimes/entry_nodes.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from jujubebarrow.clocks.clocks import Clock
+from jujubebarrow.coordinators.pool_coordinators import PoolCoordinator
 from jujubebarrow.coordinators.terms import CoordinatorTerms
 from jujubebarrow.fleets.fleet_maps import FleetMap
 from jujubebarrow.gateways.machine_controls import MachineControl
@@ -11,13 +12,16 @@
 from jujubebarrow.identifiers import IncarnationId, InstanceId, JobId, PoolId
 from jujubebarrow.logs.decision_logs import DecisionLog
 from jujubebarrow.metrics.registries import MetricsRegistry
-from jujubebarrow.ownerships.holders import MAINTENANCE_DUTY, DutyId
+from jujubebarrow.ownerships.holders import DutyId
 from jujubebarrow.runtimes.document_readers import DocumentReader
 from jujubebarrow.runtimes.fleet_followers import FleetFollower
 from jujubebarrow.runtimes.job_followers import JobFollower
 from jujubebarrow.runtimes.job_intakes import JobIntake
+from jujubebarrow.runtimes.owner_hooks import OwnerHooks
 from jujubebarrow.runtimes.ownership_services import DutyListener, OwnershipService
 from jujubebarrow.runtimes.pool_owners import PoolOwner
+from jujubebarrow.runtimes.wave_keepers import WaveKeeper
+from jujubebarrow.runtimes.wave_stores import WaveStore
 from jujubebarrow.runtimes.worker_followers import WorkerFollower
 from jujubebarrow.stores.stores import Store
 from jujubebarrow.workloads.identifiers import FencingToken
@@ -34,12 +38,17 @@
         coordinator: Times for the owners of pools.
         key_freshness: Age of the configuration in seconds at which calls with a
             key are refused.
+        downtime: Usual time in seconds that a machine is down for maintenance.
+        machine_lease: Time in seconds after an order for a machine before another
+            instance may give one.
     """
 
     instance: InstanceId
     incarnation: IncarnationId
     coordinator: CoordinatorTerms
     key_freshness: float
+    downtime: float
+    machine_lease: float
 
 
 class EntryNode(DutyListener):
@@ -79,6 +88,7 @@
         self.follower = FleetFollower(
             store, reader, terms.key_freshness, clock, log, metrics
         )
+        self._wave_store = WaveStore(store, reader, clock)
         self._workers = WorkerFollower(store, reader, clock, log, metrics)
         self._jobs = JobFollower(store, clock, log, metrics)
         self._ownership = OwnershipService(
@@ -126,8 +136,6 @@
 
     async def on_claimed(self, duty: DutyId, token: FencingToken) -> None:
         """Begin a duty."""
-        if duty == MAINTENANCE_DUTY:
-            return
         fleet = self.follower.fleet
         assert fleet is not None
         owner = PoolOwner(
@@ -137,6 +145,7 @@
             self._ownership,
             self._store,
             self._gateway,
+            self._make_waves,
             self._clock,
             self._log,
             self._metrics,
@@ -146,6 +155,23 @@
         self._workers.listen(owner)
         owner.open(fleet)
 
+    def _make_waves(
+        self, coordinator: PoolCoordinator, hooks: OwnerHooks
+    ) -> WaveKeeper:
+        return WaveKeeper(
+            self._terms.instance,
+            coordinator,
+            self.follower,
+            self._wave_store,
+            self._machines,
+            hooks,
+            self._terms.downtime,
+            self._terms.machine_lease,
+            self._clock,
+            self._log,
+            self._metrics,
+        )
+
     async def on_lost(self, duty: DutyId) -> None:
         """End a duty that another instance has taken over."""
         owner = self._owners.pop(PoolId(duty), None)
--- a/jujubebarrow/runtimes/pool_owners.py
+++ b/jujubebarrow/runtimes/pool_owners.py
@@ -1,6 +1,7 @@
 """Owner of one pool: decisions, store and workers put together."""
 
 from asyncio import sleep
+from collections.abc import Callable
 
 from jujubebarrow.clocks.clocks import Clock
 from jujubebarrow.coordinators.orders import StopOrder
@@ -22,6 +23,7 @@
 from jujubebarrow.runtimes.ownership_services import OwnershipService
 from jujubebarrow.runtimes.progress_writers import DisplacedError, ProgressWriter
 from jujubebarrow.runtimes.task_groups import OwnedTasks
+from jujubebarrow.runtimes.wave_keepers import WaveKeeper
 from jujubebarrow.runtimes.worker_followers import WorkerListener
 from jujubebarrow.runtimes.worker_sessions import WorkerSession
 from jujubebarrow.stores.row_keys import RowKey, TableName, make_key
@@ -51,6 +53,7 @@
         ownership: Says until when this instance certainly owns the pool.
         store: Store.
         gateway: Workers.
+        make_waves: Makes the part that keeps the pool's machines maintained.
         clock: Time source; it must not stand still while a machine is suspended.
         log: Log of decisions.
         metrics: Counters.
@@ -64,6 +67,7 @@
         ownership: OwnershipService,
         store: Store,
         gateway: WorkerGateway,
+        make_waves: Callable[[PoolCoordinator, OwnerHooks], WaveKeeper],
         clock: Clock,
         log: DecisionLog,
         metrics: MetricsRegistry,
@@ -111,6 +115,7 @@
         self._keeper = GrantKeeper(
             pool, token, book, store, self.on_change, clock, log, metrics
         )
+        self._waves = make_waves(self.coordinator, self)
         self._reporter = LoadReporter(
             pool, self.coordinator, self._writer, clock, metrics
         )
@@ -174,6 +179,7 @@
         self._tasks.start(self._tick())
         self._tasks.start(self._keeper.run())
         self._tasks.start(self._reporter.run())
+        self._tasks.start(self._waves.run())
         self.on_change()
 
     async def _load_queue(self, queue: QueueId, only_own: bool) -> None:
--- /dev/null
+++ b/jujubebarrow/runtimes/wave_stores.py
@@ -0,0 +1,88 @@
+"""Progress of waves in the store."""
+
+from dataclasses import dataclass
+from uuid import uuid4
+
+from jujubebarrow.clocks.clocks import Clock
+from jujubebarrow.fleets.wave_requests import WaveRequest
+from jujubebarrow.maintenance.wave_records import MachineUpkeep, WaveRecord
+from jujubebarrow.runtimes.document_readers import DocumentReader
+from jujubebarrow.stores.row_keys import TableName, make_key
+from jujubebarrow.stores.stores import Store
+from jujubebarrow.stores.transactions import ABSENT, Transaction
+
+
+@dataclass(slots=True)
+class StoredWave:
+    """Progress of a wave as read.
+
+    Attributes:
+        record: Progress.
+        revision: Revision of the row; 0 if there is none.
+        deadline: Time in seconds by which all machines must have begun.
+    """
+
+    record: WaveRecord
+    revision: int
+    deadline: float
+
+
+class WaveStore:
+    """Reads and writes the progress of waves.
+
+    Args:
+        store: Store.
+        reader: Makes the document that tells the operator how far a wave is.
+        clock: Time source.
+    """
+
+    def __init__(self, store: Store, reader: DocumentReader, clock: Clock):
+        self._store = store
+        self._reader = reader
+        self._clock = clock
+        self._seen_at: dict[int, float] = {}
+
+    async def read(self, wave: WaveRequest) -> StoredWave:
+        """Return a wave's progress; the first look at a wave stores it.
+
+        Raises:
+            StoreError: No answer.
+            TransactionConflictError: Another owner was first.
+        """
+        seen_at = self._seen_at.setdefault(wave.wave, self._clock.monotonic())
+        deadline = seen_at + wave.duration
+        key = make_key(TableName.WAVES, "", str(wave.wave))
+        found = await self._store.read(key)
+        for row in found.rows:
+            if row.key == key and row.value:
+                record = WaveRecord.from_document(row.value)
+                return StoredWave(record, row.revision, deadline)
+        record = WaveRecord({name: MachineUpkeep() for name in wave.machines})
+        stored = StoredWave(record, ABSENT, deadline)
+        await self.write(wave, stored, record)
+        return stored
+
+    async def write(
+        self, wave: WaveRequest, stored: StoredWave, record: WaveRecord
+    ) -> int:
+        """Store a wave's progress, and tell the operator; return the revision.
+
+        Args:
+            wave: Wave.
+            stored: Progress as last read or written; brought up to date.
+            record: New progress.
+
+        Raises:
+            StoreError: Unknown whether it was stored.
+            TransactionConflictError: Another owner has changed it meanwhile.
+        """
+        key = make_key(TableName.WAVES, "", str(wave.wave))
+        status_key, status = self._reader.wave_status(wave.wave, record.is_completed)
+        transaction = Transaction(
+            conditions={key: stored.revision},
+            writes={key: record.to_document(), status_key: status},
+            nonce=uuid4().hex,
+        )
+        stored.revision = await self._store.commit(transaction)
+        stored.record = record
+        return stored.revision
--- a/jujubebarrow/stores/row_keys.py
+++ b/jujubebarrow/stores/row_keys.py
@@ -13,6 +13,7 @@
     FENCES = "fences"
     GRANTS = "grants"
     LOADS = "loads"
+    WAVES = "waves"
 
 
 class RowKey(NamedTuple):
