Keep former owners' leases when a worker's life is first learnt

At a take-over (19.7 s) the new owner had just read the workers' registrations; learning their start time counted as a new life and set the end of their leases to 0, so that all inherited runs were 'lease over' within milliseconds and started again. A lease of another owner is now assumed from the first knowledge of a life on. Also: a start whose connection never came up has certainly not arrived and is placed elsewhere at once; one log line a run for unanswered starts. Ruled out: late orders (applied_late ended at 9.1 s), the fence (held).

--- a/jujubebarrow/coordinators/pool_coordinators.py
+++ b/jujubebarrow/coordinators/pool_coordinators.py
@@ -251,7 +251,7 @@
                 self.state.request_stop(run)
         elif outcome is OrderOutcome.FENCED:
             self.is_displaced = True
-        elif outcome not in (OrderOutcome.LEASE_OVER, OrderOutcome.UNREACHED):
+        elif outcome is not OrderOutcome.LEASE_OVER:
             self._note_refused_start(worker, run, result, now)
 
     def _note_refused_start(
--- a/jujubebarrow/coordinators/reconcilers.py
+++ b/jujubebarrow/coordinators/reconcilers.py
@@ -4,7 +4,7 @@
 from jujubebarrow.coordinators.job_changes import EndMark
 from jujubebarrow.coordinators.orders import StopOrder
 from jujubebarrow.coordinators.pool_states import PoolState
-from jujubebarrow.coordinators.worker_ledgers import WorkerLedger
+from jujubebarrow.coordinators.worker_ledgers import CLOCK_RATE, WorkerLedger
 from jujubebarrow.logs.decision_logs import DecisionLog
 from jujubebarrow.workloads.identifiers import RunNumber
 from jujubebarrow.workloads.run_ends import RunEnd, RunOutcome
@@ -57,13 +57,14 @@
         """Note that a worker has started again under its id."""
         runs = list(worker.runs.values())
         former = worker.born
-        worker.begin_life(born)
+        longest = self._state.terms.longest_lease / CLOCK_RATE
+        worker.begin_life(born, now + longest)
         if former or runs:
             self._log.write(
                 "worker_life_began", worker=worker.worker, born=born, lost=len(runs)
             )
         for run in runs:
-            if run.life == worker.life:
+            if run.life[1] >= born:
                 continue
             if run.unanswered and now < run.open_until:
                 # A late start would be carried out by the new life.
--- a/jujubebarrow/coordinators/worker_ledgers.py
+++ b/jujubebarrow/coordinators/worker_ledgers.py
@@ -93,13 +93,19 @@
         if self.runs.pop((run.task, run.run), None) is not None:
             self._reserved = self._reserved.minus(run.reserved)
 
-    def begin_life(self, born: int) -> None:
-        """Forget what was known of an earlier life."""
+    def begin_life(self, born: int, expiry: float) -> None:
+        """Forget what was known of an earlier life.
+
+        Args:
+            born: Unix time of the start of the new life in milliseconds.
+            expiry: Time in seconds at which leases that others have given in the
+                new life have ended.
+        """
+        self.lease_end = max(self.lease_end, expiry) if not self.born else expiry
         self.born = born
         self.acknowledged = 0
         self._ends.clear()
         self._clock_read_at = None
-        self.lease_end = 0.0
         self.score = WorkerScore()
         self.draining_since = 0.0
 
--- a/jujubebarrow/platform/http_clients.py
+++ b/jujubebarrow/platform/http_clients.py
@@ -3,12 +3,15 @@
 from dataclasses import dataclass
 from typing import Any
 
-from pycurl import E_COULDNT_CONNECT
+from pycurl import E_COULDNT_CONNECT, E_OPERATION_TIMEDOUT
 from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
 from tornado.httpclient import HTTPClientError, HTTPRequest
 
 from jujubebarrow.errors.exceptions import JujubebarrowError
 
+NOT_CONNECTED = "Connection timed out"
+"""How curl says that the time ran out before there was a connection."""
+
 
 class HttpCallError(JujubebarrowError):
     """A call got no answer.
@@ -97,4 +100,8 @@
 
 
 def _may_have_arrived(error: BaseException | None) -> bool:
-    return not (isinstance(error, CurlError) and error.errno == E_COULDNT_CONNECT)
+    if not isinstance(error, CurlError):
+        return True
+    if error.errno == E_COULDNT_CONNECT:
+        return False
+    return not (error.errno == E_OPERATION_TIMEDOUT and NOT_CONNECTED in str(error))
--- a/jujubebarrow/runtimes/order_senders.py
+++ b/jujubebarrow/runtimes/order_senders.py
@@ -78,7 +78,7 @@
             self._metrics.count("start", result.outcome.value)
             self._metrics.record("", "start-task", now - sent_at)
             self._coordinator.note_start(run, result, sent_at, now)
-            if result.outcome is not OrderOutcome.ACCEPTED:
+            if result.outcome is not OrderOutcome.ACCEPTED and run.unanswered <= 1:
                 self._log.write(
                     "start_unconfirmed",
                     task=str(run.task),
@@ -88,6 +88,7 @@
                     detail=result.detail,
                     unanswered=run.unanswered,
                 )
+            if result.outcome is not OrderOutcome.ACCEPTED:
                 self._on_change()
             if run.stage is RunStage.RECORDED:
                 await sleep(RETRY_SECONDS)
