Prove the job core on emulators, and let leases of silent workers end

Cause: each attempt to reach a silent worker carried a new end of its lease, so its tasks never became certain to be over: a long-running task did not come back within 8 s of a crash (test_long_running_tasks_come_back_after_a_crash failed). A worker kept its cordon when it started again under its id, so a wave stopped half way (test_a_wave_keeps_to_its_number_and_its_time failed, 2 of 4 machines).

--- a/jujubebarrow/coordinators/pool_coordinators.py
+++ b/jujubebarrow/coordinators/pool_coordinators.py
@@ -216,6 +216,9 @@
             return None
         if run.stage is not RunStage.RECORDED or run.life != worker.life:
             return None
+        if worker.failed_since:
+            # Every attempt would put off the time at which its lease is over.
+            return None
         deadline = worker.give_lease(now, self.state.terms.lease)
         if deadline is None:
             return None
@@ -311,12 +314,16 @@
             wait: How long in seconds it may wait for an end.
             now: Time in seconds.
         """
+        deadline = None
+        if not worker.failed_since:
+            # Attempts on a silent worker would put off the end of its lease.
+            deadline = worker.give_lease(now, self.state.terms.lease)
         return HoldOrder(
             worker=worker.worker,
             address=worker.address,
             token=self.state.token,
             acknowledged=worker.acknowledged,
-            deadline=worker.give_lease(now, self.state.terms.lease),
+            deadline=deadline,
             wait=wait,
         )
 
--- a/jujubebarrow/coordinators/worker_ledgers.py
+++ b/jujubebarrow/coordinators/worker_ledgers.py
@@ -108,6 +108,7 @@
         self._clock_read_at = None
         self.score = WorkerScore()
         self.draining_since = 0.0
+        self.is_cordoned = False
 
     def note_contact(self, clock: float, now: float, longest_lease: float) -> None:
         """Note an answer of the worker.
--- a/jujubebarrow/runtimes/entry_nodes.py
+++ b/jujubebarrow/runtimes/entry_nodes.py
@@ -116,12 +116,23 @@
         for part in (self.follower, self._workers, self._jobs, self._ownership):
             part.open()
             stack.push_async_callback(part.close)
+        stack.push_async_callback(self.close)
 
     async def hand_over(self) -> None:
         """Take no new callers, and let other instances own what this one owned."""
         self._stopping = True
         await self._ownership.hand_over()
 
+    def owns(self, pool: PoolId) -> bool:
+        """Return whether this instance runs a pool."""
+        owner = self._owners.get(pool)
+        return owner is not None and owner.is_running
+
+    async def close(self) -> None:
+        """End all duties at once, without handing them over."""
+        for owner in self._owners.values():
+            owner.close()
+
     def _apply_fleet(self, fleet: FleetMap) -> None:
         self._ownership.duties = [DutyId(pool) for pool in sorted(fleet.pools)]
         for owner in self._owners.values():
--- a/jujubebarrow/runtimes/pool_owners.py
+++ b/jujubebarrow/runtimes/pool_owners.py
@@ -134,6 +134,11 @@
         self._closed = True
         self._tasks.close()
 
+    @property
+    def is_running(self) -> bool:
+        """Whether the pool has been taken over and is still owned."""
+        return self._loaded and not self._closed
+
     def apply_fleet(self, fleet: FleetMap) -> None:
         """Take over the teams' limits."""
         limits = {team: spec.limit for team, spec in fleet.teams.items()}
--- a/jujubebarrow/runtimes/worker_sessions.py
+++ b/jujubebarrow/runtimes/worker_sessions.py
@@ -130,7 +130,7 @@
             run.stage in (RunStage.INHERITED, RunStage.STOPPING)
             for run in worker.runs.values()
         )
-        if not worker.is_contacted or not worker.runs or waiting:
+        if worker.failed_since or not worker.is_contacted or not worker.runs or waiting:
             return 0.0
         if worker.has_unrecorded_ends:
             return 0.0
--- /dev/null
+++ b/jujubebarrow/tests/fakes/job_worlds.py
@@ -0,0 +1,385 @@
+"""Entry instances of the job core over emulated stores and workers."""
+
+from asyncio import get_running_loop, sleep
+from collections import Counter, defaultdict
+from contextlib import AsyncExitStack
+from random import Random
+from typing import Any
+
+from jujubebarrow.coordinators.terms import CoordinatorTerms
+from jujubebarrow.fleets.fleet_maps import FleetMap, index_routes
+from jujubebarrow.fleets.pool_specs import PoolSpec
+from jujubebarrow.fleets.queue_routes import QueueRoute
+from jujubebarrow.fleets.team_specs import TeamSpec
+from jujubebarrow.fleets.wave_requests import WaveRequest
+from jujubebarrow.gateways.machine_controls import (
+    Machine,
+    MachineAnswer,
+    MachineControl,
+    MachineState,
+)
+from jujubebarrow.identifiers import (
+    IncarnationId,
+    InstanceId,
+    JobId,
+    PoolId,
+    QueueId,
+    TeamId,
+    ZoneId,
+)
+from jujubebarrow.logs.decision_logs import DecisionLog
+from jujubebarrow.metrics.registries import MetricsRegistry
+from jujubebarrow.runtimes.document_readers import DocumentReader
+from jujubebarrow.runtimes.entry_nodes import EntryNode, EntryTerms
+from jujubebarrow.standins.emulated_gateways import EmulatedGateway
+from jujubebarrow.standins.emulated_stores import EmulatedStore, SharedStore
+from jujubebarrow.standins.emulated_workers import EmulatedWorker, TaskBehaviour
+from jujubebarrow.stores.row_keys import RowKey
+from jujubebarrow.stores.rows import Row
+from jujubebarrow.stores.transactions import Transaction
+from jujubebarrow.tests.fakes.virtual_loops import LoopClock
+from jujubebarrow.workloads.identifiers import MachineId, WorkerId
+from jujubebarrow.workloads.job_submissions import JobSubmission
+from jujubebarrow.workloads.resources import NOTHING, Resources
+from jujubebarrow.workloads.run_ends import RunOutcome
+from jujubebarrow.workloads.step_specs import StepSpec
+from jujubebarrow.workloads.worker_reports import WorkerEntry, WorkerState
+
+LEASE = 6.0
+POOL = PoolId("labels")
+QUEUE = QueueId("print")
+ROUTE = QueueRoute(
+    queue=QUEUE,
+    host="h",
+    prefix="/print/",
+    pool=POOL,
+    target=1.0,
+    stretch=2.0,
+    attempts=3,
+)
+TEAM = TeamId("longliners")
+CAPACITY = Resources(8000, 16000, 0)
+
+
+class ListLog(DecisionLog):
+    def __init__(self, name: str = ""):
+        self.name = name
+        self.lines: list[dict[str, Any]] = []
+
+    def write(self, event: str, **fields: Any) -> None:
+        at = round(get_running_loop().time(), 3)
+        self.lines.append({"at": at, "event": event, "node": self.name, **fields})
+
+
+class FakeReader(DocumentReader):
+    """Documents are objects kept by name, so that no wire format is needed."""
+
+    def __init__(self) -> None:
+        self.objects: dict[str, Any] = {}
+
+    @property
+    def operator_table(self) -> str:
+        return "op"
+
+    @property
+    def worker_table(self) -> str:
+        return "servers"
+
+    def _find(self, row: Row) -> Any:
+        return self.objects[row.value["object"]] if row.value else None
+
+    def is_fleet(self, row: Row) -> bool:
+        return isinstance(self._find(row), FleetMap)
+
+    def read_fleet(self, row: Row) -> FleetMap | None:
+        return self._find(row)
+
+    def read_wave(self, row: Row) -> WaveRequest | None:
+        return self._find(row)
+
+    def worker_of(self, row: Row) -> WorkerId:
+        return WorkerId(RowKey.parse(row.key).name)
+
+    def read_worker(self, row: Row) -> WorkerEntry | None:
+        return self._find(row)
+
+    def wave_status(self, wave: int, completed: bool) -> tuple[str, dict[str, Any]]:
+        return f"status//wave/{wave}", {"completed": completed}
+
+
+class FakeMachines(MachineControl):
+    """Machines named as their workers; maintenance starts the worker again."""
+
+    def __init__(self, world: "JobWorld"):
+        self._world = world
+        self.down: set[WorkerId] = set()
+        self.most_down = 0
+        self.orders: list[tuple[MachineId, int]] = []
+
+    async def list_machines(self) -> list[Machine]:
+        await sleep(0.01)
+        return [
+            Machine(
+                machine=MachineId(f"m-{name}"),
+                pool=worker.pool,
+                state=(
+                    MachineState.MAINTENANCE if name in self.down else MachineState.UP
+                ),
+                zone=ZoneId("z"),
+                labels=worker.labels,
+                worker=name,
+            )
+            for name, worker in self._world.workers.items()
+        ]
+
+    async def move(self, machine: MachineId, pool: PoolId, token: int) -> MachineAnswer:
+        return MachineAnswer.BUSY
+
+    async def maintain(
+        self, machine: MachineId, wave: int, token: int
+    ) -> MachineAnswer:
+        await sleep(0.01)
+        name = WorkerId(machine.removeprefix("m-"))
+        if (machine, wave) in self.orders:
+            return MachineAnswer.DONE
+        self.orders.append((machine, wave))
+        self.down.add(name)
+        self.most_down = max(self.most_down, len(self.down))
+        self._world.workers[name].crash()
+        self._world.remove_entry(name)
+        get_running_loop().call_later(2.0, self._come_back, name)
+        return MachineAnswer.DONE
+
+    def _come_back(self, name: WorkerId) -> None:
+        self.down.discard(name)
+        self._world.workers[name].restart()
+        self._world.write_entry(name)
+
+
+class Instance:
+    """One entry instance with its present process."""
+
+    def __init__(self, world: "JobWorld", name: str):
+        self._world = world
+        self.name = InstanceId(name)
+        self.starts = 0
+        self.node: EntryNode | None = None
+
+    async def start(self) -> None:
+        world = self._world
+        self.starts += 1
+        self.metrics = MetricsRegistry()
+        self.log = ListLog(self.name)
+        world.logs.append(self.log)
+        self.store = EmulatedStore(world.store, self.metrics)
+        self.gateway = EmulatedGateway(world.workers, world.random)
+        terms = EntryTerms(
+            instance=self.name,
+            incarnation=IncarnationId(f"{self.name}-{self.starts}"),
+            coordinator=CoordinatorTerms(
+                lease=LEASE,
+                longest_lease=LEASE,
+                displaced_hold=2.0,
+                stop_grace=0.2,
+                early_start=0.1,
+            ),
+            key_freshness=4.0,
+            downtime=2.0,
+            machine_lease=3.0,
+        )
+        self.node = EntryNode(
+            terms,
+            self.store,
+            world.reader,
+            self.gateway,
+            world.machines,
+            LoopClock(get_running_loop()),
+            self.log,
+            self.metrics,
+        )
+        self._stack = AsyncExitStack()
+        await self.node.open(self._stack)
+
+    async def kill(self) -> None:
+        node, self.node = self.node, None
+        if node is not None:
+            # A dead process sends nothing more.
+            self.store.is_cut = True
+            self.gateway.is_cut = True
+            await node.close()
+            await self._stack.aclose()
+
+    async def stop(self) -> None:
+        if self.node is not None:
+            await self.node.hand_over()
+            await self.kill()
+
+
+class JobWorld:
+    def __init__(self, seed: int = 1, instances: int = 3, workers: int = 3):
+        self.random = Random(seed)
+        self.store = SharedStore(self.random)
+        self.reader = FakeReader()
+        self.behaviours: dict[str, TaskBehaviour] = {}
+        self.workers: dict[WorkerId, EmulatedWorker] = {}
+        self.logs: list[ListLog] = []
+        self.machines = FakeMachines(self)
+        self.cancelled_at: dict[JobId, float] = {}
+        self.accepted: set[JobId] = set()
+        for number in range(workers):
+            name = WorkerId(f"w{number}")
+            self.workers[name] = EmulatedWorker(
+                name, POOL, CAPACITY, LEASE, self.behaviours, random=self.random
+            )
+            self.write_entry(name)
+        self.write_fleet()
+        self.instances = [Instance(self, f"n{number}") for number in range(instances)]
+
+    def _write(self, key: str, value: Any) -> None:
+        document = None
+        if value is not None:
+            name = f"o{len(self.reader.objects)}"
+            self.reader.objects[name] = value
+            document = {"object": name}
+        self.store.table.commit(Transaction(writes={key: document}, nonce="world"))
+        get_running_loop().create_task(self.store.table.notify())
+
+    def write_entry(self, name: WorkerId) -> None:
+        self._write(f"servers//{name}", self.workers[name].entry)
+
+    def remove_entry(self, name: WorkerId) -> None:
+        self._write(f"servers//{name}", None)
+
+    def write_fleet(self, version: int = 1, limit: Resources = NOTHING) -> None:
+        fleet = FleetMap(
+            version=version,
+            routes=index_routes([ROUTE]),
+            queues={QUEUE: ROUTE},
+            pools={POOL: PoolSpec(pool=POOL)},
+            teams={TEAM: TeamSpec(team=TEAM, limit=limit)},
+        )
+        self._write("op//config", fleet)
+
+    def write_wave(self, wave: WaveRequest) -> None:
+        self._write(f"op//wave/{wave.wave}", wave)
+
+    async def start(self) -> None:
+        for instance in self.instances:
+            await instance.start()
+        await self.wait_for(lambda: self.find_owner() is not None, 10.0)
+
+    def find_owner(self) -> Instance | None:
+        for instance in self.instances:
+            if instance.node is not None and instance.node.owns(POOL):
+                return instance
+        return None
+
+    async def wait_for(self, condition: Any, seconds: float) -> bool:
+        until = get_running_loop().time() + seconds
+        while get_running_loop().time() < until:
+            if condition():
+                return True
+            await sleep(0.05)
+        return bool(condition())
+
+    async def submit(
+        self,
+        number: int,
+        steps: tuple[StepSpec, ...] = (),
+        instance: int = 0,
+        behaviour: TaskBehaviour | None = None,
+        timeout: float = 3.0,
+    ) -> JobId:
+        job = JobId(f"{number:016x}")
+        payload = f"job-{number}"
+        if behaviour is not None:
+            self.behaviours[payload] = behaviour
+        steps = steps or (StepSpec(count=2, needs=Resources(1000, 500)),)
+        node = self.instances[instance].node
+        assert node is not None
+        submission = JobSubmission(payload=payload, steps=steps)
+        await node.intake.submit(ROUTE, TEAM, job, submission, timeout)
+        self.accepted.add(job)
+        return job
+
+    async def cancel(self, job: JobId, instance: int = 0) -> None:
+        node = self.instances[instance].node
+        assert node is not None
+        await node.intake.cancel(ROUTE, TEAM, job)
+        self.cancelled_at[job] = get_running_loop().time()
+
+    async def read_phase(self, job: JobId, instance: int = 0) -> str:
+        node = self.instances[instance].node
+        assert node is not None
+        return (await node.intake.read_phase(ROUTE, TEAM, job)).value
+
+    async def wait_for_phase(
+        self, job: JobId, phase: str, seconds: float, instance: int = 0
+    ) -> bool:
+        until = get_running_loop().time() + seconds
+        while get_running_loop().time() < until:
+            if await self.read_phase(job, instance) == phase:
+                return True
+            await sleep(0.1)
+        return False
+
+    def runs(self) -> list[Any]:
+        return [run for worker in self.workers.values() for run in worker.record]
+
+    def find_faults(self) -> list[str]:
+        """Return every promise that the workers' own record shows broken."""
+        return [
+            *self._find_doubles(),
+            *self._find_overload(),
+            *self._find_unasked(),
+        ]
+
+    def _find_doubles(self) -> list[str]:
+        faults = []
+        by_task = defaultdict(list)
+        for run in self.runs():
+            by_task[run.task].append(run)
+        noted = {
+            (end.task, end.run)
+            for worker in self.workers.values()
+            for end in worker.acknowledged
+        }
+        for task, runs in by_task.items():
+            runs.sort(key=lambda run: run.started)
+            for index, run in enumerate(runs):
+                for later in runs[index + 1 :]:
+                    if run.ended is None or later.started < run.ended:
+                        faults.append(f"{task}: runs {run} and {later} overlap")
+                    elif run.outcome is RunOutcome.DONE and (task, run.run) in noted:
+                        faults.append(f"{task}: {later} after the end of {run}")
+        return faults
+
+    def _find_overload(self) -> list[str]:
+        faults = []
+        for worker in self.workers.values():
+            moments = sorted(run.started for run in worker.record)
+            for moment in moments:
+                used = sum(
+                    1
+                    for run in worker.record
+                    if run.started <= moment
+                    and (run.ended is None or run.ended > moment)
+                )
+                if used * 1000 > worker.capacity.cpu:
+                    faults.append(f"{worker.worker}: {used} tasks at {moment:.3f}")
+        return faults
+
+    def _find_unasked(self) -> list[str]:
+        faults = []
+        for run in self.runs():
+            cancelled = self.cancelled_at.get(run.task.job)
+            if cancelled is not None and run.started > cancelled + 3.0:
+                faults.append(f"{run} started after its job was cancelled")
+        return faults
+
+    def count_starts(self) -> Counter[Any]:
+        return Counter(run.task for run in self.runs())
+
+    def set_draining(self, name: WorkerId) -> None:
+        self.workers[name].state = WorkerState.DRAINING
+        self.write_entry(name)
