--- a/jujubebarrow/coordinators/pool_coordinators.py
+++ b/jujubebarrow/coordinators/pool_coordinators.py
@@ -4,7 +4,8 @@
 from jujubebarrow.coordinators.job_changes import JobChange
 from jujubebarrow.coordinators.job_ledgers import PHASE, JobLedger
 from jujubebarrow.coordinators.order_results import OrderOutcome, OrderResult
-from jujubebarrow.coordinators.orders import HoldOrder, StartOrder, StopOrder
+from jujubebarrow.coordinators.orders import HoldOrder, PaceOrder, StartOrder, StopOrder
+from jujubebarrow.coordinators.pacers import Pacer
 from jujubebarrow.coordinators.planners import TaskPlanner
 from jujubebarrow.coordinators.pool_states import PoolState
 from jujubebarrow.coordinators.reconcilers import Reconciler
@@ -47,6 +48,7 @@
         self._log = log
         self._planner = TaskPlanner(self.state)
         self._reconciler = Reconciler(self.state, log)
+        self._pacer = Pacer(self.state)
 
     def add_job(
         self, record: JobRecord, progress: dict[str, object] | None, now: float
@@ -331,7 +333,30 @@
         self, worker: WorkerLedger, report: HoldReport, sent_at: float, now: float
     ) -> list[StopOrder]:
         """Take over a worker's lists; return stops of runs without a record."""
-        return self._reconciler.reconcile(worker, report, sent_at, now)
+        strays = self._reconciler.reconcile(worker, report, sent_at, now)
+        self.state.paces.extend(self._pacer.adjust(worker))
+        return strays
+
+    def take_paces(self) -> list[ActiveRun]:
+        """Return, and forget, the runs whose pace has to be ordered."""
+        paces, self.state.paces = self.state.paces, []
+        return paces
+
+    def make_pace(self, run: ActiveRun) -> PaceOrder | None:
+        """Return the order to set the pace of a run, or None if it is not needed."""
+        worker = self.state.workers.get(run.worker)
+        if worker is None or not self.is_active(run):
+            return None
+        if run.pace == worker.leftover_pace or run.stage is not RunStage.CONFIRMED:
+            return None
+        return PaceOrder(
+            worker=worker.worker,
+            address=worker.address,
+            task=run.task,
+            run=run.run,
+            percent=worker.leftover_pace,
+            token=self.state.token,
+        )
 
     def note_hold_failed(self, worker: WorkerLedger, now: float) -> None:
         """Note that a worker did not answer."""
--- a/jujubebarrow/coordinators/pool_states.py
+++ b/jujubebarrow/coordinators/pool_states.py
@@ -39,6 +39,7 @@
         self.grants = GrantBook()
         self.starts: list[ActiveRun] = []
         self.stops: list[ActiveRun] = []
+        self.paces: list[ActiveRun] = []
         self._changed: dict[QueueId, dict[JobId, None]] = defaultdict(dict)
         self._ends: dict[JobId, list[EndMark]] = defaultdict(list)
 
--- a/jujubebarrow/coordinators/worker_ledgers.py
+++ b/jujubebarrow/coordinators/worker_ledgers.py
@@ -36,6 +36,7 @@
         self.acknowledged = 0
         self.draining_since = 0.0
         self.is_cordoned = False
+        self.leftover_pace = 100
         self._clock_reading = 0.0
         self._clock_read_at: float | None = None
         self._ends: OrderedDict[int, bool] = OrderedDict()
--- a/jujubebarrow/runtimes/order_senders.py
+++ b/jujubebarrow/runtimes/order_senders.py
@@ -59,6 +59,21 @@
             self._tasks.start(self._send_start(run))
         for run in self._coordinator.take_stops():
             self._tasks.start(self._send_stop(run))
+        for run in self._coordinator.take_paces():
+            self._tasks.start(self._send_pace(run))
+
+    async def _send_pace(self, run: ActiveRun) -> None:
+        order = self._coordinator.make_pace(run)
+        if order is None:
+            return
+        # An order without an answer is decided anew at the next look.
+        result = await self._gateway.pace(order)
+        self._metrics.count("pace", result.outcome.value)
+        if result.outcome is OrderOutcome.ACCEPTED:
+            run.pace = order.percent
+            self._log.write(
+                "pace_set", task=str(run.task), worker=run.worker, percent=run.pace
+            )
 
     async def _send_start(self, run: ActiveRun) -> None:
         while run.stage is RunStage.RECORDED:
