Count a task on a silent worker as away before maintenance stops another

Ruled out: the percent of restarted tasks (both were at 100 before). The new test fails on the former code and passes now.

--- a/jujubebarrow/coordinators/evacuations.py
+++ b/jujubebarrow/coordinators/evacuations.py
@@ -51,9 +51,25 @@
             return True
         if not step.spec.tolerated_absences:
             return self._has_place(step, worker)
-        away = count_away(step, run)
+        away = self._count_away(step, run)
         return away < step.spec.tolerated_absences and self._has_place(step, worker)
 
+    def _count_away(self, step: StepState, run: ActiveRun) -> int:
+        """Return how many other tasks of a step are not known to be at work."""
+        return sum(
+            not self._is_at_work(task.active)
+            for task in step.tasks
+            if task.active is not run and not task.is_done
+        )
+
+    def _is_at_work(self, run: ActiveRun | None) -> bool:
+        if run is None or run.stage is not RunStage.CONFIRMED:
+            return False
+        worker = self._state.workers.get(run.worker)
+        if worker is None or worker.entry is None or worker.failed_since:
+            return False
+        return run.percent >= AT_WORK
+
     def _has_place(self, step: StepState, left: WorkerLedger) -> bool:
         """Return whether another worker has room for a task of a step."""
         for worker in self._state.workers.values():
@@ -62,19 +78,3 @@
             if step.spec.reserved.fits(worker.free):
                 return True
         return False
-
-
-def count_away(step: StepState, run: ActiveRun) -> int:
-    """Return how many other tasks of a step are not known to be at work."""
-    away = 0
-    for task in step.tasks:
-        active = task.active
-        if active is run or task.is_done:
-            continue
-        at_work = (
-            active is not None
-            and active.stage is RunStage.CONFIRMED
-            and active.percent >= AT_WORK
-        )
-        away += not at_work
-    return away
--- a/jujubebarrow/tests/test_job_core.py
+++ b/jujubebarrow/tests/test_job_core.py
@@ -13,6 +13,7 @@
 from jujubebarrow.tests.fakes.virtual_loops import run_virtual
 from jujubebarrow.workloads.identifiers import MachineId, WorkerId
 from jujubebarrow.workloads.resources import Resources
+from jujubebarrow.workloads.run_ends import RunOutcome
 from jujubebarrow.workloads.step_specs import StepSpec
 
 STEP = StepSpec(count=2, needs=Resources(1000, 500))
@@ -285,6 +286,31 @@
 
         self.play(story, workers=4)
 
+    def test_maintenance_counts_a_task_on_a_silent_worker_as_away(self) -> None:
+        async def story(world: JobWorld) -> None:
+            spread = StepSpec(
+                count=3,
+                needs=Resources(1000, 500),
+                long_running=True,
+                most_per_worker=1,
+                tolerated_absences=1,
+            )
+            forever = TaskBehaviour(long_running=True)
+            await world.submit(1, (spread,), behaviour=forever)
+            await sleep(2.0)
+            homes = [run.worker for run in world.runs()]
+            world.workers[homes[0]].crash()
+            await sleep(2.0)
+            machines = tuple(MachineId(f"m-{name}") for name in homes[1:])
+            world.write_wave(
+                WaveRequest(wave=7, machines=machines, duration=30.0, most_at_once=2)
+            )
+            await sleep(2.0)
+            stopped = [run for run in world.runs() if run.outcome is RunOutcome.STOPPED]
+            self.assertEqual(stopped, [])
+
+        self.play(story, workers=5)
+
     def test_no_team_runs_more_than_its_upper_limit(self) -> None:
         async def story(world: JobWorld) -> None:
             world.write_fleet(2, Resources(5000, 0, 0))
