Place first what is worth most for its work, and let machines follow the demand

Ruled out: the way to the first start (half within 105 ms), the workers' ends (seen within 0.15 s). Change: jobs that can be in time go first, by worth a core-second left; pools that are calm lend empty machines to the one that is short, then the pool of machines that are off.

--- a/jujubebarrow/coordinators/job_ledgers.py
+++ b/jujubebarrow/coordinators/job_ledgers.py
@@ -82,6 +82,26 @@
             for number, step in enumerate(steps):
                 yield occurrence, number, step
 
+    def remaining(self) -> tuple[float, float]:
+        """Return what is left of a job by its estimates.
+
+        Returns:
+            Time in seconds of the longest chain of steps that are not done, and
+            the work of all tasks that are not done in core-seconds.
+        """
+        chain = 0.0
+        work = 0.0
+        for steps in self._occurrences.values():
+            longest: list[float] = []
+            for step in steps:
+                before = [longest[number] for number in step.spec.after]
+                own = 0.0 if step.is_done else step.spec.estimate
+                longest.append(max(before, default=0.0) + own)
+                open_tasks = len(step.tasks) - step.done_count
+                work += open_tasks * step.spec.needs.cpu / 1000 * step.spec.estimate
+            chain = max(chain, *longest)
+        return chain, work
+
     def active_runs(self) -> Iterator[ActiveRun]:
         """Iterate over all runs that may be at work."""
         for _, _, step in self.steps():
--- a/jujubebarrow/coordinators/planners.py
+++ b/jujubebarrow/coordinators/planners.py
@@ -7,7 +7,7 @@
 from jujubebarrow.coordinators.pool_states import PoolState
 from jujubebarrow.coordinators.step_states import StepState
 from jujubebarrow.coordinators.worker_ledgers import WorkerLedger
-from jujubebarrow.placements.job_orders import order_key
+from jujubebarrow.placements.job_orders import JobOrder
 from jujubebarrow.placements.placers import choose_gang, choose_worker
 from jujubebarrow.workloads.identifiers import RunNumber, WorkerId
 from jujubebarrow.workloads.task_keys import TaskKey
@@ -22,6 +22,11 @@
 
     def __init__(self, state: PoolState):
         self._state = state
+        self._order = JobOrder()
+
+    def learn(self, job: JobLedger) -> None:
+        """Take a new job's size into account for the order of jobs."""
+        self._order.learn(job)
 
     def plan(self, now: float, wall: float) -> list[ActiveRun]:
         """Plan runs for all tasks that find room.
@@ -34,7 +39,7 @@
         jobs = [job for job in self._state.jobs.values() if not job.phase.is_final]
         for job in jobs:
             job.open_due(wall, self._state.terms.early_start)
-        jobs.sort(key=lambda job: order_key(job, now))
+        jobs.sort(key=lambda job: self._order.rank(job, now))
         planned: list[ActiveRun] = []
         for job in jobs:
             for occurrence, number, step in job.startable():
--- a/jujubebarrow/coordinators/pool_coordinators.py
+++ b/jujubebarrow/coordinators/pool_coordinators.py
@@ -51,7 +51,11 @@
         self._pacer = Pacer(self.state)
 
     def add_job(
-        self, record: JobRecord, progress: dict[str, object] | None, now: float
+        self,
+        record: JobRecord,
+        progress: dict[str, object] | None,
+        now: float,
+        age: float = 0.0,
     ) -> bool:
         """Take over an accepted job; return whether it was new.
 
@@ -59,11 +63,13 @@
             record: Job.
             progress: Stored progress; None if no owner has seen the job yet.
             now: Time in seconds.
+            age: Time in seconds since its acceptance.
         """
         if record.job in self.state.jobs:
             return False
-        job = JobLedger(record, now)
+        job = JobLedger(record, now - age)
         self.state.jobs[record.job] = job
+        self._planner.learn(job)
         if progress is None:
             self.state.mark_changed(job)
         else:
@@ -362,6 +368,26 @@
         """Note that a worker did not answer."""
         worker.failed_since = worker.failed_since or now
 
+    def holds_long_running(self, worker: WorkerLedger) -> bool:
+        """Return whether a long-running task may be at work on a worker."""
+        for run in worker.runs.values():
+            job = self.state.jobs.get(run.task.job)
+            if job is None or job.record.is_long_running:
+                return True
+        return False
+
+    def count_demand(self) -> int:
+        """Return what startable and running tasks ask for, in thousandths of a core.
+
+        Tasks whose team is at its limit, and jobs that can't be in time, count as
+        well: machines that they could use are no less useful.
+        """
+        demand = sum(worker.reserved.cpu for worker in self.state.workers.values())
+        for job in self.state.jobs.values():
+            for _, _, step in job.startable():
+                demand += len(step.waiting) * step.spec.reserved.cpu
+        return demand
+
     def count_pending(self) -> dict[str, int]:
         """Return the number of jobs without a started task, by queue."""
         pending: dict[str, int] = {}
--- /dev/null
+++ b/jujubebarrow/pools/surplus_planners.py
@@ -0,0 +1,81 @@
+"""Which pools lend machines to which, while demand goes round between them.
+
+Answers queues that ask by turns for several times what their pool holds, for some
+seconds each: machines follow the demand, as far as a move is over before it ebbs.
+"""
+
+from jujubebarrow.identifiers import PoolId
+from jujubebarrow.pools.pool_loads import PoolLoad
+
+SHORT = 1.0
+"""Demand of a pool, as a share of its capacity, from which it needs machines."""
+RELAXED = 0.5
+"""Demand, as a share of what is left, up to which a pool lends a machine."""
+LENT_SHARE = 0.5
+"""Largest part of a pool's machines that it lends."""
+
+
+def plan_moves(
+    loads: dict[PoolId, PoolLoad], under_way: dict[PoolId, int]
+) -> list[tuple[PoolId, PoolId]]:
+    """Return the moves that would even out the load, as pairs of pools.
+
+    All owners come to the same plan from the same loads; each carries out the part
+    that begins at its own pool.
+
+    Args:
+        loads: Load of each pool.
+        under_way: Machines that are on their way to each pool.
+    """
+    sizes = [load.machine_size for load in loads.values() if load.machines]
+    usual = sum(sizes) / len(sizes) if sizes else 0.0
+    if not usual:
+        return []
+    needs = _count_needs(loads, under_way, usual)
+    surplus = {pool: _count_surplus(load) for pool, load in loads.items()}
+    moves: list[tuple[PoolId, PoolId]] = []
+    # The pool that is shortest of machines gets the next one.
+    while needs and any(surplus.values()):
+        target = max(needs, key=lambda pool: (needs[pool], pool))
+        source = _choose_source(loads, surplus)
+        moves.append((source, target))
+        surplus[source] -= 1
+        needs[target] -= 1
+        if needs[target] <= 0:
+            del needs[target]
+    return moves
+
+
+def _count_needs(
+    loads: dict[PoolId, PoolLoad], under_way: dict[PoolId, int], usual: float
+) -> dict[PoolId, int]:
+    needs = {}
+    for pool, load in loads.items():
+        missing = load.demand - SHORT * load.capacity
+        if load.is_standby or missing <= 0:
+            continue
+        count = int(missing / usual + 0.5) - under_way.get(pool, 0)
+        # No more than doubles the pool, as demand ebbs within seconds.
+        count = min(count, load.machines)
+        if count > 0:
+            needs[pool] = count
+    return needs
+
+
+def _count_surplus(load: PoolLoad) -> int:
+    if load.is_standby:
+        return load.movable
+    if not load.machines or load.demand > RELAXED * load.capacity:
+        return 0
+    size = load.machine_size
+    unneeded = int((load.capacity - load.demand / RELAXED) / size) if size else 0
+    most = int(load.machines * LENT_SHARE)
+    return max(0, min(load.movable, unneeded, most))
+
+
+def _choose_source(loads: dict[PoolId, PoolLoad], surplus: dict[PoolId, int]) -> PoolId:
+    # Machines that are paid for already go first.
+    return max(
+        (pool for pool, count in surplus.items() if count),
+        key=lambda pool: (not loads[pool].is_standby, surplus[pool], pool),
+    )
--- a/jujubebarrow/runtimes/entry_nodes.py
+++ b/jujubebarrow/runtimes/entry_nodes.py
@@ -17,6 +17,8 @@
 from jujubebarrow.runtimes.fleet_followers import FleetFollower
 from jujubebarrow.runtimes.job_followers import JobFollower
 from jujubebarrow.runtimes.job_intakes import JobIntake
+from jujubebarrow.runtimes.load_boards import LoadBoard
+from jujubebarrow.runtimes.move_keepers import MoveKeeper
 from jujubebarrow.runtimes.owner_hooks import OwnerHooks
 from jujubebarrow.runtimes.ownership_services import DutyListener, OwnershipService
 from jujubebarrow.runtimes.pool_owners import PoolOwner
@@ -88,6 +90,7 @@
         self.follower = FleetFollower(
             store, reader, terms.key_freshness, clock, log, metrics
         )
+        self._board = LoadBoard(store, clock, metrics)
         self._wave_store = WaveStore(store, reader, clock)
         self._workers = WorkerFollower(store, reader, clock, log, metrics)
         self._jobs = JobFollower(store, clock, log, metrics)
@@ -157,6 +160,7 @@
             self._store,
             self._gateway,
             self._make_waves,
+            self._make_moves,
             self._clock,
             self._log,
             self._metrics,
@@ -183,6 +187,24 @@
             self._metrics,
         )
 
+    def _make_moves(
+        self, coordinator: PoolCoordinator, hooks: OwnerHooks
+    ) -> MoveKeeper:
+        fleet = self.follower.fleet
+        spec = fleet.pools.get(coordinator.state.pool) if fleet else None
+        return MoveKeeper(
+            self._terms.instance,
+            coordinator,
+            self._board,
+            spec is not None and spec.is_standby,
+            self._machines,
+            hooks,
+            self._terms.machine_lease,
+            self._clock,
+            self._log,
+            self._metrics,
+        )
+
     async def on_lost(self, duty: DutyId) -> None:
         """End a duty that another instance has taken over."""
         owner = self._owners.pop(PoolId(duty), None)
--- /dev/null
+++ b/jujubebarrow/runtimes/load_boards.py
@@ -0,0 +1,115 @@
+"""Loads of all pools and moves under way, as the owners tell one another."""
+
+from typing import Any
+from uuid import uuid4
+
+from jujubebarrow.clocks.clocks import Clock
+from jujubebarrow.errors.exceptions import StoreError
+from jujubebarrow.identifiers import PoolId
+from jujubebarrow.metrics.registries import MetricsRegistry
+from jujubebarrow.pools.pool_loads import PoolLoad
+from jujubebarrow.stores.row_keys import RowKey, TableName, make_key
+from jujubebarrow.stores.rows import Row
+from jujubebarrow.stores.stores import Store
+from jujubebarrow.stores.transactions import Transaction
+from jujubebarrow.workloads.identifiers import FencingToken, MachineId
+
+LOAD_PREFIX = "load/"
+MOVE_PREFIX = "move/"
+READ_AGE = 0.25
+"""Seconds for which what was read serves all pools of this instance."""
+TRANSIT = 2.5
+"""Seconds after an order during which a machine counts as on its way."""
+
+
+class LoadBoard:
+    """Rows of the balance table, shared by all pools of this instance.
+
+    Args:
+        store: Store.
+        clock: Time source.
+        metrics: Counters.
+    """
+
+    def __init__(self, store: Store, clock: Clock, metrics: MetricsRegistry):
+        self._store = store
+        self._clock = clock
+        self._metrics = metrics
+        self._read_at = float("-inf")
+        self._moves: dict[MachineId, tuple[int, PoolId, str, float]] = {}
+        self.loads: dict[PoolId, PoolLoad] = {}
+
+    async def refresh(self) -> None:
+        """Read all rows, unless that was done a moment ago.
+
+        Raises:
+            StoreError: No answer.
+        """
+        now = self._clock.monotonic()
+        if now - self._read_at < READ_AGE:
+            return
+        self._read_at = now
+        found = await self._store.read(make_key(TableName.BALANCE, "", ""))
+        self.loads = {}
+        for row in found.rows:
+            self._take(row, now)
+
+    def _take(self, row: Row, now: float) -> None:
+        name = RowKey.parse(row.key).name
+        value = row.value or {}
+        if name.startswith(LOAD_PREFIX):
+            pool = PoolId(name.removeprefix(LOAD_PREFIX))
+            self.loads[pool] = PoolLoad.from_document(pool, value)
+        elif name.startswith(MOVE_PREFIX):
+            machine = MachineId(name.removeprefix(MOVE_PREFIX))
+            known = self._moves.get(machine)
+            if known is None or known[0] != row.revision:
+                target = PoolId(value["target"])
+                self._moves[machine] = (row.revision, target, value["holder"], now)
+
+    def count_under_way(self) -> dict[PoolId, int]:
+        """Return how many machines are on their way to each pool."""
+        now = self._clock.monotonic()
+        under_way: dict[PoolId, int] = {}
+        for _, target, _, seen_at in self._moves.values():
+            if now - seen_at < TRANSIT:
+                under_way[target] = under_way.get(target, 0) + 1
+        return under_way
+
+    def may_order(self, machine: MachineId, holder: str, machine_lease: float) -> bool:
+        """Return whether another holder's last order is long enough ago."""
+        known = self._moves.get(machine)
+        if known is None or known[2] == holder:
+            return True
+        return self._clock.monotonic() - known[3] > machine_lease
+
+    async def tell_load(self, load: PoolLoad) -> None:
+        """Write the load of a pool.
+
+        Raises:
+            StoreError: Unknown whether it was written.
+        """
+        key = make_key(TableName.BALANCE, "", LOAD_PREFIX + load.pool)
+        await self._write(key, load.to_document())
+
+    async def claim_move(
+        self, machine: MachineId, target: PoolId, holder: str
+    ) -> FencingToken:
+        """Write a move before it is ordered; return the token for the order.
+
+        Raises:
+            StoreError: Unknown whether it was written.
+        """
+        key = make_key(TableName.BALANCE, "", MOVE_PREFIX + machine)
+        revision = await self._write(key, {"target": target, "holder": holder})
+        self._moves[machine] = (revision, target, holder, self._clock.monotonic())
+        return FencingToken(revision)
+
+    async def _write(self, key: str, value: dict[str, Any]) -> int:
+        transaction = Transaction(writes={key: value}, nonce=uuid4().hex)
+        try:
+            answer = await self._store.try_commit(transaction)
+        except StoreError:
+            self._metrics.count("balance_unwritten")
+            raise
+        return answer.revision
--- a/jujubebarrow/runtimes/pool_owners.py
+++ b/jujubebarrow/runtimes/pool_owners.py
@@ -18,6 +18,7 @@
 from jujubebarrow.runtimes.job_listeners import JobListener
 from jujubebarrow.runtimes.job_rows import CANCELLED_SUFFIX
 from jujubebarrow.runtimes.load_reporters import LoadReporter
+from jujubebarrow.runtimes.move_keepers import MoveKeeper
 from jujubebarrow.runtimes.order_senders import OrderSender
 from jujubebarrow.runtimes.owner_hooks import OwnerHooks
 from jujubebarrow.runtimes.ownership_services import OwnershipService
@@ -39,6 +40,9 @@
 """Seconds for which events are joined before a plan."""
 PURGE_TICKS = 300
 """Ticks between deletions of closed jobs."""
+OLDEST = 60.0
+"""Greatest age in seconds that a job is given at a take-over; any job is late by
+then."""
 RETRY_SECONDS = 0.2
 """Pause after a read of the store that failed."""
 
@@ -54,6 +58,7 @@
         store: Store.
         gateway: Workers.
         make_waves: Makes the part that keeps the pool's machines maintained.
+        make_moves: Makes the part that lends the pool's machines.
         clock: Time source; it must not stand still while a machine is suspended.
         log: Log of decisions.
         metrics: Counters.
@@ -68,6 +73,7 @@
         store: Store,
         gateway: WorkerGateway,
         make_waves: Callable[[PoolCoordinator, OwnerHooks], WaveKeeper],
+        make_moves: Callable[[PoolCoordinator, OwnerHooks], MoveKeeper],
         clock: Clock,
         log: DecisionLog,
         metrics: MetricsRegistry,
@@ -116,6 +122,7 @@
             pool, token, book, store, self.on_change, clock, log, metrics
         )
         self._waves = make_waves(self.coordinator, self)
+        self._moves = make_moves(self.coordinator, self)
         self._reporter = LoadReporter(
             pool, self.coordinator, self._writer, clock, metrics
         )
@@ -185,6 +192,7 @@
         self._tasks.start(self._keeper.run())
         self._tasks.start(self._reporter.run())
         self._tasks.start(self._waves.run())
+        self._tasks.start(self._moves.run())
         self.on_change()
 
     async def _load_queue(self, queue: QueueId, only_own: bool) -> None:
@@ -208,8 +216,11 @@
             for row in await self._read(TableName.PROGRESS, queue)
         }
         now = self._clock.monotonic()
+        wall = self._clock.wall()
         for record in records:
-            self.coordinator.add_job(record, progress.get(record.job), now)
+            # Clocks of two instances differ, and may jump.
+            age = min(max(0.0, wall - record.accepted), OLDEST)
+            self.coordinator.add_job(record, progress.get(record.job), now, age)
         for row in jobs:
             name = RowKey.parse(row.key).name
             if name.endswith(CANCELLED_SUFFIX):
--- a/jujubebarrow/stores/row_keys.py
+++ b/jujubebarrow/stores/row_keys.py
@@ -14,6 +14,7 @@
     GRANTS = "grants"
     LOADS = "loads"
     WAVES = "waves"
+    BALANCE = "balance"
 
 
 class RowKey(NamedTuple):
