Ask the placement advice before steps that need it are placed

Cause: queues with advice could not run: the contract refuses starts without a ticket. One question at a time an instance; grants are kept by step and by the worker's life until shortly before they end; refused workers are not asked again.

--- a/jujubebarrow/coordinators/planners.py
+++ b/jujubebarrow/coordinators/planners.py
@@ -23,6 +23,7 @@
     def __init__(self, state: PoolState):
         self._state = state
         self._order = JobOrder()
+        self._now = 0.0
 
     def learn(self, job: JobLedger) -> None:
         """Take a new job's size into account for the order of jobs."""
@@ -43,9 +44,30 @@
         planned: list[ActiveRun] = []
         for job in jobs:
             for occurrence, number, step in job.startable():
-                planned += self._plan_step(job, (occurrence, number), step, workers)
+                allowed = self._allow(job, (occurrence, number), step, workers, now)
+                planned += self._plan_step(job, (occurrence, number), step, allowed)
         return planned
 
+    def _allow(
+        self,
+        job: JobLedger,
+        place: tuple[int, int],
+        step: StepState,
+        workers: list[WorkerLedger],
+        now: float,
+    ) -> list[WorkerLedger]:
+        """Return the workers that may run a step by the placement advice."""
+        book = self._state.advice
+        if not book.is_needed(job.record.queue):
+            return workers
+        key = (job.record.job, *place)
+        allowed = [w for w in workers if book.find_ticket(key, w.life, now)]
+        room = sum(step.spec.reserved.fits(worker.free) for worker in allowed)
+        if room < len(step.waiting):
+            book.want(key, len(step.waiting) - room)
+        self._now = now
+        return allowed
+
     def _plan_step(
         self,
         job: JobLedger,
@@ -111,6 +133,7 @@
             life=worker.life,
             reserved=step.spec.reserved,
             usage=step.spec.needs,
+            ticket=self._state.advice.find_ticket(key[:3], worker.life, self._now),
         )
         job.begin_run(run)
         self._state.add_run(job, run)
--- a/jujubebarrow/coordinators/pool_coordinators.py
+++ b/jujubebarrow/coordinators/pool_coordinators.py
@@ -13,7 +13,7 @@
 from jujubebarrow.coordinators.worker_ledgers import WorkerLedger
 from jujubebarrow.identifiers import JobId, PoolId
 from jujubebarrow.logs.decision_logs import DecisionLog
-from jujubebarrow.workloads.identifiers import FencingToken, WorkerId
+from jujubebarrow.workloads.identifiers import FencingToken, WorkerId, WorkerLife
 from jujubebarrow.workloads.job_phases import JobPhase
 from jujubebarrow.workloads.job_records import JobRecord
 from jujubebarrow.workloads.worker_reports import HoldReport, WorkerEntry, WorkerState
@@ -270,6 +270,8 @@
     ) -> None:
         if run.stage is not RunStage.RECORDED:
             return
+        if result.outcome is OrderOutcome.TICKET_INVALID:
+            self.state.advice.drop_ticket(run.task[:3], run.life)
         if result.outcome is OrderOutcome.REFUSED:
             worker.score.note(run.task.job, False, now)
         if run.unanswered:
@@ -376,6 +378,12 @@
                 return True
         return False
 
+    def list_lives(self, now: float) -> list[WorkerLife]:
+        """Return the workers that take tasks, those with most room first."""
+        workers = [w for w in self.state.workers.values() if w.takes_tasks(now)]
+        workers.sort(key=lambda worker: -worker.free.cpu)
+        return [worker.life for worker in workers]
+
     def count_demand(self) -> int:
         """Return what startable and running tasks ask for, in thousandths of a core.
 
@@ -407,4 +415,5 @@
         ]
         for job in old:
             del self.state.jobs[job.record.job]
+            self.state.advice.forget_job(job.record.job)
         return old
--- a/jujubebarrow/coordinators/pool_states.py
+++ b/jujubebarrow/coordinators/pool_states.py
@@ -10,6 +10,7 @@
 from jujubebarrow.coordinators.worker_ledgers import CLOCK_RATE, WorkerLedger
 from jujubebarrow.identifiers import JobId, PoolId, QueueId
 from jujubebarrow.limits.grant_books import GrantBook
+from jujubebarrow.placements.advice_books import AdviceBook
 from jujubebarrow.workloads.identifiers import FencingToken, WorkerId
 
 
@@ -37,6 +38,7 @@
         self.jobs: dict[JobId, JobLedger] = {}
         self.workers: dict[WorkerId, WorkerLedger] = {}
         self.grants = GrantBook()
+        self.advice = AdviceBook()
         self.starts: list[ActiveRun] = []
         self.stops: list[ActiveRun] = []
         self.paces: list[ActiveRun] = []
--- a/jujubebarrow/platform/main.py
+++ b/jujubebarrow/platform/main.py
@@ -15,6 +15,7 @@
 from jujubebarrow.identifiers import IncarnationId
 from jujubebarrow.logs.event_logs import EventLog, set_up_event_log
 from jujubebarrow.metrics.registries import MetricsRegistry
+from jujubebarrow.platform.advisors import PlatformAdvisor
 from jujubebarrow.platform.callers import CallerAnswerer
 from jujubebarrow.platform.documents import PlatformDocuments
 from jujubebarrow.platform.http_servers import AnsweringServer
@@ -80,6 +81,8 @@
                 settings.machine_address, settings.instance, self._metrics
             )
             stack.callback(machines.close)
+            advisor = PlatformAdvisor(settings.advice_address, self._metrics)
+            stack.callback(advisor.close)
             incarnation = IncarnationId(uuid4().hex)
             node = EntryNode(
                 make_terms(settings, incarnation),
@@ -87,6 +90,7 @@
                 PlatformDocuments(self._log, self._metrics),
                 workers,
                 machines,
+                advisor,
                 self._clock,
                 self._log,
                 self._metrics,
--- a/jujubebarrow/runtimes/entry_nodes.py
+++ b/jujubebarrow/runtimes/entry_nodes.py
@@ -1,5 +1,6 @@
 """One entry instance without its sockets."""
 
+from asyncio import Lock
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
 
@@ -7,12 +8,14 @@
 from jujubebarrow.coordinators.pool_coordinators import PoolCoordinator
 from jujubebarrow.coordinators.terms import CoordinatorTerms
 from jujubebarrow.fleets.fleet_maps import FleetMap
+from jujubebarrow.gateways.advisors import Advisor
 from jujubebarrow.gateways.machine_controls import MachineControl
 from jujubebarrow.gateways.worker_gateways import WorkerGateway
 from jujubebarrow.identifiers import IncarnationId, InstanceId, JobId, PoolId
 from jujubebarrow.logs.decision_logs import DecisionLog
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.ownerships.holders import DutyId
+from jujubebarrow.runtimes.advice_keepers import AdviceKeeper
 from jujubebarrow.runtimes.document_readers import DocumentReader
 from jujubebarrow.runtimes.fleet_followers import FleetFollower
 from jujubebarrow.runtimes.job_followers import JobFollower
@@ -62,6 +65,7 @@
         reader: Decodes documents of the operator and the workers.
         gateway: Workers.
         machines: Machines under the workers.
+        advisor: Says which workers may run a step.
         clock: Time source; it must not stand still while a machine is suspended.
         log: Log of decisions.
         metrics: Counters.
@@ -74,6 +78,7 @@
         reader: DocumentReader,
         gateway: WorkerGateway,
         machines: MachineControl,
+        advisor: Advisor,
         clock: Clock,
         log: DecisionLog,
         metrics: MetricsRegistry,
@@ -82,6 +87,8 @@
         self._store = store
         self._gateway = gateway
         self._machines = machines
+        self._advisor = advisor
+        self._advice_turn = Lock()
         self._clock = clock
         self._log = log
         self._metrics = metrics
@@ -161,6 +168,7 @@
             self._gateway,
             self._make_waves,
             self._make_moves,
+            self._make_advice,
             self._clock,
             self._log,
             self._metrics,
@@ -205,6 +213,19 @@
             self._metrics,
         )
 
+    def _make_advice(
+        self, coordinator: PoolCoordinator, hooks: OwnerHooks
+    ) -> AdviceKeeper:
+        return AdviceKeeper(
+            coordinator,
+            self._advisor,
+            self._advice_turn,
+            hooks,
+            self._clock,
+            self._log,
+            self._metrics,
+        )
+
     async def on_lost(self, duty: DutyId) -> None:
         """End a duty that another instance has taken over."""
         owner = self._owners.pop(PoolId(duty), None)
--- a/jujubebarrow/runtimes/pool_owners.py
+++ b/jujubebarrow/runtimes/pool_owners.py
@@ -13,6 +13,7 @@
 from jujubebarrow.identifiers import JobId, PoolId, QueueId
 from jujubebarrow.logs.decision_logs import DecisionLog
 from jujubebarrow.metrics.registries import MetricsRegistry
+from jujubebarrow.runtimes.advice_keepers import AdviceKeeper
 from jujubebarrow.runtimes.grant_keepers import GrantKeeper
 from jujubebarrow.runtimes.job_followers import read_job
 from jujubebarrow.runtimes.job_listeners import JobListener
@@ -59,6 +60,7 @@
         gateway: Workers.
         make_waves: Makes the part that keeps the pool's machines maintained.
         make_moves: Makes the part that lends the pool's machines.
+        make_advice: Makes the part that asks which workers may run a step.
         clock: Time source; it must not stand still while a machine is suspended.
         log: Log of decisions.
         metrics: Counters.
@@ -74,6 +76,7 @@
         gateway: WorkerGateway,
         make_waves: Callable[[PoolCoordinator, OwnerHooks], WaveKeeper],
         make_moves: Callable[[PoolCoordinator, OwnerHooks], MoveKeeper],
+        make_advice: Callable[[PoolCoordinator, OwnerHooks], AdviceKeeper],
         clock: Clock,
         log: DecisionLog,
         metrics: MetricsRegistry,
@@ -123,6 +126,7 @@
         )
         self._waves = make_waves(self.coordinator, self)
         self._moves = make_moves(self.coordinator, self)
+        self._advice = make_advice(self.coordinator, self)
         self._reporter = LoadReporter(
             pool, self.coordinator, self._writer, clock, metrics
         )
@@ -150,6 +154,13 @@
         """Take over the teams' limits."""
         limits = {team: spec.limit for team, spec in fleet.teams.items()}
         self.coordinator.state.grants.set_limits(limits)
+        self.coordinator.state.advice.set_terms(
+            {
+                queue: route.advice
+                for queue, route in fleet.queues.items()
+                if route.advice is not None
+            }
+        )
         self.on_change()
 
     def _may_order(self) -> bool:
@@ -193,6 +204,7 @@
         self._tasks.start(self._reporter.run())
         self._tasks.start(self._waves.run())
         self._tasks.start(self._moves.run())
+        self._tasks.start(self._advice.run())
         self.on_change()
 
     async def _load_queue(self, queue: QueueId, only_own: bool) -> None:
--- a/jujubebarrow/tests/fakes/job_worlds.py
+++ b/jujubebarrow/tests/fakes/job_worlds.py
@@ -12,6 +12,7 @@
 from jujubebarrow.fleets.queue_routes import QueueRoute
 from jujubebarrow.fleets.team_specs import TeamSpec
 from jujubebarrow.fleets.wave_requests import WaveRequest
+from jujubebarrow.gateways.advisors import Advisor
 from jujubebarrow.gateways.machine_controls import (
     Machine,
     MachineAnswer,
@@ -156,6 +157,26 @@
         self._world.write_entry(name)
 
 
+class FakeAdvisor(Advisor):
+    """Grants a step on every worker but some, and never asks twice at once."""
+
+    def __init__(self) -> None:
+        self.refused: set[WorkerId] = set()
+        self.calls = 0
+        self.busy = 0
+        self.most_busy = 0
+
+    async def advise(
+        self, step: Any, workers: list[WorkerId], timeout: float
+    ) -> dict[WorkerId, str]:
+        self.calls += 1
+        self.busy += 1
+        self.most_busy = max(self.most_busy, self.busy)
+        await sleep(0.05)
+        self.busy -= 1
+        return {name: f"t-{name}" for name in workers if name not in self.refused}
+
+
 class Instance:
     """One entry instance with its present process."""
 
@@ -193,6 +214,7 @@
             world.reader,
             self.gateway,
             world.machines,
+            world.advisor,
             LoopClock(get_running_loop()),
             self.log,
             self.metrics,
@@ -224,6 +246,8 @@
         self.workers: dict[WorkerId, EmulatedWorker] = {}
         self.logs: list[ListLog] = []
         self.machines = FakeMachines(self)
+        self.advisor = FakeAdvisor()
+        self.route = ROUTE
         self.cancelled_at: dict[JobId, float] = {}
         self.accepted: set[JobId] = set()
         for number in range(workers):
@@ -253,8 +277,8 @@
     def write_fleet(self, version: int = 1, limit: Resources = NOTHING) -> None:
         fleet = FleetMap(
             version=version,
-            routes=index_routes([ROUTE]),
-            queues={QUEUE: ROUTE},
+            routes=index_routes([self.route]),
+            queues={QUEUE: self.route},
             pools={POOL: PoolSpec(pool=POOL)},
             teams={TEAM: TeamSpec(team=TEAM, limit=limit)},
         )
--- a/jujubebarrow/tests/test_job_core.py
+++ b/jujubebarrow/tests/test_job_core.py
@@ -3,13 +3,15 @@
 import unittest
 from asyncio import sleep
 from collections.abc import Callable, Coroutine
+from dataclasses import replace
 from typing import Any
 
 from jujubebarrow.errors.exceptions import RefusalError
 from jujubebarrow.errors.kinds import ErrorKind
+from jujubebarrow.fleets.advice_terms import AdviceTerms
 from jujubebarrow.fleets.wave_requests import WaveRequest
 from jujubebarrow.standins.emulated_workers import TaskBehaviour
-from jujubebarrow.tests.fakes.job_worlds import CAPACITY, JobWorld
+from jujubebarrow.tests.fakes.job_worlds import CAPACITY, ROUTE, JobWorld
 from jujubebarrow.tests.fakes.virtual_loops import run_virtual
 from jujubebarrow.workloads.identifiers import MachineId, WorkerId
 from jujubebarrow.workloads.resources import Resources
@@ -325,6 +327,21 @@
 
         self.play(story)
 
+    def test_steps_run_only_where_the_advice_grants_them(self) -> None:
+        async def story(world: JobWorld) -> None:
+            world.advisor.refused = {WorkerId("w1")}
+            world.route = replace(ROUTE, advice=AdviceTerms(0.04, 0.001, 3.0))
+            world.write_fleet(2)
+            await sleep(1.0)
+            for number in range(6):
+                await world.submit(number)
+            await sleep(5.0)
+            self.assertEqual(len(world.runs()), 12)
+            self.assertEqual(world.workers[WorkerId("w1")].record, [])
+            self.assertEqual(world.advisor.most_busy, 1)
+
+        self.play(story)
+
     def test_nothing_new_is_placed_on_a_draining_worker(self) -> None:
         async def story(world: JobWorld) -> None:
             world.set_draining(WorkerId("w0"))
