--- a/jujubebarrow/pools/surplus_planners.py
+++ b/jujubebarrow/pools/surplus_planners.py
@@ -13,17 +13,10 @@
 """Demand, as a share of what is left, up to which a pool lends a machine."""
 LENT_SHARE = 0.5
 """Largest part of a pool's machines that it lends."""
-KEPT_SHARE = 0.6
-"""Recent peak of the demand, as a share of the capacity that is kept for it; more
-machines than that are turned off."""
-LEAST_MACHINES = 2
-"""Machines that stay in each pool, so that the loss of one leaves another."""
 
 
 def plan_moves(
-    loads: dict[PoolId, PoolLoad],
-    under_way: dict[PoolId, int],
-    recent_peak: int,
+    loads: dict[PoolId, PoolLoad], under_way: dict[PoolId, int]
 ) -> list[tuple[PoolId, PoolId]]:
     """Return the moves that would even out the load, as pairs of pools.
 
@@ -33,8 +26,6 @@
     Args:
         loads: Load of each pool.
         under_way: Machines that are on their way to each pool.
-        recent_peak: Highest demand of all pools together in the last seconds, in
-            thousandths of a core.
     """
     sizes = [load.machine_size for load in loads.values() if load.machines]
     usual = sum(sizes) / len(sizes) if sizes else 0.0
@@ -43,8 +34,6 @@
     needs = _count_needs(loads, under_way, usual)
     surplus = {pool: _count_surplus(load) for pool, load in loads.items()}
     moves: list[tuple[PoolId, PoolId]] = []
-    if not needs:
-        return _plan_rest(loads, surplus, under_way, recent_peak, usual)
     # The pool that is shortest of machines gets the next one.
     while needs and any(surplus.values()):
         target = max(needs, key=lambda pool: (needs[pool], pool))
@@ -57,31 +46,6 @@
     return moves
 
 
-def _plan_rest(
-    loads: dict[PoolId, PoolLoad],
-    surplus: dict[PoolId, int],
-    under_way: dict[PoolId, int],
-    recent_peak: int,
-    usual: float,
-) -> list[tuple[PoolId, PoolId]]:
-    """Return moves of machines that nobody needs to where they cost nothing."""
-    standby = next((pool for pool, load in loads.items() if load.is_standby), None)
-    if standby is None:
-        return []
-    capacity = sum(load.capacity for load in loads.values())
-    count = int((capacity - recent_peak / KEPT_SHARE) / usual)
-    count -= under_way.get(standby, 0)
-    moves = []
-    for pool in sorted(surplus, key=lambda pool: -surplus[pool]):
-        if loads[pool].is_standby:
-            continue
-        spare = min(surplus[pool], loads[pool].machines - LEAST_MACHINES)
-        number = max(0, min(spare, count))
-        count -= number
-        moves.extend([(pool, standby)] * number)
-    return moves
-
-
 def _count_needs(
     loads: dict[PoolId, PoolLoad], under_way: dict[PoolId, int], usual: float
 ) -> dict[PoolId, int]:
--- a/jujubebarrow/runtimes/load_boards.py
+++ b/jujubebarrow/runtimes/load_boards.py
@@ -1,6 +1,5 @@
 """Loads of all pools and moves under way, as the owners tell one another."""
 
-from collections import deque
 from typing import Any
 from uuid import uuid4
 
@@ -19,8 +18,6 @@
 MOVE_PREFIX = "move/"
 READ_AGE = 0.25
 """Seconds for which what was read serves all pools of this instance."""
-PEAK_SECONDS = 6.0
-"""Seconds over which the peak of the demand is taken; longer than a turn."""
 TRANSIT = 2.5
 """Seconds after an order during which a machine counts as on its way."""
 
@@ -40,21 +37,8 @@
         self._metrics = metrics
         self._read_at = float("-inf")
         self._moves: dict[MachineId, tuple[int, PoolId, str, float]] = {}
-        self._totals: deque[tuple[float, int]] = deque()
         self.loads: dict[PoolId, PoolLoad] = {}
 
-    @property
-    def recent_peak(self) -> int:
-        """Highest demand of all pools together in the last seconds."""
-        return max((total for _, total in self._totals), default=0)
-
-    @property
-    def is_settled(self) -> bool:
-        """Whether the demand has been watched for long enough to tell its peak."""
-        if not self._totals:
-            return False
-        return self._totals[-1][0] - self._totals[0][0] > PEAK_SECONDS / 2
-
     async def refresh(self) -> None:
         """Read all rows, unless that was done a moment ago.
 
@@ -69,10 +53,6 @@
         self.loads = {}
         for row in found.rows:
             self._take(row, now)
-        total = sum(load.demand for load in self.loads.values())
-        self._totals.append((now, total))
-        while self._totals[0][0] < now - PEAK_SECONDS:
-            self._totals.popleft()
 
     def _take(self, row: Row, now: float) -> None:
         name = RowKey.parse(row.key).name
--- a/jujubebarrow/runtimes/move_keepers.py
+++ b/jujubebarrow/runtimes/move_keepers.py
@@ -100,9 +100,8 @@
         under_way = self._board.count_under_way()
         targets = [
             target
-            for source, target in plan_moves(loads, under_way, self._board.recent_peak)
+            for source, target in plan_moves(loads, under_way)
             if source == self._pool
-            and (self._board.is_settled or not loads[target].is_standby)
         ]
         if self._is_standby:
             await self._send_spare(targets)
