Reach the store through another instance when it turns this one away

Now a failed call goes through another live instance (the nonce of a transaction tells whether an earlier attempt took effect); leases last 2.0 s instead of 2.6. Ruled out: handing the pool over at once, which needs the store itself. Tests: an owner that is turned away goes on within 1.5 s; one that reaches nobody is followed by another.

--- a/jujubebarrow/ownerships/holders.py
+++ b/jujubebarrow/ownerships/holders.py
@@ -17,12 +17,14 @@
         instance: Instance.
         incarnation: One run of its process.
         is_stopping: It hands over what it owns.
+        address: IP and port for calls between instances; empty if it takes none.
         revision: Revision of the row; rises with each heartbeat.
     """
 
     instance: InstanceId
     incarnation: IncarnationId
     is_stopping: bool
+    address: str
     revision: int
 
 
--- a/jujubebarrow/platform/advisors.py
+++ b/jujubebarrow/platform/advisors.py
@@ -5,7 +5,7 @@
 from jujubebarrow.gateways.advisors import AdviceError, Advisor
 from jujubebarrow.identifiers import JobId
 from jujubebarrow.metrics.registries import MetricsRegistry
-from jujubebarrow.platform.http_clients import HttpCallError, HttpClient
+from jujubebarrow.transports.http_clients import HttpCallError, HttpClient
 from jujubebarrow.workloads.identifiers import WorkerId
 
 CONNECTIONS = 2
--- a/jujubebarrow/platform/callers.py
+++ b/jujubebarrow/platform/callers.py
@@ -14,9 +14,9 @@
 from jujubebarrow.identifiers import OPEN_TEAM, JobId, TeamId
 from jujubebarrow.logs.decision_logs import DecisionLog
 from jujubebarrow.metrics.registries import MetricsRegistry
-from jujubebarrow.platform.http_servers import HttpReply, RequestAnswerer
 from jujubebarrow.platform.wire_jobs import SPEC_LIMIT, WireJob
 from jujubebarrow.runtimes.entry_nodes import EntryNode
+from jujubebarrow.transports.http_servers import HttpReply, RequestAnswerer
 from jujubebarrow.workloads.job_phases import JobPhase
 
 SCHEME = "token"
--- a/jujubebarrow/platform/machines.py
+++ b/jujubebarrow/platform/machines.py
@@ -13,7 +13,7 @@
 )
 from jujubebarrow.identifiers import InstanceId, PoolId, ZoneId
 from jujubebarrow.metrics.registries import MetricsRegistry
-from jujubebarrow.platform.http_clients import HttpAnswer, HttpCallError, HttpClient
+from jujubebarrow.transports.http_clients import HttpAnswer, HttpCallError, HttpClient
 from jujubebarrow.workloads.identifiers import FencingToken, MachineId, WorkerId
 
 CONNECTIONS = 8
--- a/jujubebarrow/platform/main.py
+++ b/jujubebarrow/platform/main.py
@@ -7,6 +7,7 @@
 from asyncio import Event, get_running_loop, run, sleep
 from contextlib import AsyncExitStack
 from pathlib import Path
+from random import SystemRandom
 from uuid import uuid4
 
 from jujubebarrow.clocks.boot_clocks import BootClock
@@ -18,7 +19,6 @@
 from jujubebarrow.platform.advisors import PlatformAdvisor
 from jujubebarrow.platform.callers import CallerAnswerer
 from jujubebarrow.platform.documents import PlatformDocuments
-from jujubebarrow.platform.http_servers import AnsweringServer
 from jujubebarrow.platform.machines import PlatformMachines
 from jujubebarrow.platform.probes import MetricsAnswerer, ReadinessAnswerer
 from jujubebarrow.platform.settings_files import (
@@ -30,6 +30,9 @@
 from jujubebarrow.platform.stores import PlatformStore
 from jujubebarrow.platform.workers import PlatformWorkers
 from jujubebarrow.runtimes.entry_nodes import EntryNode, EntryTerms
+from jujubebarrow.stores.relayed_stores import RelayedStore
+from jujubebarrow.transports.http_relays import HttpRelayClient, RelayAnswerer
+from jujubebarrow.transports.http_servers import AnsweringServer, RequestAnswerer
 
 EXIT_SETTINGS = 2
 LEASE_LIMIT = 6.0
@@ -73,8 +76,13 @@
         loop.add_signal_handler(signal.SIGHUP, self._note_reload)
         settings = self._settings
         async with AsyncExitStack() as stack:
-            store = PlatformStore(settings.store_address, self._metrics)
-            stack.callback(store.close)
+            direct = PlatformStore(settings.store_address, self._metrics)
+            stack.callback(direct.close)
+            relay = HttpRelayClient()
+            stack.callback(relay.close)
+            store = RelayedStore(
+                direct, relay, SystemRandom(), self._clock, self._log, self._metrics
+            )
             workers = PlatformWorkers(self._metrics)
             stack.callback(workers.close)
             machines = PlatformMachines(
@@ -96,7 +104,7 @@
                 self._metrics,
             )
             await node.open(stack)
-            callers = self._listen(stack, node)
+            callers = self._listen(stack, node, direct)
             self._log.write(
                 "started", instance=settings.instance, incarnation=incarnation
             )
@@ -107,10 +115,13 @@
             await self._finish(node, callers)
         self._log.write("stopped", instance=settings.instance)
 
-    def _listen(self, stack: AsyncExitStack, node: EntryNode) -> AnsweringServer:
+    def _listen(
+        self, stack: AsyncExitStack, node: EntryNode, store: PlatformStore
+    ) -> AnsweringServer:
         settings, metrics = self._settings, self._metrics
         host = settings.ready_address.rsplit(":", 1)[0]
-        addresses = [
+        addresses: list[tuple[str, RequestAnswerer]] = [
+            (settings.inner_address, RelayAnswerer(store, metrics)),
             (settings.ready_address, ReadinessAnswerer(node)),
             (f"{host}:{settings.metrics_port}", MetricsAnswerer(metrics)),
         ]
@@ -144,6 +155,7 @@
     return EntryTerms(
         instance=settings.instance,
         incarnation=incarnation,
+        address=settings.inner_address,
         coordinator=CoordinatorTerms(
             lease=lease,
             longest_lease=lease,
--- a/jujubebarrow/platform/probes.py
+++ b/jujubebarrow/platform/probes.py
@@ -3,8 +3,8 @@
 from tornado.httputil import HTTPServerRequest
 
 from jujubebarrow.metrics.registries import MetricsRegistry
-from jujubebarrow.platform.http_servers import HttpReply, RequestAnswerer
 from jujubebarrow.runtimes.entry_nodes import EntryNode
+from jujubebarrow.transports.http_servers import HttpReply, RequestAnswerer
 
 READY_PATH = "/-/readyz"
 METRICS_PATH = "/metrics"
--- a/jujubebarrow/platform/settings_files.py
+++ b/jujubebarrow/platform/settings_files.py
@@ -22,6 +22,7 @@
         store_address: IP and port of the store.
         machine_address: IP and port of the machine service; empty if none.
         advice_address: IP and port of the placement advice; empty if none.
+        inner_address: IP and port for calls between instances.
         metrics_port: Port on which the process serves its metrics.
         heartbeat: Time between two heartbeats of a worker.
         longest_lease: Longest lease that a worker grants.
@@ -45,6 +46,7 @@
     store_address: str
     machine_address: str
     advice_address: str
+    inner_address: str
     metrics_port: int
     heartbeat: float
     longest_lease: float
@@ -130,6 +132,7 @@
             store_address=self._text("platform.Address"),
             machine_address=self._text("CloudApi.Address", ""),
             advice_address=self._text("Advice", ""),
+            inner_address=f"{self._text('Ip')}:{self._port('PortRange') + 1}",
             metrics_port=self._port("PortRange"),
             heartbeat=self._milliseconds("HeartbeatMs", 1.5),
             longest_lease=self._milliseconds("Bounds.HoldMaxMs", 6.0),
--- a/jujubebarrow/platform/stores.py
+++ b/jujubebarrow/platform/stores.py
@@ -10,13 +10,13 @@
 
 from jujubebarrow.errors.exceptions import HistoryLostError, StoreError
 from jujubebarrow.metrics.registries import MetricsRegistry
-from jujubebarrow.platform.http_clients import HttpAnswer, HttpCallError, HttpClient
 from jujubebarrow.stores.commit_answers import CommitAnswer
 from jujubebarrow.stores.listings import Listing
 from jujubebarrow.stores.row_keys import RowKey
 from jujubebarrow.stores.rows import Row, RowSet
 from jujubebarrow.stores.stores import Store
 from jujubebarrow.stores.transactions import Transaction
+from jujubebarrow.transports.http_clients import HttpAnswer, HttpCallError, HttpClient
 
 CONNECTIONS = 40
 """Calls at a time; the feeds take four, bursts of jobs the rest."""
--- a/jujubebarrow/platform/workers.py
+++ b/jujubebarrow/platform/workers.py
@@ -18,7 +18,7 @@
 )
 from jujubebarrow.identifiers import JobId
 from jujubebarrow.metrics.registries import MetricsRegistry
-from jujubebarrow.platform.http_clients import HttpAnswer, HttpCallError, HttpClient
+from jujubebarrow.transports.http_clients import HttpAnswer, HttpCallError, HttpClient
 from jujubebarrow.workloads.identifiers import RunNumber, WorkerId
 from jujubebarrow.workloads.run_ends import RunEnd, RunOutcome
 from jujubebarrow.workloads.task_keys import TaskKey
--- a/jujubebarrow/runtimes/entry_nodes.py
+++ b/jujubebarrow/runtimes/entry_nodes.py
@@ -28,7 +28,7 @@
 from jujubebarrow.runtimes.wave_keepers import WaveKeeper
 from jujubebarrow.runtimes.wave_stores import WaveStore
 from jujubebarrow.runtimes.worker_followers import WorkerFollower
-from jujubebarrow.stores.stores import Store
+from jujubebarrow.stores.relayed_stores import RelayedStore
 from jujubebarrow.workloads.identifiers import FencingToken
 from jujubebarrow.workloads.job_phases import JobPhase
 
@@ -40,6 +40,7 @@
     Attributes:
         instance: This instance.
         incarnation: This run of its process.
+        address: IP and port for calls between instances; empty if it takes none.
         coordinator: Times for the owners of pools.
         key_freshness: Age of the configuration in seconds at which calls with a
             key are refused.
@@ -50,6 +51,7 @@
 
     instance: InstanceId
     incarnation: IncarnationId
+    address: str
     coordinator: CoordinatorTerms
     key_freshness: float
     downtime: float
@@ -74,7 +76,7 @@
     def __init__(
         self,
         terms: EntryTerms,
-        store: Store,
+        store: RelayedStore,
         reader: DocumentReader,
         gateway: WorkerGateway,
         machines: MachineControl,
@@ -102,7 +104,14 @@
         self._workers = WorkerFollower(store, reader, clock, log, metrics)
         self._jobs = JobFollower(store, clock, log, metrics)
         self._ownership = OwnershipService(
-            terms.instance, terms.incarnation, store, self, clock, log, metrics
+            terms.instance,
+            terms.incarnation,
+            terms.address,
+            store,
+            self,
+            clock,
+            log,
+            metrics,
         )
         self.intake = JobIntake(store, self._find_phase, clock, log, metrics)
 
@@ -133,6 +142,10 @@
         self._stopping = True
         await self._ownership.hand_over()
 
+    def on_peers(self, addresses: list[str]) -> None:
+        """Take over where the other live instances can be reached."""
+        self._store.addresses = addresses
+
     def owns(self, pool: PoolId) -> bool:
         """Return whether this instance runs a pool."""
         owner = self._owners.get(pool)
--- a/jujubebarrow/runtimes/ownership_services.py
+++ b/jujubebarrow/runtimes/ownership_services.py
@@ -20,12 +20,12 @@
 from jujubebarrow.stores.transactions import ABSENT, Transaction
 from jujubebarrow.workloads.identifiers import FencingToken
 
-LEASE = 2.6
+LEASE = 2.0
 """Seconds after its heartbeat for which an instance owns its duties; short, so
 that leases of tasks outlast a take-over."""
-RENEW_PERIOD = 0.8
+RENEW_PERIOD = 0.5
 """Seconds between heartbeats; three fit into a lease."""
-WATCH_PERIOD = 0.6
+WATCH_PERIOD = 0.4
 """Seconds between looks at the owners of all duties."""
 SETTLE = 0.5
 """Seconds after the start in which other instances' heartbeats are awaited."""
@@ -44,6 +44,10 @@
     async def on_lost(self, duty: DutyId) -> None:
         """End a duty that another instance has taken over."""
 
+    @abstractmethod
+    def on_peers(self, addresses: list[str]) -> None:
+        """Take over where the other live instances can be reached."""
+
 
 class OwnershipService:
     """Keeps this instance's lease and claims duties.
@@ -51,6 +55,7 @@
     Args:
         instance: This instance.
         incarnation: This run of its process.
+        address: IP and port for calls between instances; empty if it takes none.
         store: Store.
         listener: Told of claimed and lost duties.
         clock: Time source; it must not stand still while a machine is suspended.
@@ -62,6 +67,7 @@
         self,
         instance: InstanceId,
         incarnation: IncarnationId,
+        address: str,
         store: Store,
         listener: DutyListener,
         clock: Clock,
@@ -70,6 +76,7 @@
     ):
         self._instance = instance
         self._incarnation = incarnation
+        self._address = address
         self._store = store
         self._listener = listener
         self._clock = clock
@@ -99,6 +106,16 @@
         """Duties of this instance with their fencing tokens."""
         return self._owned
 
+    @property
+    def peer_addresses(self) -> list[str]:
+        """Addresses of the other live instances."""
+        alive = self._observer.alive(self._clock.monotonic())
+        return [
+            row.address
+            for row in alive
+            if row.address and row.instance != self._instance
+        ]
+
     @property
     def rows(self) -> dict[DutyId, DutyRow]:
         """Owners of all duties as last read."""
@@ -140,7 +157,11 @@
         return make_key(TableName.CONTROL, "", INSTANCE_PREFIX + self._instance)
 
     def _describe(self) -> dict[str, Any]:
-        return {"incarnation": self._incarnation, "stopping": self._stopping}
+        return {
+            "incarnation": self._incarnation,
+            "stopping": self._stopping,
+            "address": self._address,
+        }
 
     async def _renew(self) -> None:
         if self._stopping:
@@ -211,6 +232,7 @@
                 duty = _read_duty(name, row)
                 self._rows[duty.duty] = duty
         self._observer.observe(heartbeats, now)
+        self._listener.on_peers(self.peer_addresses)
 
     async def _claim(self, duty: DutyId) -> None:
         row = self._rows.get(duty)
@@ -282,6 +304,7 @@
         InstanceId(name.removeprefix(INSTANCE_PREFIX)),
         IncarnationId(value["incarnation"]),
         value["stopping"],
+        value["address"],
         row.revision,
     )
 
--- /dev/null
+++ b/jujubebarrow/stores/relay_messages.py
@@ -0,0 +1,102 @@
+"""Calls to the store that one instance makes for another, as CBOR."""
+
+from dataclasses import asdict
+from typing import Any
+
+import cbor2
+from msgspec import ValidationError, convert
+
+from jujubebarrow.errors.exceptions import HistoryLostError, StoreError
+from jujubebarrow.stores.commit_answers import CommitAnswer
+from jujubebarrow.stores.rows import RowSet
+from jujubebarrow.stores.stores import Store
+from jujubebarrow.stores.transactions import Transaction
+
+PATH = "/store"
+MEDIA_TYPE = "application/cbor"
+COMMIT = "commit"
+READ = "read"
+CHANGES = "changes"
+PARTITIONS = "partitions"
+HISTORY_LOST = "history-lost"
+
+
+def encode_call(operation: str, **arguments: Any) -> bytes:
+    """Return the body of a relayed call."""
+    return cbor2.dumps({"operation": operation, **arguments})
+
+
+def encode_commit(transaction: Transaction) -> bytes:
+    """Return the body of a relayed transaction."""
+    return encode_call(COMMIT, transaction=asdict(transaction))
+
+
+async def carry_out(body: bytes, store: Store) -> bytes:
+    """Carry out a relayed call and return the body of the answer.
+
+    Args:
+        body: Relayed call.
+        store: This instance's own way to the store.
+
+    Raises:
+        ValueError: The call cannot be read.
+    """
+    try:
+        call = cbor2.loads(body)
+        operation = call["operation"]
+    except (cbor2.CBORDecodeError, KeyError, TypeError) as error:
+        raise ValueError(f"unreadable call: {error!r}") from error
+    try:
+        return cbor2.dumps({"answer": await _carry_out(operation, call, store)})
+    except HistoryLostError:
+        return cbor2.dumps({"error": HISTORY_LOST, "may_have_applied": False})
+    except StoreError as error:
+        return cbor2.dumps(
+            {"error": str(error), "may_have_applied": error.may_have_applied}
+        )
+
+
+async def _carry_out(operation: str, call: dict[str, Any], store: Store) -> Any:
+    try:
+        if operation == COMMIT:
+            transaction = convert(call["transaction"], Transaction)
+            return asdict(await store.try_commit(transaction))
+        if operation == READ:
+            return asdict(await store.read(call["prefix"], call["limit"]))
+        if operation == CHANGES:
+            rows = await store.read_changes(call["prefix"], call["since"], call["wait"])
+            return asdict(rows)
+        if operation == PARTITIONS:
+            return await store.list_partitions(call["table"])
+    except (KeyError, ValidationError) as error:
+        raise ValueError(f"unreadable call: {error!r}") from error
+    raise ValueError(f"unknown operation {operation!r}")
+
+
+def decode_answer(body: bytes) -> Any:
+    """Return the answer to a relayed call.
+
+    Raises:
+        StoreError: The store did not answer the other instance, or the answer
+            cannot be read.
+    """
+    try:
+        document = cbor2.loads(body)
+        error = document.get("error")
+    except (cbor2.CBORDecodeError, AttributeError) as failure:
+        raise StoreError(f"unreadable relay: {failure!r}") from failure
+    if error == HISTORY_LOST:
+        raise HistoryLostError("relayed")
+    if error is not None:
+        raise StoreError(f"relayed: {error}", document["may_have_applied"])
+    return document["answer"]
+
+
+def decode_commit(answer: Any) -> CommitAnswer:
+    """Return the answer to a relayed transaction."""
+    return convert(answer, CommitAnswer)
+
+
+def decode_rows(answer: Any) -> RowSet:
+    """Return the rows of a relayed read."""
+    return convert(answer, RowSet)
--- a/jujubebarrow/tests/fakes/job_worlds.py
+++ b/jujubebarrow/tests/fakes/job_worlds.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from jujubebarrow.coordinators.terms import CoordinatorTerms
+from jujubebarrow.errors.exceptions import StoreError
 from jujubebarrow.fleets.fleet_maps import FleetMap, index_routes
 from jujubebarrow.fleets.pool_specs import PoolSpec
 from jujubebarrow.fleets.queue_routes import QueueRoute
@@ -35,6 +36,8 @@
 from jujubebarrow.standins.emulated_gateways import EmulatedGateway
 from jujubebarrow.standins.emulated_stores import EmulatedStore, SharedStore
 from jujubebarrow.standins.emulated_workers import EmulatedWorker, TaskBehaviour
+from jujubebarrow.stores.relay_messages import carry_out, decode_answer
+from jujubebarrow.stores.relayed_stores import RelayClient, RelayedStore
 from jujubebarrow.stores.row_keys import RowKey
 from jujubebarrow.stores.rows import Row
 from jujubebarrow.stores.transactions import Transaction
@@ -177,6 +180,23 @@
         return {name: f"t-{name}" for name in workers if name not in self.refused}
 
 
+class FakeRelay(RelayClient):
+    """Way from one instance to the others, within the process."""
+
+    def __init__(self, world: "JobWorld", instance: "Instance"):
+        self._world = world
+        self._instance = instance
+
+    async def call(self, address: str, body: bytes, wait: float) -> Any:
+        await sleep(0.002)
+        for other in self._world.instances:
+            if other.name == address and other.node is not None:
+                if not self._instance.is_alone and not other.is_alone:
+                    return decode_answer(await carry_out(body, other.store))
+        await sleep(1.0)
+        raise StoreError("instance unreachable", True)
+
+
 class Instance:
     """One entry instance with its present process."""
 
@@ -184,19 +204,31 @@
         self._world = world
         self.name = InstanceId(name)
         self.starts = 0
+        self.is_alone = False
         self.node: EntryNode | None = None
 
     async def start(self) -> None:
         world = self._world
         self.starts += 1
+        self.is_alone = False
         self.metrics = MetricsRegistry()
         self.log = ListLog(self.name)
         world.logs.append(self.log)
         self.store = EmulatedStore(world.store, self.metrics)
         self.gateway = EmulatedGateway(world.workers, world.random)
+        clock = LoopClock(get_running_loop())
+        relayed = RelayedStore(
+            self.store,
+            FakeRelay(world, self),
+            world.random,
+            clock,
+            self.log,
+            self.metrics,
+        )
         terms = EntryTerms(
             instance=self.name,
             incarnation=IncarnationId(f"{self.name}-{self.starts}"),
+            address=self.name,
             coordinator=CoordinatorTerms(
                 lease=LEASE,
                 longest_lease=LEASE,
@@ -210,12 +242,12 @@
         )
         self.node = EntryNode(
             terms,
-            self.store,
+            relayed,
             world.reader,
             self.gateway,
             world.machines,
             world.advisor,
-            LoopClock(get_running_loop()),
+            clock,
             self.log,
             self.metrics,
         )
@@ -228,6 +260,7 @@
             # A dead process sends nothing more.
             self.store.is_cut = True
             self.gateway.is_cut = True
+            self.is_alone = True
             await node.close()
             await self._stack.aclose()
 
--- a/jujubebarrow/tests/test_job_core.py
+++ b/jujubebarrow/tests/test_job_core.py
@@ -129,6 +129,39 @@
 
         self.play(story)
 
+    def test_an_owner_that_the_store_turns_away_goes_on_through_others(self) -> None:
+        async def story(world: JobWorld) -> None:
+            owner = world.find_owner()
+            assert owner is not None
+            owner.store.is_refused = True
+            other = 1 if world.instances[0] is owner else 0
+            for number in range(5):
+                await world.submit(number, instance=other)
+            await sleep(1.5)
+            starts = [run.started for run in world.runs()]
+            self.assertEqual(len(starts), 10)
+            await sleep(5.0)
+            self.assertIs(world.find_owner(), owner)
+
+        self.play(story)
+
+    def test_an_owner_that_reaches_nobody_is_followed_by_another(self) -> None:
+        async def story(world: JobWorld) -> None:
+            owner = world.find_owner()
+            assert owner is not None
+            owner.store.is_cut = True
+            owner.is_alone = True
+            other = 1 if world.instances[0] is owner else 0
+            jobs = [await world.submit(n, instance=other) for n in range(5)]
+            for job in jobs:
+                self.assertTrue(
+                    await world.wait_for_phase(job, "completed", 9.0, other)
+                )
+            owner.store.is_cut = owner.is_alone = False
+            await sleep(5.0)
+
+        self.play(story)
+
     def test_starts_without_an_answer_are_not_given_to_another_worker(self) -> None:
         async def story(world: JobWorld) -> None:
             for worker in world.workers.values():
