--- a/jujubebarrow/coordinators/pool_coordinators.py
+++ b/jujubebarrow/coordinators/pool_coordinators.py
@@ -20,7 +20,10 @@
 
 STOP_MARGIN = 0.4
 """Seconds before a worker ends at which its tasks are stopped for a checkpoint."""
-REFUSALS_BEFORE_STOP = 3
+SILENCE = 1.0
+"""Seconds without any answer of a worker after which a lost order is taken as a sign
+that it is down; single orders are lost on workers that are well."""
+REFUSALS_BEFORE_STOP = 5
 """Unanswered starts of a run after which it is given up on that worker."""
 
 
@@ -310,8 +313,11 @@
         worker = self.state.workers.get(run.worker)
         if worker is None:
             return None
-        if result.outcome in (OrderOutcome.UNANSWERED, OrderOutcome.UNREACHED):
+        if result.outcome is OrderOutcome.UNREACHED:
             worker.failed_since = worker.failed_since or now
+        elif result.outcome is OrderOutcome.UNANSWERED:
+            if now - worker.contacted_at > SILENCE:
+                worker.failed_since = worker.failed_since or now
         elif result.clock is not None and run.life == worker.life:
             worker.note_contact(result.clock, now, self.state.terms.longest_lease)
         return worker
--- a/jujubebarrow/platform/workers.py
+++ b/jujubebarrow/platform/workers.py
@@ -26,8 +26,10 @@
 
 CONNECTIONS = 200
 """Calls at a time; one waits at each worker of a pool, the rest are orders."""
-ORDER_TIMEOUT = 0.6
-"""Seconds for an order; some hundred times a link's delay."""
+ORDER_TIMEOUT = 0.25
+"""Seconds for an order; a hundred times a link's delay, and a repeat is harmless."""
+HOLD_MARGIN = 0.6
+"""Seconds for an answer beyond the time that a worker was told to wait."""
 
 REASONS = {
     "fence": OrderOutcome.FENCED,
@@ -137,7 +139,7 @@
             document["DeadlineMs"] = int(order.deadline * 1000)
         if order.wait:
             document["WaitMs"] = int(order.wait * 1000)
-        timeout = ORDER_TIMEOUT + order.wait
+        timeout = HOLD_MARGIN + order.wait
         try:
             answer = await self._post(
                 order.worker, order.address, "/-/hold", document, timeout
--- a/jujubebarrow/runtimes/order_senders.py
+++ b/jujubebarrow/runtimes/order_senders.py
@@ -13,8 +13,10 @@
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.runtimes.task_groups import OwnedTasks
 
+FIRST_RETRY_SECONDS = 0.02
+"""Pause before an order without an answer is sent again; most are lost singly."""
 RETRY_SECONDS = 0.4
-"""Pause before an order without an answer is sent again."""
+"""Longest pause, after several attempts."""
 WAIT_SECONDS = 0.1
 """Pause while an order can't be sent yet."""
 
@@ -106,7 +108,8 @@
             if result.outcome is not OrderOutcome.ACCEPTED:
                 self._on_change()
             if run.stage is RunStage.RECORDED:
-                await sleep(RETRY_SECONDS)
+                pause = FIRST_RETRY_SECONDS * 4 ** max(0, run.unanswered - 1)
+                await sleep(min(RETRY_SECONDS, pause))
 
     async def _send_stop(self, run: ActiveRun) -> None:
         while True:
