--- a/jujubebarrow/coordinators/pool_coordinators.py
+++ b/jujubebarrow/coordinators/pool_coordinators.py
@@ -8,6 +8,7 @@
 from jujubebarrow.coordinators.pacers import Pacer
 from jujubebarrow.coordinators.planners import TaskPlanner
 from jujubebarrow.coordinators.pool_states import PoolState
+from jujubebarrow.coordinators.progress_watchers import ProgressWatcher
 from jujubebarrow.coordinators.reconcilers import Reconciler
 from jujubebarrow.coordinators.terms import CoordinatorTerms
 from jujubebarrow.coordinators.worker_ledgers import WorkerLedger
@@ -52,6 +53,7 @@
         self._planner = TaskPlanner(self.state)
         self._reconciler = Reconciler(self.state, log)
         self._pacer = Pacer(self.state)
+        self._watcher = ProgressWatcher(self.state, log)
 
     def add_job(
         self,
@@ -100,6 +102,7 @@
         worker = self.state.get_worker(entry.worker)
         worker.entry = entry
         worker.address = entry.address
+        worker.warm_at = now + entry.cold
         if entry.born > worker.born:
             self._reconciler.begin_life(worker, entry.born, now)
         draining = entry.state is WorkerState.DRAINING
@@ -348,6 +351,7 @@
     ) -> list[StopOrder]:
         """Take over a worker's lists; return stops of runs without a record."""
         strays = self._reconciler.reconcile(worker, report, sent_at, now)
+        self._watcher.watch(worker, now)
         self.state.paces.extend(self._pacer.adjust(worker))
         return strays
 
--- a/jujubebarrow/coordinators/worker_ledgers.py
+++ b/jujubebarrow/coordinators/worker_ledgers.py
@@ -37,6 +37,7 @@
         self.draining_since = 0.0
         self.is_cordoned = False
         self.leftover_pace = 100
+        self.warm_at = 0.0
         self._clock_reading = 0.0
         self._clock_read_at: float | None = None
         self._ends: OrderedDict[int, bool] = OrderedDict()
@@ -84,6 +85,12 @@
             and not self.score.is_shunned(now)
         )
 
+    def cold_left(self, now: float) -> float:
+        """Return for how many seconds the worker is still slow after its start."""
+        if self.entry is None:
+            return 0.0
+        return max(0.0, self.warm_at - now)
+
     def add_run(self, run: ActiveRun) -> None:
         """Reserve the resources of a run."""
         self.runs[run.task, run.run] = run
--- a/jujubebarrow/placements/worker_scores.py
+++ b/jujubebarrow/placements/worker_scores.py
@@ -41,6 +41,10 @@
         self._ends.clear()
         return True
 
+    def pause(self, until: float) -> None:
+        """Give the worker no new tasks until a time in seconds."""
+        self._banned_until = max(self._banned_until, until)
+
     def is_shunned(self, now: float) -> bool:
         """Return whether the worker is to get no new tasks."""
         return now < self._banned_until
--- a/jujubebarrow/runtimes/entry_nodes.py
+++ b/jujubebarrow/runtimes/entry_nodes.py
@@ -182,6 +182,7 @@
             self._make_waves,
             self._make_moves,
             self._make_advice,
+            self._jobs.wait_until_followed,
             self._clock,
             self._log,
             self._metrics,
@@ -209,7 +210,7 @@
         )
 
     def _make_moves(
-        self, coordinator: PoolCoordinator, hooks: OwnerHooks
+        self, coordinator: PoolCoordinator, hooks: OwnerHooks, waves: WaveKeeper
     ) -> MoveKeeper:
         fleet = self.follower.fleet
         spec = fleet.pools.get(coordinator.state.pool) if fleet else None
@@ -219,6 +220,7 @@
             self._board,
             spec is not None and spec.is_standby,
             self._machines,
+            waves.is_busy,
             hooks,
             self._terms.machine_lease,
             self._clock,
--- a/jujubebarrow/runtimes/job_followers.py
+++ b/jujubebarrow/runtimes/job_followers.py
@@ -49,7 +49,11 @@
         table = TableName.JOBS.value
         super().__init__(store, table, FEED_WAIT, FEED_SPACING, clock, log, metrics)
         self._listeners: list[JobListener] = []
-        self._opened = False
+
+    @property
+    def is_needed(self) -> bool:
+        """Whether this instance owns a pool."""
+        return bool(self._listeners)
 
     def listen(self, listener: JobListener) -> None:
         """Tell a listener of all changes from now on."""
@@ -62,10 +66,8 @@
     async def reload(self) -> tuple[int, list[Row]]:
         """Go on from the present revision; listeners read the rows themselves."""
         found = await self._store.read(make_key(TableName.CONTROL, "", ""))
-        if self._opened:
-            for listener in list(self._listeners):
-                listener.on_history_lost()
-        self._opened = True
+        for listener in list(self._listeners):
+            listener.on_history_lost()
         return found.revision, []
 
     async def apply(self, rows: list[Row], sent_at: float) -> None:
--- a/jujubebarrow/runtimes/move_keepers.py
+++ b/jujubebarrow/runtimes/move_keepers.py
@@ -1,6 +1,7 @@
 """Lends a pool's machines to pools that are short of them."""
 
 from asyncio import sleep
+from collections.abc import Callable
 
 from jujubebarrow.clocks.clocks import Clock
 from jujubebarrow.coordinators.pool_coordinators import PoolCoordinator
@@ -39,6 +40,7 @@
         board: Loads of all pools.
         is_standby: Whether the pool's machines are off.
         machines: Machine service.
+        is_busy: Returns whether a machine is being maintained.
         hooks: What the owner does on changes.
         machine_lease: Time in seconds after an order for a machine before another
             instance may give one.
@@ -54,6 +56,7 @@
         board: LoadBoard,
         is_standby: bool,
         machines: MachineControl,
+        is_busy: Callable[[MachineId], bool],
         hooks: OwnerHooks,
         machine_lease: float,
         clock: Clock,
@@ -66,6 +69,7 @@
         self._board = board
         self._is_standby = is_standby
         self._machines = machines
+        self._is_busy = is_busy
         self._hooks = hooks
         self._machine_lease = machine_lease
         self._clock = clock
@@ -159,6 +163,7 @@
             if machine.pool == self._pool
             and machine.state is MachineState.UP
             and machine.machine not in self._unmovable
+            and not self._is_busy(machine.machine)
             and self._board.may_order(
                 machine.machine, self._instance, self._machine_lease
             )
@@ -169,7 +174,8 @@
             if not self._spare:
                 return
             machine = self._spare.pop()
-            await self._move(machine, target)
+            if not self._is_busy(machine.machine):
+                await self._move(machine, target)
 
     async def _send_workers(self, targets: list[PoolId]) -> None:
         now = self._clock.monotonic()
@@ -208,8 +214,12 @@
             self._keep(worker)
 
     def _is_free(self, machine: Machine) -> bool:
-        return machine.machine not in self._unmovable and self._board.may_order(
-            machine.machine, self._instance, self._machine_lease
+        return (
+            machine.machine not in self._unmovable
+            and not self._is_busy(machine.machine)
+            and self._board.may_order(
+                machine.machine, self._instance, self._machine_lease
+            )
         )
 
     def _keep(self, worker: WorkerLedger) -> None:
--- a/jujubebarrow/runtimes/pool_owners.py
+++ b/jujubebarrow/runtimes/pool_owners.py
@@ -1,7 +1,7 @@
 """Owner of one pool: decisions, store and workers put together."""
 
 from asyncio import sleep
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from jujubebarrow.clocks.clocks import Clock
 from jujubebarrow.coordinators.orders import StopOrder
@@ -61,6 +61,7 @@
         make_waves: Makes the part that keeps the pool's machines maintained.
         make_moves: Makes the part that lends the pool's machines.
         make_advice: Makes the part that asks which workers may run a step.
+        wait_for_feed: Waits until every later job will be told.
         clock: Time source; it must not stand still while a machine is suspended.
         log: Log of decisions.
         metrics: Counters.
@@ -75,8 +76,9 @@
         store: Store,
         gateway: WorkerGateway,
         make_waves: Callable[[PoolCoordinator, OwnerHooks], WaveKeeper],
-        make_moves: Callable[[PoolCoordinator, OwnerHooks], MoveKeeper],
+        make_moves: Callable[[PoolCoordinator, OwnerHooks, WaveKeeper], MoveKeeper],
         make_advice: Callable[[PoolCoordinator, OwnerHooks], AdviceKeeper],
+        wait_for_feed: Callable[[], Awaitable[None]],
         clock: Clock,
         log: DecisionLog,
         metrics: MetricsRegistry,
@@ -86,6 +88,7 @@
         self._ownership = ownership
         self._store = store
         self._gateway = gateway
+        self._wait_for_feed = wait_for_feed
         self._clock = clock
         self._log = log
         self._metrics = metrics
@@ -125,7 +128,7 @@
             pool, token, book, store, self.on_change, clock, log, metrics
         )
         self._waves = make_waves(self.coordinator, self)
-        self._moves = make_moves(self.coordinator, self)
+        self._moves = make_moves(self.coordinator, self, self._waves)
         self._advice = make_advice(self.coordinator, self)
         self._reporter = LoadReporter(
             pool, self.coordinator, self._writer, clock, metrics
@@ -173,6 +176,7 @@
 
     async def _take_over(self) -> None:
         began = self._clock.monotonic()
+        await self._wait_for_feed()
         while True:
             try:
                 partitions = await self._store.list_partitions(TableName.JOBS.value)
@@ -292,7 +296,8 @@
 
     def on_history_lost(self) -> None:
         """Read all jobs anew."""
-        self._tasks.start(self._reload())
+        if self._loaded:
+            self._tasks.start(self._reload())
 
     async def _reload(self) -> None:
         while True:
--- a/jujubebarrow/runtimes/table_followers.py
+++ b/jujubebarrow/runtimes/table_followers.py
@@ -14,6 +14,9 @@
 RETRY_SECONDS = 0.15
 """Pause after a failed read; keeps a dozen followers below the store's rate."""
 
+POLL_SECONDS = 0.02
+"""Pause between two looks at whether a table has to be followed."""
+
 
 class TableFollower(BackgroundLoop):
     """Reads a table once and then its changes, for as long as it is open.
@@ -62,8 +65,26 @@
     async def reload(self) -> tuple[int, list[Row]]:
         """Read the whole table; return the revision to go on from, and its rows."""
 
+    @property
+    def is_needed(self) -> bool:
+        """Whether anybody wants to know of changes."""
+        return True
+
+    def forget(self) -> None:
+        """Drop what is known, as later changes will not be told."""
+
+    async def wait_until_followed(self) -> None:
+        """Wait until every later change will be told."""
+        while self._revision is None:
+            await sleep(POLL_SECONDS)
+
     async def _run(self) -> None:
         while True:
+            if not self.is_needed:
+                self._revision = None
+                self.forget()
+                await sleep(POLL_SECONDS)
+                continue
             started = self._clock.monotonic()
             try:
                 await self._step(started)
--- a/jujubebarrow/runtimes/wave_keepers.py
+++ b/jujubebarrow/runtimes/wave_keepers.py
@@ -97,6 +97,8 @@
         self._completed: set[int] = set()
         self._tokens: dict[tuple[int, MachineId], FencingToken] = {}
         self._claimed_at: dict[tuple[int, MachineId], float] = {}
+        self._seen_at: dict[tuple[int, MachineId], float] = {}
+        self._busy: set[MachineId] = set()
 
     async def run(self) -> None:
         """Serve waves until cancelled."""
@@ -115,6 +117,10 @@
                     self._metrics.count("retry", "wave")
             await sleep(PERIOD if active else IDLE_PERIOD)
 
+    def is_busy(self, machine: MachineId) -> bool:
+        """Return whether a machine is being maintained, or drained for that."""
+        return machine in self._busy
+
     async def _serve(self, wave: WaveRequest) -> None:
         await self._refresh_list()
         stored = await self._store.read(wave)
@@ -124,6 +130,11 @@
             self._log.write("wave_completed", wave=wave.wave)
             return
         by_name = {machine.machine: machine for machine in self._listed}
+        self._busy = {
+            name
+            for name, upkeep in stored.record.machines.items()
+            if upkeep.state in (UpkeepState.DRAINING, UpkeepState.DOWN)
+        }
         own = {
             name: by_name[name]
             for name in stored.record.machines
@@ -214,10 +225,13 @@
         machine: Machine,
         upkeep: MachineUpkeep,
     ) -> None:
-        """Take over a machine that another owner of the pool was draining."""
-        if upkeep.holder != self._instance:
-            # The former holder's last order must not be followed at once.
-            await sleep(self._machine_lease)
+        """Take over a machine that another owner was draining."""
+        key = (wave.wave, machine.machine)
+        now = self._clock.monotonic()
+        seen_at = self._seen_at.setdefault(key, now)
+        # The former holder's last order must not be followed at once.
+        if upkeep.holder != self._instance and now - seen_at < self._machine_lease:
+            return
         record = stored.record.copy()
         record.machines[machine.machine] = MachineUpkeep(
             UpkeepState.DRAINING, self._instance
@@ -231,6 +245,8 @@
         machine: MachineId,
         record: WaveRecord,
     ) -> None:
+        # No move may begin while the claim is under way.
+        self._busy.add(machine)
         revision = await self._store.write(wave, stored, record)
         key = (wave.wave, machine)
         self._tokens[key] = FencingToken(revision)
@@ -247,6 +263,10 @@
         record.machines[machine] = MachineUpkeep(state, self._instance)
         await self._store.write(wave, stored, record)
 
+    def _is_cordoned(self, machine: Machine) -> bool:
+        worker = self._coordinator.state.workers.get(machine.worker)
+        return worker is not None and worker.is_cordoned
+
     def _cordon(self, name: WorkerId, cordoned: bool) -> None:
         worker = self._coordinator.state.workers.get(name)
         if worker is not None:
@@ -262,7 +282,9 @@
         candidates = [
             self._describe(machine)
             for name, machine in own.items()
-            if name in waiting and machine.state is MachineState.UP
+            if name in waiting
+            and machine.state is MachineState.UP
+            and not self._is_cordoned(machine)
         ]
         draining = sum(
             record.machines[name].state in (UpkeepState.DRAINING, UpkeepState.DOWN)
--- a/jujubebarrow/runtimes/worker_followers.py
+++ b/jujubebarrow/runtimes/worker_followers.py
@@ -62,6 +62,11 @@
         self._returned_at = 0.0
         self.entries: dict[WorkerId, WorkerEntry] = {}
 
+    @property
+    def is_needed(self) -> bool:
+        """Whether this instance owns a pool."""
+        return bool(self._listeners)
+
     def listen(self, listener: WorkerListener) -> None:
         """Tell a listener of all registrations and their changes."""
         self._listeners.append(listener)
@@ -72,6 +77,11 @@
         """Tell a listener nothing more."""
         self._listeners.remove(listener)
 
+    def forget(self) -> None:
+        """Drop what is known, as later changes will not be told."""
+        self.entries.clear()
+        self._missing.clear()
+
     async def reload(self) -> tuple[int, list[Row]]:
         """Read all registrations; those that are missing count as deleted."""
         found = await self._store.read(f"{self._table}//")
--- a/jujubebarrow/standins/emulated_workers.py
+++ b/jujubebarrow/standins/emulated_workers.py
@@ -109,12 +109,14 @@
         self.acknowledged: list[RunEnd] = []
         self.is_up = True
         self.clock_rate = 1.0
+        self.stands_still = False
         self.late_share = 0.0
         self.lost_share = 0.0
         self._longest_lease = longest_lease
         self._behaviours = behaviours
         self._random = random or Random(1)
         self._changed = Event()
+        self._seconds: dict[TaskKey, float] = {}
         self._life = _Life(1, self._now())
 
     def _now(self) -> float:
@@ -125,6 +127,11 @@
         """Worker's own clock in seconds."""
         return (self._now() - self._life.began) * self.clock_rate
 
+    @property
+    def running(self) -> list[EmulatedRun]:
+        """Runs at work."""
+        return list(self._life.running.values())
+
     @property
     def entry(self) -> WorkerEntry:
         """Registration as the store has it."""
@@ -175,7 +182,9 @@
         behaviour = self._behaviours.get(order.payload, TaskBehaviour())
         if not behaviour.long_running:
             outcome = RunOutcome.FAILED if behaviour.fails else RunOutcome.DONE
-            self._end_later(life, run, behaviour.seconds, outcome)
+            self._seconds[order.task] = behaviour.seconds
+            if not self.stands_still:
+                self._end_later(life, run, behaviour.seconds, outcome)
         return self._answer(OrderOutcome.ACCEPTED)
 
     def _end_later(
@@ -253,8 +262,15 @@
         )
 
     def _describe(self, run: EmulatedRun) -> RunningTask:
-        at_work = self._now() - run.started > START_UP_SECONDS
-        return RunningTask(run.task, run.run, "", 100 if at_work else 0, 0)
+        elapsed = self._now() - run.started
+        if self.stands_still:
+            return RunningTask(run.task, run.run, "", 0, 0)
+        seconds = self._seconds.get(run.task, 0.0)
+        if seconds:
+            percent = min(99, int(100 * elapsed / seconds))
+        else:
+            percent = 100 if elapsed > START_UP_SECONDS else 0
+        return RunningTask(run.task, run.run, "", percent, 0)
 
     def _answer(self, outcome: OrderOutcome) -> OrderResult:
         return OrderResult(outcome, self.clock)
--- a/jujubebarrow/tests/fakes/job_worlds.py
+++ b/jujubebarrow/tests/fakes/job_worlds.py
@@ -51,6 +51,7 @@
 
 LEASE = 6.0
 POOL = PoolId("labels")
+STANDBY = PoolId("off")
 QUEUE = QueueId("print")
 ROUTE = QueueRoute(
     queue=QUEUE,
@@ -119,6 +120,10 @@
         self.down: set[WorkerId] = set()
         self.most_down = 0
         self.orders: list[tuple[MachineId, int]] = []
+        self.moves: list[tuple[MachineId, PoolId, PoolId]] = []
+        self.tokens: dict[MachineId, int] = {}
+        self.cut_by_moves = 0
+        self.refused = 0
 
     async def list_machines(self) -> list[Machine]:
         await sleep(0.01)
@@ -131,18 +136,37 @@
                 ),
                 zone=ZoneId("z"),
                 labels=worker.labels,
-                worker=name,
+                worker=name if self._world.is_registered(name) else WorkerId(""),
             )
             for name, worker in self._world.workers.items()
         ]
 
     async def move(self, machine: MachineId, pool: PoolId, token: int) -> MachineAnswer:
-        return MachineAnswer.BUSY
+        await sleep(0.01)
+        if token < self.tokens.get(machine, 0):
+            self.refused += 1
+            return MachineAnswer.FENCED
+        self.tokens[machine] = token
+        name = WorkerId(machine.removeprefix("m-"))
+        worker = self._world.workers[name]
+        if worker.pool == pool:
+            return MachineAnswer.DONE
+        self.moves.append((machine, worker.pool, pool))
+        self.cut_by_moves += len(worker.running)
+        worker.crash()
+        worker.pool = pool
+        self._world.remove_entry(name)
+        get_running_loop().call_later(1.5, self._come_back, name)
+        return MachineAnswer.DONE
 
     async def maintain(
         self, machine: MachineId, wave: int, token: int
     ) -> MachineAnswer:
         await sleep(0.01)
+        if token < self.tokens.get(machine, 0):
+            self.refused += 1
+            return MachineAnswer.FENCED
+        self.tokens[machine] = token
         name = WorkerId(machine.removeprefix("m-"))
         if (machine, wave) in self.orders:
             return MachineAnswer.DONE
@@ -157,7 +181,8 @@
     def _come_back(self, name: WorkerId) -> None:
         self.down.discard(name)
         self._world.workers[name].restart()
-        self._world.write_entry(name)
+        if self._world.workers[name].pool != STANDBY:
+            self._world.write_entry(name)
 
 
 class FakeAdvisor(Advisor):
@@ -271,7 +296,9 @@
 
 
 class JobWorld:
-    def __init__(self, seed: int = 1, instances: int = 3, workers: int = 3):
+    def __init__(
+        self, seed: int = 1, instances: int = 3, workers: int = 3, standby: int = 0
+    ):
         self.random = Random(seed)
         self.store = SharedStore(self.random)
         self.reader = FakeReader()
@@ -289,6 +316,12 @@
                 name, POOL, CAPACITY, LEASE, self.behaviours, random=self.random
             )
             self.write_entry(name)
+        for number in range(workers, workers + standby):
+            name = WorkerId(f"w{number}")
+            self.workers[name] = EmulatedWorker(
+                name, STANDBY, CAPACITY, LEASE, self.behaviours, random=self.random
+            )
+            self.workers[name].crash()
         self.write_fleet()
         self.instances = [Instance(self, f"n{number}") for number in range(instances)]
 
@@ -304,6 +337,10 @@
     def write_entry(self, name: WorkerId) -> None:
         self._write(f"servers//{name}", self.workers[name].entry)
 
+    def is_registered(self, name: WorkerId) -> bool:
+        row = next(iter(self.store.table.read(f"servers//{name}").rows), None)
+        return row is not None
+
     def remove_entry(self, name: WorkerId) -> None:
         self._write(f"servers//{name}", None)
 
@@ -312,7 +349,10 @@
             version=version,
             routes=index_routes([self.route]),
             queues={QUEUE: self.route},
-            pools={POOL: PoolSpec(pool=POOL)},
+            pools={
+                POOL: PoolSpec(pool=POOL),
+                STANDBY: PoolSpec(pool=STANDBY, is_standby=True),
+            },
             teams={TEAM: TeamSpec(team=TEAM, limit=limit)},
         )
         self._write("op//config", fleet)
--- a/jujubebarrow/tests/test_job_core.py
+++ b/jujubebarrow/tests/test_job_core.py
@@ -76,6 +76,16 @@
 
         self.play(story)
 
+    def test_tasks_that_stand_still_are_started_elsewhere(self) -> None:
+        async def story(world: JobWorld) -> None:
+            world.workers[WorkerId("w0")].stands_still = True
+            step = StepSpec(count=2, needs=Resources(1000, 500), estimate=0.5)
+            jobs = [await world.submit(number, (step,)) for number in range(5)]
+            for job in jobs:
+                self.assertTrue(await world.wait_for_phase(job, "completed", 6.0))
+
+        self.play(story)
+
     def test_a_killed_owner_is_followed_by_another_and_no_task_runs_twice(
         self,
     ) -> None:
@@ -321,6 +331,38 @@
 
         self.play(story, workers=4)
 
+    def test_a_pool_that_is_short_gets_machines_that_are_off(self) -> None:
+        async def story(world: JobWorld) -> None:
+            for number in range(40):
+                await world.submit(number, behaviour=TaskBehaviour(seconds=2.0))
+            await sleep(15.0)
+            self.assertEqual(len(world.machines.moves), 2)
+            self.assertEqual(world.machines.cut_by_moves, 0)
+            moved = [world.workers[WorkerId(name)].record for name in ("w2", "w3")]
+            self.assertTrue(all(moved))
+
+        self.play(story, workers=2, standby=2)
+
+    def test_a_machine_that_is_being_maintained_is_not_moved(self) -> None:
+        for step in range(8):
+
+            async def story(world: JobWorld, step: int = step) -> None:
+                names = tuple(MachineId(f"m-w{n}") for n in range(2, 5))
+                world.write_wave(
+                    WaveRequest(wave=7, machines=names, duration=30.0, most_at_once=2)
+                )
+                await sleep(0.1 * step)
+                for number in range(40):
+                    await world.submit(number, behaviour=TaskBehaviour(seconds=2.0))
+                await sleep(20.0)
+                self.assertEqual(len(world.machines.orders), 3)
+                self.assertLessEqual(world.machines.most_down, 2)
+                self.assertEqual(world.machines.refused, 0)
+                rows = world.store.table.read("status//wave/7").rows
+                self.assertTrue(rows[0].value["completed"])
+
+            self.play(story, workers=2, standby=3)
+
     def test_maintenance_counts_a_task_on_a_silent_worker_as_away(self) -> None:
         async def story(world: JobWorld) -> None:
             spread = StepSpec(
--- a/jujubebarrow/transports/http_clients.py
+++ b/jujubebarrow/transports/http_clients.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from pycurl import E_COULDNT_CONNECT, E_OPERATION_TIMEDOUT
+from pycurl import E_COULDNT_CONNECT, E_OPERATION_TIMEDOUT, M_MAXCONNECTS
 from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
 from tornado.httpclient import HTTPClientError, HTTPRequest
 
@@ -48,6 +48,8 @@
 
     def __init__(self, connections: int):
         self._client = CurlAsyncHTTPClient(force_instance=True, max_clients=connections)
+        # The default keeps four connections a call under way, too few at rest.
+        self._client._multi.setopt(M_MAXCONNECTS, connections)
 
     def close(self) -> None:
         """Close all connections."""
