--- a/jujubebarrow/coordinators/orders.py
+++ b/jujubebarrow/coordinators/orders.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from jujubebarrow.workloads.identifiers import FencingToken, RunNumber, WorkerId
+from jujubebarrow.workloads.identifiers import FenceToken, RunNumber, WorkerId
 from jujubebarrow.workloads.task_keys import TaskKey
 
 
@@ -28,7 +28,7 @@
     run: RunNumber
     payload: str
     deadline: float
-    token: FencingToken
+    token: FenceToken
     checkpoint: str = ""
     ticket: str = ""
 
@@ -49,7 +49,7 @@
     address: str
     task: TaskKey
     run: RunNumber
-    token: FencingToken
+    token: FenceToken
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -70,7 +70,7 @@
     task: TaskKey
     run: RunNumber
     percent: int
-    token: FencingToken
+    token: FenceToken
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -89,7 +89,7 @@
 
     worker: WorkerId
     address: str
-    token: FencingToken
+    token: FenceToken
     acknowledged: int
     deadline: float | None = None
     wait: float = 0.0
--- a/jujubebarrow/coordinators/pool_coordinators.py
+++ b/jujubebarrow/coordinators/pool_coordinators.py
@@ -14,7 +14,7 @@
 from jujubebarrow.coordinators.worker_ledgers import WorkerLedger
 from jujubebarrow.identifiers import JobId, PoolId
 from jujubebarrow.logs.decision_logs import DecisionLog
-from jujubebarrow.workloads.identifiers import FencingToken, WorkerId, WorkerLife
+from jujubebarrow.workloads.identifiers import FenceToken, WorkerId, WorkerLife
 from jujubebarrow.workloads.job_phases import JobPhase
 from jujubebarrow.workloads.job_records import JobRecord
 from jujubebarrow.workloads.worker_reports import HoldReport, WorkerEntry, WorkerState
@@ -42,7 +42,7 @@
     def __init__(
         self,
         pool: PoolId,
-        token: FencingToken,
+        token: FenceToken,
         terms: CoordinatorTerms,
         taken_at: float,
         log: DecisionLog,
--- a/jujubebarrow/coordinators/pool_states.py
+++ b/jujubebarrow/coordinators/pool_states.py
@@ -11,7 +11,7 @@
 from jujubebarrow.identifiers import JobId, PoolId, QueueId
 from jujubebarrow.limits.grant_books import GrantBook
 from jujubebarrow.placements.advice_books import AdviceBook
-from jujubebarrow.workloads.identifiers import FencingToken, WorkerId
+from jujubebarrow.workloads.identifiers import FenceToken, WorkerId
 
 
 class PoolState:
@@ -27,7 +27,7 @@
     def __init__(
         self,
         pool: PoolId,
-        token: FencingToken,
+        token: FenceToken,
         terms: CoordinatorTerms,
         taken_at: float,
     ):
--- a/jujubebarrow/gateways/machine_controls.py
+++ b/jujubebarrow/gateways/machine_controls.py
@@ -6,7 +6,7 @@
 
 from jujubebarrow.errors.exceptions import JujubebarrowError
 from jujubebarrow.identifiers import PoolId, ZoneId
-from jujubebarrow.workloads.identifiers import FencingToken, MachineId, WorkerId
+from jujubebarrow.workloads.identifiers import FenceToken, MachineId, WorkerId
 
 
 class MachineState(Enum):
@@ -67,7 +67,7 @@
 
     @abstractmethod
     async def move(
-        self, machine: MachineId, pool: PoolId, token: FencingToken
+        self, machine: MachineId, pool: PoolId, token: FenceToken
     ) -> MachineAnswer:
         """Move a machine to a pool; all that runs on it ends at once.
 
@@ -77,7 +77,7 @@
 
     @abstractmethod
     async def maintain(
-        self, machine: MachineId, wave: int, token: FencingToken
+        self, machine: MachineId, wave: int, token: FenceToken
     ) -> MachineAnswer:
         """Begin a machine's maintenance; all that runs on it ends at once.
 
--- a/jujubebarrow/platform/machines.py
+++ b/jujubebarrow/platform/machines.py
@@ -14,7 +14,7 @@
 from jujubebarrow.identifiers import InstanceId, PoolId, ZoneId
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.transports.http_clients import HttpAnswer, HttpCallError, HttpClient
-from jujubebarrow.workloads.identifiers import FencingToken, MachineId, WorkerId
+from jujubebarrow.workloads.identifiers import FenceToken, MachineId, WorkerId
 
 CONNECTIONS = 8
 """Calls at a time; orders for machines are few."""
@@ -73,21 +73,21 @@
                 return machines
 
     async def move(
-        self, machine: MachineId, pool: PoolId, token: FencingToken
+        self, machine: MachineId, pool: PoolId, token: FenceToken
     ) -> MachineAnswer:
         """Move a machine to a pool; all that runs on it ends at once."""
         document = {"Machine": machine, "Pool": pool}
         return await self._order("/-/machine-move", document, token)
 
     async def maintain(
-        self, machine: MachineId, wave: int, token: FencingToken
+        self, machine: MachineId, wave: int, token: FenceToken
     ) -> MachineAnswer:
         """Begin a machine's maintenance; all that runs on it ends at once."""
         document = {"Machine": machine, "Wave": wave}
         return await self._order("/-/machine-upkeep", document, token)
 
     async def _order(
-        self, path: str, document: dict[str, Any], token: FencingToken
+        self, path: str, document: dict[str, Any], token: FenceToken
     ) -> MachineAnswer:
         headers = {"X-Lease-Holder": self._instance, "X-Fencing-Token": str(token)}
         answer = await self._call("POST", path, json.encode(document), headers)
--- a/jujubebarrow/runtimes/entry_nodes.py
+++ b/jujubebarrow/runtimes/entry_nodes.py
@@ -29,7 +29,7 @@
 from jujubebarrow.runtimes.wave_stores import WaveStore
 from jujubebarrow.runtimes.worker_followers import WorkerFollower
 from jujubebarrow.stores.relayed_stores import RelayedStore
-from jujubebarrow.workloads.identifiers import FencingToken
+from jujubebarrow.workloads.identifiers import FenceToken
 from jujubebarrow.workloads.job_phases import JobPhase
 
 
@@ -168,7 +168,7 @@
                 return ledger.stored_phase
         return None
 
-    async def on_claimed(self, duty: DutyId, token: FencingToken) -> None:
+    async def on_claimed(self, duty: DutyId, token: FenceToken) -> None:
         """Begin a duty."""
         fleet = self.follower.fleet
         assert fleet is not None
--- a/jujubebarrow/runtimes/grant_keepers.py
+++ b/jujubebarrow/runtimes/grant_keepers.py
@@ -15,7 +15,7 @@
 from jujubebarrow.stores.rows import Row
 from jujubebarrow.stores.stores import Store
 from jujubebarrow.stores.transactions import ABSENT, Transaction
-from jujubebarrow.workloads.identifiers import FencingToken
+from jujubebarrow.workloads.identifiers import FenceToken
 from jujubebarrow.workloads.resources import NOTHING, Resources
 
 PERIOD = 0.1
@@ -47,7 +47,7 @@
     def __init__(
         self,
         pool: PoolId,
-        token: FencingToken,
+        token: FenceToken,
         book: GrantBook,
         store: Store,
         on_granted: Callable[[], None],
--- a/jujubebarrow/runtimes/load_boards.py
+++ b/jujubebarrow/runtimes/load_boards.py
@@ -12,7 +12,7 @@
 from jujubebarrow.stores.rows import Row
 from jujubebarrow.stores.stores import Store
 from jujubebarrow.stores.transactions import Transaction
-from jujubebarrow.workloads.identifiers import FencingToken, MachineId
+from jujubebarrow.workloads.identifiers import FenceToken, MachineId
 
 LOAD_PREFIX = "load/"
 MOVE_PREFIX = "move/"
@@ -94,7 +94,7 @@
 
     async def claim_move(
         self, machine: MachineId, target: PoolId, holder: str
-    ) -> FencingToken:
+    ) -> FenceToken:
         """Write a move before it is ordered; return the token for the order.
 
         Raises:
@@ -103,7 +103,7 @@
         key = make_key(TableName.BALANCE, "", MOVE_PREFIX + machine)
         revision = await self._write(key, {"target": target, "holder": holder})
         self._moves[machine] = (revision, target, holder, self._clock.monotonic())
-        return FencingToken(revision)
+        return FenceToken(revision)
 
     async def _write(self, key: str, value: dict[str, Any]) -> int:
         transaction = Transaction(writes={key: value}, nonce=uuid4().hex)
--- a/jujubebarrow/runtimes/ownership_services.py
+++ b/jujubebarrow/runtimes/ownership_services.py
@@ -18,7 +18,7 @@
 from jujubebarrow.stores.rows import Row
 from jujubebarrow.stores.stores import Store
 from jujubebarrow.stores.transactions import ABSENT, Transaction
-from jujubebarrow.workloads.identifiers import FencingToken
+from jujubebarrow.workloads.identifiers import FenceToken
 
 LEASE = 2.0
 """Seconds after its heartbeat for which an instance owns its duties; short, so
@@ -37,7 +37,7 @@
     """Takes changes of what this instance owns."""
 
     @abstractmethod
-    async def on_claimed(self, duty: DutyId, token: FencingToken) -> None:
+    async def on_claimed(self, duty: DutyId, token: FenceToken) -> None:
         """Begin a duty."""
 
     @abstractmethod
@@ -85,7 +85,7 @@
         self._observer = LeaseObserver(LEASE)
         self._planner = ClaimPlanner(instance, self._observer)
         self._rows: dict[DutyId, DutyRow] = {}
-        self._owned: dict[DutyId, FencingToken] = {}
+        self._owned: dict[DutyId, FenceToken] = {}
         self._revision: int | None = None
         self._valid_until = float("-inf")
         self._stopping = False
@@ -102,7 +102,7 @@
         return self._valid_until
 
     @property
-    def owned(self) -> dict[DutyId, FencingToken]:
+    def owned(self) -> dict[DutyId, FenceToken]:
         """Duties of this instance with their fencing tokens."""
         return self._owned
 
@@ -252,7 +252,7 @@
         except (StoreError, TransactionConflictError) as error:
             self._metrics.count("claim_failed", type(error).__name__)
             return
-        token = FencingToken(revision)
+        token = FenceToken(revision)
         self._rows[duty] = DutyRow(duty, self._instance, self._incarnation, revision)
         self._owned[duty] = token
         silence = None
--- a/jujubebarrow/runtimes/pool_owners.py
+++ b/jujubebarrow/runtimes/pool_owners.py
@@ -31,7 +31,7 @@
 from jujubebarrow.stores.row_keys import RowKey, TableName, make_key
 from jujubebarrow.stores.rows import Row
 from jujubebarrow.stores.stores import Store
-from jujubebarrow.workloads.identifiers import FencingToken, WorkerId
+from jujubebarrow.workloads.identifiers import FenceToken, WorkerId
 from jujubebarrow.workloads.job_records import JobRecord
 from jujubebarrow.workloads.worker_reports import WorkerEntry
 
@@ -70,7 +70,7 @@
     def __init__(
         self,
         pool: PoolId,
-        token: FencingToken,
+        token: FenceToken,
         terms: CoordinatorTerms,
         ownership: OwnershipService,
         store: Store,
--- a/jujubebarrow/runtimes/progress_writers.py
+++ b/jujubebarrow/runtimes/progress_writers.py
@@ -22,7 +22,7 @@
 from jujubebarrow.runtimes.task_groups import OwnedTasks
 from jujubebarrow.stores.stores import Store
 from jujubebarrow.stores.transactions import ABSENT, Transaction
-from jujubebarrow.workloads.identifiers import FencingToken
+from jujubebarrow.workloads.identifiers import FenceToken
 
 JOBS_PER_TRANSACTION = 45
 """Two entries a job and one fence, below the store's hundred entries."""
@@ -59,7 +59,7 @@
     def __init__(
         self,
         pool: PoolId,
-        token: FencingToken,
+        token: FenceToken,
         coordinator: PoolCoordinator,
         store: Store,
         tasks: OwnedTasks,
--- a/jujubebarrow/runtimes/wave_keepers.py
+++ b/jujubebarrow/runtimes/wave_keepers.py
@@ -31,7 +31,7 @@
 from jujubebarrow.runtimes.fleet_followers import FleetFollower
 from jujubebarrow.runtimes.owner_hooks import OwnerHooks
 from jujubebarrow.runtimes.wave_stores import StoredWave, WaveStore
-from jujubebarrow.workloads.identifiers import FencingToken, MachineId, WorkerId
+from jujubebarrow.workloads.identifiers import FenceToken, MachineId, WorkerId
 
 PERIOD = 0.3
 """Seconds between two looks at a wave that is under way."""
@@ -95,7 +95,7 @@
         self._listed: list[Machine] = []
         self._listed_at = float("-inf")
         self._completed: set[int] = set()
-        self._tokens: dict[tuple[int, MachineId], FencingToken] = {}
+        self._tokens: dict[tuple[int, MachineId], FenceToken] = {}
         self._claimed_at: dict[tuple[int, MachineId], float] = {}
         self._seen_at: dict[tuple[int, MachineId], float] = {}
         self._busy: set[MachineId] = set()
@@ -249,7 +249,7 @@
         self._busy.add(machine)
         revision = await self._store.write(wave, stored, record)
         key = (wave.wave, machine)
-        self._tokens[key] = FencingToken(revision)
+        self._tokens[key] = FenceToken(revision)
         self._claimed_at[key] = self._clock.monotonic()
 
     async def _change(
--- a/jujubebarrow/tests/test_structure.py
+++ b/jujubebarrow/tests/test_structure.py
@@ -15,15 +15,20 @@
 DECISIONS = (
     "claims",
     "configurations",
+    "coordinators",
+    "fleets",
     "jobs",
     "limits",
     "maintenance",
     "members",
+    "ownerships",
+    "placements",
     "pools",
     "queues",
     "retries",
     "routes",
     "shares",
+    "workloads",
 )
 FORBIDDEN = ("asyncio", "tornado", "websockets", "pycurl", "socket", "time")
 
@@ -67,6 +72,26 @@
             row = f"| `{kind.value}` | {answer.status} | {answer.run.value} |"
             self.assertIn(row, page)
 
+    def test_wire_names_stay_in_the_adapter(self) -> None:
+        names = re.compile(
+            r"FencingToken|LastSeen|ExpectedRev|rows-(tx|get|feed|parts)|run-(start|stop)"
+            r"|machine-(move|upkeep)|MayMiss|X-Target-Instance|HoldMaxMs|RevokeMs"
+        )
+        for path in ROOT.rglob("*.py"):
+            package = path.relative_to(ROOT).parts[0]
+            if package not in ("platform", "tests"):
+                self.assertIsNone(names.search(path.read_text()), path)
+
+    def test_platform_page_has_every_setting(self) -> None:
+        source = (ROOT / "platform" / "settings_files.py").read_text()
+        page = (ROOT.parent / "docs" / "PLATFORM.md").read_text()
+        names = re.findall(
+            r'self\._(?:text|number|milliseconds|port)\(\s*"([\w.]+)"', source
+        )
+        self.assertGreater(len(names), 10)
+        for name in names:
+            self.assertIn(f"`{name}`", page)
+
     def test_internal_links_of_the_docs(self) -> None:
         for path in [ROOT.parent / "README.md", *(ROOT.parent / "docs").glob("*.md")]:
             for target in re.findall(r"\]\(([^)#:]+)(?:#[^)]*)?\)", path.read_text()):
--- a/jujubebarrow/workloads/identifiers.py
+++ b/jujubebarrow/workloads/identifiers.py
@@ -6,6 +6,6 @@
 """Id under which a worker registers; a worker that starts again may keep it."""
 WorkerLife = NewType("WorkerLife", tuple[str, int])
 """Worker's id and the time of its start in Unix milliseconds."""
-FencingToken = NewType("FencingToken", int)
+FenceToken = NewType("FenceToken", int)
 RunNumber = NewType("RunNumber", int)
 MachineId = NewType("MachineId", str)
