--- a/jujubebarrow/runtimes/ownership_services.py
+++ b/jujubebarrow/runtimes/ownership_services.py
@@ -2,6 +2,7 @@
 
 from abc import ABC, abstractmethod
 from asyncio import sleep
+from collections.abc import Awaitable, Callable
 from typing import Any
 from uuid import uuid4
 
@@ -27,8 +28,14 @@
 """Seconds between heartbeats; three fit into a lease."""
 WATCH_PERIOD = 0.4
 """Seconds between looks at the owners of all duties."""
-SETTLE = 0.5
-"""Seconds after the start in which other instances' heartbeats are awaited."""
+SETTLE = 0.3
+"""Seconds after the start in which other instances' heartbeats are awaited; they
+start within that of one another."""
+HURRY = 4.0
+"""Seconds after the start in which owners are looked at more often: after a loss of
+power all pools are free."""
+HURRY_PERIOD = 0.12
+"""Seconds between two such looks."""
 INSTANCE_PREFIX = "instance/"
 DUTY_PREFIX = "duty/"
 
@@ -91,8 +98,8 @@
         self._stopping = False
         self._started_at = clock.monotonic()
         self._loops = [
-            _Periodic(self._renew, RENEW_PERIOD),
-            _Periodic(self._watch, WATCH_PERIOD),
+            _Periodic(self._renew, lambda: RENEW_PERIOD),
+            _Periodic(self._watch, self._choose_watch_period),
         ]
         self.duties: list[DutyId] = []
 
@@ -200,6 +207,11 @@
         if self._owned:
             self._log.write(event, detail=detail, lease_left=left)
 
+    def _choose_watch_period(self) -> float:
+        if self._clock.monotonic() < self._started_at + HURRY:
+            return HURRY_PERIOD
+        return WATCH_PERIOD
+
     async def _watch(self) -> None:
         try:
             found = await self._store.read(make_key(TableName.CONTROL, "", ""))
@@ -283,7 +295,9 @@
 
 
 class _Periodic(BackgroundLoop):
-    def __init__(self, step: Any, period: float):
+    def __init__(
+        self, step: Callable[[], Awaitable[None]], period: Callable[[], float]
+    ):
         super().__init__()
         self._step = step
         self._period = period
@@ -291,7 +305,7 @@
     async def _run(self) -> None:
         while True:
             await self._step()
-            await sleep(self._period)
+            await sleep(self._period())
 
 
 def _duty_key(duty: DutyId) -> str:
--- a/jujubebarrow/runtimes/pool_owners.py
+++ b/jujubebarrow/runtimes/pool_owners.py
@@ -1,6 +1,6 @@
 """Owner of one pool: decisions, store and workers put together."""
 
-from asyncio import sleep
+from asyncio import gather, sleep
 from collections.abc import Awaitable, Callable
 
 from jujubebarrow.clocks.clocks import Clock
@@ -41,6 +41,8 @@
 """Seconds for which events are joined before a plan."""
 PURGE_TICKS = 300
 """Ticks between deletions of closed jobs."""
+QUEUES_AT_A_TIME = 8
+"""Queues read at a time in a take-over, a part of the store's connections."""
 OLDEST = 60.0
 """Greatest age in seconds that a job is given at a take-over; any job is late by
 then."""
@@ -179,9 +181,7 @@
         await self._wait_for_feed()
         while True:
             try:
-                partitions = await self._store.list_partitions(TableName.JOBS.value)
-                for partition in partitions:
-                    await self._load_queue(QueueId(partition), only_own=True)
+                await self._load_queues()
                 break
             except DisplacedError:
                 self.on_displaced()
@@ -211,6 +211,15 @@
         self._tasks.start(self._advice.run())
         self.on_change()
 
+    async def _load_queues(self) -> None:
+        """Read all queues that have jobs, several at a time."""
+        names = await self._store.list_partitions(TableName.JOBS.value)
+        for start in range(0, len(names), QUEUES_AT_A_TIME):
+            part = names[start : start + QUEUES_AT_A_TIME]
+            await gather(
+                *(self._load_queue(QueueId(name), only_own=True) for name in part)
+            )
+
     async def _load_queue(self, queue: QueueId, only_own: bool) -> None:
         """Read a queue's jobs and take over those of this pool.
 
@@ -302,10 +311,7 @@
     async def _reload(self) -> None:
         while True:
             try:
-                for partition in await self._store.list_partitions(
-                    TableName.JOBS.value
-                ):
-                    await self._load_queue(QueueId(partition), only_own=True)
+                await self._load_queues()
                 break
             except DisplacedError:
                 self.on_displaced()
