--- a/jujubebarrow/coordinators/pool_coordinators.py
+++ b/jujubebarrow/coordinators/pool_coordinators.py
@@ -14,6 +14,7 @@
 from jujubebarrow.coordinators.worker_ledgers import WorkerLedger
 from jujubebarrow.identifiers import JobId, PoolId
 from jujubebarrow.logs.decision_logs import DecisionLog
+from jujubebarrow.placements.job_orders import objective
 from jujubebarrow.workloads.identifiers import FenceToken, WorkerId, WorkerLife
 from jujubebarrow.workloads.job_phases import JobPhase
 from jujubebarrow.workloads.job_records import JobRecord
@@ -174,9 +175,35 @@
                     worker.mark_recorded(end.number)
             for run in change.starts:
                 self._release(job, run, now)
+            if change.starts:
+                self._log_starts(job, change.starts, now)
             if job.phase.is_final:
                 self._stop_runs(job)
-                job.closed_at = job.closed_at or wall
+                self._close(job, now, wall)
+
+    def _log_starts(self, job: JobLedger, starts: list[ActiveRun], now: float) -> None:
+        self._log.write(
+            "runs_recorded",
+            job=job.record.job,
+            age=round(now - job.known_at, 3),
+            runs=[
+                f"{run.task.occurrence}.{run.task.step}.{run.task.index}"
+                f"#{run.run}@{run.worker}"
+                for run in starts
+            ],
+        )
+
+    def _close(self, job: JobLedger, now: float, wall: float) -> None:
+        if job.closed_at:
+            return
+        job.closed_at = wall
+        self._log.write(
+            "job_closed",
+            job=job.record.job,
+            phase=job.phase.value,
+            age=round(now - job.known_at, 3),
+            objective=round(objective(job), 3),
+        )
 
     def _release(self, job: JobLedger, run: ActiveRun, now: float) -> None:
         task = job.find(run.task)
@@ -407,8 +434,10 @@
         return max(demand, self._count_spread())
 
     def _count_spread(self) -> int:
-        """Return the capacity of the workers that long-running steps have to spread
-        over, if there are too few of them."""
+        """Return the capacity that long-running steps need to spread their tasks.
+
+        It is 0 while there are workers enough.
+        """
         workers = [w for w in self.state.workers.values() if w.entry is not None]
         needed = 0
         for job in self.state.jobs.values():
