Give each heartbeat a partition of its own

Heartbeats are followed by a feed; loads and moves have a partition of their own. A claim no longer depends on the former owner's heartbeat: the fences decide. Ruled out: fewer heartbeats (7 a second would still not fit).

--- a/jujubebarrow/ownerships/lease_observers.py
+++ b/jujubebarrow/ownerships/lease_observers.py
@@ -25,18 +25,14 @@
         self._read_at: float | None = None
 
     def observe(self, rows: list[InstanceRow], now: float) -> None:
-        """Take over all heartbeats as just read."""
+        """Take over the heartbeats that have changed, perhaps none."""
         if self._read_at is None or now - self._read_at > GAP:
-            self._seen.clear()
+            self._seen = {name: (seen[0], now) for name, seen in self._seen.items()}
         self._read_at = now
-        present = {row.instance: row for row in rows}
-        for name in list(self._seen):
-            if name not in present:
-                del self._seen[name]
-        for name, row in present.items():
-            former = self._seen.get(name)
-            if former is None or former[0] != row:
-                self._seen[name] = (row, now)
+        for row in rows:
+            former = self._seen.get(row.instance)
+            if former is None or former[0].revision < row.revision:
+                self._seen[row.instance] = (row, now)
 
     def find(self, instance: InstanceId) -> InstanceRow | None:
         """Return an instance's newest heartbeat."""
--- a/jujubebarrow/runtimes/load_boards.py
+++ b/jujubebarrow/runtimes/load_boards.py
@@ -16,6 +16,8 @@
 
 LOAD_PREFIX = "load/"
 MOVE_PREFIX = "move/"
+PARTITION = "balance"
+"""Apart from the owners' rows, so that loads never hold up a heartbeat or a claim."""
 READ_AGE = 0.25
 """Seconds for which what was read serves all pools of this instance."""
 TRANSIT = 2.5
@@ -49,7 +51,7 @@
         if now - self._read_at < READ_AGE:
             return
         self._read_at = now
-        found = await self._store.read(make_key(TableName.BALANCE, "", ""))
+        found = await self._store.read(make_key(TableName.BALANCE, PARTITION, ""))
         self.loads = {}
         for row in found.rows:
             self._take(row, now)
@@ -89,7 +91,7 @@
         Raises:
             StoreError: Unknown whether it was written.
         """
-        key = make_key(TableName.BALANCE, "", LOAD_PREFIX + load.pool)
+        key = make_key(TableName.BALANCE, PARTITION, LOAD_PREFIX + load.pool)
         await self._write(key, load.to_document())
 
     async def claim_move(
@@ -100,7 +102,7 @@
         Raises:
             StoreError: Unknown whether it was written.
         """
-        key = make_key(TableName.BALANCE, "", MOVE_PREFIX + machine)
+        key = make_key(TableName.BALANCE, PARTITION, MOVE_PREFIX + machine)
         revision = await self._write(key, {"target": target, "holder": holder})
         self._moves[machine] = (revision, target, holder, self._clock.monotonic())
         return FenceToken(revision)
--- a/jujubebarrow/runtimes/ownership_services.py
+++ b/jujubebarrow/runtimes/ownership_services.py
@@ -13,8 +13,13 @@
 from jujubebarrow.logs.decision_logs import DecisionLog
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.ownerships.claim_planners import ClaimPlanner
-from jujubebarrow.ownerships.holders import DutyId, DutyRow, InstanceRow
+from jujubebarrow.ownerships.holders import DutyId, DutyRow
 from jujubebarrow.ownerships.lease_observers import LeaseObserver
+from jujubebarrow.runtimes.heartbeat_followers import (
+    HeartbeatFollower,
+    heartbeat_row,
+    make_heartbeat,
+)
 from jujubebarrow.stores.row_keys import RowKey, TableName, make_key
 from jujubebarrow.stores.rows import Row
 from jujubebarrow.stores.stores import Store
@@ -36,7 +41,6 @@
 power all pools are free."""
 HURRY_PERIOD = 0.12
 """Seconds between two such looks."""
-INSTANCE_PREFIX = "instance/"
 DUTY_PREFIX = "duty/"
 
 
@@ -101,7 +105,9 @@
         self._valid_until = float("-inf")
         self._stopping = False
         self._started_at = clock.monotonic()
-        self._loops = [
+        follower = HeartbeatFollower(store, self._observer, clock, log, metrics)
+        self._loops: list[BackgroundLoop] = [
+            follower,
             _Periodic(self._renew, lambda: RENEW_PERIOD),
             _Periodic(self._watch, self._choose_watch_period),
         ]
@@ -151,28 +157,28 @@
             key = _duty_key(duty)
             conditions[key] = self._rows[duty].revision
             writes[key] = {"holder": "", "incarnation": ""}
-        writes[self._own_key] = self._describe()
-        transaction = Transaction(
-            conditions=conditions, writes=writes, nonce=uuid4().hex
-        )
         released = list(self._owned)
         for duty in released:
             await self._drop(duty, "handed over")
-        try:
-            await self._store.commit(transaction)
-        except (StoreError, TransactionConflictError) as error:
-            self._log.write("hand_over_failed", duties=released, detail=str(error))
+        transactions = [
+            Transaction(conditions=conditions, writes=writes, nonce=uuid4().hex),
+            # Others stop to count on this instance; unlike above, it may be repeated.
+            Transaction(writes={self._own_key: self._describe()}, nonce=uuid4().hex),
+        ]
+        for transaction in transactions:
+            if not transaction.writes:
+                continue
+            try:
+                await self._store.commit(transaction)
+            except (StoreError, TransactionConflictError) as error:
+                self._log.write("hand_over_failed", duties=released, detail=str(error))
 
     @property
     def _own_key(self) -> str:
-        return make_key(TableName.CONTROL, "", INSTANCE_PREFIX + self._instance)
+        return heartbeat_row(self._instance)
 
     def _describe(self) -> dict[str, Any]:
-        return {
-            "incarnation": self._incarnation,
-            "stopping": self._stopping,
-            "address": self._address,
-        }
+        return make_heartbeat(self._incarnation, self._stopping, self._address)
 
     async def _renew(self) -> None:
         if self._stopping:
@@ -223,7 +229,7 @@
             self._note_failure("owners_unread", str(error))
             return
         now = self._clock.monotonic()
-        self._take_rows(found.rows, now)
+        self._take_rows(found.rows)
         for duty in list(self._owned):
             row = self._rows.get(duty)
             if row is None or row.revision != self._owned[duty]:
@@ -252,30 +258,19 @@
             self._metrics.count("duty_taken_up")
             await self._claim(duty)
 
-    def _take_rows(self, rows: list[Row], now: float) -> None:
-        heartbeats = []
+    def _take_rows(self, rows: list[Row]) -> None:
         self._rows = {}
         for row in rows:
             name = RowKey.parse(row.key).name
-            if row.value is None:
-                continue
-            if name.startswith(INSTANCE_PREFIX):
-                heartbeats.append(_read_instance(name, row))
-            elif name.startswith(DUTY_PREFIX):
+            if row.value is not None and name.startswith(DUTY_PREFIX):
                 duty = _read_duty(name, row)
                 self._rows[duty.duty] = duty
-        self._observer.observe(heartbeats, now)
         self._listener.on_peers(self.peer_addresses)
 
     async def _claim(self, duty: DutyId) -> None:
         row = self._rows.get(duty)
         key = _duty_key(duty)
         conditions = {key: row.revision if row else ABSENT}
-        former = self._observer.find(row.holder) if row and row.holder else None
-        if row and former and former.incarnation == row.incarnation:
-            # Fails if the holder's heartbeat came after all.
-            name = make_key(TableName.CONTROL, "", INSTANCE_PREFIX + row.holder)
-            conditions[name] = former.revision
         value = {"holder": self._instance, "incarnation": self._incarnation}
         transaction = Transaction(
             conditions=conditions, writes={key: value}, nonce=uuid4().hex
@@ -333,17 +328,6 @@
     return make_key(TableName.CONTROL, "", DUTY_PREFIX + duty)
 
 
-def _read_instance(name: str, row: Row) -> InstanceRow:
-    value = row.value or {}
-    return InstanceRow(
-        InstanceId(name.removeprefix(INSTANCE_PREFIX)),
-        IncarnationId(value["incarnation"]),
-        value["stopping"],
-        value["address"],
-        row.revision,
-    )
-
-
 def _read_duty(name: str, row: Row) -> DutyRow:
     value = row.value or {}
     return DutyRow(
--- a/jujubebarrow/runtimes/table_followers.py
+++ b/jujubebarrow/runtimes/table_followers.py
@@ -73,6 +73,11 @@
     def forget(self) -> None:
         """Drop what is known, as later changes will not be told."""
 
+    @property
+    def spacing(self) -> float:
+        """Least time in seconds between two questions."""
+        return self._spacing
+
     async def wait_until_followed(self) -> None:
         """Wait until every later change will be told."""
         while self._revision is None:
@@ -99,7 +104,7 @@
             else:
                 self._note_success(started)
                 spent = self._clock.monotonic() - started
-                await sleep(max(0.0, self._spacing - spent))
+                await sleep(max(0.0, self.spacing - spent))
 
     async def _step(self, started: float) -> None:
         if self._revision is None:
--- a/jujubebarrow/stores/row_keys.py
+++ b/jujubebarrow/stores/row_keys.py
@@ -8,6 +8,7 @@
     """Tables of the job core."""
 
     CONTROL = "control"
+    HEARTBEATS = "heartbeats"
     JOBS = "jobs"
     PROGRESS = "progress"
     FENCES = "fences"
