--- a/jujubebarrow/coordinators/pool_coordinators.py
+++ b/jujubebarrow/coordinators/pool_coordinators.py
@@ -3,30 +3,26 @@
 from jujubebarrow.coordinators.active_runs import ActiveRun, RunStage
 from jujubebarrow.coordinators.job_changes import JobChange
 from jujubebarrow.coordinators.job_ledgers import PHASE, JobLedger
-from jujubebarrow.coordinators.order_results import OrderOutcome, OrderResult
-from jujubebarrow.coordinators.orders import HoldOrder, PaceOrder, StartOrder, StopOrder
+from jujubebarrow.coordinators.orders import HoldOrder, StopOrder
 from jujubebarrow.coordinators.pacers import Pacer
 from jujubebarrow.coordinators.planners import TaskPlanner
+from jujubebarrow.coordinators.pool_demands import PoolDemand
 from jujubebarrow.coordinators.pool_states import PoolState
 from jujubebarrow.coordinators.progress_watchers import ProgressWatcher
 from jujubebarrow.coordinators.reconcilers import Reconciler
+from jujubebarrow.coordinators.run_orders import RunOrders
 from jujubebarrow.coordinators.terms import CoordinatorTerms
 from jujubebarrow.coordinators.worker_ledgers import WorkerLedger
 from jujubebarrow.identifiers import JobId, PoolId
 from jujubebarrow.logs.decision_logs import DecisionLog
 from jujubebarrow.placements.job_orders import objective
-from jujubebarrow.workloads.identifiers import FenceToken, WorkerId, WorkerLife
+from jujubebarrow.workloads.identifiers import FenceToken, WorkerId
 from jujubebarrow.workloads.job_phases import JobPhase
 from jujubebarrow.workloads.job_records import JobRecord
 from jujubebarrow.workloads.worker_reports import HoldReport, WorkerEntry, WorkerState
 
 STOP_MARGIN = 0.4
 """Seconds before a worker ends at which its tasks are stopped for a checkpoint."""
-SILENCE = 1.0
-"""Seconds without any answer of a worker after which a lost order is taken as a sign
-that it is down; single orders are lost on workers that are well."""
-REFUSALS_BEFORE_STOP = 5
-"""Unanswered starts of a run after which it is given up on that worker."""
 
 
 class PoolCoordinator:
@@ -49,11 +45,12 @@
         log: DecisionLog,
     ):
         self.state = PoolState(pool, token, terms, taken_at)
-        self.is_displaced = False
         self._log = log
         self._planner = TaskPlanner(self.state)
         self._reconciler = Reconciler(self.state, log)
         self._pacer = Pacer(self.state)
+        self.orders = RunOrders(self.state, self._reconciler)
+        self.demand = PoolDemand(self.state)
         self._watcher = ProgressWatcher(self.state, log)
 
     def add_job(
@@ -228,130 +225,6 @@
             for end in change.ends:
                 self.state.mark_changed(job, end)
 
-    def take_starts(self) -> list[ActiveRun]:
-        """Return, and forget, the runs to be started."""
-        starts, self.state.starts = self.state.starts, []
-        return [run for run in starts if run.stage is RunStage.RECORDED]
-
-    def take_stops(self) -> list[ActiveRun]:
-        """Return, and forget, the runs to be stopped."""
-        stops, self.state.stops = self.state.stops, []
-        return stops
-
-    def is_active(self, run: ActiveRun) -> bool:
-        """Return whether a run may still be or come to work."""
-        worker = self.state.workers.get(run.worker)
-        return worker is not None and worker.runs.get((run.task, run.run)) is run
-
-    def make_start(self, run: ActiveRun, now: float) -> StartOrder | None:
-        """Return the order to start a run, or None if it must not be sent.
-
-        Args:
-            run: Run on record.
-            now: Time in seconds.
-        """
-        job = self.state.jobs.get(run.task.job)
-        task = job.find(run.task) if job is not None else None
-        worker = self.state.workers.get(run.worker)
-        if job is None or task is None or worker is None or task.active is not run:
-            return None
-        if run.stage is not RunStage.RECORDED or run.life != worker.life:
-            return None
-        if worker.failed_since:
-            # Every attempt would put off the time at which its lease is over.
-            return None
-        deadline = worker.give_lease(now, self.state.terms.lease)
-        if deadline is None:
-            return None
-        return StartOrder(
-            worker=worker.worker,
-            address=worker.address,
-            task=run.task,
-            run=run.run,
-            payload=job.record.payload,
-            deadline=deadline,
-            token=self.state.token,
-            checkpoint=task.checkpoint,
-            ticket=run.ticket,
-        )
-
-    def note_start(
-        self, run: ActiveRun, result: OrderResult, sent_at: float, now: float
-    ) -> None:
-        """Take over the answer to a start."""
-        worker = self._note_answer(run, result, now)
-        if worker is None or (run.task, run.run) not in worker.runs:
-            return
-        outcome = result.outcome
-        if outcome in (OrderOutcome.ACCEPTED, OrderOutcome.OUTDATED):
-            if run.stage is RunStage.RECORDED:
-                run.stage = RunStage.CONFIRMED
-                run.confirmed_at = now
-                run.progressed_at = now
-        elif outcome is OrderOutcome.UNANSWERED:
-            run.unanswered += 1
-            run.open_until = sent_at + self.state.terms.open_start
-            if run.unanswered >= REFUSALS_BEFORE_STOP and not worker.failed_since:
-                self.state.request_stop(run)
-        elif outcome is OrderOutcome.FENCED:
-            self.is_displaced = True
-        elif outcome is not OrderOutcome.LEASE_OVER:
-            self._note_refused_start(worker, run, result, now)
-
-    def _note_refused_start(
-        self, worker: WorkerLedger, run: ActiveRun, result: OrderResult, now: float
-    ) -> None:
-        if run.stage is not RunStage.RECORDED:
-            return
-        if result.outcome is OrderOutcome.TICKET_INVALID:
-            self.state.advice.drop_ticket(run.task[:3], run.life)
-        if result.outcome is OrderOutcome.REFUSED:
-            worker.score.note(run.task.job, False, now)
-        if run.unanswered:
-            self.state.request_stop(run)
-        else:
-            reason = f"start refused: {result.outcome.value}"
-            self._reconciler.note_over(worker, run, reason, now)
-
-    def make_stop(self, run: ActiveRun) -> StopOrder | None:
-        """Return the order to stop a run, or None if it has ended."""
-        worker = self.state.workers.get(run.worker)
-        if worker is None or not self.is_active(run):
-            return None
-        return StopOrder(
-            worker=worker.worker,
-            address=worker.address,
-            task=run.task,
-            run=run.run,
-            token=self.state.token,
-        )
-
-    def note_stop(self, run: ActiveRun, result: OrderResult, now: float) -> bool:
-        """Take over the answer to a stop; return whether it was carried out."""
-        self._note_answer(run, result, now)
-        if result.outcome is OrderOutcome.FENCED:
-            self.is_displaced = True
-            return True
-        if result.outcome is not OrderOutcome.ACCEPTED:
-            return False
-        run.stopped_at = now
-        return True
-
-    def _note_answer(
-        self, run: ActiveRun, result: OrderResult, now: float
-    ) -> WorkerLedger | None:
-        worker = self.state.workers.get(run.worker)
-        if worker is None:
-            return None
-        if result.outcome is OrderOutcome.UNREACHED:
-            worker.failed_since = worker.failed_since or now
-        elif result.outcome is OrderOutcome.UNANSWERED:
-            if now - worker.contacted_at > SILENCE:
-                worker.failed_since = worker.failed_since or now
-        elif result.clock is not None and run.life == worker.life:
-            worker.note_contact(result.clock, now, self.state.terms.longest_lease)
-        return worker
-
     def make_hold(self, worker: WorkerLedger, wait: float, now: float) -> HoldOrder:
         """Return the order that extends the lease of a worker's runs.
 
@@ -382,83 +255,10 @@
         self.state.paces.extend(self._pacer.adjust(worker))
         return strays
 
-    def take_paces(self) -> list[ActiveRun]:
-        """Return, and forget, the runs whose pace has to be ordered."""
-        paces, self.state.paces = self.state.paces, []
-        return paces
-
-    def make_pace(self, run: ActiveRun) -> PaceOrder | None:
-        """Return the order to set the pace of a run, or None if it is not needed."""
-        worker = self.state.workers.get(run.worker)
-        if worker is None or not self.is_active(run):
-            return None
-        if run.pace == worker.leftover_pace or run.stage is not RunStage.CONFIRMED:
-            return None
-        return PaceOrder(
-            worker=worker.worker,
-            address=worker.address,
-            task=run.task,
-            run=run.run,
-            percent=worker.leftover_pace,
-            token=self.state.token,
-        )
-
     def note_hold_failed(self, worker: WorkerLedger, now: float) -> None:
         """Note that a worker did not answer."""
         worker.failed_since = worker.failed_since or now
 
-    def holds_long_running(self, worker: WorkerLedger) -> bool:
-        """Return whether a long-running task may be at work on a worker."""
-        for run in worker.runs.values():
-            job = self.state.jobs.get(run.task.job)
-            if job is None or job.record.is_long_running:
-                return True
-        return False
-
-    def list_lives(self, now: float) -> list[WorkerLife]:
-        """Return the workers that take tasks, those with most room first."""
-        workers = [w for w in self.state.workers.values() if w.takes_tasks(now)]
-        workers.sort(key=lambda worker: -worker.free.cpu)
-        return [worker.life for worker in workers]
-
-    def count_demand(self) -> int:
-        """Return what startable and running tasks ask for, in thousandths of a core.
-
-        Tasks whose team is at its limit, and jobs that can't be in time, count as
-        well: machines that they could use are no less useful.
-        """
-        demand = sum(worker.reserved.cpu for worker in self.state.workers.values())
-        for job in self.state.jobs.values():
-            for _, _, step in job.startable():
-                demand += len(step.waiting) * step.spec.reserved.cpu
-        return max(demand, self._count_spread())
-
-    def _count_spread(self) -> int:
-        """Return the capacity that long-running steps need to spread their tasks.
-
-        It is 0 while there are workers enough.
-        """
-        workers = [w for w in self.state.workers.values() if w.entry is not None]
-        needed = 0
-        for job in self.state.jobs.values():
-            for _, _, step in job.startable():
-                if step.spec.long_running and step.spec.most_per_worker:
-                    spread = -(-step.spec.count // step.spec.most_per_worker)
-                    needed = max(needed, spread)
-        if needed <= len(workers):
-            return 0
-        size = max((worker.capacity.cpu for worker in workers), default=0)
-        return needed * size
-
-    def count_pending(self) -> dict[str, int]:
-        """Return the number of jobs without a started task, by queue."""
-        pending: dict[str, int] = {}
-        for job in self.state.jobs.values():
-            count = pending.setdefault(job.record.queue, 0)
-            if job.phase is JobPhase.QUEUED and not job.has_begun:
-                pending[job.record.queue] = count + 1
-        return pending
-
     def forget_closed(self, wall: float) -> list[JobLedger]:
         """Return, and forget, closed jobs whose outcome has been kept long enough."""
         limit = wall - self.state.terms.retention
--- /dev/null
+++ b/jujubebarrow/coordinators/run_orders.py
@@ -0,0 +1,173 @@
+"""Orders to workers about single runs, and what their answers mean."""
+
+from jujubebarrow.coordinators.active_runs import ActiveRun, RunStage
+from jujubebarrow.coordinators.order_results import OrderOutcome, OrderResult
+from jujubebarrow.coordinators.orders import PaceOrder, StartOrder, StopOrder
+from jujubebarrow.coordinators.pool_states import PoolState
+from jujubebarrow.coordinators.reconcilers import Reconciler
+from jujubebarrow.coordinators.worker_ledgers import WorkerLedger
+
+SILENCE = 1.0
+"""Seconds without any answer of a worker after which a lost order is taken as a sign
+that it is down; single orders are lost on workers that are well."""
+REFUSALS_BEFORE_STOP = 5
+"""Unanswered starts of a run after which it is given up on that worker."""
+
+
+class RunOrders:
+    """Makes starts, stops and changes of pace, and takes their answers over.
+
+    Args:
+        state: State of the pool.
+        reconciler: Notes runs that are over.
+    """
+
+    def __init__(self, state: PoolState, reconciler: Reconciler):
+        self.is_displaced = False
+        self._state = state
+        self._reconciler = reconciler
+
+    def take_starts(self) -> list[ActiveRun]:
+        """Return, and forget, the runs to be started."""
+        starts, self._state.starts = self._state.starts, []
+        return [run for run in starts if run.stage is RunStage.RECORDED]
+
+    def take_stops(self) -> list[ActiveRun]:
+        """Return, and forget, the runs to be stopped."""
+        stops, self._state.stops = self._state.stops, []
+        return stops
+
+    def take_paces(self) -> list[ActiveRun]:
+        """Return, and forget, the runs whose pace has to be ordered."""
+        paces, self._state.paces = self._state.paces, []
+        return paces
+
+    def is_active(self, run: ActiveRun) -> bool:
+        """Return whether a run may still be or come to work."""
+        worker = self._state.workers.get(run.worker)
+        return worker is not None and worker.runs.get((run.task, run.run)) is run
+
+    def make_start(self, run: ActiveRun, now: float) -> StartOrder | None:
+        """Return the order to start a run, or None if it must not be sent.
+
+        Args:
+            run: Run on record.
+            now: Time in seconds.
+        """
+        job = self._state.jobs.get(run.task.job)
+        task = job.find(run.task) if job is not None else None
+        worker = self._state.workers.get(run.worker)
+        if job is None or task is None or worker is None or task.active is not run:
+            return None
+        if run.stage is not RunStage.RECORDED or run.life != worker.life:
+            return None
+        if worker.failed_since:
+            # Every attempt would put off the time at which its lease is over.
+            return None
+        deadline = worker.give_lease(now, self._state.terms.lease)
+        if deadline is None:
+            return None
+        return StartOrder(
+            worker=worker.worker,
+            address=worker.address,
+            task=run.task,
+            run=run.run,
+            payload=job.record.payload,
+            deadline=deadline,
+            token=self._state.token,
+            checkpoint=task.checkpoint,
+            ticket=run.ticket,
+        )
+
+    def note_start(
+        self, run: ActiveRun, result: OrderResult, sent_at: float, now: float
+    ) -> None:
+        """Take over the answer to a start."""
+        worker = self._note_answer(run, result, now)
+        if worker is None or (run.task, run.run) not in worker.runs:
+            return
+        outcome = result.outcome
+        if outcome in (OrderOutcome.ACCEPTED, OrderOutcome.OUTDATED):
+            if run.stage is RunStage.RECORDED:
+                run.stage = RunStage.CONFIRMED
+                run.confirmed_at = now
+                run.progressed_at = now
+        elif outcome is OrderOutcome.UNANSWERED:
+            run.unanswered += 1
+            run.open_until = sent_at + self._state.terms.open_start
+            if run.unanswered >= REFUSALS_BEFORE_STOP and not worker.failed_since:
+                self._state.request_stop(run)
+        elif outcome is OrderOutcome.FENCED:
+            self.is_displaced = True
+        elif outcome is not OrderOutcome.LEASE_OVER:
+            self._note_refused_start(worker, run, result, now)
+
+    def _note_refused_start(
+        self, worker: WorkerLedger, run: ActiveRun, result: OrderResult, now: float
+    ) -> None:
+        if run.stage is not RunStage.RECORDED:
+            return
+        if result.outcome is OrderOutcome.TICKET_INVALID:
+            self._state.advice.drop_ticket(run.task[:3], run.life)
+        if result.outcome is OrderOutcome.REFUSED:
+            worker.score.note(run.task.job, False, now)
+        if run.unanswered:
+            self._state.request_stop(run)
+        else:
+            reason = f"start refused: {result.outcome.value}"
+            self._reconciler.note_over(worker, run, reason, now)
+
+    def make_stop(self, run: ActiveRun) -> StopOrder | None:
+        """Return the order to stop a run, or None if it has ended."""
+        worker = self._state.workers.get(run.worker)
+        if worker is None or not self.is_active(run):
+            return None
+        return StopOrder(
+            worker=worker.worker,
+            address=worker.address,
+            task=run.task,
+            run=run.run,
+            token=self._state.token,
+        )
+
+    def note_stop(self, run: ActiveRun, result: OrderResult, now: float) -> bool:
+        """Take over the answer to a stop; return whether it was carried out."""
+        self._note_answer(run, result, now)
+        if result.outcome is OrderOutcome.FENCED:
+            self.is_displaced = True
+            return True
+        if result.outcome is not OrderOutcome.ACCEPTED:
+            return False
+        run.stopped_at = now
+        return True
+
+    def make_pace(self, run: ActiveRun) -> PaceOrder | None:
+        """Return the order to set the pace of a run, or None if it is not needed."""
+        worker = self._state.workers.get(run.worker)
+        if worker is None or not self.is_active(run):
+            return None
+        if run.pace == worker.leftover_pace or run.stage is not RunStage.CONFIRMED:
+            return None
+        return PaceOrder(
+            worker=worker.worker,
+            address=worker.address,
+            task=run.task,
+            run=run.run,
+            percent=worker.leftover_pace,
+            token=self._state.token,
+        )
+
+    def _note_answer(
+        self, run: ActiveRun, result: OrderResult, now: float
+    ) -> WorkerLedger | None:
+        worker = self._state.workers.get(run.worker)
+        if worker is None:
+            return None
+        if result.outcome is OrderOutcome.UNREACHED:
+            worker.failed_since = worker.failed_since or now
+        elif result.outcome is OrderOutcome.UNANSWERED:
+            if now - worker.contacted_at > SILENCE:
+                worker.failed_since = worker.failed_since or now
+        elif result.clock is not None and run.life == worker.life:
+            worker.note_contact(result.clock, now, self._state.terms.longest_lease)
+        return worker
--- a/jujubebarrow/runtimes/advice_keepers.py
+++ b/jujubebarrow/runtimes/advice_keepers.py
@@ -64,7 +64,7 @@
         if job is None or job.phase.is_final:
             return
         now = self._clock.monotonic()
-        lives = self._coordinator.list_lives(now)
+        lives = self._coordinator.demand.list_lives(now)
         asked = book.choose_workers(step, lives, tasks, now)
         if not asked:
             return
--- a/jujubebarrow/runtimes/load_reporters.py
+++ b/jujubebarrow/runtimes/load_reporters.py
@@ -44,7 +44,7 @@
     async def run(self) -> None:
         """Report until cancelled."""
         while True:
-            for name, pending in self._coordinator.count_pending().items():
+            for name, pending in self._coordinator.demand.count_pending().items():
                 queue = QueueId(name)
                 if self._told.get(name) != pending and self._writer.has_fence(queue):
                     await self._report(queue, pending)
--- a/jujubebarrow/runtimes/move_keepers.py
+++ b/jujubebarrow/runtimes/move_keepers.py
@@ -125,7 +125,7 @@
         workers = [worker for worker in self._workers() if not worker.is_cordoned]
         return PoolLoad(
             pool=self._pool,
-            demand=self._coordinator.count_demand(),
+            demand=self._coordinator.demand.count_demand(),
             capacity=sum(worker.capacity.cpu for worker in workers),
             machines=len(workers),
             movable=len(self._find_movable()),
@@ -146,7 +146,7 @@
             worker
             for worker in self._workers()
             if not worker.is_cordoned
-            and not self._coordinator.holds_long_running(worker)
+            and not self._coordinator.demand.holds_long_running(worker)
         ]
         return sorted(workers, key=lambda worker: worker.reserved.cpu)
 
--- a/jujubebarrow/runtimes/order_senders.py
+++ b/jujubebarrow/runtimes/order_senders.py
@@ -57,15 +57,15 @@
 
     def send_released(self) -> None:
         """Begin to send all released orders."""
-        for run in self._coordinator.take_starts():
+        for run in self._coordinator.orders.take_starts():
             self._tasks.start(self._send_start(run))
-        for run in self._coordinator.take_stops():
+        for run in self._coordinator.orders.take_stops():
             self._tasks.start(self._send_stop(run))
-        for run in self._coordinator.take_paces():
+        for run in self._coordinator.orders.take_paces():
             self._tasks.start(self._send_pace(run))
 
     async def _send_pace(self, run: ActiveRun) -> None:
-        order = self._coordinator.make_pace(run)
+        order = self._coordinator.orders.make_pace(run)
         if order is None:
             return
         # An order without an answer is decided anew at the next look.
@@ -83,9 +83,9 @@
                 await sleep(WAIT_SECONDS)
                 continue
             sent_at = self._clock.monotonic()
-            order = self._coordinator.make_start(run, sent_at)
+            order = self._coordinator.orders.make_start(run, sent_at)
             if order is None:
-                if not self._coordinator.is_active(run):
+                if not self._coordinator.orders.is_active(run):
                     return
                 await sleep(WAIT_SECONDS)
                 continue
@@ -94,7 +94,7 @@
             now = self._clock.monotonic()
             self._metrics.count("start", result.outcome.value)
             self._metrics.record("", "start-task", now - sent_at)
-            self._coordinator.note_start(run, result, sent_at, now)
+            self._coordinator.orders.note_start(run, result, sent_at, now)
             if result.outcome is not OrderOutcome.ACCEPTED and run.unanswered <= 1:
                 self._log.write(
                     "start_unconfirmed",
@@ -113,12 +113,12 @@
 
     async def _send_stop(self, run: ActiveRun) -> None:
         while True:
-            order = self._coordinator.make_stop(run)
+            order = self._coordinator.orders.make_stop(run)
             if order is None or run.stage is not RunStage.STOPPING:
                 return
             result = await self._gateway.stop(order)
             self._metrics.count("stop", result.outcome.value)
-            if self._coordinator.note_stop(run, result, self._clock.monotonic()):
+            if self._coordinator.orders.note_stop(run, result, self._clock.monotonic()):
                 self._on_change()
                 return
             await sleep(RETRY_SECONDS)
--- a/jujubebarrow/runtimes/pool_owners.py
+++ b/jujubebarrow/runtimes/pool_owners.py
@@ -1,6 +1,6 @@
 """Owner of one pool: decisions, store and workers put together."""
 
-from asyncio import gather, sleep
+from asyncio import sleep
 from collections.abc import Awaitable, Callable
 
 from jujubebarrow.clocks.clocks import Clock
@@ -15,21 +15,18 @@
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.runtimes.advice_keepers import AdviceKeeper
 from jujubebarrow.runtimes.grant_keepers import GrantKeeper
-from jujubebarrow.runtimes.job_followers import read_job
 from jujubebarrow.runtimes.job_listeners import JobListener
-from jujubebarrow.runtimes.job_rows import CANCELLED_SUFFIX
 from jujubebarrow.runtimes.load_reporters import LoadReporter
 from jujubebarrow.runtimes.move_keepers import MoveKeeper
 from jujubebarrow.runtimes.order_senders import OrderSender
 from jujubebarrow.runtimes.owner_hooks import OwnerHooks
 from jujubebarrow.runtimes.ownership_services import OwnershipService
+from jujubebarrow.runtimes.pool_loaders import PoolLoader
 from jujubebarrow.runtimes.progress_writers import DisplacedError, ProgressWriter
 from jujubebarrow.runtimes.task_groups import OwnedTasks
 from jujubebarrow.runtimes.wave_keepers import WaveKeeper
 from jujubebarrow.runtimes.worker_followers import WorkerListener
 from jujubebarrow.runtimes.worker_sessions import WorkerSession
-from jujubebarrow.stores.row_keys import RowKey, TableName, make_key
-from jujubebarrow.stores.rows import Row
 from jujubebarrow.stores.stores import Store
 from jujubebarrow.workloads.identifiers import FenceToken, WorkerId
 from jujubebarrow.workloads.job_records import JobRecord
@@ -41,11 +38,6 @@
 """Seconds for which events are joined before a plan."""
 PURGE_TICKS = 300
 """Ticks between deletions of closed jobs."""
-QUEUES_AT_A_TIME = 8
-"""Queues read at a time in a take-over, a part of the store's connections."""
-OLDEST = 60.0
-"""Greatest age in seconds that a job is given at a take-over; any job is late by
-then."""
 RETRY_SECONDS = 0.2
 """Pause after a read of the store that failed."""
 
@@ -115,6 +107,9 @@
             log,
             metrics,
         )
+        self._loader = PoolLoader(
+            pool, self.coordinator, self._writer, store, clock, metrics
+        )
         self._sender = OrderSender(
             self.coordinator,
             gateway,
@@ -186,7 +181,7 @@
         await self._wait_for_feed()
         while True:
             try:
-                await self._load_queues()
+                await self._loader.load_queues()
                 break
             except DisplacedError:
                 self.on_displaced()
@@ -216,63 +211,6 @@
         self._tasks.start(self._advice.run())
         self.on_change()
 
-    async def _load_queues(self) -> None:
-        """Read all queues that have jobs, several at a time."""
-        names = await self._store.list_partitions(TableName.JOBS.value)
-        for start in range(0, len(names), QUEUES_AT_A_TIME):
-            part = names[start : start + QUEUES_AT_A_TIME]
-            await gather(
-                *(self._load_queue(QueueId(name), only_own=True) for name in part)
-            )
-
-    async def _load_queue(self, queue: QueueId, only_own: bool) -> None:
-        """Read a queue's jobs and take over those of this pool.
-
-        Args:
-            queue: Queue.
-            only_own: Leave a queue alone that has no job of this pool.
-        """
-        jobs = await self._read(TableName.JOBS, queue)
-        records = self._find_own(jobs)
-        if only_own and not records:
-            return
-        if not self._writer.has_fence(queue):
-            await self._writer.take_fence(queue)
-            # What the former owner wrote last may be newer than the first read.
-            jobs = await self._read(TableName.JOBS, queue)
-            records = self._find_own(jobs)
-        progress = {
-            RowKey.parse(row.key).name: row.value
-            for row in await self._read(TableName.PROGRESS, queue)
-        }
-        now = self._clock.monotonic()
-        wall = self._clock.wall()
-        for record in records:
-            # Clocks of two instances differ, and may jump.
-            age = min(max(0.0, wall - record.accepted), OLDEST)
-            self.coordinator.add_job(record, progress.get(record.job), now, age)
-        for row in jobs:
-            name = RowKey.parse(row.key).name
-            if name.endswith(CANCELLED_SUFFIX):
-                job = JobId(name.removesuffix(CANCELLED_SUFFIX))
-                self.coordinator.cancel_job(job)
-
-    def _find_own(self, rows: list[Row]) -> list[JobRecord]:
-        records = [
-            read_job(row, self._metrics)
-            for row in rows
-            if not row.key.endswith(CANCELLED_SUFFIX)
-        ]
-        return [
-            record
-            for record in records
-            if record is not None and record.pool == self.pool
-        ]
-
-    async def _read(self, table: TableName, queue: QueueId) -> list[Row]:
-        found = await self._store.read(make_key(table, queue, ""))
-        return found.rows
-
     def on_job(self, record: JobRecord) -> None:
         """Take over an accepted job."""
         if record.pool != self.pool or self._closed:
@@ -290,7 +228,7 @@
     async def _open_queue(self, queue: QueueId) -> None:
         while True:
             try:
-                await self._load_queue(queue, only_own=False)
+                await self._loader.load_queue(queue, only_own=False)
                 break
             except DisplacedError:
                 self.on_displaced()
@@ -316,7 +254,7 @@
     async def _reload(self) -> None:
         while True:
             try:
-                await self._load_queues()
+                await self._loader.load_queues()
                 break
             except DisplacedError:
                 self.on_displaced()
@@ -369,7 +307,7 @@
         self._writer.write_changes()
         self._sender.send_released()
         self._follow_workers()
-        if coordinator.is_displaced:
+        if coordinator.orders.is_displaced:
             self.on_displaced()
 
     def _follow_workers(self) -> None:
