--- a/jujubebarrow/runtimes/pool_owners.py
+++ b/jujubebarrow/runtimes/pool_owners.py
@@ -179,16 +179,8 @@
     async def _take_over(self) -> None:
         began = self._clock.monotonic()
         await self._wait_for_feed()
-        while True:
-            try:
-                await self._loader.load_queues()
-                break
-            except DisplacedError:
-                self.on_displaced()
-                return
-            except StoreError as error:
-                self._metrics.count("take_over_retry", str(error)[:40])
-                await sleep(RETRY_SECONDS)
+        if not await self._load(self._loader.load_queues):
+            return
         self._loaded = True
         state = self.coordinator.state
         self._log.write(
@@ -226,16 +218,8 @@
         self.on_change()
 
     async def _open_queue(self, queue: QueueId) -> None:
-        while True:
-            try:
-                await self._loader.load_queue(queue, only_own=False)
-                break
-            except DisplacedError:
-                self.on_displaced()
-                return
-            except StoreError as error:
-                self._metrics.count("queue_open_retry", str(error)[:40])
-                await sleep(RETRY_SECONDS)
+        if not await self._load(lambda: self._loader.load_queue(queue, False)):
+            return
         self._opening.discard(queue)
         for record in self._early.pop(queue, []):
             self.on_job(record)
@@ -252,17 +236,26 @@
             self._tasks.start(self._reload())
 
     async def _reload(self) -> None:
+        if await self._load(self._loader.load_queues):
+            self.on_change()
+
+    async def _load(self, read: Callable[[], Awaitable[None]]) -> bool:
+        """Read from the store until it answers; return whether the pool is still ours.
+
+        Args:
+            read: Reads and takes over jobs.
+        """
         while True:
             try:
-                await self._loader.load_queues()
-                break
+                await read()
+                return True
             except DisplacedError:
                 self.on_displaced()
-                return
+                return False
             except StoreError as error:
-                self._metrics.count("reload_retry", str(error)[:40])
+                self._metrics.count("retry", "load")
+                self._metrics.count("store_unanswered", str(error)[:40])
                 await sleep(RETRY_SECONDS)
-        self.on_change()
 
     def on_worker(self, entry: WorkerEntry) -> None:
         """Take over a registration."""
