--- a/jujubebarrow/coordinators/pool_coordinators.py
+++ b/jujubebarrow/coordinators/pool_coordinators.py
@@ -139,7 +139,7 @@
         return self._planner.plan(now, wall)
 
     def _check_worker(self, worker: WorkerLedger, now: float) -> None:
-        if worker.runs and worker.is_lease_over(now):
+        if worker.runs and worker.is_lease_over(now) and worker.is_missed:
             for run in list(worker.runs.values()):
                 if run.sent or worker.entry is None:
                     self._end_after_lease(worker, run, now)
@@ -257,7 +257,7 @@
 
     def note_hold_failed(self, worker: WorkerLedger, now: float) -> None:
         """Note that a worker did not answer."""
-        worker.failed_since = worker.failed_since or now
+        worker.note_failure(now)
 
     def forget_closed(self, wall: float) -> list[JobLedger]:
         """Return, and forget, closed jobs whose outcome has been kept long enough."""
--- a/jujubebarrow/coordinators/pool_states.py
+++ b/jujubebarrow/coordinators/pool_states.py
@@ -5,6 +5,7 @@
 from jujubebarrow.coordinators.active_runs import ActiveRun, RunStage
 from jujubebarrow.coordinators.job_changes import EndMark, JobChange
 from jujubebarrow.coordinators.job_ledgers import JobLedger
+from jujubebarrow.coordinators.orders import StopOrder
 from jujubebarrow.coordinators.task_states import TaskState
 from jujubebarrow.coordinators.terms import CoordinatorTerms
 from jujubebarrow.coordinators.worker_ledgers import CLOCK_RATE, WorkerLedger
@@ -42,6 +43,7 @@
         self.starts: list[ActiveRun] = []
         self.stops: list[ActiveRun] = []
         self.paces: list[ActiveRun] = []
+        self.late_stops: list[StopOrder] = []
         self._changed: dict[QueueId, dict[JobId, None]] = defaultdict(dict)
         self._ends: dict[JobId, list[EndMark]] = defaultdict(list)
 
--- a/jujubebarrow/coordinators/reconcilers.py
+++ b/jujubebarrow/coordinators/reconcilers.py
@@ -43,7 +43,8 @@
         for running in report.running:
             listed.add((running.task, running.run))
             if not self._note_running(worker, running, now):
-                strays.append(self._make_stop(worker, running))
+                self._log_stray(worker, running)
+                strays.append(self._make_stop(worker, running.task, running.run))
         for end in report.ended:
             listed.add((end.task, end.run))
             if worker.note_end(end.number):
@@ -63,6 +64,10 @@
             self._log.write(
                 "worker_life_began", worker=worker.worker, born=born, lost=len(runs)
             )
+        for task, number in worker.take_open_starts(now):
+            # Also where another attempt was answered and the run has ended: the new
+            # life knows nothing of it.
+            self._state.late_stops.append(self._make_stop(worker, task, number))
         for run in runs:
             if run.life[1] >= born:
                 continue
@@ -118,15 +123,19 @@
             self._state.request_stop(run)
         return True
 
-    def _make_stop(self, worker: WorkerLedger, running: RunningTask) -> StopOrder:
+    def _log_stray(self, worker: WorkerLedger, running: RunningTask) -> None:
         self._log.write(
             "stray_run", task=str(running.task), run=running.run, worker=worker.worker
         )
+
+    def _make_stop(
+        self, worker: WorkerLedger, task: TaskKey, run: RunNumber
+    ) -> StopOrder:
         return StopOrder(
             worker=worker.worker,
             address=worker.address,
-            task=running.task,
-            run=running.run,
+            task=task,
+            run=run,
             token=self._state.token,
         )
 
--- a/jujubebarrow/coordinators/run_orders.py
+++ b/jujubebarrow/coordinators/run_orders.py
@@ -37,6 +37,11 @@
         stops, self._state.stops = self._state.stops, []
         return stops
 
+    def take_late_stops(self) -> list[StopOrder]:
+        """Return, and forget, stops of starts that a new life could carry out."""
+        stops, self._state.late_stops = self._state.late_stops, []
+        return stops
+
     def take_paces(self) -> list[ActiveRun]:
         """Return, and forget, the runs whose pace has to be ordered."""
         paces, self._state.paces = self._state.paces, []
@@ -84,9 +89,12 @@
     ) -> None:
         """Take over the answer to a start."""
         worker = self._note_answer(run, result, now)
+        outcome = result.outcome
+        if worker is not None and outcome is OrderOutcome.UNANSWERED:
+            run.open_until = sent_at + self._state.terms.open_start
+            worker.note_open_start(run)
         if worker is None or (run.task, run.run) not in worker.runs:
             return
-        outcome = result.outcome
         if outcome in (OrderOutcome.ACCEPTED, OrderOutcome.OUTDATED):
             if run.stage is RunStage.RECORDED:
                 run.stage = RunStage.CONFIRMED
@@ -94,7 +102,6 @@
                 run.progressed_at = now
         elif outcome is OrderOutcome.UNANSWERED:
             run.unanswered += 1
-            run.open_until = sent_at + self._state.terms.open_start
             if run.unanswered >= REFUSALS_BEFORE_STOP and not worker.failed_since:
                 self._state.request_stop(run)
         elif outcome is OrderOutcome.FENCED:
@@ -164,10 +171,10 @@
         if worker is None:
             return None
         if result.outcome is OrderOutcome.UNREACHED:
-            worker.failed_since = worker.failed_since or now
+            worker.note_failure(now)
         elif result.outcome is OrderOutcome.UNANSWERED:
             if now - worker.contacted_at > SILENCE:
-                worker.failed_since = worker.failed_since or now
+                worker.note_failure(now)
         elif result.clock is not None and run.life == worker.life:
             worker.note_contact(result.clock, now, self._state.terms.longest_lease)
         return worker
--- a/jujubebarrow/coordinators/worker_ledgers.py
+++ b/jujubebarrow/coordinators/worker_ledgers.py
@@ -33,11 +33,13 @@
         self.lease_end = expiry
         self.contacted_at = 0.0
         self.failed_since = 0.0
+        self.failed_at = 0.0
         self.acknowledged = 0
         self.draining_since = 0.0
         self.is_cordoned = False
         self.leftover_pace = 100
         self.warm_at = 0.0
+        self._open_starts: dict[tuple[TaskKey, RunNumber], float] = {}
         self._clock_reading = 0.0
         self._clock_read_at: float | None = None
         self._ends: OrderedDict[int, bool] = OrderedDict()
@@ -101,6 +103,17 @@
         if self.runs.pop((run.task, run.run), None) is not None:
             self._reserved = self._reserved.minus(run.reserved)
 
+    def note_open_start(self, run: ActiveRun) -> None:
+        """Note a start without an answer; it may be carried out late."""
+        self._open_starts[run.task, run.run] = run.open_until
+
+    def take_open_starts(self, now: float) -> list[tuple[TaskKey, RunNumber]]:
+        """Return the starts that may still be carried out, by any later life."""
+        self._open_starts = {
+            key: until for key, until in self._open_starts.items() if until > now
+        }
+        return list(self._open_starts)
+
     def begin_life(self, born: int, expiry: float) -> None:
         """Forget what was known of an earlier life.
 
@@ -153,6 +166,19 @@
         """Return whether every lease given in this life has certainly ended."""
         return now > self.lease_end
 
+    def note_failure(self, now: float) -> None:
+        """Note that the worker did not answer."""
+        self.failed_since = self.failed_since or now
+        self.failed_at = now
+
+    @property
+    def is_missed(self) -> bool:
+        """Whether it gave no answer after its leases had ended.
+
+        A worker that can be reached again tells how its runs have ended.
+        """
+        return self.failed_at > self.lease_end
+
     def note_end(self, number: int) -> bool:
         """Note an end in the worker's list; return whether it is new."""
         if number <= self.acknowledged or number in self._ends:
--- a/jujubebarrow/runtimes/order_senders.py
+++ b/jujubebarrow/runtimes/order_senders.py
@@ -17,6 +17,8 @@
 """Pause before an order without an answer is sent again; most are lost singly."""
 RETRY_SECONDS = 0.4
 """Longest pause, after several attempts."""
+LATE_SECONDS = 13.0
+"""Seconds for which a start may be carried out late; from the workers' contract."""
 WAIT_SECONDS = 0.1
 """Pause while an order can't be sent yet."""
 
@@ -64,6 +66,19 @@
         for run in self._coordinator.orders.take_paces():
             self._tasks.start(self._send_pace(run))
 
+        for order in self._coordinator.orders.take_late_stops():
+            self._tasks.start(self._send_late_stop(order))
+
+    async def _send_late_stop(self, order: StopOrder) -> None:
+        """Send a stop until it is answered or the start can't come any more."""
+        until = self._clock.monotonic() + LATE_SECONDS
+        while self._clock.monotonic() < until:
+            result = await self._gateway.stop(order)
+            self._metrics.count("stop_late", result.outcome.value)
+            if result.outcome in (OrderOutcome.ACCEPTED, OrderOutcome.FENCED):
+                return
+            await sleep(WAIT_SECONDS)
+
     async def _send_pace(self, run: ActiveRun) -> None:
         order = self._coordinator.orders.make_pace(run)
         if order is None:
--- a/jujubebarrow/standins/emulated_workers.py
+++ b/jujubebarrow/standins/emulated_workers.py
@@ -107,6 +107,9 @@
         self.state = WorkerState.READY
         self.record: list[EmulatedRun] = []
         self.acknowledged: list[RunEnd] = []
+        # Ends that no owner had acknowledged when the lease was over: by the
+        # workers' contract such a task may be started again.
+        self.unlisted: set[tuple[TaskKey, RunNumber]] = set()
         self.is_up = True
         self.clock_rate = 1.0
         self.stands_still = False
@@ -215,6 +218,8 @@
     def _check_lease(self, life: _Life) -> None:
         if life is not self._life or self.clock < life.lease:
             return
+        for end in life.ends:
+            self.unlisted.add((end.task, end.run))
         for run in list(life.running.values()):
             self._end(life, run, RunOutcome.LEASE_EXPIRED)
 
--- a/jujubebarrow/tests/fakes/job_worlds.py
+++ b/jujubebarrow/tests/fakes/job_worlds.py
@@ -440,6 +440,7 @@
             (end.task, end.run)
             for worker in self.workers.values()
             for end in worker.acknowledged
+            if (end.task, end.run) not in worker.unlisted
         }
         for task, runs in by_task.items():
             runs.sort(key=lambda run: run.started)
