--- a/jujubebarrow/tests/fakes/job_worlds.py
+++ b/jujubebarrow/tests/fakes/job_worlds.py
@@ -399,6 +399,13 @@
         self.accepted.add(job)
         return job
 
+    async def submit_whole(self, name: str, submission: JobSubmission) -> JobId:
+        node = self.instances[0].node
+        assert node is not None
+        await node.intake.submit(self.route, TEAM, JobId(name), submission, 3.0)
+        self.accepted.add(JobId(name))
+        return JobId(name)
+
     async def cancel(self, job: JobId, instance: int = 0) -> None:
         node = self.instances[instance].node
         assert node is not None
