Put faults into the job core that its randomised run must notice

Seven of them: leases over at once, inherited runs forgotten, capacity not looked at, late starts forgotten in a new life, unanswered starts given elsewhere, unknown outcomes told as not accepted, absence not concluded.

--- a/jujubebarrow/tests/fakes/job_worlds.py
+++ b/jujubebarrow/tests/fakes/job_worlds.py
@@ -13,13 +13,6 @@
 from jujubebarrow.fleets.queue_routes import QueueRoute
 from jujubebarrow.fleets.team_specs import TeamSpec
 from jujubebarrow.fleets.wave_requests import WaveRequest
-from jujubebarrow.gateways.advisors import Advisor
-from jujubebarrow.gateways.machine_controls import (
-    Machine,
-    MachineAnswer,
-    MachineControl,
-    MachineState,
-)
 from jujubebarrow.identifiers import (
     IncarnationId,
     InstanceId,
@@ -27,31 +20,27 @@
     PoolId,
     QueueId,
     TeamId,
-    ZoneId,
 )
-from jujubebarrow.logs.decision_logs import DecisionLog
 from jujubebarrow.metrics.registries import MetricsRegistry
-from jujubebarrow.runtimes.document_readers import DocumentReader
 from jujubebarrow.runtimes.entry_nodes import EntryNode, EntryTerms
 from jujubebarrow.standins.emulated_gateways import EmulatedGateway
 from jujubebarrow.standins.emulated_stores import EmulatedStore, SharedStore
 from jujubebarrow.standins.emulated_workers import EmulatedWorker, TaskBehaviour
 from jujubebarrow.stores.relay_messages import carry_out, decode_answer
 from jujubebarrow.stores.relayed_stores import RelayClient, RelayedStore
-from jujubebarrow.stores.row_keys import RowKey
-from jujubebarrow.stores.rows import Row
 from jujubebarrow.stores.transactions import Transaction
+from jujubebarrow.tests.fakes.fake_documents import FakeReader, ListLog
+from jujubebarrow.tests.fakes.fake_machines import STANDBY, FakeAdvisor, FakeMachines
 from jujubebarrow.tests.fakes.virtual_loops import LoopClock
-from jujubebarrow.workloads.identifiers import MachineId, WorkerId
+from jujubebarrow.workloads.identifiers import WorkerId
 from jujubebarrow.workloads.job_submissions import JobSubmission
 from jujubebarrow.workloads.resources import NOTHING, Resources
 from jujubebarrow.workloads.run_ends import RunOutcome
 from jujubebarrow.workloads.step_specs import StepSpec
-from jujubebarrow.workloads.worker_reports import WorkerEntry, WorkerState
+from jujubebarrow.workloads.worker_reports import WorkerState
 
 LEASE = 6.0
 POOL = PoolId("labels")
-STANDBY = PoolId("off")
 QUEUE = QueueId("print")
 ROUTE = QueueRoute(
     queue=QUEUE,
@@ -66,145 +55,6 @@
 CAPACITY = Resources(8000, 16000, 0)
 
 
-class ListLog(DecisionLog):
-    def __init__(self, name: str = ""):
-        self.name = name
-        self.lines: list[dict[str, Any]] = []
-
-    def write(self, event: str, **fields: Any) -> None:
-        at = round(get_running_loop().time(), 3)
-        self.lines.append({"at": at, "event": event, "node": self.name, **fields})
-
-
-class FakeReader(DocumentReader):
-    """Documents are objects kept by name, so that no wire format is needed."""
-
-    def __init__(self) -> None:
-        self.objects: dict[str, Any] = {}
-
-    @property
-    def operator_table(self) -> str:
-        return "op"
-
-    @property
-    def worker_table(self) -> str:
-        return "servers"
-
-    def _find(self, row: Row) -> Any:
-        return self.objects[row.value["object"]] if row.value else None
-
-    def is_fleet(self, row: Row) -> bool:
-        return isinstance(self._find(row), FleetMap)
-
-    def read_fleet(self, row: Row) -> FleetMap | None:
-        return self._find(row)
-
-    def read_wave(self, row: Row) -> WaveRequest | None:
-        return self._find(row)
-
-    def worker_of(self, row: Row) -> WorkerId:
-        return WorkerId(RowKey.parse(row.key).name)
-
-    def read_worker(self, row: Row) -> WorkerEntry | None:
-        return self._find(row)
-
-    def wave_status(self, wave: int, completed: bool) -> tuple[str, dict[str, Any]]:
-        return f"status//wave/{wave}", {"completed": completed}
-
-
-class FakeMachines(MachineControl):
-    """Machines named as their workers; maintenance starts the worker again."""
-
-    def __init__(self, world: "JobWorld"):
-        self._world = world
-        self.down: set[WorkerId] = set()
-        self.most_down = 0
-        self.orders: list[tuple[MachineId, int]] = []
-        self.moves: list[tuple[MachineId, PoolId, PoolId]] = []
-        self.tokens: dict[MachineId, int] = {}
-        self.cut_by_moves = 0
-        self.refused = 0
-
-    async def list_machines(self) -> list[Machine]:
-        await sleep(0.01)
-        return [
-            Machine(
-                machine=MachineId(f"m-{name}"),
-                pool=worker.pool,
-                state=(
-                    MachineState.MAINTENANCE if name in self.down else MachineState.UP
-                ),
-                zone=ZoneId("z"),
-                labels=worker.labels,
-                worker=name if self._world.is_registered(name) else WorkerId(""),
-            )
-            for name, worker in self._world.workers.items()
-        ]
-
-    async def move(self, machine: MachineId, pool: PoolId, token: int) -> MachineAnswer:
-        await sleep(0.01)
-        if token < self.tokens.get(machine, 0):
-            self.refused += 1
-            return MachineAnswer.FENCED
-        self.tokens[machine] = token
-        name = WorkerId(machine.removeprefix("m-"))
-        worker = self._world.workers[name]
-        if worker.pool == pool:
-            return MachineAnswer.DONE
-        self.moves.append((machine, worker.pool, pool))
-        self.cut_by_moves += len(worker.running)
-        worker.crash()
-        worker.pool = pool
-        self._world.remove_entry(name)
-        get_running_loop().call_later(1.5, self._come_back, name)
-        return MachineAnswer.DONE
-
-    async def maintain(
-        self, machine: MachineId, wave: int, token: int
-    ) -> MachineAnswer:
-        await sleep(0.01)
-        if token < self.tokens.get(machine, 0):
-            self.refused += 1
-            return MachineAnswer.FENCED
-        self.tokens[machine] = token
-        name = WorkerId(machine.removeprefix("m-"))
-        if (machine, wave) in self.orders:
-            return MachineAnswer.DONE
-        self.orders.append((machine, wave))
-        self.down.add(name)
-        self.most_down = max(self.most_down, len(self.down))
-        self._world.workers[name].crash()
-        self._world.remove_entry(name)
-        get_running_loop().call_later(2.0, self._come_back, name)
-        return MachineAnswer.DONE
-
-    def _come_back(self, name: WorkerId) -> None:
-        self.down.discard(name)
-        self._world.workers[name].restart()
-        if self._world.workers[name].pool != STANDBY:
-            self._world.write_entry(name)
-
-
-class FakeAdvisor(Advisor):
-    """Grants a step on every worker but some, and never asks twice at once."""
-
-    def __init__(self) -> None:
-        self.refused: set[WorkerId] = set()
-        self.calls = 0
-        self.busy = 0
-        self.most_busy = 0
-
-    async def advise(
-        self, step: Any, workers: list[WorkerId], timeout: float
-    ) -> dict[WorkerId, str]:
-        self.calls += 1
-        self.busy += 1
-        self.most_busy = max(self.most_busy, self.busy)
-        await sleep(0.05)
-        self.busy -= 1
-        return {name: f"t-{name}" for name in workers if name not in self.refused}
-
-
 class FakeRelay(RelayClient):
     """Way from one instance to the others, within the process."""
 
--- /dev/null
+++ b/jujubebarrow/tests/proof_job_mutations.py
@@ -0,0 +1,74 @@
+"""Faults put into the job core; the randomised run must notice each."""
+
+import unittest
+from typing import Any
+from unittest.mock import PropertyMock, patch
+
+from jujubebarrow.coordinators.job_ledgers import JobLedger
+from jujubebarrow.coordinators.reconcilers import Reconciler
+from jujubebarrow.coordinators.run_orders import RunOrders
+from jujubebarrow.coordinators.worker_ledgers import WorkerLedger
+from jujubebarrow.placements import placers
+from jujubebarrow.runtimes.job_intakes import JobIntake
+from jujubebarrow.tests.proof_job_core import REGRESSIONS, play
+
+SEEDS = (*REGRESSIONS, *range(1, 31))
+
+
+class JobMutationProof(unittest.TestCase):
+    def assert_noticed(self, *patches: Any) -> None:
+        for each in patches:
+            each.start()
+            self.addCleanup(each.stop)
+        for seed in SEEDS:
+            if play(seed):
+                return
+        self.fail("no seed noticed it")
+
+    def test_leases_taken_as_over_at_once(self) -> None:
+        missed = PropertyMock(return_value=True)
+        self.assert_noticed(
+            patch.object(WorkerLedger, "is_lease_over", lambda self, now: True),
+            patch.object(WorkerLedger, "is_missed", missed),
+        )
+
+    def test_inherited_runs_forgotten(self) -> None:
+        def restore(self: JobLedger, document: dict[str, Any], now: float) -> None:
+            genuine(self, document, now)
+            for _, _, step in self.steps():
+                for task in step.tasks:
+                    task.active = None
+
+        genuine = JobLedger.restore
+        self.assert_noticed(patch.object(JobLedger, "restore", restore))
+
+    def test_capacity_not_looked_at(self) -> None:
+        self.assert_noticed(
+            patch.object(placers, "may_run", lambda step, worker, present: True)
+        )
+
+    def test_starts_without_answer_forgotten_in_a_new_life(self) -> None:
+        self.assert_noticed(patch.object(RunOrders, "take_late_stops", lambda self: []))
+
+    def test_unanswered_starts_given_to_another_worker(self) -> None:
+        def note_start(self: RunOrders, run: Any, result: Any, *times: float) -> None:
+            genuine(self, run, result, *times)
+            worker = self._state.workers.get(run.worker)
+            if result.outcome.value == "unanswered" and worker is not None:
+                self._reconciler.note_over(worker, run, "mutation", times[-1])
+
+        genuine = RunOrders.note_start
+        self.assert_noticed(patch.object(RunOrders, "note_start", note_start))
+
+    def test_unknown_outcomes_told_as_not_accepted(self) -> None:
+        def refuse(self: JobIntake, error: Any) -> Any:
+            error.may_have_applied = False
+            return genuine(self, error)
+
+        genuine = JobIntake._refuse
+        self.assert_noticed(patch.object(JobIntake, "_refuse", refuse))
+
+    def test_absence_not_concluded(self) -> None:
+        self.assert_noticed(
+            patch.object(Reconciler, "note_over", lambda *arguments: None)
+        )
--- a/jujubebarrow/tests/test_job_kinds.py
+++ b/jujubebarrow/tests/test_job_kinds.py
@@ -3,8 +3,6 @@
 import unittest
 from asyncio import get_running_loop, sleep
 from collections import defaultdict
-from collections.abc import Callable, Coroutine
-from typing import Any
 
 from jujubebarrow.coordinators.active_runs import ActiveRun, RunStage
 from jujubebarrow.coordinators.job_ledgers import JobLedger
@@ -13,8 +11,8 @@
 from jujubebarrow.coordinators.terms import CoordinatorTerms
 from jujubebarrow.identifiers import JobId, PoolId, QueueId, TeamId
 from jujubebarrow.standins.emulated_workers import TaskBehaviour
+from jujubebarrow.tests.fakes.job_cases import JobCase
 from jujubebarrow.tests.fakes.job_worlds import JobWorld
-from jujubebarrow.tests.fakes.virtual_loops import run_virtual
 from jujubebarrow.workloads.identifiers import (
     FenceToken,
     RunNumber,
@@ -30,22 +28,7 @@
 SMALL = Resources(1000, 500)
 
 
-class StepKindsTest(unittest.TestCase):
-    def play(
-        self, story: Callable[[JobWorld], Coroutine[Any, Any, None]], **options: Any
-    ) -> None:
-        async def main() -> None:
-            world = JobWorld(**options)
-            try:
-                await world.start()
-                await story(world)
-            finally:
-                for instance in world.instances:
-                    await instance.kill()
-            self.assertEqual(world.find_faults(), [])
-
-        run_virtual(main())
-
+class StepKindsTest(JobCase):
     def test_occurrences_start_at_their_times(self) -> None:
         async def story(world: JobWorld) -> None:
             begin = get_running_loop().time() + 2.0
--- a/jujubebarrow/tests/test_structure.py
+++ b/jujubebarrow/tests/test_structure.py
@@ -92,6 +92,12 @@
         for name in names:
             self.assertIn(f"`{name}`", page)
 
+    def test_platform_requirements_are_a_part_of_all(self) -> None:
+        root = ROOT.parent
+        whole = (root / "requirements.txt").read_text().splitlines()
+        for line in (root / "requirements-platform.txt").read_text().splitlines():
+            self.assertIn(line, whole)
+
     def test_internal_links_of_the_docs(self) -> None:
         for path in [ROOT.parent / "README.md", *(ROOT.parent / "docs").glob("*.md")]:
             for target in re.findall(r"\]\(([^)#:]+)(?:#[^)]*)?\)", path.read_text()):
