--- a/jujubebarrow/coordinators/worker_ledgers.py
+++ b/jujubebarrow/coordinators/worker_ledgers.py
@@ -175,9 +175,10 @@
     def is_missed(self) -> bool:
         """Whether it gave no answer after its leases had ended.
 
-        A worker that can be reached again tells how its runs have ended.
+        A worker that can be reached again tells how its runs have ended; one that is
+        no longer registered has no address to ask at.
         """
-        return self.failed_at > self.lease_end
+        return not self.address or self.failed_at > self.lease_end
 
     def note_end(self, number: int) -> bool:
         """Note an end in the worker's list; return whether it is new."""
--- a/jujubebarrow/tests/test_job_owners.py
+++ b/jujubebarrow/tests/test_job_owners.py
@@ -171,3 +171,23 @@
             self.assertTrue(await world.wait_for_phase(job, "completed", 10.0))
 
         self.play(story)
+
+    def test_a_task_on_a_worker_that_nobody_knows_any_more_is_started_again(
+        self,
+    ) -> None:
+        async def story(world: JobWorld) -> None:
+            slow = TaskBehaviour(seconds=3.0)
+            job = await world.submit(1, behaviour=slow)
+            await sleep(0.5)
+            victim = next(run.worker for run in world.runs())
+            world.workers[victim].crash()
+            world.remove_entry(victim)
+            owner = world.find_owner()
+            assert owner is not None
+            survivor = 1 if world.instances[0] is owner else 0
+            await owner.kill()
+            self.assertTrue(
+                await world.wait_for_phase(job, "completed", 25.0, survivor)
+            )
+
+        self.play(story)
