List the task that waits anew with each new owner

Ruled out: a pool without owner or machines. The test is red and listed; its bound comes from the leases.

--- a/jujubebarrow/tests/test_job_owners.py
+++ b/jujubebarrow/tests/test_job_owners.py
@@ -191,3 +191,24 @@
             )
 
         self.play(story)
+
+    def test_owners_that_change_again_put_off_no_lost_task(self) -> None:
+        # Bound: the lease of 6 s on a slow clock, 2 s for a displaced owner, and 3 s.
+        async def story(world: JobWorld) -> None:
+            forever = TaskBehaviour(long_running=True)
+            await world.submit(1, (LONG,), behaviour=forever)
+            await sleep(1.0)
+            victim = next(run.worker for run in world.runs())
+            world.workers[victim].crash()
+            world.remove_entry(victim)
+            for _ in range(2):
+                await sleep(3.0)
+                owner = world.find_owner()
+                assert owner is not None
+                await owner.stop()
+                await owner.start()
+            await sleep(5.2)
+            alive = [run for run in world.runs() if run.ended is None]
+            self.assertEqual(len(alive), 3)
+
+        self.play(story)
