Put leases of silent workers on record, and compare times by the store's clock

Change: the store's steady clock comes with each read; leases on workers that are silent for 0.8 s, claims of moves and the beginning of waves are on record by it. A worker on record gets no lease before its entry is gone, under the owner's token.

--- a/jujubebarrow/coordinators/pool_states.py
+++ b/jujubebarrow/coordinators/pool_states.py
@@ -6,6 +6,7 @@
 from jujubebarrow.coordinators.job_changes import EndMark, JobChange
 from jujubebarrow.coordinators.job_ledgers import JobLedger
 from jujubebarrow.coordinators.orders import StopOrder
+from jujubebarrow.coordinators.recorded_leases import RecordedLease
 from jujubebarrow.coordinators.task_states import TaskState
 from jujubebarrow.coordinators.terms import CoordinatorTerms
 from jujubebarrow.coordinators.worker_ledgers import CLOCK_RATE, WorkerLedger
@@ -44,6 +45,7 @@
         self.stops: list[ActiveRun] = []
         self.paces: list[ActiveRun] = []
         self.late_stops: list[StopOrder] = []
+        self.recorded_leases: dict[WorkerId, RecordedLease] = {}
         self._changed: dict[QueueId, dict[JobId, None]] = defaultdict(dict)
         self._ends: dict[JobId, list[EndMark]] = defaultdict(list)
 
@@ -56,8 +58,25 @@
             expiry = self.taken_at + terms.displaced_hold + lease
             ledger = WorkerLedger(worker, expiry)
             self.workers[worker] = ledger
+            recorded = self.recorded_leases.get(worker)
+            if recorded is not None:
+                ledger.restore_lease(recorded)
         return ledger
 
+    def note_recorded_leases(self, leases: dict[WorkerId, RecordedLease]) -> None:
+        """Take over which leases are, or may be, on record.
+
+        Args:
+            leases: Leases of silent workers; the other workers may get leases.
+        """
+        self.recorded_leases = leases
+        for name, worker in self.workers.items():
+            recorded = leases.get(name)
+            if recorded is None:
+                worker.is_lease_recorded = False
+            elif not worker.is_lease_recorded:
+                worker.restore_lease(recorded)
+
     def add_run(self, job: JobLedger, run: ActiveRun) -> None:
         """Reserve what a run needs."""
         self.get_worker(run.worker).add_run(run)
--- a/jujubebarrow/coordinators/worker_ledgers.py
+++ b/jujubebarrow/coordinators/worker_ledgers.py
@@ -3,6 +3,7 @@
 from collections import OrderedDict
 
 from jujubebarrow.coordinators.active_runs import ActiveRun
+from jujubebarrow.coordinators.recorded_leases import RecordedLease
 from jujubebarrow.placements.worker_scores import WorkerScore
 from jujubebarrow.workloads.identifiers import RunNumber, WorkerId, WorkerLife
 from jujubebarrow.workloads.resources import NOTHING, Resources
@@ -31,6 +32,7 @@
         self.runs: dict[tuple[TaskKey, RunNumber], ActiveRun] = {}
         self.score = WorkerScore()
         self.lease_end = expiry
+        self.is_lease_recorded = False
         self.contacted_at = 0.0
         self.failed_since = 0.0
         self.failed_at = 0.0
@@ -114,6 +116,12 @@
         }
         return list(self._open_starts)
 
+    def restore_lease(self, recorded: RecordedLease) -> None:
+        """Take over a lease on record; nobody gives another one meanwhile."""
+        self.born = self.born or recorded.born
+        self.lease_end = min(self.lease_end, recorded.ends)
+        self.is_lease_recorded = True
+
     def begin_life(self, born: int, expiry: float) -> None:
         """Forget what was known of an earlier life.
 
@@ -122,7 +130,8 @@
             expiry: Time in seconds at which leases that others have given in the
                 new life have ended.
         """
-        self.lease_end = max(self.lease_end, expiry) if not self.born else expiry
+        if not self.is_lease_recorded:
+            self.lease_end = max(self.lease_end, expiry) if not self.born else expiry
         self.born = born
         self.acknowledged = 0
         self._ends.clear()
@@ -140,7 +149,7 @@
             longest_lease: Longest lease in seconds that another owner may have
                 given before this contact.
         """
-        if self._clock_read_at is None:
+        if self._clock_read_at is None and not self.is_lease_recorded:
             # A lease given before this contact cannot be longer than that.
             self.lease_end = now + longest_lease / CLOCK_RATE + EXPIRY_MARGIN
         self._clock_reading = clock
@@ -151,11 +160,14 @@
     def give_lease(self, now: float, length: float) -> float | None:
         """Return the end of a new lease on the worker's clock in seconds.
 
+        Returns None if the worker has not answered yet, or while the end of its
+        lease is on record.
+
         Args:
             now: Time in seconds.
             length: Length in seconds.
         """
-        if self._clock_read_at is None:
+        if self._clock_read_at is None or self.is_lease_recorded:
             return None
         deadline = self._clock_reading + (now - self._clock_read_at) + length
         latest = self._clock_read_at + (deadline - self._clock_reading) / CLOCK_RATE
--- a/jujubebarrow/maintenance/wave_records.py
+++ b/jujubebarrow/maintenance/wave_records.py
@@ -36,9 +36,11 @@
 
     Attributes:
         machines: Maintenance of each machine of the wave.
+        began: Time in seconds at which it was first seen, by the store's clock.
     """
 
     machines: dict[MachineId, MachineUpkeep] = field(default_factory=dict)
+    began: float = 0.0
 
     @property
     def busy_count(self) -> int:
@@ -64,7 +66,7 @@
 
     def copy(self) -> "WaveRecord":
         """Return a copy that can be changed."""
-        return WaveRecord(dict(self.machines))
+        return WaveRecord(dict(self.machines), self.began)
 
     def to_document(self) -> dict[str, Any]:
         """Return the stored form."""
@@ -72,7 +74,8 @@
             "machines": {
                 name: [upkeep.state.value, upkeep.holder]
                 for name, upkeep in self.machines.items()
-            }
+            },
+            "began": self.began,
         }
 
     @classmethod
@@ -82,5 +85,6 @@
             {
                 MachineId(name): MachineUpkeep(UpkeepState(row[0]), InstanceId(row[1]))
                 for name, row in document["machines"].items()
-            }
+            },
+            document["began"],
         )
--- a/jujubebarrow/platform/stores.py
+++ b/jujubebarrow/platform/stores.py
@@ -35,6 +35,8 @@
     has_more: bool = False
     # Newest version of the whole store when the answer was made.
     ver: int = 0
+    # The store's steady clock in milliseconds.
+    now_ms: int = 0
 
 
 class _WireParts(Struct):
@@ -98,7 +100,7 @@
             found = _decode_rows(page.rows)
             rows.extend(found[1:] if rows and found else found)
             if not page.has_more or not found:
-                return RowSet(revision=revision, rows=rows)
+                return RowSet(revision=revision, rows=rows, clock=page.now_ms / 1000)
             query["From"] = RowKey.parse(found[-1].key).name
 
     async def read_changes(self, prefix: str, since: int, wait: float) -> RowSet:
@@ -109,7 +111,11 @@
             "WaitMs": str(round(wait * 1000)),
         }
         page = await self._read_page("/-/rows-feed", query, TIMEOUT + wait)
-        return RowSet(revision=page.ver, rows=_decode_rows(page.rows))
+        return RowSet(
+            revision=page.ver,
+            rows=_decode_rows(page.rows),
+            clock=page.now_ms / 1000,
+        )
 
     async def list_partitions(self, table: str) -> list[str]:
         """Return the partitions of a table that have rows."""
@@ -157,6 +163,7 @@
                 document.get("rows", []),
                 document.get("HasMore", False),
                 document["Ver"],
+                document.get("NowMs", 0),
             )
         except (DecodeError, KeyError, AttributeError) as error:
             raise StoreError(f"unreadable answer: {error}", False) from error
--- a/jujubebarrow/runtimes/load_boards.py
+++ b/jujubebarrow/runtimes/load_boards.py
@@ -10,6 +10,7 @@
 from jujubebarrow.pools.pool_loads import PoolLoad
 from jujubebarrow.stores.row_keys import RowKey, TableName, make_key
 from jujubebarrow.stores.rows import Row
+from jujubebarrow.stores.store_clocks import StoreClock
 from jujubebarrow.stores.stores import Store
 from jujubebarrow.stores.transactions import Transaction
 from jujubebarrow.workloads.identifiers import FenceToken, MachineId
@@ -22,6 +23,8 @@
 """Seconds for which what was read serves all pools of this instance."""
 TRANSIT = 2.5
 """Seconds after an order during which a machine counts as on its way."""
+ORDER_TIME = 0.5
+"""Seconds after the claim of a move in which its order goes out, or not at all."""
 
 
 class LoadBoard:
@@ -37,6 +40,7 @@
         self._store = store
         self._clock = clock
         self._metrics = metrics
+        self._store_clock = StoreClock(clock)
         self._read_at = float("-inf")
         self._moves: dict[MachineId, tuple[int, PoolId, str, float]] = {}
         self.loads: dict[PoolId, PoolLoad] = {}
@@ -52,11 +56,12 @@
             return
         self._read_at = now
         found = await self._store.read(make_key(TableName.BALANCE, PARTITION, ""))
+        self._store_clock.note(now, found.clock)
         self.loads = {}
         for row in found.rows:
-            self._take(row, now)
+            self._take(row)
 
-    def _take(self, row: Row, now: float) -> None:
+    def _take(self, row: Row) -> None:
         name = RowKey.parse(row.key).name
         value = row.value or {}
         if name.startswith(LOAD_PREFIX):
@@ -67,14 +72,16 @@
             known = self._moves.get(machine)
             if known is None or known[0] != row.revision:
                 target = PoolId(value["target"])
-                self._moves[machine] = (row.revision, target, value["holder"], now)
+                ordered_at = self._store_clock.to_local(value["at"]) + ORDER_TIME
+                move = (row.revision, target, value["holder"], ordered_at)
+                self._moves[machine] = move
 
     def count_under_way(self) -> dict[PoolId, int]:
         """Return how many machines are on their way to each pool."""
         now = self._clock.monotonic()
         under_way: dict[PoolId, int] = {}
-        for _, target, _, seen_at in self._moves.values():
-            if now - seen_at < TRANSIT:
+        for _, target, _, ordered_at in self._moves.values():
+            if now - ordered_at < TRANSIT:
                 under_way[target] = under_way.get(target, 0) + 1
         return under_way
 
@@ -100,11 +107,19 @@
         """Write a move before it is ordered; return the token for the order.
 
         Raises:
-            StoreError: Unknown whether it was written.
+            StoreError: Unknown whether it was written, or written too late for the
+                order to follow in time.
         """
         key = make_key(TableName.BALANCE, PARTITION, MOVE_PREFIX + machine)
-        revision = await self._write(key, {"target": target, "holder": holder})
-        self._moves[machine] = (revision, target, holder, self._clock.monotonic())
+        began = self._clock.monotonic()
+        at = self._store_clock.to_stored(began)
+        value = {"target": target, "holder": holder, "at": at}
+        revision = await self._write(key, value)
+        now = self._clock.monotonic()
+        self._moves[machine] = (revision, target, holder, now)
+        if now - began > ORDER_TIME:
+            self._metrics.count("move_claimed_late")
+            raise StoreError("claim of a move took too long")
         return FenceToken(revision)
 
     async def _write(self, key: str, value: dict[str, Any]) -> int:
--- a/jujubebarrow/runtimes/pool_owners.py
+++ b/jujubebarrow/runtimes/pool_owners.py
@@ -1,6 +1,6 @@
 """Owner of one pool: decisions, store and workers put together."""
 
-from asyncio import sleep
+from asyncio import gather, sleep
 from collections.abc import Awaitable, Callable
 
 from jujubebarrow.clocks.clocks import Clock
@@ -16,6 +16,7 @@
 from jujubebarrow.runtimes.advice_keepers import AdviceKeeper
 from jujubebarrow.runtimes.grant_keepers import GrantKeeper
 from jujubebarrow.runtimes.job_listeners import JobListener
+from jujubebarrow.runtimes.lease_recorders import LeaseRecorder
 from jujubebarrow.runtimes.load_reporters import LoadReporter
 from jujubebarrow.runtimes.move_keepers import MoveKeeper
 from jujubebarrow.runtimes.order_senders import OrderSender
@@ -124,6 +125,9 @@
         self._keeper = GrantKeeper(
             pool, token, book, store, self.on_change, clock, log, metrics
         )
+        self._leases = LeaseRecorder(
+            self.coordinator.state, store, self.on_displaced, clock, log, metrics
+        )
         self._waves = make_waves(self.coordinator, self)
         self._moves = make_moves(self.coordinator, self, self._waves)
         self._advice = make_advice(self.coordinator, self)
@@ -179,7 +183,10 @@
     async def _take_over(self) -> None:
         began = self._clock.monotonic()
         await self._wait_for_feed()
-        if not await self._load(self._loader.load_queues):
+        loaded = await gather(
+            self._load(self._leases.load), self._load(self._loader.load_queues)
+        )
+        if not all(loaded):
             return
         self._loaded = True
         state = self.coordinator.state
@@ -197,6 +204,7 @@
                 self.on_job(record)
         self._tasks.start(self._tick())
         self._tasks.start(self._keeper.run())
+        self._tasks.start(self._leases.run())
         self._tasks.start(self._reporter.run())
         self._tasks.start(self._waves.run())
         self._tasks.start(self._moves.run())
--- a/jujubebarrow/runtimes/wave_stores.py
+++ b/jujubebarrow/runtimes/wave_stores.py
@@ -8,6 +8,7 @@
 from jujubebarrow.maintenance.wave_records import MachineUpkeep, WaveRecord
 from jujubebarrow.runtimes.document_readers import DocumentReader
 from jujubebarrow.stores.row_keys import TableName, make_key
+from jujubebarrow.stores.store_clocks import StoreClock
 from jujubebarrow.stores.stores import Store
 from jujubebarrow.stores.transactions import ABSENT, Transaction
 
@@ -40,7 +41,7 @@
         self._store = store
         self._reader = reader
         self._clock = clock
-        self._seen_at: dict[int, float] = {}
+        self._store_clock = StoreClock(clock)
 
     async def read(self, wave: WaveRequest) -> StoredWave:
         """Return a wave's progress; the first look at a wave stores it.
@@ -49,16 +50,18 @@
             StoreError: No answer.
             TransactionConflictError: Another owner was first.
         """
-        seen_at = self._seen_at.setdefault(wave.wave, self._clock.monotonic())
-        deadline = seen_at + wave.duration
         key = make_key(TableName.WAVES, "", str(wave.wave))
+        sent_at = self._clock.monotonic()
         found = await self._store.read(key)
+        self._store_clock.note(sent_at, found.clock)
         for row in found.rows:
             if row.key == key and row.value:
                 record = WaveRecord.from_document(row.value)
-                return StoredWave(record, row.revision, deadline)
-        record = WaveRecord({name: MachineUpkeep() for name in wave.machines})
-        stored = StoredWave(record, ABSENT, deadline)
+                began = self._store_clock.to_local(record.began)
+                return StoredWave(record, row.revision, began + wave.duration)
+        machines = {name: MachineUpkeep() for name in wave.machines}
+        record = WaveRecord(machines, self._store_clock.to_stored(sent_at))
+        stored = StoredWave(record, ABSENT, sent_at + wave.duration)
         await self.write(wave, stored, record)
         return stored
 
--- a/jujubebarrow/standins/emulated_stores.py
+++ b/jujubebarrow/standins/emulated_stores.py
@@ -28,7 +28,7 @@
     """
 
     def __init__(self, random: Random):
-        self.table = Table()
+        self.table = Table(clock=lambda: get_running_loop().time())
         self.random = random
         self.is_down = False
         self.slowness = 0.0
--- a/jujubebarrow/standins/tables.py
+++ b/jujubebarrow/standins/tables.py
@@ -1,6 +1,8 @@
 """In-memory transactional table of the platform stand-in."""
 
 from asyncio import Condition, wait_for
+from collections.abc import Callable
+from time import monotonic
 from typing import Any
 
 from jujubebarrow.stores.commit_answers import CommitAnswer
@@ -10,10 +12,15 @@
 
 
 class Table:
-    """Rows with revisions, conditional transactions and a change feed."""
+    """Rows with revisions, conditional transactions and a change feed.
 
-    def __init__(self) -> None:
+    Args:
+        clock: Steady clock in seconds.
+    """
+
+    def __init__(self, clock: Callable[[], float] = monotonic) -> None:
         self.revision = 0
+        self._clock = clock
         self._rows = RowIndex()
         self._changed = Condition()
 
@@ -53,12 +60,12 @@
         rows = [row for row in self._rows if row.key.startswith(prefix)]
         if limit:
             rows = rows[:limit]
-        return RowSet(revision=self.revision, rows=rows)
+        return RowSet(revision=self.revision, rows=rows, clock=self._clock())
 
     def changes(self, prefix: str, since: int) -> RowSet:
         """Return rows under a prefix changed after a revision."""
         rows = self._rows.changes(prefix, since)
-        return RowSet(revision=self.revision, rows=rows)
+        return RowSet(revision=self.revision, rows=rows, clock=self._clock())
 
     async def wait_changes(self, prefix: str, since: int, wait: float) -> RowSet:
         """Return changes, waiting some seconds for the first one."""
--- a/jujubebarrow/stores/row_keys.py
+++ b/jujubebarrow/stores/row_keys.py
@@ -16,6 +16,7 @@
     LOADS = "loads"
     WAVES = "waves"
     BALANCE = "balance"
+    LEASES = "leases"
 
 
 class RowKey(NamedTuple):
--- a/jujubebarrow/stores/rows.py
+++ b/jujubebarrow/stores/rows.py
@@ -23,7 +23,14 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RowSet:
-    """Rows and the revision of the table they were read at."""
+    """Rows and the revision of the table they were read at.
+
+    Attributes:
+        revision: Revision of the table.
+        rows: Rows.
+        clock: Reading of the store's steady clock in seconds.
+    """
 
     revision: int
     rows: list[Row]
+    clock: float = 0.0
--- a/jujubebarrow/tests/test_job_owners.py
+++ b/jujubebarrow/tests/test_job_owners.py
@@ -212,3 +212,44 @@
             self.assertEqual(len(alive), 3)
 
         self.play(story)
+
+    def test_a_worker_that_answers_again_keeps_its_tasks(self) -> None:
+        # Its lease was put on record, so that it gets none before the record is gone.
+        async def story(world: JobWorld) -> None:
+            slow = TaskBehaviour(seconds=12.0)
+            job = await world.submit(1, behaviour=slow)
+            await sleep(1.0)
+            for instance in world.instances:
+                instance.gateway.unreachable.update(world.workers)
+            await sleep(3.0)
+            self.assertTrue(_find_leases(world))
+            for instance in world.instances:
+                instance.gateway.unreachable.clear()
+            self.assertTrue(await world.wait_for_phase(job, "completed", 15.0))
+            self.assertFalse(_find_leases(world))
+            self.assertEqual(set(world.count_starts().values()), {1})
+
+        self.play(story)
+
+    def test_a_record_stored_late_keeps_no_worker_from_its_leases(self) -> None:
+        async def story(world: JobWorld) -> None:
+            slow = TaskBehaviour(seconds=12.0)
+            job = await world.submit(1, behaviour=slow)
+            await sleep(1.0)
+            for instance in world.instances:
+                instance.gateway.unreachable.update(world.workers)
+            world.store.silent_keys = {f"leases/{POOL}/lease"}
+            await sleep(2.0)
+            for instance in world.instances:
+                instance.gateway.unreachable.clear()
+            await sleep(1.0)
+            world.store.silent_keys = set()
+            self.assertTrue(await world.wait_for_phase(job, "completed", 15.0))
+            self.assertEqual(set(world.count_starts().values()), {1})
+
+        self.play(story)
+
+
+def _find_leases(world: JobWorld) -> list[str]:
+    rows = world.store.table.read(f"leases/{POOL}/lease").rows
+    return [name for row in rows for name in (row.value or {})["leases"]]
