Look at busy workers more often, and count arrivals as demand

And machines were fetched only when waiting tasks exceeded the pool, 1 s into a rise.

Change: a worker with tasks that end by themselves is asked to wait 0.4 s, the first repeat follows at once, an answer may take 0.4 s beyond the wait. The demand of a pool counts at least the work that arrived within the last second.

Ruled out: capacity alone (the pool had room while steps waited).

Tests that failed first: test_a_look_without_an_answer_makes_no_job_late; ArrivalRateTest plays a rise to twice the pool's capacity.

--- a/jujubebarrow/coordinators/pool_coordinators.py
+++ b/jujubebarrow/coordinators/pool_coordinators.py
@@ -21,6 +21,8 @@
 from jujubebarrow.workloads.job_records import JobRecord
 from jujubebarrow.workloads.worker_reports import HoldReport, WorkerEntry, WorkerState
 
+NEW_JOB_AGE = 1.0
+"""Seconds up to which a job that becomes known counts as arriving now."""
 STOP_MARGIN = 0.4
 """Seconds before a worker ends at which its tasks are stopped for a checkpoint."""
 
@@ -73,6 +75,8 @@
         job = JobLedger(record, now - age)
         self.state.jobs[record.job] = job
         self._planner.learn(job)
+        if age < NEW_JOB_AGE:
+            self.demand.note_job(job, now)
         if progress is None:
             self.state.mark_changed(job)
         else:
--- a/jujubebarrow/coordinators/pool_demands.py
+++ b/jujubebarrow/coordinators/pool_demands.py
@@ -1,7 +1,11 @@
 """What a pool's jobs ask for, and which workers could give it."""
 
+from jujubebarrow.coordinators.active_runs import ActiveRun
+from jujubebarrow.coordinators.arrival_rates import ArrivalRate
+from jujubebarrow.coordinators.job_ledgers import JobLedger
 from jujubebarrow.coordinators.pool_states import PoolState
 from jujubebarrow.coordinators.worker_ledgers import WorkerLedger
+from jujubebarrow.placements.job_orders import work
 from jujubebarrow.workloads.identifiers import WorkerLife
 from jujubebarrow.workloads.job_phases import JobPhase
 
@@ -15,18 +19,39 @@
 
     def __init__(self, state: PoolState):
         self._state = state
+        self._arrivals = ArrivalRate()
 
-    def count_demand(self) -> int:
-        """Return what startable and running tasks ask for, in thousandths of a core.
+    def note_job(self, job: JobLedger, now: float) -> None:
+        """Take a job into account that has just been accepted."""
+        if not job.record.is_long_running and job.record.repetitions == 1:
+            self._arrivals.note(work(job), now)
+
+    def count_demand(self, now: float) -> int:
+        """Return what the pool needs, in thousandths of a core.
+
+        That is what startable and running tasks ask for, or what keeps up with the
+        jobs that arrive, whichever is more.
 
         Tasks whose team is at its limit, and jobs that can't be in time, count as
         well: machines that they could use are no less useful.
         """
-        demand = sum(worker.reserved.cpu for worker in self._state.workers.values())
+        workers = self._state.workers.values()
+        demand = sum(worker.reserved.cpu for worker in workers)
         for job in self._state.jobs.values():
             for _, _, step in job.startable():
                 demand += len(step.waiting) * step.spec.reserved.cpu
-        return max(demand, self._count_spread())
+        lasting = sum(
+            run.reserved.cpu
+            for worker in workers
+            for run in worker.runs.values()
+            if self._is_long_running(run)
+        )
+        arriving = lasting + round(1000 * self._arrivals.measure(now))
+        return max(demand, arriving, self._count_spread())
+
+    def _is_long_running(self, run: ActiveRun) -> bool:
+        job = self._state.jobs.get(run.task.job)
+        return job is None or job.record.is_long_running
 
     def _count_spread(self) -> int:
         """Return the capacity that long-running steps need to spread their tasks.
@@ -56,11 +81,11 @@
 
     def holds_long_running(self, worker: WorkerLedger) -> bool:
         """Return whether a long-running task may be at work on a worker."""
-        for run in worker.runs.values():
-            job = self._state.jobs.get(run.task.job)
-            if job is None or job.record.is_long_running:
-                return True
-        return False
+        return any(self._is_long_running(run) for run in worker.runs.values())
+
+    def ends_soon(self, worker: WorkerLedger) -> bool:
+        """Return whether a task that may be at work on a worker ends by itself."""
+        return not all(self._is_long_running(run) for run in worker.runs.values())
 
     def list_lives(self, now: float) -> list[WorkerLife]:
         """Return the workers that take tasks, those with most room first."""
--- a/jujubebarrow/platform/workers.py
+++ b/jujubebarrow/platform/workers.py
@@ -28,7 +28,7 @@
 """Calls at a time; one waits at each worker of a pool, the rest are orders."""
 ORDER_TIMEOUT = 0.25
 """Seconds for an order; a hundred times a link's delay, and a repeat is harmless."""
-HOLD_MARGIN = 0.6
+HOLD_MARGIN = 0.4
 """Seconds for an answer beyond the time that a worker was told to wait."""
 
 REASONS = {
--- a/jujubebarrow/runtimes/move_keepers.py
+++ b/jujubebarrow/runtimes/move_keepers.py
@@ -125,7 +125,7 @@
         workers = [worker for worker in self._workers() if not worker.is_cordoned]
         return PoolLoad(
             pool=self._pool,
-            demand=self._coordinator.demand.count_demand(),
+            demand=self._coordinator.demand.count_demand(self._clock.monotonic()),
             capacity=sum(worker.capacity.cpu for worker in workers),
             machines=len(workers),
             movable=len(self._find_movable()),
--- a/jujubebarrow/runtimes/worker_sessions.py
+++ b/jujubebarrow/runtimes/worker_sessions.py
@@ -18,10 +18,15 @@
 
 LONGEST_WAIT = 1.5
 """Seconds that a worker may wait for an end to answer; below its 2 s."""
+SHORT_WAIT = 0.4
+"""The same for a worker with tasks that end soon: an answer that is lost then hides
+their ends, and keeps new tasks away, for half a task's time and no longer."""
 SPACING = 0.12
 """Least seconds between two looks at a worker; joins ends that come together."""
+FIRST_RETRY_SECONDS = 0.03
+"""Pause after the first look without an answer; most are lost singly."""
 RETRY_SECONDS = 0.3
-"""Pause after a look without an answer."""
+"""Pause after further ones."""
 STORE_PATIENCE = 1.0
 """Seconds to wait for ends to be stored before the lease is extended anyway."""
 POLL_SECONDS = 0.02
@@ -107,8 +112,9 @@
             self._hooks.on_displaced()
             return
         except WorkerSilentError as error:
+            is_first = not self._worker.failed_since
             self._note_silence(str(error))
-            await sleep(RETRY_SECONDS)
+            await sleep(FIRST_RETRY_SECONDS if is_first else RETRY_SECONDS)
             return
         now = self._clock.monotonic()
         if self._worker.failed_since:
@@ -134,6 +140,8 @@
             return 0.0
         if worker.has_unrecorded_ends:
             return 0.0
+        if self._coordinator.demand.ends_soon(worker):
+            return SHORT_WAIT
         return LONGEST_WAIT
 
     def _note_silence(self, detail: str) -> None:
--- a/jujubebarrow/standins/emulated_gateways.py
+++ b/jujubebarrow/standins/emulated_gateways.py
@@ -41,6 +41,7 @@
         self._random = random
         self.unreachable: set[WorkerId] = set()
         self.is_cut = False
+        self.lost_holds = 0
 
     def _reaches(self, worker: EmulatedWorker) -> bool:
         cut = self.is_cut or worker.worker in self.unreachable
@@ -84,6 +85,7 @@
     async def hold(self, order: HoldOrder) -> HoldReport:
         """Extend the lease and return the lists of runs and ends."""
         worker = self._workers[order.worker]
+        given_up_at = get_running_loop().time() + order.wait + TIMEOUT
         await sleep(DELAY)
         if not self._reaches(worker):
             await sleep(TIMEOUT)
@@ -93,6 +95,10 @@
         if not self._reaches(worker):
             await sleep(TIMEOUT)
             raise WorkerSilentError("unreachable")
+        if self.lost_holds:
+            self.lost_holds -= 1
+            await sleep(given_up_at - get_running_loop().time())
+            raise WorkerSilentError("answer lost")
         if report is None:
             raise WorkerFencedError(order.worker)
         return report
--- a/jujubebarrow/tests/test_job_core.py
+++ b/jujubebarrow/tests/test_job_core.py
@@ -35,6 +35,28 @@
 
         self.play(story)
 
+    def test_a_look_without_an_answer_makes_no_job_late(self) -> None:
+        # Bound: the objective of three steps of 0.1 s, 2.0 times that and 1.0 s.
+        chain = tuple(
+            StepSpec(
+                count=1,
+                needs=Resources(1000, 500),
+                estimate=0.1,
+                after=(number - 1,) if number else (),
+            )
+            for number in range(3)
+        )
+
+        async def story(world: JobWorld) -> None:
+            owner = world.find_owner()
+            assert owner is not None
+            quick = TaskBehaviour(seconds=0.1)
+            job = await world.submit(1, chain, behaviour=quick)
+            owner.gateway.lost_holds = 1
+            self.assertTrue(await world.wait_for_phase(job, "completed", 1.6))
+
+        self.play(story, workers=1)
+
     def test_a_repeated_id_remains_one_job_at_every_instance_and_step(self) -> None:
         async def story(world: JobWorld) -> None:
             job = await world.submit(1)
--- a/jujubebarrow/tests/test_overload.py
+++ b/jujubebarrow/tests/test_overload.py
@@ -3,6 +3,7 @@
 import unittest
 from random import Random
 
+from jujubebarrow.coordinators.arrival_rates import ArrivalRate
 from jujubebarrow.coordinators.job_ledgers import JobLedger
 from jujubebarrow.identifiers import JobId, PoolId, QueueId, TeamId
 from jujubebarrow.placements.job_orders import JobOrder, objective, work
@@ -183,3 +184,18 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class ArrivalRateTest(unittest.TestCase):
+    def test_a_rise_shows_before_the_tasks_that_wait_exceed_the_pool(self) -> None:
+        # The load: 12 jobs a second with about 100 cores' work, on 60 cores.
+        for seed in range(1, 6):
+            turn = Turn(seed, by_arrival=False)
+            rate = ArrivalRate()
+            for job in turn.jobs:
+                now = job.known_at
+                rate.note(work(job), now)
+                if rate.measure(now) > CORES:
+                    break
+            self.assertLess(now, 1.0, seed)
+            self.assertEqual(rate.measure(now + 2.0), 0.0)
