--- a/jujubebarrow/callers/applications.py
+++ b/jujubebarrow/callers/applications.py
@@ -5,7 +5,7 @@
 
 from jujubebarrow.callers.base_handlers import BaseHandler, UnknownPathHandler
 from jujubebarrow.callers.caller_contexts import CallerContext
-from jujubebarrow.callers.job_handlers import CallerJobHandler
+from jujubebarrow.callers.job_handlers import QueueJobHandler, QueueJobsHandler
 from jujubebarrow.callers.request_handlers import QueueRequestHandler
 
 
@@ -37,7 +37,8 @@
     return Application(
         [
             (r"/v1/queues/([^/]+)/requests", QueueRequestHandler, arguments),
-            (r"/v1/jobs/([0-9a-f]+)", CallerJobHandler, arguments),
+            (r"/v1/queues/([^/]+)/jobs", QueueJobsHandler, arguments),
+            (r"/v1/queues/([^/]+)/jobs/([0-9a-f]+)", QueueJobHandler, arguments),
             (r"/v1/health", HealthHandler, arguments),
         ],
         default_handler_class=UnknownPathHandler,
--- a/jujubebarrow/callers/caller_contexts.py
+++ b/jujubebarrow/callers/caller_contexts.py
@@ -6,7 +6,7 @@
 from jujubebarrow.callers.authenticators import Authenticator
 from jujubebarrow.clocks.clocks import Clock
 from jujubebarrow.metrics.registries import MetricsRegistry
-from jujubebarrow.services.job_services import JobService
+from jujubebarrow.runtimes.job_accesses import JobAccess
 from jujubebarrow.services.request_services import RequestService
 from jujubebarrow.settings.settings import Settings
 
@@ -20,6 +20,6 @@
     metrics: MetricsRegistry
     authenticator: Authenticator
     requests: RequestService
-    jobs: JobService
+    jobs: JobAccess
     is_ready: Callable[[], bool]
     is_stopping: Callable[[], bool]
--- a/jujubebarrow/callers/job_handlers.py
+++ b/jujubebarrow/callers/job_handlers.py
@@ -1,30 +1,113 @@
 """Jobs of callers."""
 
-from jujubebarrow.callers.base_handlers import BaseHandler
+from hashlib import blake2b
+from uuid import uuid4
+
+from jujubebarrow.callers.authenticators import Caller
+from jujubebarrow.callers.body_handlers import BodyHandler
 from jujubebarrow.callers.caller_contexts import CallerContext
-from jujubebarrow.callers.job_documents import describe_job
+from jujubebarrow.callers.deadlines import read_timeout
+from jujubebarrow.callers.job_documents import JobDocument
+from jujubebarrow.callers.job_requests import read_submission
+from jujubebarrow.errors.exceptions import RefusalError
+from jujubebarrow.errors.kinds import ErrorKind
+from jujubebarrow.fleets.queue_routes import QueueRoute
+from jujubebarrow.identifiers import JobId, QueueId
+from jujubebarrow.workloads.job_phases import JobPhase
 
+ID_BYTES = 8
+"""Length of a job's id; as long as those that callers of the platform choose."""
+IDEMPOTENCY_KEY_LIMIT = 255
+RETRY_SECONDS = 1.0
+"""Retry-After while this instance does not take jobs, or the store is silent."""
+
+
+def make_job_id(team: str, queue: str, key: str) -> JobId:
+    """Return the id of a job: the same for each repeat of a key, else a new one."""
+    if not key:
+        return JobId(uuid4().hex[: 2 * ID_BYTES])
+    identity = "\0".join((team, queue, key))
+    return JobId(blake2b(identity.encode(), digest_size=ID_BYTES).hexdigest())
 
-class CallerJobHandler(BaseHandler):
-    """Shows and cancels a job of the caller's team."""
 
+class _JobHandler(BodyHandler):
     context: CallerContext
 
     def initialize(self, context: CallerContext) -> None:  # type: ignore[override]
         """Take over the services."""
         super().initialize(context.metrics)
         self.context = context
+        self.body_limit = context.settings.body_limit
+
+    def _authorise(self, queue: str) -> tuple[Caller, QueueRoute]:
+        caller, _ = self.context.authenticator.authorise(
+            self.request.headers.get("Authorization"), queue
+        )
+        return caller, self.context.jobs.find_route(QueueId(queue))
+
+    def _tell(self, job: str, queue: str, state: JobPhase, status: int = 200) -> None:
+        document = JobDocument(id=job, queue=queue, state=state)
+        self.answer(document, status=status)
 
-    async def get(self, name: str) -> None:
-        """Show a job."""
-        job = await self.context.jobs.get(name, self._team())
-        self.answer(describe_job(name, job))
 
-    async def delete(self, name: str) -> None:
-        """Cancel a job."""
-        job = await self.context.jobs.cancel(name, self._team())
-        self.answer(describe_job(name, job))
+class QueueJobsHandler(_JobHandler):
+    """Accepts jobs."""
+
+    def prepare(self) -> None:
+        """Check everything that needs no body."""
+        if self.context.is_stopping():
+            raise RefusalError(ErrorKind.SHUTTING_DOWN, retry_after=RETRY_SECONDS)
+        if not self.context.is_ready():
+            raise RefusalError(ErrorKind.NOT_READY, retry_after=RETRY_SECONDS)
+        if self.request.method != "POST":
+            raise RefusalError(ErrorKind.BAD_REQUEST, "only POST")
+        self._caller, self._route = self._authorise(self.path_args[0])
+        super().prepare()
+
+    async def post(self, queue: str) -> None:
+        """Accept a job: it is stored when this answers."""
+        headers = self.request.headers
+        key = headers.get("Idempotency-Key", "")
+        if len(key) > IDEMPOTENCY_KEY_LIMIT:
+            raise RefusalError(ErrorKind.BAD_REQUEST, "Idempotency-Key is too long")
+        timeout = read_timeout(
+            headers.get("Request-Timeout"),
+            headers.get("Deadline"),
+            self.context.clock.wall(),
+            self.context.settings.default_deadline,
+            self.context.settings.deadline_limit,
+        )
+        submission = read_submission(self.body)
+        # Checked again, as the body may have taken long: keys can be withdrawn.
+        caller, route = self._authorise(queue)
+        job = make_job_id(caller.team, queue, key)
+        intake = self.context.jobs.intake
+        try:
+            await intake.submit(route, caller.team, job, submission, timeout)
+        except RefusalError as error:
+            if error.kind is not ErrorKind.RUN_UNKNOWN:
+                raise
+            # Unlike a request, a job may be handed in again under the same key.
+            raise RefusalError(
+                ErrorKind.IN_PROGRESS, error.detail, RETRY_SECONDS
+            ) from error
+        self.set_header("Location", f"/v1/queues/{queue}/jobs/{job}")
+        self.metrics.count("answered", "accepted")
+        self._tell(job, queue, JobPhase.QUEUED, status=202)
+
+
+class QueueJobHandler(_JobHandler):
+    """Shows and cancels a job of the caller's team."""
+
+    async def get(self, queue: str, job: str) -> None:
+        """Show a job."""
+        caller, route = self._authorise(queue)
+        intake = self.context.jobs.intake
+        self._tell(job, queue, await intake.read_phase(route, caller.team, JobId(job)))
 
-    def _team(self) -> str:
-        header = self.request.headers.get("Authorization")
-        return self.context.authenticator.authenticate(header).team
+    async def delete(self, queue: str, job: str) -> None:
+        """Cancel a job: that is stored when this answers."""
+        caller, route = self._authorise(queue)
+        intake = self.context.jobs.intake
+        await intake.cancel(route, caller.team, JobId(job))
+        self._tell(job, queue, await intake.read_phase(route, caller.team, JobId(job)))
--- a/jujubebarrow/callers/request_handlers.py
+++ b/jujubebarrow/callers/request_handlers.py
@@ -6,21 +6,18 @@
 from jujubebarrow.callers.body_handlers import BodyHandler
 from jujubebarrow.callers.caller_contexts import CallerContext
 from jujubebarrow.callers.deadlines import read_timeout
-from jujubebarrow.callers.job_documents import JobDocument
 from jujubebarrow.configurations.queue_records import Queue
 from jujubebarrow.errors.exceptions import RefusalError
 from jujubebarrow.errors.kinds import ErrorKind
 from jujubebarrow.homes.run_results import RunResult
-from jujubebarrow.jobs.job_states import JobState
 from jujubebarrow.peers.forward_messages import Forward
 
-ASYNC_PREFERENCE = "respond-async"
 IDEMPOTENCY_KEY_LIMIT = 255
 DEFAULT_TYPE = "application/octet-stream"
 
 
 class QueueRequestHandler(BodyHandler):
-    """Runs a request at once, or accepts it as a job."""
+    """Runs a request at once."""
 
     context: CallerContext
     caller: Caller
@@ -64,7 +61,7 @@
             raise RefusalError(ErrorKind.IDEMPOTENCY_KEY_REQUIRED)
 
     async def post(self, name: str) -> None:
-        """Run the request or accept the job."""
+        """Run the request."""
         body = self.body
         content_type = self.request.headers.get("Content-Type", DEFAULT_TYPE)
         _check_json(content_type, body)
@@ -79,20 +76,9 @@
             body=body,
             priority=self.queue.priority,
         )
-        if ASYNC_PREFERENCE in self.request.headers.get("Prefer", ""):
-            await self._accept(forward)
-            return
         result = await self.context.requests.run(forward)
         self._answer(name, result)
 
-    async def _accept(self, forward: Forward) -> None:
-        job_id = await self.context.jobs.accept(forward)
-        self.set_header("Location", f"/v1/jobs/{job_id}")
-        self.set_header("Preference-Applied", ASYNC_PREFERENCE)
-        self.metrics.count("answered", "accepted")
-        document = JobDocument(id=job_id, queue=forward.queue, state=JobState.ACCEPTED)
-        self.answer(document, status=202)
-
     def _answer(self, name: str, result: RunResult) -> None:
         self.set_status(result.status)
         self.set_header("Content-Type", result.content_type)
--- a/jujubebarrow/commands/job_commands.py
+++ b/jujubebarrow/commands/job_commands.py
@@ -4,10 +4,14 @@
 
 from cleo.helpers import argument
 
-from jujubebarrow.callers.job_documents import JobDocument
 from jujubebarrow.commands.base_commands import OperatorCommand
 from jujubebarrow.commands.clients import OperatorClient
-from jujubebarrow.operators.job_documents import JobList
+from jujubebarrow.operators.job_documents import JobList, OperatorJobDocument
+
+
+def make_job_path(queue: str, job: str) -> str:
+    """Return the path of a job in the operators' interface."""
+    return f"/v1/jobs/{quote(queue, safe='')}/{quote(job, safe='')}"
 
 
 class JobListCommand(OperatorCommand):
@@ -20,22 +24,22 @@
         """Print all open jobs."""
         found = client.get("/v1/jobs", JobList)
         rows = [
-            [j.id, j.queue, j.state.value, j.attempts, j.reason] for j in found.jobs
+            [j.id, j.queue, j.pool, j.team, j.state.value, j.tasks] for j in found.jobs
         ]
-        self.show(found, ["job", "queue", "state", "attempts", "reason"], rows)
+        self.show(found, ["job", "queue", "pool", "team", "state", "tasks"], rows)
 
 
 class JobShowCommand(OperatorCommand):
     """Shows a job."""
 
     name = "job show"
-    description = "Show a job and its outcome."
-    arguments = [argument("job", "Job id.")]
+    description = "Show a job."
+    arguments = [argument("queue", "Queue."), argument("job", "Job id.")]
 
     def run_with(self, client: OperatorClient) -> None:
         """Print the job."""
-        path = f"/v1/jobs/{quote(self.argument('job'), safe='')}"
-        job = client.get(path, JobDocument)
+        path = make_job_path(self.argument("queue"), self.argument("job"))
+        job = client.get(path, OperatorJobDocument)
         self.show(job, ["field", "value"], list(job.model_dump(mode="json").items()))
 
 
@@ -43,11 +47,11 @@
     """Cancels a job."""
 
     name = "job cancel"
-    description = "Cancel a job; one that runs is not started again."
-    arguments = [argument("job", "Job id.")]
+    description = "Cancel a job; its tasks are stopped."
+    arguments = [argument("queue", "Queue."), argument("job", "Job id.")]
 
     def run_with(self, client: OperatorClient) -> None:
         """Cancel the job."""
-        path = f"/v1/jobs/{quote(self.argument('job'), safe='')}"
-        job = client.change("DELETE", path, JobDocument)
-        self.tell(job, f"job {job.id} is {job.state.value}: {job.reason}")
+        path = make_job_path(self.argument("queue"), self.argument("job"))
+        job = client.change("DELETE", path, OperatorJobDocument)
+        self.tell(job, f"job {job.id} is {job.state.value}")
--- a/jujubebarrow/configurations/queue_records.py
+++ b/jujubebarrow/configurations/queue_records.py
@@ -17,6 +17,8 @@
         priority: Order among the queues of a pool.
         run_time: First guess of the run time, in seconds.
         cores: Processor cores that a request needs on one instance.
+        job_target: Seconds that a job may take beyond its work to be in time.
+        job_stretch: Factor of a job's longest chain of work within that time.
     """
 
     pool: Name
@@ -26,3 +28,5 @@
     priority: Priority = Priority.INTERACTIVE
     run_time: float = Field(0.1, gt=0)
     cores: int = Field(1, ge=1)
+    job_target: float = Field(1.0, ge=0)
+    job_stretch: float = Field(2.0, ge=1)
--- a/jujubebarrow/daemons/daemons.py
+++ b/jujubebarrow/daemons/daemons.py
@@ -12,6 +12,7 @@
 
 from jujubebarrow.callers.applications import make_caller_application
 from jujubebarrow.clocks.system_clocks import SystemClock
+from jujubebarrow.daemons.job_nodes import JobNode
 from jujubebarrow.daemons.nodes import Node
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.operators.applications import make_operator_application
@@ -55,6 +56,14 @@
             self.metrics,
         )
 
+        self._jobs = JobNode(
+            settings,
+            self._node,
+            self._identity.incarnation,
+            self._platform,
+            self.metrics,
+        )
+
     def _connect(self, address: str, on_connect: Callable[[Link], None]) -> Link:
         return PeerLink(
             address,
@@ -76,6 +85,7 @@
             logger.info("started instance {}", self._settings.instance)
             await self._stop.wait()
             logger.info("stopping instance {}", self._settings.instance)
+            await self._jobs.hand_over()
             await self._node.finish_work()
         logger.info("stopped instance {}", self._settings.instance)
 
@@ -91,8 +101,10 @@
         await server.open()
         stack.push_async_callback(server.close)
         await self._node.open(stack)
-        callers = make_caller_application(self._node.make_caller_context())
-        operators = make_operator_application(self._node.make_operator_context())
+        await self._jobs.open(stack)
+        access = self._jobs.access
+        callers = make_caller_application(self._node.make_caller_context(access))
+        operators = make_operator_application(self._node.make_operator_context(access))
         self._listen(stack, callers, self._settings.caller_port)
         self._listen(stack, operators, self._settings.operator_port)
 
--- a/jujubebarrow/daemons/nodes.py
+++ b/jujubebarrow/daemons/nodes.py
@@ -26,6 +26,7 @@
 from jujubebarrow.peers.status_messages import PeerStatus, PoolReport
 from jujubebarrow.pools.move_planners import MovePlanner
 from jujubebarrow.routes.homes import HomeDirectory
+from jujubebarrow.runtimes.job_accesses import JobAccess
 from jujubebarrow.services.claim_purgers import ClaimPurger
 from jujubebarrow.services.claim_stores import ClaimStore
 from jujubebarrow.services.commit_batchers import CommitBatcher
@@ -33,8 +34,6 @@
 from jujubebarrow.services.control_services import ControlService
 from jujubebarrow.services.explanations import ExplanationLog
 from jujubebarrow.services.fleet_observers import FleetObserver
-from jujubebarrow.services.job_services import JobService
-from jujubebarrow.services.job_stores import JobStore
 from jujubebarrow.services.peer_request_handlers import PeerRequestHandler
 from jujubebarrow.services.peer_services import PeerService
 from jujubebarrow.services.request_services import RequestService
@@ -203,7 +202,6 @@
             self._explanations,
             self._peers.add,
             self._borrower.hurry,
-            lambda name: self.jobs.supervise_later(name),
             lambda: self._stopping,
         )
         self.requests = RequestService(
@@ -220,26 +218,6 @@
 
     def _build_control(self) -> None:
         settings = self._settings
-        self.job_store = JobStore(
-            self.identity,
-            self._platform,
-            self._batcher,
-            self._clock,
-            self.metrics,
-            self._explanations,
-        )
-        self.jobs = JobService(
-            self.identity,
-            self._platform,
-            self.job_store,
-            self.requests,
-            self.configuration,
-            self._clock,
-            settings,
-            self.metrics,
-            self._seats.has_ended,
-            self._peers,
-        )
         moves = MovePlanner(settings.move_hold, settings.move_wait)
         observer = FleetObserver(
             self.configuration,
@@ -256,7 +234,6 @@
             FleetPlanner(moves, self.metrics),
             observer,
             self._upstreams,
-            self.jobs,
             ClaimPurger(self._platform, self._clock, self.metrics),
             self._clock,
             settings,
@@ -348,8 +325,8 @@
     async def open(self, stack: AsyncExitStack) -> None:
         """Start all services; the stack closes them.
 
-        They close in the opposite order: jobs are handed over first, and the
-        seats are released when nothing can run any more.
+        They close in the opposite order: the seats are released when nothing can
+        run any more.
         """
         stack.push_async_callback(self._peers.close)
         stack.push_async_callback(self._seats.release)
@@ -358,7 +335,6 @@
         stack.push_async_callback(self.configurations.close)
         stack.push_async_callback(self._borrower.close)
         stack.push_async_callback(self._control.close)
-        stack.push_async_callback(self.jobs.close)
         self.configurations.open()
         self._seats.open()
         self._peers.open()
@@ -371,14 +347,13 @@
         self._stopping = True
         end = self._clock.monotonic() + self._settings.stop_timeout
         await sleep(LEAVE_NOTICE_PERIODS * self._settings.heartbeat_period)
-        await self.jobs.close()
         while self._is_busy() and self._clock.monotonic() < end:
             await sleep(STOP_POLL_SECONDS)
 
     def _is_busy(self) -> bool:
         return bool(self._home.busy or self.requests.active)
 
-    def make_caller_context(self) -> CallerContext:
+    def make_caller_context(self, jobs: JobAccess) -> CallerContext:
         """Return what the callers' handlers need."""
         return CallerContext(
             settings=self._settings,
@@ -386,12 +361,12 @@
             metrics=self.metrics,
             authenticator=self.authenticator,
             requests=self.requests,
-            jobs=self.jobs,
+            jobs=jobs,
             is_ready=lambda: self.is_ready,
             is_stopping=lambda: self._stopping,
         )
 
-    def make_operator_context(self) -> OperatorContext:
+    def make_operator_context(self, jobs: JobAccess) -> OperatorContext:
         """Return what the operators' handlers need."""
         status = StatusReader(
             self.configuration,
@@ -410,8 +385,7 @@
             status=status,
             peers=self._peers,
             explanations=self._explanations,
-            jobs=self.jobs,
-            job_store=self.job_store,
+            jobs=jobs,
             upstreams=self._upstreams,
             may_write=lambda: self._seats.may_write,
         )
--- /dev/null
+++ b/jujubebarrow/gateways/fixed_machines.py
@@ -0,0 +1,34 @@
+"""Machines that owners of pools neither move nor maintain."""
+
+from jujubebarrow.gateways.machine_controls import (
+    Machine,
+    MachineAnswer,
+    MachineControl,
+)
+from jujubebarrow.identifiers import PoolId
+from jujubebarrow.workloads.identifiers import FenceToken, MachineId
+
+
+class FixedMachines(MachineControl):
+    """Stands for machines that something else is responsible for."""
+
+    @property
+    def is_available(self) -> bool:
+        """Whether machines can be moved and maintained from here."""
+        return False
+
+    async def list_machines(self) -> list[Machine]:
+        """Return no machines."""
+        return []
+
+    async def move(
+        self, machine: MachineId, pool: PoolId, token: FenceToken
+    ) -> MachineAnswer:
+        """Refuse the order."""
+        return MachineAnswer.UNKNOWN_MACHINE
+
+    async def maintain(
+        self, machine: MachineId, wave: int, token: FenceToken
+    ) -> MachineAnswer:
+        """Refuse the order."""
+        return MachineAnswer.UNKNOWN_MACHINE
--- a/jujubebarrow/gateways/machine_controls.py
+++ b/jujubebarrow/gateways/machine_controls.py
@@ -57,6 +57,11 @@
 class MachineControl(ABC):
     """Lists machines and takes them down for a move or maintenance."""
 
+    @property
+    def is_available(self) -> bool:
+        """Whether machines can be moved and maintained from here."""
+        return True
+
     @abstractmethod
     async def list_machines(self) -> list[Machine]:
         """Return all machines.
--- a/jujubebarrow/homes/attempts.py
+++ b/jujubebarrow/homes/attempts.py
@@ -1,6 +1,6 @@
 """One start of a request, and what becomes of it."""
 
-from asyncio import create_task, get_running_loop, sleep
+from asyncio import get_running_loop
 from collections.abc import Callable
 from itertools import count
 
@@ -9,7 +9,6 @@
 from jujubebarrow.configurations.key_states import KeyState
 from jujubebarrow.errors.exceptions import DispatchError, RefusalError
 from jujubebarrow.errors.kinds import ErrorKind
-from jujubebarrow.homes.borrowers import Borrower
 from jujubebarrow.homes.run_results import RunResult
 from jujubebarrow.invariants.monitors import InvariantMonitor
 from jujubebarrow.metrics.registries import MetricsRegistry
@@ -29,7 +28,6 @@
 """Refusals by upstreams after which a request is given up."""
 SERVER_ERROR_STATUS = 500
 RETRY_SECONDS = 1.0
-RENEWALS_PER_LEASE = 3
 
 
 class AttemptRunner:
@@ -71,17 +69,12 @@
         self._pump = pump
         self._serials = count(1)
         self._held = 0
-        self._borrower: Borrower | None = None
 
     @property
     def held(self) -> int:
         """Tasks without an answer that may still be running."""
         return self._held
 
-    def set_borrower(self, borrower: Borrower) -> None:
-        """Set who makes loans last longer for work that is renewed."""
-        self._borrower = borrower
-
     async def attempt(
         self, scheduler: PoolScheduler, start: Start, request: Forward
     ) -> RunResult | None:
@@ -95,7 +88,8 @@
         )
         entry.sends += 1
         try:
-            answer = await self._send(start, self._make_task(start, request))
+            task = self._make_task(start, request)
+            answer = await self._upstreams.run(start.member.instance.address, task)
         except DispatchError as error:
             self._note_failure(scheduler, start, error)
             self._check_retry(scheduler, entry, error)
@@ -136,37 +130,6 @@
             once=not start.entry.idempotent,
         )
 
-    async def _send(self, start: Start, task: TaskRequest) -> TaskAnswer:
-        address = start.member.instance.address
-        if not start.entry.renewed:
-            return await self._upstreams.run(address, task)
-        renewal = create_task(self._renew(start, task.task))
-        try:
-            return await self._upstreams.run(address, task)
-        finally:
-            renewal.cancel()
-
-    async def _renew(self, start: Start, task: str) -> None:
-        period = self._settings.task_lease / RENEWALS_PER_LEASE
-        address = start.member.instance.address
-        while True:
-            await sleep(period)
-            lease_end = await self._next_lease_end(start)
-            # Noted first: the upstream may run until then even if no answer comes.
-            start.lease_end = lease_end
-            try:
-                await self._upstreams.renew(address, task, lease_end)
-            except DispatchError:
-                self._metrics.count("retry", "lease-renewal")
-
-    async def _next_lease_end(self, start: Start) -> float:
-        lease_end = self._clock.wall() + self._settings.task_lease
-        permit = start.permit
-        if permit is None or permit.loan is None or self._borrower is None:
-            return lease_end
-        until = await self._borrower.extend(permit.team, permit.loan)
-        return max(start.lease_end, min(lease_end, until))
-
     def _note_failure(
         self, scheduler: PoolScheduler, start: Start, error: DispatchError
     ) -> None:
--- a/jujubebarrow/homes/borrowers.py
+++ b/jujubebarrow/homes/borrowers.py
@@ -10,7 +10,6 @@
 from jujubebarrow.limits.loans import Loan
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.peers.loan_messages import (
-    LoanExtension,
     LoanReply,
     LoanRequest,
     LoanReturn,
@@ -121,29 +120,6 @@
         self._metrics.count("loan", "taken")
         return reply.count
 
-    async def extend(self, team: TeamId, loan_id: str) -> float:
-        """Ask the lender to end a loan later and return its end.
-
-        Returns:
-            End in seconds since the epoch; unchanged if the lender did not agree.
-        """
-        loan = self._ledger.find_taken(team, loan_id)
-        if loan is None:
-            return 0.0
-        request = LoanExtension(team=team, loan=loan_id)
-        try:
-            reply = await self._peers.request(
-                loan.peer, request, self._settings.peer_timeout
-            )
-        except PeerLostError:
-            self._metrics.count("loan", "extension-lost")
-            return loan.until
-        if isinstance(reply, LoanReply) and reply.loan == loan_id:
-            until = reply.until - self._settings.clock_error
-            self._ledger.prolong(team, loan_id, until)
-            self._metrics.count("loan", "extended")
-        return loan.until
-
     def hurry(self) -> None:
         """Give units back that are idle or recalled."""
         for team, loan in self._ledger.return_idle():
--- a/jujubebarrow/homes/home_services.py
+++ b/jujubebarrow/homes/home_services.py
@@ -105,7 +105,6 @@
     def set_borrower(self, borrower: Borrower) -> None:
         """Set where lacking units are borrowed."""
         self._borrower = borrower
-        self._attempts.set_borrower(borrower)
 
     @property
     def busy(self) -> int:
@@ -244,12 +243,10 @@
             team=TeamId(request.team),
             key=KeyDigest(request.key),
             priority=request.priority,
-            # A job that is started again must not overlap with its earlier run.
-            idempotent=queue.idempotent and not request.job,
+            idempotent=queue.idempotent,
             arrived=now,
             deadline=now + remaining,
             cores=queue.cores,
-            renewed=request.job,
         )
 
     async def _run_claimed(
--- a/jujubebarrow/limits/holdings.py
+++ b/jujubebarrow/limits/holdings.py
@@ -112,25 +112,6 @@
         self._given[loan.loan] = granted
         return granted
 
-    def extend(self, loan_id: str, until: float, now: float) -> Loan | None:
-        """End a loan given later; return None if it has ended already."""
-        self.expire(now)
-        loan = self._given.get(loan_id)
-        if loan is None:
-            return None
-        loan.until = max(loan.until, until)
-        return loan
-
-    def prolong(self, loan_id: str, until: float) -> None:
-        """End a loan taken later, after its lender agreed."""
-        loan = self._taken.get(loan_id)
-        if loan is not None:
-            loan.until = max(loan.until, until)
-
-    def find_taken(self, loan_id: str) -> Loan | None:
-        """Return a loan taken, or None if it has ended."""
-        return self._taken.get(loan_id)
-
     def take(self, loan: Loan) -> None:
         """Add a loan that a peer granted."""
         self._taken[loan.loan] = loan
--- a/jujubebarrow/limits/ledgers.py
+++ b/jujubebarrow/limits/ledgers.py
@@ -128,25 +128,6 @@
         offer = Loan(loan_id, peer, wanted, now + period)
         return self._holding(team).lend(offer, self.floor(team), now)
 
-    def extend(self, team: TeamId, loan_id: str, period: float) -> Loan | None:
-        """End a loan given later, if it has not ended.
-
-        Args:
-            team: Team.
-            loan_id: Loan.
-            period: Seconds from now to its new end.
-        """
-        now = self._clock.wall()
-        return self._holding(team).extend(loan_id, now + period, now)
-
-    def prolong(self, team: TeamId, loan_id: str, until: float) -> None:
-        """End a loan taken later, after its lender agreed."""
-        self._holding(team).prolong(loan_id, until)
-
-    def find_taken(self, team: TeamId, loan_id: str) -> Loan | None:
-        """Return a loan taken, or None if it has ended."""
-        return self._holding(team).find_taken(loan_id)
-
     def take(self, team: TeamId, loan: Loan) -> None:
         """Add units that a peer lent."""
         loan.idle_since = self._clock.wall()
--- a/jujubebarrow/operators/applications.py
+++ b/jujubebarrow/operators/applications.py
@@ -4,6 +4,7 @@
 
 from jujubebarrow.callers.base_handlers import UnknownPathHandler
 from jujubebarrow.operators.instance_handlers import InstanceActionHandler
+from jujubebarrow.operators.job_handlers import JobsHandler, OperatorJobHandler
 from jujubebarrow.operators.key_handlers import KeyHandler, KeysHandler
 from jujubebarrow.operators.maintenance_handlers import WaveHandler, WavesHandler
 from jujubebarrow.operators.operator_contexts import OperatorContext
@@ -11,9 +12,7 @@
 from jujubebarrow.operators.record_handlers import RecordHandler, RecordsHandler
 from jujubebarrow.operators.status_handlers import (
     ExplainHandler,
-    JobsHandler,
     MetricsHandler,
-    OperatorJobHandler,
     StatusHandler,
 )
 
@@ -33,7 +32,7 @@
             (r"/v1/maintenance", WavesHandler, arguments),
             (r"/v1/maintenance/([^/]+)", WaveHandler, arguments),
             (r"/v1/jobs", JobsHandler, arguments),
-            (r"/v1/jobs/([0-9a-f]+)", OperatorJobHandler, arguments),
+            (r"/v1/jobs/([^/]+)/([0-9a-f]+)", OperatorJobHandler, arguments),
             (r"/v1/records/([^/]+)", RecordsHandler, arguments),
             (r"/v1/records/([^/]+)/([^/]+)", RecordHandler, arguments),
             (r"/metrics", MetricsHandler, arguments),
--- a/jujubebarrow/operators/operator_contexts.py
+++ b/jujubebarrow/operators/operator_contexts.py
@@ -7,10 +7,9 @@
 from jujubebarrow.configurations.configurations import Configuration
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.operators.status_readers import StatusReader
+from jujubebarrow.runtimes.job_accesses import JobAccess
 from jujubebarrow.services.configuration_services import ConfigurationService
 from jujubebarrow.services.explanations import ExplanationLog
-from jujubebarrow.services.job_services import JobService
-from jujubebarrow.services.job_stores import JobStore
 from jujubebarrow.services.peer_services import PeerService
 from jujubebarrow.settings.settings import Settings
 from jujubebarrow.upstreams.upstreams import Upstreams
@@ -28,7 +27,6 @@
     status: StatusReader
     peers: PeerService
     explanations: ExplanationLog
-    jobs: JobService
-    job_store: JobStore
+    jobs: JobAccess
     upstreams: Upstreams
     may_write: Callable[[], bool]
--- a/jujubebarrow/operators/status_handlers.py
+++ b/jujubebarrow/operators/status_handlers.py
@@ -2,10 +2,8 @@
 
 from asyncio import gather
 
-from jujubebarrow.callers.job_documents import describe_job
 from jujubebarrow.errors.exceptions import PeerLostError
 from jujubebarrow.operators.explanation_documents import ExplainedLine, ExplainedSubject
-from jujubebarrow.operators.job_documents import JobList
 from jujubebarrow.operators.operator_handlers import OperatorHandler
 from jujubebarrow.peers.explanation_messages import ExplainRequest, Explanations
 
@@ -65,27 +63,3 @@
             ExplainedLine(time=time, instance=instance, sentence=sentence)
             for time, instance, sentence in reply.lines
         ]
-
-
-class JobsHandler(OperatorHandler):
-    """Lists open jobs."""
-
-    async def get(self) -> None:
-        """Show all jobs that are not finished."""
-        jobs = await self.context.job_store.list_open()
-        documents = [describe_job(name, job) for name, job in sorted(jobs.items())]
-        self.answer(JobList(jobs=documents))
-
-
-class OperatorJobHandler(OperatorHandler):
-    """Shows and cancels one job."""
-
-    async def get(self, name: str) -> None:
-        """Show a job."""
-        job = await self.context.jobs.get(name, None)
-        self.answer(describe_job(name, job))
-
-    async def delete(self, name: str) -> None:
-        """Cancel a job."""
-        job = await self.context.jobs.cancel(name, None)
-        self.answer(describe_job(name, job))
--- a/jujubebarrow/peers/forward_messages.py
+++ b/jujubebarrow/peers/forward_messages.py
@@ -22,7 +22,6 @@
         content_type: Media type of the body.
         body: Body.
         priority: Order among the queues of the pool.
-        job: Whether its lease is renewed while it runs.
     """
 
     kind: Literal["forward"] = "forward"
@@ -36,7 +35,6 @@
     content_type: str = "application/octet-stream"
     body: bytes = b""
     priority: Priority = Priority.INTERACTIVE
-    job: bool = False
 
 
 class Answered(Message):
--- a/jujubebarrow/peers/loan_messages.py
+++ b/jujubebarrow/peers/loan_messages.py
@@ -16,15 +16,6 @@
     wanted: int = Field(ge=1)
 
 
-class LoanExtension(Message):
-    """Asks to end a loan later, for work that is still running."""
-
-    kind: Literal["loan-extension"] = "loan-extension"
-    serial: int = 0
-    team: str
-    loan: str
-
-
 class LoanReply(Message):
     """Grants units until a moment; none if the count is 0."""
 
--- a/jujubebarrow/peers/messages.py
+++ b/jujubebarrow/peers/messages.py
@@ -9,9 +9,7 @@
 from jujubebarrow.peers.forward_messages import Answered, Forward, Refused
 from jujubebarrow.peers.handshake_messages import Challenge, Hello, Welcome
 from jujubebarrow.peers.heartbeat_messages import Ping, Pong
-from jujubebarrow.peers.job_messages import SuperviseRequest
 from jujubebarrow.peers.loan_messages import (
-    LoanExtension,
     LoanReply,
     LoanRequest,
     LoanReturn,
@@ -26,9 +24,7 @@
     Ping
     | Forward
     | LoanRequest
-    | LoanExtension
     | LoanReturn
-    | SuperviseRequest
     | ChangesRequest
     | ExplainRequest
     | StatusRequest
--- a/jujubebarrow/platform/main.py
+++ b/jujubebarrow/platform/main.py
@@ -30,6 +30,8 @@
 from jujubebarrow.platform.stores import PlatformStore
 from jujubebarrow.platform.workers import PlatformWorkers
 from jujubebarrow.runtimes.entry_nodes import EntryNode, EntryTerms
+from jujubebarrow.runtimes.fleet_followers import FleetFollower
+from jujubebarrow.runtimes.worker_followers import WorkerFollower
 from jujubebarrow.stores.relayed_stores import RelayedStore
 from jujubebarrow.transports.http_relays import HttpRelayClient, RelayAnswerer
 from jujubebarrow.transports.http_servers import AnsweringServer, RequestAnswerer
@@ -92,16 +94,27 @@
             advisor = PlatformAdvisor(settings.advice_address, self._metrics)
             stack.callback(advisor.close)
             incarnation = IncarnationId(uuid4().hex)
+            reader = PlatformDocuments(self._log, self._metrics)
+            sources = (store, reader)
             node = EntryNode(
                 make_terms(settings, incarnation),
                 store,
-                PlatformDocuments(self._log, self._metrics),
+                FleetFollower(
+                    *sources,
+                    settings.revoke - KEY_MARGIN,
+                    self._clock,
+                    self._log,
+                    self._metrics,
+                ),
+                WorkerFollower(*sources, self._clock, self._log, self._metrics),
+                reader,
                 workers,
                 machines,
                 advisor,
                 self._clock,
                 self._log,
                 self._metrics,
+                store.set_addresses,
             )
             await node.open(stack)
             callers = self._listen(stack, node, direct)
@@ -164,7 +177,6 @@
             early_start=settings.early_start / 2,
             retention=settings.retention + RETENTION_MARGIN,
         ),
-        key_freshness=settings.revoke - KEY_MARGIN,
         downtime=settings.downtime,
         machine_lease=settings.machine_lease,
     )
--- a/jujubebarrow/queues/entries.py
+++ b/jujubebarrow/queues/entries.py
@@ -28,7 +28,6 @@
         arrived: Monotonic time of arrival in seconds.
         deadline: Monotonic time by which an answer is wanted, in seconds.
         cores: Processor cores that it needs on one instance.
-        renewed: Whether its lease is renewed while it runs.
         tried: Upstreams that refused or failed it.
         refusals: Times that an upstream refused to start it.
         sends: Times that bytes of it may have left for an upstream.
@@ -44,7 +43,6 @@
     arrived: float
     deadline: float
     cores: int = 1
-    renewed: bool = False
     tried: set[UpstreamId] = field(default_factory=set)
     refusals: int = 0
     sends: int = 0
--- a/jujubebarrow/queues/pool_schedulers.py
+++ b/jujubebarrow/queues/pool_schedulers.py
@@ -24,8 +24,6 @@
 OVERNIGHT_PATIENCE_SECONDS = 30.0
 OVERNIGHT_PART = 0.05
 LEASE_MARGIN_SECONDS = 0.5
-FIRST_LEASE_PART = 0.5
-"""First lease of renewed work, as a part of the longest."""
 SHORTEST_RETRY_AFTER_SECONDS = 1.0
 EXPECTED_RUN_PART = 0.5
 """Part of the expected run time without which a start makes no sense."""
@@ -285,9 +283,6 @@
     def _make_start(self, entry: Entry, member: UpstreamSlots) -> Start | None:
         timeout = self._timeout(entry)
         period = min(timeout + LEASE_MARGIN_SECONDS, self._settings.task_lease)
-        if entry.renewed:
-            # Short enough for a loan; the first renewal makes it longer.
-            period = self._settings.task_lease * FIRST_LEASE_PART
         lease_end = self._clock.wall() + period
         if entry.team == OPEN_TEAM:
             return Start(entry, member, None, timeout, lease_end)
@@ -298,7 +293,7 @@
 
     def _timeout(self, entry: Entry) -> float:
         remaining = entry.deadline - self._clock.monotonic()
-        if not entry.idempotent or entry.renewed:
+        if not entry.idempotent:
             return remaining
         return self._estimate(entry.queue).attempt_timeout(remaining)
 
--- a/jujubebarrow/runtimes/document_readers.py
+++ b/jujubebarrow/runtimes/document_readers.py
@@ -1,16 +1,16 @@
 """Interface to the documents that others write into the store."""
 
-from abc import ABC, abstractmethod
-from typing import Any
+from abc import abstractmethod
 
 from jujubebarrow.fleets.fleet_maps import FleetMap
 from jujubebarrow.fleets.wave_requests import WaveRequest
+from jujubebarrow.runtimes.wave_reporters import WaveReporter
 from jujubebarrow.stores.rows import Row
 from jujubebarrow.workloads.identifiers import WorkerId
 from jujubebarrow.workloads.worker_reports import WorkerEntry
 
 
-class DocumentReader(ABC):
+class DocumentReader(WaveReporter):
     """Decodes and makes documents that the operator and the workers know."""
 
     @property
@@ -42,7 +42,3 @@
     @abstractmethod
     def read_worker(self, row: Row) -> WorkerEntry | None:
         """Return a registration, or None, counted, if it cannot be used."""
-
-    @abstractmethod
-    def wave_status(self, wave: int, completed: bool) -> tuple[str, dict[str, Any]]:
-        """Return the key and the document that tell how far a wave is."""
--- a/jujubebarrow/runtimes/entry_nodes.py
+++ b/jujubebarrow/runtimes/entry_nodes.py
@@ -1,6 +1,7 @@
 """One entry instance without its sockets."""
 
 from asyncio import Lock
+from collections.abc import Callable
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
 
@@ -16,8 +17,7 @@
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.ownerships.holders import DutyId
 from jujubebarrow.runtimes.advice_keepers import AdviceKeeper
-from jujubebarrow.runtimes.document_readers import DocumentReader
-from jujubebarrow.runtimes.fleet_followers import FleetFollower
+from jujubebarrow.runtimes.fleet_sources import FleetSource
 from jujubebarrow.runtimes.job_followers import JobFollower
 from jujubebarrow.runtimes.job_intakes import JobIntake
 from jujubebarrow.runtimes.load_boards import LoadBoard
@@ -26,9 +26,10 @@
 from jujubebarrow.runtimes.ownership_services import DutyListener, OwnershipService
 from jujubebarrow.runtimes.pool_owners import PoolOwner
 from jujubebarrow.runtimes.wave_keepers import WaveKeeper
+from jujubebarrow.runtimes.wave_reporters import WaveReporter
 from jujubebarrow.runtimes.wave_stores import WaveStore
-from jujubebarrow.runtimes.worker_followers import WorkerFollower
-from jujubebarrow.stores.relayed_stores import RelayedStore
+from jujubebarrow.runtimes.worker_sources import WorkerSource
+from jujubebarrow.stores.stores import Store
 from jujubebarrow.workloads.identifiers import FenceToken
 from jujubebarrow.workloads.job_phases import JobPhase
 
@@ -42,8 +43,6 @@
         incarnation: This run of its process.
         address: IP and port for calls between instances; empty if it takes none.
         coordinator: Times for the owners of pools.
-        key_freshness: Age of the configuration in seconds at which calls with a
-            key are refused.
         downtime: Usual time in seconds that a machine is down for maintenance.
         machine_lease: Time in seconds after an order for a machine before another
             instance may give one.
@@ -53,7 +52,6 @@
     incarnation: IncarnationId
     address: str
     coordinator: CoordinatorTerms
-    key_freshness: float
     downtime: float
     machine_lease: float
 
@@ -64,26 +62,32 @@
     Args:
         terms: Settings.
         store: Store.
-        reader: Decodes documents of the operator and the workers.
+        follower: Configuration of the fleet.
+        workers: Registrations of the workers.
+        reporter: Tells operators how far a wave is.
         gateway: Workers.
         machines: Machines under the workers.
         advisor: Says which workers may run a step.
         clock: Time source; it must not stand still while a machine is suspended.
         log: Log of decisions.
         metrics: Counters.
+        on_peers: Called with the addresses of the other live instances.
     """
 
     def __init__(
         self,
         terms: EntryTerms,
-        store: RelayedStore,
-        reader: DocumentReader,
+        store: Store,
+        follower: FleetSource,
+        workers: WorkerSource,
+        reporter: WaveReporter,
         gateway: WorkerGateway,
         machines: MachineControl,
         advisor: Advisor,
         clock: Clock,
         log: DecisionLog,
         metrics: MetricsRegistry,
+        on_peers: Callable[[list[str]], None] = lambda addresses: None,
     ):
         self._terms = terms
         self._store = store
@@ -96,12 +100,11 @@
         self._metrics = metrics
         self._owners: dict[PoolId, PoolOwner] = {}
         self._stopping = False
-        self.follower = FleetFollower(
-            store, reader, terms.key_freshness, clock, log, metrics
-        )
+        self._on_peers = on_peers
+        self.follower = follower
         self._board = LoadBoard(store, clock, metrics)
-        self._wave_store = WaveStore(store, reader, clock)
-        self._workers = WorkerFollower(store, reader, clock, log, metrics)
+        self._wave_store = WaveStore(store, reporter, clock)
+        self._workers = workers
         self._jobs = JobFollower(store, clock, log, metrics)
         self._ownership = OwnershipService(
             terms.instance,
@@ -149,7 +152,7 @@
 
     def on_peers(self, addresses: list[str]) -> None:
         """Take over where the other live instances can be reached."""
-        self._store.addresses = addresses
+        self._on_peers(addresses)
 
     def find_owner(self, pool: PoolId) -> PoolOwner | None:
         """Return the owner of a pool in this process."""
--- a/jujubebarrow/runtimes/fleet_followers.py
+++ b/jujubebarrow/runtimes/fleet_followers.py
@@ -8,6 +8,7 @@
 from jujubebarrow.logs.decision_logs import DecisionLog
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.runtimes.document_readers import DocumentReader
+from jujubebarrow.runtimes.fleet_sources import FleetSource
 from jujubebarrow.runtimes.table_followers import TableFollower
 from jujubebarrow.stores.rows import Row
 from jujubebarrow.stores.stores import Store
@@ -16,8 +17,8 @@
 """Seconds; short beside the time within which a withdrawn key must stop."""
 
 
-class FleetFollower(TableFollower):
-    """Keeps the newest configuration and how old the knowledge of it is.
+class FleetFollower(TableFollower, FleetSource):
+    """Follows the configuration in the store.
 
     Args:
         store: Store.
@@ -43,8 +44,18 @@
         self._key_freshness = key_freshness
         self._confirmed_at: float | None = None
         self._listeners: list[Callable[[FleetMap], None]] = []
-        self.fleet: FleetMap | None = None
-        self.waves: dict[str, WaveRequest] = {}
+        self._fleet: FleetMap | None = None
+        self._waves: dict[str, WaveRequest] = {}
+
+    @property
+    def fleet(self) -> FleetMap | None:
+        """Configuration in force; None before the first."""
+        return self._fleet
+
+    @property
+    def waves(self) -> dict[str, WaveRequest]:
+        """Requests for maintenance."""
+        return self._waves
 
     @property
     def age(self) -> float:
@@ -56,7 +67,7 @@
     @property
     def is_fresh(self) -> bool:
         """Whether calls with a key may be taken."""
-        return self.fleet is not None and self.age < self._key_freshness
+        return self._fleet is not None and self.age < self._key_freshness
 
     def listen(self, listener: Callable[[FleetMap], None]) -> None:
         """Have a function called with each new configuration."""
@@ -80,17 +91,17 @@
                 self._apply_fleet(fleet)
             return
         wave = self._reader.read_wave(row)
-        if wave is not None and row.key not in self.waves:
-            self.waves[row.key] = wave
+        if wave is not None and row.key not in self._waves:
+            self._waves[row.key] = wave
             self._log.write("wave_requested", wave=wave.wave, machines=wave.machines)
 
     def _apply_fleet(self, fleet: FleetMap) -> None:
-        current = self.fleet.version if self.fleet else -1
+        current = self._fleet.version if self._fleet else -1
         if fleet.version <= current:
             if fleet.version < current:
                 self._metrics.count("configuration_ignored", "older")
             return
-        self.fleet = fleet
+        self._fleet = fleet
         self._log.write(
             "configuration_in_force",
             version=fleet.version,
--- /dev/null
+++ b/jujubebarrow/runtimes/job_browsers.py
@@ -0,0 +1,94 @@
+"""What operators see of accepted jobs."""
+
+from dataclasses import dataclass
+
+from jujubebarrow.coordinators.job_ledgers import PHASE
+from jujubebarrow.identifiers import JobId, PoolId, QueueId, TeamId
+from jujubebarrow.metrics.registries import MetricsRegistry
+from jujubebarrow.runtimes.job_followers import read_job
+from jujubebarrow.runtimes.job_rows import CANCELLED_SUFFIX
+from jujubebarrow.stores.row_keys import RowKey, TableName, make_key
+from jujubebarrow.stores.stores import Store
+from jujubebarrow.workloads.job_phases import JobPhase
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class JobSummary:
+    """Accepted job with its present state.
+
+    Attributes:
+        job: Job.
+        queue: Queue.
+        pool: Pool that runs it.
+        team: Team; empty on a queue open to all.
+        phase: State.
+        accepted: Unix time of the acceptance in seconds.
+        tasks: Number of its tasks.
+    """
+
+    job: JobId
+    queue: QueueId
+    pool: PoolId
+    team: TeamId
+    phase: JobPhase
+    accepted: float
+    tasks: int
+
+
+class JobBrowser:
+    """Reads jobs from the store.
+
+    Args:
+        store: Store.
+        metrics: Counters.
+    """
+
+    def __init__(self, store: Store, metrics: MetricsRegistry):
+        self._store = store
+        self._metrics = metrics
+
+    async def list_jobs(self, queue: QueueId) -> list[JobSummary]:
+        """Return all jobs of a queue that are on record, oldest first.
+
+        Raises:
+            StoreError: The store does not answer.
+        """
+        jobs = await self._store.read(make_key(TableName.JOBS, queue, ""))
+        progress = await self._store.read(make_key(TableName.PROGRESS, queue, ""))
+        phases = {
+            RowKey.parse(row.key).name: JobPhase(row.value[PHASE])
+            for row in progress.rows
+            if row.value is not None
+        }
+        names = {RowKey.parse(row.key).name for row in jobs.rows}
+        found = []
+        for row in jobs.rows:
+            if row.key.endswith(CANCELLED_SUFFIX):
+                continue
+            record = read_job(row, self._metrics)
+            if record is None:
+                continue
+            phase = JobPhase.QUEUED
+            if record.job + CANCELLED_SUFFIX in names:
+                phase = JobPhase.CANCELLED
+            found.append(
+                JobSummary(
+                    job=record.job,
+                    queue=record.queue,
+                    pool=record.pool,
+                    team=record.team,
+                    phase=phases.get(record.job, phase),
+                    accepted=record.accepted,
+                    tasks=sum(step.count for step in record.steps),
+                )
+            )
+        return sorted(found, key=lambda job: job.accepted)
+
+    async def find_job(self, queue: QueueId, job: JobId) -> JobSummary | None:
+        """Return a job of a queue, or None if there is none.
+
+        Raises:
+            StoreError: The store does not answer.
+        """
+        found = await self.list_jobs(queue)
+        return next((summary for summary in found if summary.job == job), None)
--- a/jujubebarrow/runtimes/move_keepers.py
+++ b/jujubebarrow/runtimes/move_keepers.py
@@ -84,7 +84,7 @@
 
     async def run(self) -> None:
         """Lend machines until cancelled."""
-        while True:
+        while self._machines.is_available:
             try:
                 await self._step()
             except (StoreError, MachineControlError) as error:
--- a/jujubebarrow/runtimes/pool_owners.py
+++ b/jujubebarrow/runtimes/pool_owners.py
@@ -26,8 +26,8 @@
 from jujubebarrow.runtimes.progress_writers import DisplacedError, ProgressWriter
 from jujubebarrow.runtimes.task_groups import OwnedTasks
 from jujubebarrow.runtimes.wave_keepers import WaveKeeper
-from jujubebarrow.runtimes.worker_followers import WorkerListener
 from jujubebarrow.runtimes.worker_sessions import WorkerSession
+from jujubebarrow.runtimes.worker_sources import WorkerListener
 from jujubebarrow.stores.stores import Store
 from jujubebarrow.workloads.identifiers import FenceToken, WorkerId
 from jujubebarrow.workloads.job_records import JobRecord
--- a/jujubebarrow/runtimes/wave_keepers.py
+++ b/jujubebarrow/runtimes/wave_keepers.py
@@ -28,7 +28,7 @@
     WaveRecord,
 )
 from jujubebarrow.metrics.registries import MetricsRegistry
-from jujubebarrow.runtimes.fleet_followers import FleetFollower
+from jujubebarrow.runtimes.fleet_sources import FleetSource
 from jujubebarrow.runtimes.owner_hooks import OwnerHooks
 from jujubebarrow.runtimes.wave_stores import StoredWave, WaveStore
 from jujubebarrow.workloads.identifiers import FenceToken, MachineId, WorkerId
@@ -70,7 +70,7 @@
         self,
         instance: InstanceId,
         coordinator: PoolCoordinator,
-        follower: FleetFollower,
+        follower: FleetSource,
         store: WaveStore,
         machines: MachineControl,
         hooks: OwnerHooks,
@@ -102,7 +102,7 @@
 
     async def run(self) -> None:
         """Serve waves until cancelled."""
-        while True:
+        while self._machines.is_available:
             active = [
                 wave
                 for wave in self._follower.waves.values()
--- a/jujubebarrow/runtimes/wave_stores.py
+++ b/jujubebarrow/runtimes/wave_stores.py
@@ -6,7 +6,7 @@
 from jujubebarrow.clocks.clocks import Clock
 from jujubebarrow.fleets.wave_requests import WaveRequest
 from jujubebarrow.maintenance.wave_records import MachineUpkeep, WaveRecord
-from jujubebarrow.runtimes.document_readers import DocumentReader
+from jujubebarrow.runtimes.wave_reporters import WaveReporter
 from jujubebarrow.stores.row_keys import TableName, make_key
 from jujubebarrow.stores.store_clocks import StoreClock
 from jujubebarrow.stores.stores import Store
@@ -33,13 +33,13 @@
 
     Args:
         store: Store.
-        reader: Makes the document that tells the operator how far a wave is.
+        reporter: Makes the document that tells the operator how far a wave is.
         clock: Time source.
     """
 
-    def __init__(self, store: Store, reader: DocumentReader, clock: Clock):
+    def __init__(self, store: Store, reporter: WaveReporter, clock: Clock):
         self._store = store
-        self._reader = reader
+        self._reporter = reporter
         self._clock = clock
         self._store_clock = StoreClock(clock)
 
@@ -80,7 +80,7 @@
             TransactionConflictError: Another owner has changed it meanwhile.
         """
         key = make_key(TableName.WAVES, "", str(wave.wave))
-        status_key, status = self._reader.wave_status(wave.wave, record.is_completed)
+        status_key, status = self._reporter.wave_status(wave.wave, record.is_completed)
         transaction = Transaction(
             conditions={key: stored.revision},
             writes={key: record.to_document(), status_key: status},
--- a/jujubebarrow/runtimes/worker_followers.py
+++ b/jujubebarrow/runtimes/worker_followers.py
@@ -1,12 +1,11 @@
 """Follows the registrations of the workers."""
 
-from abc import ABC, abstractmethod
-
 from jujubebarrow.clocks.clocks import Clock
 from jujubebarrow.logs.decision_logs import DecisionLog
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.runtimes.document_readers import DocumentReader
 from jujubebarrow.runtimes.table_followers import TableFollower
+from jujubebarrow.runtimes.worker_sources import WorkerListener, WorkerSource
 from jujubebarrow.stores.rows import Row
 from jujubebarrow.stores.stores import Store
 from jujubebarrow.workloads.identifiers import WorkerId
@@ -22,20 +21,8 @@
 """Seconds without an answer of the store that count as an outage."""
 
 
-class WorkerListener(ABC):
-    """Takes changes of the registrations."""
-
-    @abstractmethod
-    def on_worker(self, entry: WorkerEntry) -> None:
-        """Take over a registration."""
-
-    @abstractmethod
-    def on_worker_gone(self, worker: WorkerId) -> None:
-        """Note that a worker is no longer registered."""
-
-
-class WorkerFollower(TableFollower):
-    """Keeps all registrations of workers.
+class WorkerFollower(TableFollower, WorkerSource):
+    """Keeps all registrations in the store.
 
     Args:
         store: Store.
--- /dev/null
+++ b/jujubebarrow/services/configured_fleets.py
@@ -0,0 +1,119 @@
+"""The operators' records as the configuration of the job core."""
+
+from asyncio import sleep
+from collections.abc import Callable
+
+from jujubebarrow.background_loops import BackgroundLoop
+from jujubebarrow.configurations.configurations import Configuration
+from jujubebarrow.configurations.priorities import Priority
+from jujubebarrow.configurations.queue_records import Queue
+from jujubebarrow.configurations.record_kinds import RecordKind
+from jujubebarrow.fleets.fleet_maps import FleetMap
+from jujubebarrow.fleets.pool_specs import PoolSpec
+from jujubebarrow.fleets.queue_routes import QueueRoute
+from jujubebarrow.fleets.team_specs import TeamSpec
+from jujubebarrow.fleets.wave_requests import WaveRequest
+from jujubebarrow.identifiers import PoolId, QueueId, TeamId
+from jujubebarrow.runtimes.fleet_sources import FleetSource
+from jujubebarrow.services.configuration_services import ConfigurationService
+from jujubebarrow.workloads.resources import Resources
+
+PERIOD = 0.2
+"""Seconds between two looks at whether the configuration has changed."""
+PRIORITIES = {Priority.INTERACTIVE: 0, Priority.OVERNIGHT: 1}
+
+
+class ConfiguredFleet(BackgroundLoop, FleetSource):
+    """Builds the job core's configuration anew after each change.
+
+    Control maintains and moves this interface's instances, so there are no waves for
+    the owners of pools.
+
+    Args:
+        configuration: Records in force.
+        service: Knows how old they are.
+        attempts: Failed runs of a task after which its job has failed.
+    """
+
+    def __init__(
+        self, configuration: Configuration, service: ConfigurationService, attempts: int
+    ):
+        super().__init__()
+        self._configuration = configuration
+        self._service = service
+        self._attempts = attempts
+        self._fleet: FleetMap | None = None
+        self._listeners: list[Callable[[FleetMap], None]] = []
+
+    @property
+    def fleet(self) -> FleetMap | None:
+        """Configuration in force; None before the first."""
+        return self._fleet
+
+    @property
+    def waves(self) -> dict[str, WaveRequest]:
+        """No requests for maintenance."""
+        return {}
+
+    @property
+    def age(self) -> float:
+        """Greatest possible age of the configuration in seconds."""
+        return self._service.age
+
+    @property
+    def is_fresh(self) -> bool:
+        """Whether calls with a key may be taken."""
+        return self._service.is_fresh()
+
+    def listen(self, listener: Callable[[FleetMap], None]) -> None:
+        """Have a function called with each new configuration."""
+        self._listeners.append(listener)
+
+    async def _run(self) -> None:
+        while True:
+            self.refresh()
+            await sleep(PERIOD)
+
+    def refresh(self) -> None:
+        """Take over what has changed."""
+        revision = self._configuration.revision
+        if not revision or (self._fleet and self._fleet.version == revision):
+            return
+        self._fleet = self._build(revision)
+        for listener in self._listeners:
+            listener(self._fleet)
+
+    def _build(self, revision: int) -> FleetMap:
+        configuration = self._configuration
+        queues = {}
+        for name in configuration.names(RecordKind.QUEUE):
+            queue = configuration.queue(name)
+            if queue is not None:
+                queues[QueueId(name)] = self._make_route(name, queue)
+        pools = {
+            PoolId(name): PoolSpec(pool=PoolId(name))
+            for name in configuration.names(RecordKind.POOL)
+        }
+        teams = {}
+        for name in configuration.names(RecordKind.TEAM):
+            team = configuration.team(name)
+            if team is not None:
+                limit = Resources(cpu=1000 * team.job_cores)
+                spec = TeamSpec(team=TeamId(name), weight=team.share, limit=limit)
+                teams[spec.team] = spec
+        return FleetMap(
+            version=revision, routes={}, queues=queues, pools=pools, teams=teams
+        )
+
+    def _make_route(self, name: str, queue: Queue) -> QueueRoute:
+        return QueueRoute(
+            queue=QueueId(name),
+            host="",
+            prefix="",
+            pool=PoolId(queue.pool),
+            is_open=queue.open,
+            target=queue.job_target,
+            stretch=queue.job_stretch,
+            attempts=self._attempts,
+            priority=PRIORITIES[queue.priority],
+        )
--- a/jujubebarrow/services/control_services.py
+++ b/jujubebarrow/services/control_services.py
@@ -26,7 +26,6 @@
 from jujubebarrow.services.claim_purgers import ClaimPurger
 from jujubebarrow.services.configuration_services import ConfigurationService
 from jujubebarrow.services.fleet_observers import FleetObserver
-from jujubebarrow.services.job_services import JobService
 from jujubebarrow.settings.settings import Settings
 from jujubebarrow.stores.stores import Store
 from jujubebarrow.stores.transactions import Transaction
@@ -59,7 +58,6 @@
         planner: Decides.
         observer: Sees the fleet.
         upstreams: Carries out commands.
-        jobs: Adopts orphaned jobs.
         purger: Deletes old claims.
         clock: Time source.
         settings: Periods.
@@ -76,7 +74,6 @@
         planner: FleetPlanner,
         observer: FleetObserver,
         upstreams: Upstreams,
-        jobs: JobService,
         purger: ClaimPurger,
         clock: Clock,
         settings: Settings,
@@ -91,7 +88,6 @@
         self._planner = planner
         self._observer = observer
         self._upstreams = upstreams
-        self._jobs = jobs
         self._purger = purger
         self._clock = clock
         self._settings = settings
@@ -144,7 +140,6 @@
             return
         if not await self._renew(self._held_revision):
             return
-        await self._jobs.adopt()
         await self._purger.purge()
         await self._control()
 
--- a/jujubebarrow/services/peer_request_handlers.py
+++ b/jujubebarrow/services/peer_request_handlers.py
@@ -15,9 +15,7 @@
 from jujubebarrow.peers.handlers import PeerHandler
 from jujubebarrow.peers.heartbeat_messages import Ping, Pong
 from jujubebarrow.peers.identities import PeerIdentity
-from jujubebarrow.peers.job_messages import SuperviseRequest
 from jujubebarrow.peers.loan_messages import (
-    LoanExtension,
     LoanReply,
     LoanRequest,
     LoanReturn,
@@ -45,7 +43,6 @@
         explanations: Recent decisions.
         on_address: Called with the address of each peer that dials.
         on_recall: Called after a lender asked for its loans.
-        on_supervise: Called with a job that seems to wait for its supervisor.
         is_stopping: Tells whether this instance takes no more work.
     """
 
@@ -61,7 +58,6 @@
         explanations: ExplanationLog,
         on_address: Callable[[str], None],
         on_recall: Callable[[], None],
-        on_supervise: Callable[[str], None],
         is_stopping: Callable[[], bool],
     ):
         self._instance = instance
@@ -74,7 +70,6 @@
         self._explanations = explanations
         self._on_address = on_address
         self._on_recall = on_recall
-        self._on_supervise = on_supervise
         self._is_stopping = is_stopping
 
     async def handle(self, request: Request, peer: PeerIdentity) -> Reply:
@@ -86,13 +81,8 @@
                 return self._ping(request, peer)
             case LoanRequest():
                 return self._lend(request, peer)
-            case LoanExtension():
-                return self._extend(request, peer)
             case LoanReturn():
                 return self._restore(request, peer)
-            case SuperviseRequest():
-                self._on_supervise(request.job)
-                return Returned(serial=request.serial, to=peer.incarnation)
             case ChangesRequest():
                 return self._changes(request, peer)
             case ExplainRequest():
@@ -151,12 +141,6 @@
             )
         return _reply_loan(request.serial, peer, loan)
 
-    def _extend(self, request: LoanExtension, peer: PeerIdentity) -> LoanReply:
-        loan = self._ledger.extend(
-            TeamId(request.team), request.loan, self._settings.loan_period
-        )
-        return _reply_loan(request.serial, peer, loan)
-
     def _restore(self, request: LoanReturn, peer: PeerIdentity) -> Returned:
         self._ledger.restore(TeamId(request.team), request.loan, request.count)
         self._home.pump_all()
--- a/jujubebarrow/settings/settings.py
+++ b/jujubebarrow/settings/settings.py
@@ -95,7 +95,7 @@
         8, "seats", "Number of parts each upper limit is divided in.", ge=1, le=512
     )
     task_lease: float = _setting(
-        30.0, "s", "Longest lease of a task, renewed for longer work.", gt=0, le=600
+        30.0, "s", "Longest lease of a request at an upstream.", gt=0, le=600
     )
     loan_period: float = _setting(
         30.0, "s", "Time for which a part of a limit is lent.", gt=0, le=600
--- a/jujubebarrow/stores/relayed_stores.py
+++ b/jujubebarrow/stores/relayed_stores.py
@@ -88,7 +88,11 @@
         self._direct_from = float("-inf")
         self._relay_from: dict[str, float] = {}
         self._relaying = False
-        self.addresses: list[str] = []
+        self._addresses: list[str] = []
+
+    def set_addresses(self, addresses: list[str]) -> None:
+        """Take over where the other live instances can be reached."""
+        self._addresses = addresses
 
     def _choose_relays(self) -> list[str]:
         """Return the instances to ask; none while the own way is to be used."""
@@ -97,7 +101,7 @@
             return []
         usable = [
             address
-            for address in self.addresses
+            for address in self._addresses
             if now >= self._relay_from.get(address, float("-inf"))
         ]
         self._random.shuffle(usable)
@@ -112,7 +116,7 @@
         self._log.write(
             "store_relayed" if error is not None else "store_direct",
             detail=str(error) if error is not None else "",
-            instances=len(self.addresses),
+            instances=len(self._addresses),
         )
 
     async def _ask(self, address: str, body: bytes, wait: float = 0.0) -> Any:
--- a/jujubebarrow/tests/test_command_line.py
+++ b/jujubebarrow/tests/test_command_line.py
@@ -78,8 +78,25 @@
         await self.run_ok("set", "presets", "peak", 'sizes={"labels": 2}')
         self.assertIn("labels", await self.run_ok("preset", "plan", "peak"))
         await self.run_ok("preset", "use", "peak")
+        await self._jobs()
         await self._refusals()
 
+    async def _jobs(self) -> None:
+        entry = self.entries[0]
+        url = f"http://{LOOPBACK}:{entry.caller_port}/v1/queues/labels/jobs"
+        body = {"payload": "long", "steps": [{"long_running": True}]}
+        key = f"Bearer {self.fleet.keys['tuna']}"
+        response = await self.fleet.fetch("POST", url, body, Authorization=key)
+        self.assertEqual(response.code, 202)
+        job = json.loads(response.body)["id"]
+        self.assertIn(job, await self.run_ok("job", "list"))
+        shown = json.loads(await self.run_ok("job", "show", "labels", job, "--json"))
+        self.assertEqual((shown["team"], shown["tasks"]), ("tuna", 1))
+        await self.run_ok("job", "cancel", "labels", job)
+        code, _, errors = await self.command("job", "show", "labels", "0" * 16)
+        self.assertEqual(code, ExitCode.REFUSED)
+        self.assertIn("no such resource", errors)
+
     async def _refusals(self) -> None:
         code, _, errors = await self.command("delete", "teams", "prawn")
         self.assertEqual(code, ExitCode.REFUSED)
--- /dev/null
+++ b/jujubebarrow/tests/test_job_interface.py
@@ -0,0 +1,168 @@
+"""Jobs over the product's own interface, with real processes."""
+
+import asyncio
+import json
+from typing import Any
+
+from tornado.httpclient import HTTPResponse
+
+from jujubebarrow.callers.job_handlers import make_job_id
+from jujubebarrow.standins.fleets import EntryInstance, FleetShape
+from jujubebarrow.standins.ports import LOOPBACK
+from jujubebarrow.tests.fleet_cases import FleetCase
+
+STEP = {"count": 2, "cores": 0.5, "estimate": 0.5}
+RUN_TIME = 1.0
+DONE_SECONDS = 20.0
+"""Seconds for a job of two steps, a take-over of 4 s included, on a busy machine."""
+
+
+class JobInterfaceTest(FleetCase):
+    shape = FleetShape(zones=("zone-a", "zone-b"), entries=1, run_time=RUN_TIME)
+
+    async def submit(
+        self, entry: EntryInstance, queue: str, team: str, body: Any, **headers: str
+    ) -> HTTPResponse:
+        url = f"http://{LOOPBACK}:{entry.caller_port}/v1/queues/{queue}/jobs"
+        if team:
+            headers["Authorization"] = f"Bearer {self.fleet.keys[team]}"
+        return await self.fleet.fetch("POST", url, body, **headers)
+
+    async def ask(
+        self, entry: EntryInstance, method: str, path: str, team: str
+    ) -> tuple[int, dict[str, Any]]:
+        url = f"http://{LOOPBACK}:{entry.caller_port}{path}"
+        key = f"Bearer {self.fleet.keys[team]}"
+        response = await self.fleet.fetch(method, url, Authorization=key)
+        return response.code, json.loads(response.body or b"{}")
+
+    async def accept(
+        self, queue: str, team: str, payload: str, steps: list[Any], **headers: str
+    ) -> str:
+        """Submit until it is accepted; return its path."""
+        body = {"payload": payload, "steps": steps}
+        path = ""
+
+        async def is_accepted() -> bool:
+            nonlocal path
+            answer = await self.submit(self.entries[0], queue, team, body, **headers)
+            if answer.code != 202:
+                return False
+            path = answer.headers["Location"]
+            return True
+
+        await self.fleet.wait_until(is_accepted, "job accepted", DONE_SECONDS)
+        return path
+
+    async def wait_for(self, entry: EntryInstance, path: str, state: str) -> None:
+        async def is_there() -> bool:
+            code, document = await self.ask(entry, "GET", path, "tuna")
+            return code == 200 and document["state"] == state
+
+        await self.fleet.wait_until(is_there, f"job {state}", DONE_SECONDS)
+
+    async def runs(self, payload: str) -> list[dict[str, Any]]:
+        tasks = await self.fleet.all_tasks()
+        return [task for task in tasks if task["key"] == payload]
+
+    async def test_a_job_is_shown_by_every_instance_and_runs_once(self) -> None:
+        steps = [STEP, STEP | {"after": [0]}]
+        path = await self.accept("labels", "tuna", "twice", steps, Idempotency_Key="k")
+        again = await self.accept("labels", "tuna", "twice", steps, Idempotency_Key="k")
+        self.assertEqual(path, again)
+        self.assertTrue(path.endswith(make_job_id("tuna", "labels", "k")))
+        for entry in self.entries:
+            await self.wait_for(entry, path, "completed")
+        runs = await self.runs("twice")
+        self.assertEqual(len(runs), 4)
+        ends = max(run["ended"] for run in runs if ".0.0." in run["task"])
+        second = [run for run in runs if ".0.1." in run["task"]]
+        self.assertTrue(all(run["started"] >= ends for run in second))
+
+    async def test_an_end_whose_owner_was_killed_is_not_run_again(self) -> None:
+        # The former job path ran such a job a second time on another instance.
+        path = await self.accept("certificates", "tuna", "kill", [STEP])
+        await asyncio.sleep(0.3)
+        for entry in self.entries:
+            self.process(entry).kill()
+        await asyncio.sleep(RUN_TIME)
+        for entry in self.entries:
+            self.fleet.start_entry(entry)
+        await self.wait_for(self.entries[1], path, "completed")
+        self.assertEqual(len(await self.runs("kill")), 2)
+
+    async def test_a_cancelled_job_is_stopped_and_not_started_again(self) -> None:
+        path = await self.accept(
+            "labels", "tuna", "stop", [STEP | {"long_running": True}]
+        )
+        await self.wait_for(self.entries[0], path, "running")
+        code, _ = await self.ask(self.entries[1], "DELETE", path, "reef")
+        self.assertEqual(code, 404)
+        code, document = await self.ask(self.entries[1], "DELETE", path, "tuna")
+        self.assertEqual(code, 200)
+        await self.wait_for(self.entries[0], path, "cancelled")
+
+        async def is_over() -> bool:
+            return all(run["ended"] for run in await self.runs("stop"))
+
+        await self.fleet.wait_until(is_over, "tasks stopped", DONE_SECONDS)
+        count = len(await self.runs("stop"))
+        await asyncio.sleep(2.0)
+        self.assertEqual(len(await self.runs("stop")), count)
+
+    async def test_operators_see_and_cancel_jobs_of_all_teams(self) -> None:
+        path = await self.accept(
+            "labels", "tuna", "op", [STEP | {"long_running": True}]
+        )
+        name = path.rsplit("/", 1)[1]
+        entry = self.entries[0]
+        listed = await self.fleet.operate(entry, "GET", "/v1/jobs")
+        jobs = json.loads(listed.body)["jobs"]
+        found = [(job["id"], job["team"], job["tasks"]) for job in jobs]
+        self.assertEqual(found, [(name, "tuna", 2)])
+        own = f"/v1/jobs/labels/{name}"
+        response = await self.fleet.operate(entry, "DELETE", own)
+        self.assertEqual(response.code, 200)
+        await self.wait_for(entry, path, "cancelled")
+        missing = await self.fleet.operate(entry, "GET", f"/v1/jobs/labels/{'0' * 16}")
+        self.assertEqual(missing.code, 404)
+
+    async def test_bad_jobs_are_refused_clearly_and_never_run(self) -> None:
+        await self.accept("labels", "tuna", "first", [STEP])
+        cases: list[tuple[Any, str]] = [
+            (b"{", "bad-json"),
+            ({"payload": "bad"}, "bad-request"),
+            ({"payload": "bad", "steps": []}, "bad-request"),
+            ({"payload": "bad", "steps": [{"count": 0}]}, "bad-request"),
+            ({"payload": "bad", "steps": [{"cores": -1}]}, "bad-request"),
+            ({"payload": "bad", "steps": [{"after": [0]}]}, "bad-request"),
+            ({"payload": "bad", "steps": [STEP], "colour": "red"}, "bad-request"),
+            ({"payload": "x" * 20_000, "steps": [STEP]}, "bad-request"),
+        ]
+        for body, kind in cases:
+            answer = await self.submit(self.entries[0], "labels", "tuna", body)
+            problem = json.loads(answer.body)
+            self.assertEqual((problem["kind"], problem["run"]), (kind, "not-run"), body)
+        for queue, team, kind in (
+            ("labels", "", "unauthenticated"),
+            ("reef-only", "tuna", "forbidden-queue"),
+            ("none", "tuna", "unknown-queue"),
+        ):
+            body = {"payload": "bad", "steps": [STEP]}
+            answer = await self.submit(self.entries[0], queue, team, body)
+            self.assertEqual(json.loads(answer.body)["kind"], kind)
+        self.assertEqual(await self.runs("bad"), [])
+
+    async def test_jobs_of_a_team_keep_to_its_cores(self) -> None:
+        entry = self.entries[0]
+        record = {"limit": 16, "job_cores": 2}
+        await self.fleet.put_record(entry, "teams", "tuna", record)
+        await asyncio.sleep(1.0)
+        wide = {"count": 12, "cores": 1.0, "estimate": 1.0}
+        path = await self.accept("labels", "tuna", "wide", [wide])
+        await self.wait_for(entry, path, "completed")
+        runs = await self.runs("wide")
+        moments = [run["started"] for run in runs]
+        for moment in moments:
+            active = sum(run["started"] <= moment < run["ended"] for run in runs)
+            self.assertLessEqual(active, 2)
--- a/jujubebarrow/upstreams/http_upstreams.py
+++ b/jujubebarrow/upstreams/http_upstreams.py
@@ -82,13 +82,6 @@
             response.body,
         )
 
-    async def renew(self, address: str, task: str, lease_end: float) -> bool:
-        """Renew a task's lease; return False if the task does not run."""
-        headers = {"Task-Lease": str(lease_end)}
-        url = f"http://{address}/tasks/{task}/lease"
-        response = await self._command(url, method="PUT", body=b"", headers=headers)
-        return response.code == 200
-
     async def probe(self, address: str) -> UpstreamReport:
         """Return what an upstream says of itself."""
         response = await self._command(f"http://{address}/state", method="GET")
--- a/jujubebarrow/upstreams/upstreams.py
+++ b/jujubebarrow/upstreams/upstreams.py
@@ -60,10 +60,6 @@
             DispatchError: There is no whole answer.
         """
 
-    @abstractmethod
-    async def renew(self, address: str, task: str, lease_end: float) -> bool:
-        """Renew a task's lease; return False if the task does not run."""
-
     @abstractmethod
     async def probe(self, address: str) -> UpstreamReport:
         """Return what an upstream says of itself.
