Give machines to the pool whose callers can still be served in time

Tests that play the load: PoolDemandTest, PlacementTest, a late backlog gets what nobody else can use (test_overload).

--- a/jujubebarrow/coordinators/active_runs.py
+++ b/jujubebarrow/coordinators/active_runs.py
@@ -28,6 +28,7 @@
         life: Worker's life that it was planned for.
         reserved: Resources that it holds on its worker.
         usage: Resources that count against its team's limit.
+        is_long_running: Whether it does not end by itself.
         stage: How far it has come.
         confirmed_at: Time in seconds at which the worker answered the start.
         stopped_at: Time in seconds at which the worker answered the stop.
@@ -46,6 +47,7 @@
     life: WorkerLife
     reserved: Resources
     usage: Resources
+    is_long_running: bool = False
     stage: RunStage = RunStage.PLANNED
     confirmed_at: float = 0.0
     stopped_at: float = 0.0
--- a/jujubebarrow/coordinators/arrival_rates.py
+++ b/jujubebarrow/coordinators/arrival_rates.py
@@ -6,12 +6,12 @@
 
 from collections import deque
 
-WINDOW = 1.0
-"""Seconds looked at; about ten jobs arrive within it while a queue has its turn."""
+WINDOW = 0.5
+"""Seconds looked at; some jobs arrive within it while a queue has its turn."""
 
 
 class ArrivalRate:
-    """Work that arrived within the last second."""
+    """Work that arrived within the last moments."""
 
     def __init__(self) -> None:
         self._arrivals: deque[tuple[float, float]] = deque()
--- a/jujubebarrow/coordinators/job_ledgers.py
+++ b/jujubebarrow/coordinators/job_ledgers.py
@@ -233,6 +233,7 @@
             life=WorkerLife((row[4], row[5])),
             reserved=step.spec.reserved,
             usage=step.spec.needs,
+            is_long_running=step.spec.long_running,
             stage=RunStage.INHERITED,
             sent=True,
             progressed_at=now,
--- a/jujubebarrow/coordinators/planners.py
+++ b/jujubebarrow/coordinators/planners.py
@@ -18,17 +18,14 @@
 
     Args:
         state: State of the pool.
+        order: Ranks jobs.
     """
 
-    def __init__(self, state: PoolState):
+    def __init__(self, state: PoolState, order: JobOrder):
         self._state = state
-        self._order = JobOrder()
+        self._order = order
         self._now = 0.0
 
-    def learn(self, job: JobLedger) -> None:
-        """Take a new job's size into account for the order of jobs."""
-        self._order.learn(job)
-
     def plan(self, now: float, wall: float) -> list[ActiveRun]:
         """Plan runs for all tasks that find room.
 
@@ -133,6 +130,7 @@
             life=worker.life,
             reserved=step.spec.reserved,
             usage=step.spec.needs,
+            is_long_running=step.spec.long_running,
             ticket=self._state.advice.find_ticket(key[:3], worker.life, self._now),
         )
         job.begin_run(run)
--- a/jujubebarrow/coordinators/pool_coordinators.py
+++ b/jujubebarrow/coordinators/pool_coordinators.py
@@ -15,7 +15,7 @@
 from jujubebarrow.coordinators.worker_ledgers import WorkerLedger
 from jujubebarrow.identifiers import JobId, PoolId
 from jujubebarrow.logs.decision_logs import DecisionLog
-from jujubebarrow.placements.job_orders import objective
+from jujubebarrow.placements.job_orders import JobOrder, objective
 from jujubebarrow.workloads.identifiers import FenceToken, WorkerId
 from jujubebarrow.workloads.job_phases import JobPhase
 from jujubebarrow.workloads.job_records import JobRecord
@@ -48,11 +48,12 @@
     ):
         self.state = PoolState(pool, token, terms, taken_at)
         self._log = log
-        self._planner = TaskPlanner(self.state)
+        self._order = JobOrder()
+        self._planner = TaskPlanner(self.state, self._order)
         self._reconciler = Reconciler(self.state, log)
         self._pacer = Pacer(self.state)
         self.orders = RunOrders(self.state, self._reconciler)
-        self.demand = PoolDemand(self.state)
+        self.demand = PoolDemand(self.state, self._order)
         self._watcher = ProgressWatcher(self.state, log)
 
     def add_job(
@@ -74,7 +75,7 @@
             return False
         job = JobLedger(record, now - age)
         self.state.jobs[record.job] = job
-        self._planner.learn(job)
+        self._order.learn(job)
         if age < NEW_JOB_AGE:
             self.demand.note_job(job, now)
         if progress is None:
--- a/jujubebarrow/coordinators/pool_demands.py
+++ b/jujubebarrow/coordinators/pool_demands.py
@@ -1,24 +1,28 @@
 """What a pool's jobs ask for, and which workers could give it."""
 
-from jujubebarrow.coordinators.active_runs import ActiveRun
 from jujubebarrow.coordinators.arrival_rates import ArrivalRate
 from jujubebarrow.coordinators.job_ledgers import JobLedger
 from jujubebarrow.coordinators.pool_states import PoolState
 from jujubebarrow.coordinators.worker_ledgers import WorkerLedger
-from jujubebarrow.placements.job_orders import work
+from jujubebarrow.placements.job_orders import LATE_WORTH, JobOrder, work
 from jujubebarrow.workloads.identifiers import WorkerLife
 from jujubebarrow.workloads.job_phases import JobPhase
 
+WEIGHTS = (1.0, 1.0, LATE_WORTH, 0.0)
+"""Part of a job's demand that counts, by the group of its rank."""
+
 
 class PoolDemand:
     """Sums over the jobs and workers of a pool.
 
     Args:
         state: State of the pool.
+        order: Ranks jobs.
     """
 
-    def __init__(self, state: PoolState):
+    def __init__(self, state: PoolState, order: JobOrder):
         self._state = state
+        self._order = order
         self._arrivals = ArrivalRate()
 
     def note_job(self, job: JobLedger, now: float) -> None:
@@ -30,28 +34,32 @@
         """Return what the pool needs, in thousandths of a core.
 
         That is what startable and running tasks ask for, or what keeps up with the
-        jobs that arrive, whichever is more.
-
-        Tasks whose team is at its limit, and jobs that can't be in time, count as
-        well: machines that they could use are no less useful.
+        jobs that arrive, whichever is more. Tasks whose team is at its limit count as
+        well. Jobs count by what they are still worth: a backlog that is late already
+        must not keep machines from a pool whose callers can be served in time.
         """
-        workers = self._state.workers.values()
-        demand = sum(worker.reserved.cpu for worker in workers)
-        for job in self._state.jobs.values():
-            for _, _, step in job.startable():
-                demand += len(step.waiting) * step.spec.reserved.cpu
+        asked = sum(
+            WEIGHTS[self._order.rank(job, now).group] * self._count_asked(job)
+            for job in self._state.jobs.values()
+        )
         lasting = sum(
             run.reserved.cpu
-            for worker in workers
+            for worker in self._state.workers.values()
             for run in worker.runs.values()
-            if self._is_long_running(run)
+            if run.is_long_running
         )
-        arriving = lasting + round(1000 * self._arrivals.measure(now))
-        return max(demand, arriving, self._count_spread())
+        arriving = lasting + 1000 * self._arrivals.measure(now)
+        return max(round(asked), round(arriving), self._count_spread())
+
+    def count_backlog(self) -> int:
+        """Return what startable and running tasks ask for, late jobs in full."""
+        return sum(self._count_asked(job) for job in self._state.jobs.values())
 
-    def _is_long_running(self, run: ActiveRun) -> bool:
-        job = self._state.jobs.get(run.task.job)
-        return job is None or job.record.is_long_running
+    def _count_asked(self, job: JobLedger) -> int:
+        waiting = sum(
+            len(step.waiting) * step.spec.reserved.cpu for _, _, step in job.startable()
+        )
+        return waiting + sum(run.reserved.cpu for run in job.active_runs())
 
     def _count_spread(self) -> int:
         """Return the capacity that long-running steps need to spread their tasks.
@@ -79,13 +87,9 @@
                 pending[job.record.queue] = count + 1
         return pending
 
-    def holds_long_running(self, worker: WorkerLedger) -> bool:
-        """Return whether a long-running task may be at work on a worker."""
-        return any(self._is_long_running(run) for run in worker.runs.values())
-
     def ends_soon(self, worker: WorkerLedger) -> bool:
         """Return whether a task that may be at work on a worker ends by itself."""
-        return not all(self._is_long_running(run) for run in worker.runs.values())
+        return not all(run.is_long_running for run in worker.runs.values())
 
     def list_lives(self, now: float) -> list[WorkerLife]:
         """Return the workers that take tasks, those with most room first."""
--- a/jujubebarrow/coordinators/worker_ledgers.py
+++ b/jujubebarrow/coordinators/worker_ledgers.py
@@ -46,6 +46,7 @@
         self._clock_read_at: float | None = None
         self._ends: OrderedDict[int, bool] = OrderedDict()
         self._reserved = NOTHING
+        self._long_running = 0
 
     @property
     def life(self) -> WorkerLife:
@@ -67,6 +68,11 @@
         """Resources of all runs that may be at work."""
         return self._reserved
 
+    @property
+    def has_long_running(self) -> bool:
+        """Whether a long-running task may be at work here."""
+        return self._long_running > 0
+
     @property
     def labels(self) -> tuple[str, ...]:
         """Kind and rack."""
@@ -99,11 +105,13 @@
         """Reserve the resources of a run."""
         self.runs[run.task, run.run] = run
         self._reserved = self._reserved.plus(run.reserved)
+        self._long_running += run.is_long_running
 
     def remove_run(self, run: ActiveRun) -> None:
         """Free the resources of a run that is over."""
         if self.runs.pop((run.task, run.run), None) is not None:
             self._reserved = self._reserved.minus(run.reserved)
+            self._long_running -= run.is_long_running
 
     def note_open_start(self, run: ActiveRun) -> None:
         """Note a start without an answer; it may be carried out late."""
--- a/jujubebarrow/placements/placers.py
+++ b/jujubebarrow/placements/placers.py
@@ -31,8 +31,10 @@
 ) -> WorkerLedger | None:
     """Return the worker for a task, or None if none has room.
 
-    Near its data comes first, then a worker other than the one where it failed,
-    then the one with the most processor left: tasks disturb each other the less.
+    Near its data comes first, then a worker other than the one where it failed. A
+    task that ends by itself goes to a worker with a long-running one: the others can
+    be lent as soon as they are empty. Then comes the one with the most processor left:
+    tasks disturb each other the less.
 
     Args:
         step: Step of the task.
@@ -41,12 +43,13 @@
         avoided: Worker on which the task failed last.
     """
     best: WorkerLedger | None = None
-    best_rank: tuple[bool, bool, int] | None = None
+    best_rank: tuple[bool, bool, bool, int] | None = None
     for worker in workers:
         if not may_run(step, worker, present[worker.worker]):
             continue
         near = not step.data_rack or step.data_rack in worker.labels
-        rank = (near, worker.worker != avoided, worker.free.cpu)
+        stays = worker.has_long_running and not step.long_running
+        rank = (near, worker.worker != avoided, stays, worker.free.cpu)
         if best_rank is None or rank > best_rank:
             best, best_rank = worker, rank
     return best
--- a/jujubebarrow/pools/pool_loads.py
+++ b/jujubebarrow/pools/pool_loads.py
@@ -12,7 +12,9 @@
 
     Attributes:
         pool: Pool.
-        demand: What its startable and running tasks ask for.
+        demand: What its startable and running tasks ask for, each job counted by what
+            it is still worth.
+        backlog: What they ask for, jobs that are late counted in full.
         capacity: What its workers have.
         machines: Number of its workers that take tasks.
         movable: Number of them that could go elsewhere at once.
@@ -24,6 +26,7 @@
     capacity: int
     machines: int
     movable: int
+    backlog: int = 0
     is_standby: bool = False
 
     @property
@@ -38,6 +41,7 @@
             "capacity": self.capacity,
             "machines": self.machines,
             "movable": self.movable,
+            "backlog": self.backlog,
             "standby": self.is_standby,
         }
 
@@ -50,6 +54,7 @@
             capacity=document["capacity"],
             machines=document["machines"],
             movable=document["movable"],
+            backlog=document["backlog"],
             is_standby=document["standby"],
         )
 
@@ -58,7 +63,10 @@
         if self.machines != other.machines or self.movable != other.movable:
             return True
         step = max(1, self.capacity // TOLD_STEPS)
-        return abs(self.demand - other.demand) > step
+        return (
+            abs(self.demand - other.demand) > step
+            or abs(self.backlog - other.backlog) > step
+        )
 
 
 TOLD_STEPS = 10
--- a/jujubebarrow/pools/surplus_planners.py
+++ b/jujubebarrow/pools/surplus_planners.py
@@ -4,6 +4,9 @@
 seconds each: machines follow the demand, as far as a move is over before it ebbs.
 """
 
+from collections import Counter
+from dataclasses import replace
+
 from jujubebarrow.identifiers import PoolId
 from jujubebarrow.pools.pool_loads import PoolLoad
 
@@ -15,7 +18,7 @@
 """Largest part of a pool's machines that it lends in one plan."""
 LEAST_MACHINES = 2
 """Machines that stay in each pool, so that the loss of one leaves another."""
-KEPT_SHARE = 0.5
+KEPT_SHARE = 0.75
 """Part of an equal share of all machines that stays in each pool: its own turn comes
 faster than machines do."""
 LARGEST_LOAN = 0.5
@@ -27,8 +30,9 @@
 ) -> list[tuple[PoolId, PoolId]]:
     """Return the moves that would even out the load, as pairs of pools.
 
-    All owners come to the same plan from the same loads; each carries out the part
-    that begins at its own pool.
+    Pools whose callers can still be served in time come first; pools with a backlog
+    that is late get machines that nobody else can use. All owners come to the same
+    plan from the same loads; each carries out the part that begins at its own pool.
 
     Args:
         loads: Load of each pool.
@@ -38,11 +42,31 @@
     usual = sum(sizes) / len(sizes) if sizes else 0.0
     if not usual:
         return []
-    needs = _count_needs(loads, under_way, usual)
     kept = _count_kept(loads)
+    needs = _count_needs(loads, under_way, usual)
     surplus = {pool: _count_surplus(load, kept) for pool, load in loads.items()}
+    moves = _match(loads, needs, surplus)
+    if needs:
+        return moves
+    whole = {
+        pool: replace(load, demand=max(load.demand, load.backlog))
+        for pool, load in loads.items()
+    }
+    coming = Counter(under_way) + Counter(target for _, target in moves)
+    going = Counter(source for source, _ in moves)
+    needs = _count_needs(whole, coming, usual)
+    surplus = {
+        pool: max(0, _count_surplus(load, kept) - going[pool])
+        for pool, load in whole.items()
+    }
+    return moves + _match(loads, needs, surplus)
+
+
+def _match(
+    loads: dict[PoolId, PoolLoad], needs: dict[PoolId, int], surplus: dict[PoolId, int]
+) -> list[tuple[PoolId, PoolId]]:
+    """Return moves, the pool that is shortest of machines first; lowers both counts."""
     moves: list[tuple[PoolId, PoolId]] = []
-    # The pool that is shortest of machines gets the next one.
     while needs and any(surplus.values()):
         target = max(needs, key=lambda pool: (needs[pool], pool))
         source = _choose_source(loads, surplus)
--- a/jujubebarrow/runtimes/move_keepers.py
+++ b/jujubebarrow/runtimes/move_keepers.py
@@ -27,8 +27,9 @@
 """Seconds between two looks; a turn of the demand lasts some seconds."""
 LIST_AGE = 2.0
 """Seconds for which a list of machines serves."""
-DRAIN_PATIENCE = 1.5
-"""Seconds after which a machine that still has tasks is not lent after all."""
+DRAIN_PATIENCE = 2.0
+"""Seconds after which a machine that still has tasks is not lent after all; nine in
+ten tasks end within that."""
 
 
 class MoveKeeper:
@@ -125,6 +126,7 @@
         workers = [worker for worker in self._workers() if not worker.is_cordoned]
         return PoolLoad(
             pool=self._pool,
+            backlog=self._coordinator.demand.count_backlog(),
             demand=self._coordinator.demand.count_demand(self._clock.monotonic()),
             capacity=sum(worker.capacity.cpu for worker in workers),
             machines=len(workers),
@@ -145,8 +147,7 @@
         workers = [
             worker
             for worker in self._workers()
-            if not worker.is_cordoned
-            and not self._coordinator.demand.holds_long_running(worker)
+            if not worker.is_cordoned and not worker.has_long_running
         ]
         return sorted(workers, key=lambda worker: worker.reserved.cpu)
 
--- a/jujubebarrow/tests/test_overload.py
+++ b/jujubebarrow/tests/test_overload.py
@@ -1,17 +1,28 @@
 """Order of jobs and moves of machines, under the load that they answer."""
 
 import unittest
+from collections import Counter
+from dataclasses import replace
 from random import Random
 
+from jujubebarrow.coordinators.active_runs import ActiveRun
 from jujubebarrow.coordinators.arrival_rates import ArrivalRate
 from jujubebarrow.coordinators.job_ledgers import JobLedger
-from jujubebarrow.identifiers import JobId, PoolId, QueueId, TeamId
+from jujubebarrow.coordinators.pool_demands import PoolDemand
+from jujubebarrow.coordinators.pool_states import PoolState
+from jujubebarrow.coordinators.terms import CoordinatorTerms
+from jujubebarrow.coordinators.worker_ledgers import WorkerLedger
+from jujubebarrow.identifiers import JobId, PoolId, QueueId, TeamId, ZoneId
 from jujubebarrow.placements.job_orders import JobOrder, objective, work
+from jujubebarrow.placements.placers import choose_worker
 from jujubebarrow.pools.pool_loads import PoolLoad
 from jujubebarrow.pools.surplus_planners import plan_moves
+from jujubebarrow.workloads.identifiers import FenceToken, RunNumber, WorkerId
 from jujubebarrow.workloads.job_records import JobRecord
 from jujubebarrow.workloads.resources import Resources
 from jujubebarrow.workloads.step_specs import StepSpec
+from jujubebarrow.workloads.task_keys import TaskKey
+from jujubebarrow.workloads.worker_reports import WorkerEntry, WorkerState
 
 CORES = 60.0
 """Cores of the played pool; the load asks for about twice as much."""
@@ -179,6 +190,14 @@
         )
         self.assertNotIn(("b", "a"), moves)
 
+    def test_a_late_backlog_gets_what_nobody_else_can_use(self) -> None:
+        late = replace(make_load("late", 20, 4, 0), backlog=400_000)
+        calm = make_load("calm", 10, 12, 12)
+        self.assertEqual(set(self.plan(late, calm)), {("calm", "late")})
+        turn = make_load("turn", 576, 4, 0)
+        moves = self.plan(late, calm, turn)
+        self.assertEqual({target for _, target in moves}, {"turn"})
+
     def test_machines_on_their_way_are_counted(self) -> None:
         loads = (make_load("a", 220, 6, 0), make_load("b", 10, 6, 4))
         self.assertEqual(self.plan(*loads, under_way={PoolId("a"): 1}), [])
@@ -215,5 +234,73 @@
             self.assertEqual(rate.measure(now + 2.0), 0.0)
 
 
+class PoolDemandTest(unittest.TestCase):
+    """The load: a pool's backlog after an outage, while another has its turn."""
+
+    def setUp(self) -> None:
+        terms = CoordinatorTerms(
+            lease=6.0,
+            longest_lease=6.0,
+            displaced_hold=2.0,
+            stop_grace=0.2,
+            early_start=0.1,
+        )
+        state = PoolState(PoolId("labels"), FenceToken(1), terms, 0.0)
+        self.demand = PoolDemand(state, JobOrder())
+        random = Random(1)
+        for number in range(40):
+            job = make_job(number, random, 0.0)
+            state.jobs[job.record.job] = job
+        self.asked = sum(
+            job.record.steps[0].count * 1800 for job in state.jobs.values()
+        )
+
+    def test_jobs_in_time_count_in_full(self) -> None:
+        self.assertEqual(self.demand.count_demand(0.1), self.asked)
+
+    def test_a_late_backlog_keeps_no_machines_from_others(self) -> None:
+        backlog = self.demand.count_demand(4.0)
+        self.assertLess(backlog, 0.1 * self.asked)
+        loads = {
+            PoolId("late"): make_load("late", backlog / 1000, 16, 16),
+            PoolId("turn"): make_load("turn", 300, 4, 0),
+        }
+        self.assertGreaterEqual(len(plan_moves(loads, {})), 4)
+
+    def test_work_that_is_worth_nothing_more_counts_nothing(self) -> None:
+        self.assertEqual(self.demand.count_demand(60.0), 0)
+
+
+class PlacementTest(unittest.TestCase):
+    def test_tasks_that_end_leave_machines_empty_that_can_be_lent(self) -> None:
+        pinned = WorkerLedger(WorkerId("pinned"), 0.0)
+        empty = WorkerLedger(WorkerId("empty"), 0.0)
+        for worker in (pinned, empty):
+            worker.entry = WorkerEntry(
+                worker=worker.worker,
+                born=1,
+                pool=PoolId("p"),
+                address="",
+                zone=ZoneId("z"),
+                state=WorkerState.READY,
+                capacity=Resources(32000, 65536),
+            )
+        lasting = ActiveRun(
+            task=TaskKey(JobId("1" * 16), 0, 0, 0),
+            run=RunNumber(1),
+            life=pinned.life,
+            reserved=Resources(3000, 4000),
+            usage=Resources(3000, 4000),
+            is_long_running=True,
+        )
+        pinned.add_run(lasting)
+        step = StepSpec(needs=Resources(1800, 2500))
+        chosen = choose_worker(step, [empty, pinned], Counter(), None)
+        self.assertIs(chosen, pinned)
+        pinned.remove_run(lasting)
+        chosen = choose_worker(step, [pinned, empty], Counter(), pinned.worker)
+        self.assertIs(chosen, empty)
+
+
 if __name__ == "__main__":
     unittest.main()
