--- a/jujubebarrow/coordinators/planners.py
+++ b/jujubebarrow/coordinators/planners.py
@@ -24,7 +24,6 @@
     def __init__(self, state: PoolState, order: JobOrder):
         self._state = state
         self._order = order
-        self._now = 0.0
 
     def plan(self, now: float, wall: float) -> list[ActiveRun]:
         """Plan runs for all tasks that find room.
@@ -42,7 +41,9 @@
         for job in jobs:
             for occurrence, number, step in job.startable():
                 allowed = self._allow(job, (occurrence, number), step, workers, now)
-                planned += self._plan_step(job, (occurrence, number), step, allowed)
+                planned += self._plan_step(
+                    job, (occurrence, number), step, allowed, now
+                )
         return planned
 
     def _allow(
@@ -62,7 +63,6 @@
         room = sum(step.spec.reserved.fits(worker.free) for worker in allowed)
         if room < len(step.waiting):
             book.want(key, len(step.waiting) - room)
-        self._now = now
         return allowed
 
     def _plan_step(
@@ -71,9 +71,10 @@
         place: tuple[int, int],
         step: StepState,
         workers: list[WorkerLedger],
+        now: float,
     ) -> list[ActiveRun]:
         if step.spec.gang:
-            return self._plan_gang(job, place, step, workers)
+            return self._plan_gang(job, place, step, workers, now)
         planned = []
         present = count_present(step)
         for index in step.waiting:
@@ -88,7 +89,7 @@
             present[worker.worker] += 1
             key = TaskKey(job.record.job, *place, index)
             number = RunNumber(task.last_run + 1)
-            planned.append(self._begin(job, step, key, number, worker))
+            planned.append(self._begin(job, step, key, number, worker, now))
         return planned
 
     def _plan_gang(
@@ -97,6 +98,7 @@
         place: tuple[int, int],
         step: StepState,
         workers: list[WorkerLedger],
+        now: float,
     ) -> list[ActiveRun]:
         indexes = step.waiting
         if len(indexes) < len(step.tasks):
@@ -113,7 +115,7 @@
         for index, worker in zip(indexes, chosen, strict=True):
             step.tasks[index].checkpoint = checkpoint
             key = TaskKey(job.record.job, *place, index)
-            planned.append(self._begin(job, step, key, number, worker))
+            planned.append(self._begin(job, step, key, number, worker, now))
         return planned
 
     def _begin(
@@ -123,6 +125,7 @@
         key: TaskKey,
         number: RunNumber,
         worker: WorkerLedger,
+        now: float,
     ) -> ActiveRun:
         run = ActiveRun(
             task=key,
@@ -131,7 +134,7 @@
             reserved=step.spec.reserved,
             usage=step.spec.needs,
             is_long_running=step.spec.long_running,
-            ticket=self._state.advice.find_ticket(key[:3], worker.life, self._now),
+            ticket=self._state.advice.find_ticket(key[:3], worker.life, now),
         )
         job.begin_run(run)
         self._state.add_run(job, run)
--- a/jujubebarrow/runtimes/move_keepers.py
+++ b/jujubebarrow/runtimes/move_keepers.py
@@ -30,6 +30,8 @@
 DRAIN_PATIENCE = 2.0
 """Seconds after which a machine that still has tasks is not lent after all; nine in
 ten tasks end within that."""
+TOLD_PERIOD = 2.0
+"""Least seconds between two lines on a pool that is short."""
 
 
 class MoveKeeper:
@@ -77,6 +79,7 @@
         self._log = log
         self._metrics = metrics
         self._told: PoolLoad | None = None
+        self._shortage_told_at = float("-inf")
         self._listed: dict[WorkerId, Machine] = {}
         self._spare: list[Machine] = []
         self._listed_at = float("-inf")
@@ -103,16 +106,33 @@
         loads = dict(self._board.loads)
         loads[self._pool] = load
         under_way = self._board.count_under_way()
-        targets = [
-            target
-            for source, target in plan_moves(loads, under_way)
-            if source == self._pool
-        ]
+        moves = plan_moves(loads, under_way)
+        targets = [target for source, target in moves if source == self._pool]
+        self._log_shortage(load, moves, under_way.get(self._pool, 0))
         if self._is_standby:
             await self._send_spare(targets)
         else:
             await self._send_workers(targets)
 
+    def _log_shortage(
+        self, load: PoolLoad, moves: list[tuple[PoolId, PoolId]], coming: int
+    ) -> None:
+        """Tell why machines are awaited, or that nobody lends any."""
+        now = self._clock.monotonic()
+        if load.demand <= load.capacity or now - self._shortage_told_at < TOLD_PERIOD:
+            return
+        self._shortage_told_at = now
+        self._log.write(
+            "pool_short",
+            pool=self._pool,
+            demand=load.demand,
+            backlog=load.backlog,
+            capacity=load.capacity,
+            machines=load.machines,
+            coming=coming,
+            lenders=[source for source, target in moves if target == self._pool],
+        )
+
     def _describe(self) -> PoolLoad:
         if self._is_standby:
             return PoolLoad(
