--- a/jujubebarrow/runtimes/job_browsers.py
+++ b/jujubebarrow/runtimes/job_browsers.py
@@ -10,6 +10,7 @@
 from jujubebarrow.stores.row_keys import RowKey, TableName, make_key
 from jujubebarrow.stores.stores import Store
 from jujubebarrow.workloads.job_phases import JobPhase
+from jujubebarrow.workloads.job_records import JobRecord
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -53,36 +54,8 @@
         Raises:
             StoreError: The store does not answer.
         """
-        jobs = await self._store.read(make_key(TableName.JOBS, queue, ""))
-        progress = await self._store.read(make_key(TableName.PROGRESS, queue, ""))
-        phases = {
-            RowKey.parse(row.key).name: JobPhase(row.value[PHASE])
-            for row in progress.rows
-            if row.value is not None
-        }
-        names = {RowKey.parse(row.key).name for row in jobs.rows}
-        found = []
-        for row in jobs.rows:
-            if row.key.endswith(CANCELLED_SUFFIX):
-                continue
-            record = read_job(row, self._metrics)
-            if record is None:
-                continue
-            phase = JobPhase.QUEUED
-            if record.job + CANCELLED_SUFFIX in names:
-                phase = JobPhase.CANCELLED
-            found.append(
-                JobSummary(
-                    job=record.job,
-                    queue=record.queue,
-                    pool=record.pool,
-                    team=record.team,
-                    phase=phases.get(record.job, phase),
-                    accepted=record.accepted,
-                    tasks=sum(step.count for step in record.steps),
-                )
-            )
-        return sorted(found, key=lambda job: job.accepted)
+        jobs = await self._read(queue, "")
+        return sorted(jobs, key=lambda job: job.accepted)
 
     async def find_job(self, queue: QueueId, job: JobId) -> JobSummary | None:
         """Return a job of a queue, or None if there is none.
@@ -90,5 +63,41 @@
         Raises:
             StoreError: The store does not answer.
         """
-        found = await self.list_jobs(queue)
+        found = await self._read(queue, job)
         return next((summary for summary in found if summary.job == job), None)
+
+    async def _read(self, queue: QueueId, prefix: str) -> list[JobSummary]:
+        jobs = await self._store.read(make_key(TableName.JOBS, queue, prefix))
+        progress = await self._store.read(make_key(TableName.PROGRESS, queue, prefix))
+        phases = {
+            RowKey.parse(row.key).name: JobPhase(row.value[PHASE])
+            for row in progress.rows
+            if row.value is not None
+        }
+        names = {RowKey.parse(row.key).name for row in jobs.rows}
+        records = [
+            read_job(row, self._metrics)
+            for row in jobs.rows
+            if not row.key.endswith(CANCELLED_SUFFIX)
+        ]
+        return [
+            _summarise(record, phases, record.job + CANCELLED_SUFFIX in names)
+            for record in records
+            if record is not None
+        ]
+
+
+def _summarise(
+    record: JobRecord, phases: dict[str, JobPhase], is_cancelled: bool
+) -> JobSummary:
+    """Return a job's summary; no owner may have seen the job yet."""
+    unseen = JobPhase.CANCELLED if is_cancelled else JobPhase.QUEUED
+    return JobSummary(
+        job=record.job,
+        queue=record.queue,
+        pool=record.pool,
+        team=record.team,
+        phase=phases.get(record.job, unseen),
+        accepted=record.accepted,
+        tasks=sum(step.count for step in record.steps),
+    )
--- a/jujubebarrow/upstreams/task_messages.py
+++ b/jujubebarrow/upstreams/task_messages.py
@@ -22,6 +22,7 @@
 FENCED_STATUS = 409
 """Answer to the extension of a lease under a token that is too low."""
 
+Order = StartOrder | StopOrder | PaceOrder | HoldOrder
 Message = TypeVar("Message")
 
 
@@ -54,6 +55,3 @@
         return convert(cbor2.loads(body), kind)
     except (cbor2.CBORDecodeError, ValidationError, ValueError, TypeError) as error:
         raise UnreadableMessageError(repr(error)) from error
-
-
-Order = StartOrder | StopOrder | PaceOrder | HoldOrder
