Tell a team of its own jobs only

Cause, found on reading: GET of a job checked the key and the queue, not the team, so any team of a queue could read the state of another's job by its id; DELETE did check.

Change: one way to a job for callers and operators (JobAccess.find_job), with the team. Test: the story of a cancelled job asks with another team's key, GET failed first (200).

--- a/jujubebarrow/callers/job_handlers.py
+++ b/jujubebarrow/callers/job_handlers.py
@@ -101,13 +101,16 @@
 
     async def get(self, queue: str, job: str) -> None:
         """Show a job."""
-        caller, route = self._authorise(queue)
-        intake = self.context.jobs.intake
-        self._tell(job, queue, await intake.read_phase(route, caller.team, JobId(job)))
+        caller, _ = self._authorise(queue)
+        await self._show(caller, queue, job)
 
     async def delete(self, queue: str, job: str) -> None:
         """Cancel a job: that is stored when this answers."""
         caller, route = self._authorise(queue)
-        intake = self.context.jobs.intake
-        await intake.cancel(route, caller.team, JobId(job))
-        self._tell(job, queue, await intake.read_phase(route, caller.team, JobId(job)))
+        await self.context.jobs.intake.cancel(route, caller.team, JobId(job))
+        await self._show(caller, queue, job)
+
+    async def _show(self, caller: Caller, queue: str, job: str) -> None:
+        access = self.context.jobs
+        found = await access.find_job(QueueId(queue), JobId(job), caller.team)
+        self._tell(job, queue, found.phase)
--- a/jujubebarrow/runtimes/job_accesses.py
+++ b/jujubebarrow/runtimes/job_accesses.py
@@ -2,16 +2,16 @@
 
 from dataclasses import dataclass
 
-from jujubebarrow.errors.exceptions import RefusalError
+from jujubebarrow.errors.exceptions import RefusalError, StoreError
 from jujubebarrow.errors.kinds import ErrorKind
 from jujubebarrow.fleets.queue_routes import QueueRoute
-from jujubebarrow.identifiers import QueueId
+from jujubebarrow.identifiers import JobId, QueueId, TeamId
 from jujubebarrow.runtimes.fleet_sources import FleetSource
-from jujubebarrow.runtimes.job_browsers import JobBrowser
+from jujubebarrow.runtimes.job_browsers import JobBrowser, JobSummary
 from jujubebarrow.runtimes.job_intakes import JobIntake
 
 RETRY_SECONDS = 1.0
-"""Retry-After while an instance starts, or has not read a new queue yet."""
+"""Retry-After while an instance has not read a queue yet, or the store is silent."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,10 +28,42 @@
     browser: JobBrowser
     fleet: FleetSource
 
-    def list_queues(self) -> list[QueueId]:
-        """Return all queues."""
+    async def list_jobs(self) -> list[JobSummary]:
+        """Return the jobs of all queues.
+
+        Raises:
+            RefusalError: The store does not answer.
+        """
         fleet = self.fleet.fleet
-        return sorted(fleet.queues) if fleet is not None else []
+        jobs: list[JobSummary] = []
+        try:
+            for queue in sorted(fleet.queues) if fleet is not None else ():
+                jobs.extend(await self.browser.list_jobs(queue))
+        except StoreError as error:
+            raise _refuse(error) from error
+        return jobs
+
+    async def find_job(
+        self, queue: QueueId, job: JobId, team: TeamId | None = None
+    ) -> JobSummary:
+        """Return a job.
+
+        Args:
+            queue: Queue.
+            job: Job.
+            team: Team that asks, which is told of its own jobs only; None for an
+                operator.
+
+        Raises:
+            RefusalError: There is no such job, or the store does not answer.
+        """
+        try:
+            found = await self.browser.find_job(queue, job)
+        except StoreError as error:
+            raise _refuse(error) from error
+        if found is None or team not in (None, found.team):
+            raise RefusalError(ErrorKind.NOT_FOUND, f"job {job}")
+        return found
 
     def find_route(self, queue: QueueId) -> QueueRoute:
         """Return where a configured queue's jobs run.
@@ -44,3 +76,7 @@
         if route is None:
             raise RefusalError(ErrorKind.NOT_READY, queue, RETRY_SECONDS)
         return route
+
+
+def _refuse(error: StoreError) -> RefusalError:
+    return RefusalError(ErrorKind.STORE_UNAVAILABLE, str(error), RETRY_SECONDS)
--- a/jujubebarrow/tests/test_job_interface.py
+++ b/jujubebarrow/tests/test_job_interface.py
@@ -96,8 +96,9 @@
             "labels", "tuna", "stop", [STEP | {"long_running": True}]
         )
         await self.wait_for(self.entries[0], path, "running")
-        code, _ = await self.ask(self.entries[1], "DELETE", path, "reef")
-        self.assertEqual(code, 404)
+        for method in ("GET", "DELETE"):
+            code, _ = await self.ask(self.entries[1], method, path, "reef")
+            self.assertEqual(code, 404, method)
         code, document = await self.ask(self.entries[1], "DELETE", path, "tuna")
         self.assertEqual(code, 200)
         await self.wait_for(self.entries[0], path, "cancelled")
