Count two errors that ended without a trace

Cause, found by reading: a purge of old claims that met another holder's, and a read of the configuration after a change that the store did not answer, ended with neither a line nor a counter. Both are counted now (claim_purge_conflict, retry configuration-catch-up).

--- a/jujubebarrow/services/claim_purgers.py
+++ b/jujubebarrow/services/claim_purgers.py
@@ -53,6 +53,8 @@
         try:
             await self._platform.commit(transaction)
         except TransactionConflictError:
+            # Another holder of the control lease has purged them meanwhile.
+            self._metrics.count("claim_purge_conflict")
             return
         self._metrics.count("claim_purged", amount=len(old))
         if len(old) == PURGE_ROWS:
--- a/jujubebarrow/services/configuration_services.py
+++ b/jujubebarrow/services/configuration_services.py
@@ -183,6 +183,7 @@
             try:
                 await self.catch_up()
             except StoreError:
+                self._metrics.count("retry", "configuration-catch-up")
                 continue
             if self._configuration.revision >= revision:
                 return
