Reproduce claims of pools of live owners by instances without heartbeats

Callers saw false counts of waiting jobs and few jobs done on grown deployments.

An instance counts the silence of another one up to the present, also while it reads no heartbeats itself. The emulated store can now fail the change feed of single tables.

--- a/jujubebarrow/standins/emulated_stores.py
+++ b/jujubebarrow/standins/emulated_stores.py
@@ -66,6 +66,7 @@
         commit_attempts: Number of attempts to commit a transaction.
         is_disconnected: Whether this client's calls time out.
         is_rejecting_calls: Whether this client's calls fail at once with status 503.
+        unreadable_tables: Tables whose change feeds time out for this client.
     """
 
     commit_attempts = 2
@@ -75,6 +76,7 @@
         self._shared = shared
         self.is_disconnected = False
         self.is_rejecting_calls = False
+        self.unreadable_tables: set[str] = set()
 
     async def _deliver_request(self) -> None:
         await sleep(ONE_WAY_DELAY_SECONDS + self._shared.extra_delay_seconds)
@@ -131,6 +133,9 @@
             StoreError: The store was unreachable or rejected the call.
         """
         await self._deliver_request()
+        if prefix.split("/", 1)[0] in self.unreadable_tables:
+            await sleep(RESPONSE_TIMEOUT_SECONDS)
+            raise StoreError("no answer", True)
         if since < self._shared.oldest_readable_revision:
             raise HistoryLostError(prefix)
         truncation_count = self._shared.history_truncation_count
