Claim pools only by recently read heartbeats

Callers saw: after an outage of the store on grown deployments jobs of all pools stood still for seconds, long-running tasks were lost, and counts of waiting jobs were false.

Cause: an instance counted the silence of the others up to the present, also while it read no heartbeats itself. When its poll of the owners and its writes came through before its next read of the heartbeats, all live owners looked dead and it claimed their pools. The class of fault is a failure detector that takes its own blindness for the silence of others.

Silence now counts up to the latest read only, and an instance that has not read the heartbeats for 1.5 s claims nothing. Fences already kept such claims from doubling work, so only availability was concerned.

--- a/jujubebarrow/ownerships/claim_planners.py
+++ b/jujubebarrow/ownerships/claim_planners.py
@@ -30,11 +30,16 @@
     ) -> list[DutyId]:
         """Return the duties that this instance should claim now.
 
+        Returns none while the heartbeats were not read recently, because the instance
+        cannot tell then which owners are alive.
+
         Args:
             duties: All duties that need an owner.
             rows: Row with the present owner of each duty.
             now: Monotonic time in seconds.
         """
+        if not self._observer.is_current(now):
+            return []
         unowned = [duty for duty in duties if not self.has_owner(rows.get(duty), now)]
         for duty in list(self._unowned_since):
             if duty not in unowned:
--- a/jujubebarrow/ownerships/lease_observers.py
+++ b/jujubebarrow/ownerships/lease_observers.py
@@ -15,7 +15,8 @@
     """Records the time at which each heartbeat was first seen.
 
     The observer counts a lease from the time at which the heartbeat was first seen. The
-    holder counts the same lease from an earlier time and therefore stops first.
+    holder counts the same lease from an earlier time and therefore stops first. Only
+    time up to the latest read counts, since heartbeats may have been written after it.
 
     Args:
         lease: Length of a lease in seconds.
@@ -49,17 +50,23 @@
 
     def is_alive(self, instance: InstanceId, now: float) -> bool:
         """Return whether an instance's lease may still be valid."""
-        seen = self._seen.get(instance)
-        return seen is not None and now - seen[1] <= self._lease + EXPIRY_MARGIN_SECONDS
+        silence = self.seconds_since_heartbeat(instance, now)
+        return silence <= self._lease + EXPIRY_MARGIN_SECONDS
+
+    def is_current(self, now: float) -> bool:
+        """Return whether the heartbeats were read recently enough to claim duties."""
+        return self._read_at is not None and now - self._read_at <= READ_GAP_SECONDS
 
     def seconds_since_heartbeat(self, instance: InstanceId, now: float) -> float:
-        """Return the seconds since an instance's latest heartbeat was first seen.
+        """Return the seconds between an instance's latest heartbeat and the last read.
 
         Returns infinity if no heartbeat of the instance was seen. After a gap between
         two reads of the store, the time counts from the read that ended the gap.
         """
         seen = self._seen.get(instance)
-        return now - seen[1] if seen else float("inf")
+        if seen is None or self._read_at is None:
+            return float("inf")
+        return min(now, self._read_at) - seen[1]
 
     def list_alive(self, now: float) -> list[InstanceRow]:
         """Return the live instances, sorted by id."""
