Choose owners of pools by link, processor and zone

Cause: any instance was as good an owner as any other one. Of 42 instances 36 have a link of 10 Mbit/s, so nearly all pools had such owners. The owner of a busy pool needs about 18 Mbit/s at a peak (measured from the metrics of the incident: median 2, peak 17.6). On a small link the rows of a takeover did not arrive within the timeout, and starts and heartbeats waited behind them.

Evidence: on the unchanged code the four owners with small links that claimed their pools at 43 s had not loaded them at 70 s; the one large instance that got a pool loaded 208 jobs in 0.34 s. The owner of the busy pool at 26 to 40 s recorded 1,900 unconfirmed starts, "timed out after 250 milliseconds with 0 bytes received". Four of five owners were in the zone that the incident cuts off.

Changed: a heartbeat tells the zone and how many busy pools the instance can own, by its link and its processor. A pool goes to the instance with the lowest load for its size, then to the zone with the fewest pools. The next instance in this order follows after 0.8 s; before, any instance claimed after 1.5 s. Instances whose heartbeat is overdue are not preferred. A stopping owner counts as gone at once.

--- a/jujubebarrow/ownerships/claim_planners.py
+++ b/jujubebarrow/ownerships/claim_planners.py
@@ -2,19 +2,30 @@
 
 from collections import Counter
 
-from jujubebarrow.identifiers import InstanceId
+from jujubebarrow.identifiers import InstanceId, ZoneId
 from jujubebarrow.ownerships.lease_observers import LeaseObserver
-from jujubebarrow.ownerships.ownership_rows import DutyId, DutyRow
+from jujubebarrow.ownerships.ownership_rows import DutyId, DutyRow, InstanceRow
 from jujubebarrow.routes.rendezvous import rank
 
-CLAIM_GRACE_SECONDS = 1.5
-"""Seconds after which any instance claims a duty that the preferred instance has not
-claimed."""
+CLAIM_STEP_SECONDS = 0.8
+"""Seconds for which an instance leaves an unowned duty to the instance before it in the
+order of preference; about two polls of the owners."""
+CLAIM_STEPS_LIMIT = 3
+"""Number of steps after which any instance claims an unowned duty."""
+CLAIMANT_SILENCE_SECONDS = 1.2
+"""Seconds without a heartbeat after which an instance that still counts as alive is not
+preferred for a duty; about two heartbeats."""
+SMALLEST_CAPACITY = 0.01
+"""Lowest pool capacity that is assumed, so that any instance can own a pool."""
 
 
 class ClaimPlanner:
     """Distributes duties over live instances; each instance computes the same result.
 
+    A duty goes to the instance with the lowest load relative to its capacity, then to
+    the zone with the fewest duties, so that a zone that is cut off takes few owners
+    with it.
+
     Args:
         instance: Id of this instance.
         observer: Determines which instances are alive.
@@ -44,17 +55,23 @@
         for duty in list(self._unowned_since):
             if duty not in unowned:
                 del self._unowned_since[duty]
-        load = self.count_load(rows, now)
+        claimants = self._list_claimants(now)
+        load = self._count_load(rows, now)
         chosen = []
         for duty in sorted(unowned):
             since = self._unowned_since.setdefault(duty, now)
-            preferred = _choose_least_loaded(duty, load)
-            if preferred is not None:
-                load[preferred] += 1
-            if preferred == self._instance or now - since > CLAIM_GRACE_SECONDS:
+            order = _rank_claimants(duty, claimants, load)
+            if order:
+                load[order[0]] += 1
+            if now - since >= self._count_steps(order) * CLAIM_STEP_SECONDS:
                 chosen.append(duty)
         return chosen
 
+    def _count_steps(self, order: list[InstanceId]) -> int:
+        if self._instance not in order:
+            return CLAIM_STEPS_LIMIT
+        return min(order.index(self._instance), CLAIM_STEPS_LIMIT)
+
     def has_owner(self, row: DutyRow | None, now: float) -> bool:
         """Return whether a duty has an owner that may still act under its lease."""
         if row is None or not row.holder:
@@ -62,22 +79,44 @@
         holder = self._observer.find(row.holder)
         if holder is None or holder.incarnation != row.incarnation:
             return False
+        if holder.is_stopping:
+            # The instance has stopped its owners, although the release of their duties
+            # may not be stored.
+            return False
         return self._observer.is_alive(row.holder, now)
 
-    def count_load(
+    def _list_claimants(self, now: float) -> list[InstanceRow]:
+        """Return the live instances that may claim duties, all else equal.
+
+        Instances whose heartbeats are overdue are left out if any others are alive.
+        """
+        alive = [row for row in self._observer.list_alive(now) if not row.is_stopping]
+        recent = [
+            row
+            for row in alive
+            if self._observer.seconds_since_heartbeat(row.instance, now)
+            <= CLAIMANT_SILENCE_SECONDS
+        ]
+        return recent or alive
+
+    def _count_load(
         self, rows: dict[DutyId, DutyRow], now: float
     ) -> Counter[InstanceId]:
-        """Return the number of duties of each live instance that is not stopping."""
-        claimants = [
-            row for row in self._observer.list_alive(now) if not row.is_stopping
-        ]
-        load = Counter({row.instance: 0 for row in claimants})
-        for row in rows.values():
-            if row.holder in load and self.has_owner(row, now):
-                load[row.holder] += 1
-        return load
+        """Return the number of duties of each instance that owns any."""
+        return Counter(row.holder for row in rows.values() if self.has_owner(row, now))
+
+
+def _rank_claimants(
+    duty: DutyId, claimants: list[InstanceRow], load: Counter[InstanceId]
+) -> list[InstanceId]:
+    rows = {row.instance: row for row in claimants}
+    zone_load: Counter[ZoneId] = Counter()
+    for instance, row in rows.items():
+        zone_load[row.zone] += load[instance]
 
+    def measure_load(name: str) -> tuple[float, int]:
+        row = rows[InstanceId(name)]
+        capacity = max(row.pool_capacity, SMALLEST_CAPACITY)
+        return (load[row.instance] + 1) / capacity, zone_load[row.zone]
 
-def _choose_least_loaded(duty: DutyId, load: Counter[InstanceId]) -> InstanceId | None:
-    ranked = rank(duty, load)
-    return min(ranked, key=lambda name: load[InstanceId(name)], default=None)
+    return [InstanceId(name) for name in sorted(rank(duty, rows), key=measure_load)]
--- a/jujubebarrow/ownerships/ownership_rows.py
+++ b/jujubebarrow/ownerships/ownership_rows.py
@@ -3,10 +3,13 @@
 from dataclasses import dataclass
 from typing import NewType
 
-from jujubebarrow.identifiers import IncarnationId, InstanceId
+from jujubebarrow.identifiers import IncarnationId, InstanceId, ZoneId
 
 DutyId = NewType("DutyId", str)
 """Duty: responsibility for one pool, owned by one instance at a time."""
+UNKNOWN_ZONE = ZoneId("")
+DEFAULT_POOL_CAPACITY = 1.0
+"""Pool capacity of an instance whose heartbeat does not contain one."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,6 +22,9 @@
         is_stopping: Whether the instance releases its duties to stop.
         address: IP and port for calls between instances; empty if calls are not served.
         revision: Revision of the row; increases with each heartbeat.
+        zone: Availability zone of the instance; empty if unknown.
+        pool_capacity: Number of busy pools that the instance can own at a time; may be
+            a fraction.
     """
 
     instance: InstanceId
@@ -26,6 +32,8 @@
     is_stopping: bool
     address: str
     revision: int
+    zone: ZoneId = UNKNOWN_ZONE
+    pool_capacity: float = DEFAULT_POOL_CAPACITY
 
 
 @dataclass(frozen=True, slots=True)
--- a/jujubebarrow/platform/main.py
+++ b/jujubebarrow/platform/main.py
@@ -16,6 +16,7 @@
 from jujubebarrow.identifiers import IncarnationId
 from jujubebarrow.logs.event_logs import EventLog, set_up_event_log
 from jujubebarrow.metrics.registries import MetricsRegistry
+from jujubebarrow.ownerships.pool_capacities import compute_pool_capacity
 from jujubebarrow.platform.advisors import PlatformAdvisor
 from jujubebarrow.platform.callers import CallerHandler
 from jujubebarrow.platform.documents import PlatformDocuments
@@ -187,6 +188,8 @@
         ),
         downtime=settings.downtime,
         machine_lease=settings.machine_lease,
+        zone=settings.zone,
+        pool_capacity=compute_pool_capacity(settings.link_mbps, settings.cores),
     )
 
 
--- a/jujubebarrow/platform/settings_files.py
+++ b/jujubebarrow/platform/settings_files.py
@@ -40,6 +40,8 @@
             above its target latency.
         absence_window: Time for which a task counts as unavailable after an
             absence.
+        link_mbps: Bandwidth of the machine's network link in Mbit/s.
+        cores: Processor cores that the process can use; below 1 for a slow core.
     """
 
     instance: InstanceId
@@ -63,6 +65,8 @@
     throttle_delay: float
     interference_tolerance: float
     absence_window: float
+    link_mbps: float
+    cores: float
 
 
 def load_platform_settings(path: Path) -> PlatformSettings:
@@ -151,6 +155,8 @@
             throttle_delay=self._milliseconds("Bounds.PaceMs", 0.1),
             interference_tolerance=self._milliseconds("Bounds.HarmMs", 4.0),
             absence_window=self._milliseconds("Bounds.NoticeMs", 4.5),
+            link_mbps=self._number("Limits.LinkMbps", 1000.0),
+            cores=self._number("Limits.CpuShare", 1.0),
         )
         if self._faults:
             raise SettingsError(self._faults)
--- a/jujubebarrow/runtimes/entry_nodes.py
+++ b/jujubebarrow/runtimes/entry_nodes.py
@@ -12,10 +12,15 @@
 from jujubebarrow.gateways.advisors import Advisor
 from jujubebarrow.gateways.machine_controls import MachineControl
 from jujubebarrow.gateways.worker_gateways import WorkerGateway
-from jujubebarrow.identifiers import IncarnationId, InstanceId, JobId, PoolId
+from jujubebarrow.identifiers import IncarnationId, InstanceId, JobId, PoolId, ZoneId
 from jujubebarrow.logs.decision_logs import DecisionLog
 from jujubebarrow.metrics.registries import MetricsRegistry
-from jujubebarrow.ownerships.ownership_rows import DutyId
+from jujubebarrow.ownerships.ownership_rows import (
+    DEFAULT_POOL_CAPACITY,
+    UNKNOWN_ZONE,
+    DutyId,
+    InstanceRow,
+)
 from jujubebarrow.runtimes.advice_controllers import AdviceController
 from jujubebarrow.runtimes.fleet_sources import FleetSource
 from jujubebarrow.runtimes.job_intakes import JobIntake
@@ -30,6 +35,7 @@
 from jujubebarrow.runtimes.wave_stores import WaveStore
 from jujubebarrow.runtimes.worker_sources import WorkerSource
 from jujubebarrow.stores.stores import Store
+from jujubebarrow.stores.transactions import ABSENT_REVISION
 from jujubebarrow.workloads.identifiers import FenceToken
 from jujubebarrow.workloads.job_phases import JobPhase
 
@@ -48,6 +54,8 @@
         downtime: Usual duration of a machine's maintenance in seconds.
         machine_lease: Time in seconds after an instance's order for a machine during
             which no other instance may send an order for that machine.
+        zone: Availability zone of this instance; empty if unknown.
+        pool_capacity: Number of busy pools that this instance can own at a time.
     """
 
     instance: InstanceId
@@ -56,6 +64,8 @@
     coordinator_options: CoordinatorOptions
     downtime: float
     machine_lease: float
+    zone: ZoneId = UNKNOWN_ZONE
+    pool_capacity: float = DEFAULT_POOL_CAPACITY
 
 
 class EntryNode(DutyListener):
@@ -114,9 +124,15 @@
         self._worker_source = worker_source
         self._job_watcher = JobWatcher(store, clock, log, metrics)
         self._ownership = OwnershipService(
-            options.instance,
-            options.incarnation,
-            options.address,
+            InstanceRow(
+                options.instance,
+                options.incarnation,
+                is_stopping=False,
+                address=options.address,
+                revision=ABSENT_REVISION,
+                zone=options.zone,
+                pool_capacity=options.pool_capacity,
+            ),
             store,
             self,
             clock,
--- a/jujubebarrow/runtimes/heartbeat_watchers.py
+++ b/jujubebarrow/runtimes/heartbeat_watchers.py
@@ -3,11 +3,15 @@
 from typing import Any
 
 from jujubebarrow.clocks.clocks import Clock
-from jujubebarrow.identifiers import IncarnationId, InstanceId
+from jujubebarrow.identifiers import IncarnationId, InstanceId, ZoneId
 from jujubebarrow.logs.decision_logs import DecisionLog
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.ownerships.lease_observers import LeaseObserver
-from jujubebarrow.ownerships.ownership_rows import InstanceRow
+from jujubebarrow.ownerships.ownership_rows import (
+    DEFAULT_POOL_CAPACITY,
+    UNKNOWN_ZONE,
+    InstanceRow,
+)
 from jujubebarrow.runtimes.table_watchers import TableWatcher
 from jujubebarrow.stores.row_keys import RowKey, TableName, make_key
 from jujubebarrow.stores.rows import Row
@@ -35,11 +39,15 @@
     return make_key(TableName.HEARTBEATS, instance, ROW_NAME)
 
 
-def make_heartbeat(
-    incarnation: IncarnationId, is_stopping: bool, address: str
-) -> dict[str, Any]:
+def make_heartbeat(row: InstanceRow) -> dict[str, Any]:
     """Return the stored value of a heartbeat."""
-    return {"incarnation": incarnation, "stopping": is_stopping, "address": address}
+    return {
+        "incarnation": row.incarnation,
+        "stopping": row.is_stopping,
+        "address": row.address,
+        "zone": row.zone,
+        "pools": row.pool_capacity,
+    }
 
 
 def read_heartbeat(row: Row) -> InstanceRow:
@@ -51,6 +59,8 @@
         value["stopping"],
         value["address"],
         row.revision,
+        ZoneId(value.get("zone", UNKNOWN_ZONE)),
+        value.get("pools", DEFAULT_POOL_CAPACITY),
     )
 
 
--- a/jujubebarrow/runtimes/ownership_services.py
+++ b/jujubebarrow/runtimes/ownership_services.py
@@ -3,6 +3,7 @@
 from abc import ABC, abstractmethod
 from asyncio import sleep
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from typing import Any
 from uuid import uuid4
 
@@ -14,7 +15,7 @@
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.ownerships.claim_planners import ClaimPlanner
 from jujubebarrow.ownerships.lease_observers import LeaseObserver
-from jujubebarrow.ownerships.ownership_rows import DutyId, DutyRow
+from jujubebarrow.ownerships.ownership_rows import DutyId, DutyRow, InstanceRow
 from jujubebarrow.runtimes.heartbeat_watchers import (
     HeartbeatWatcher,
     make_heartbeat,
@@ -69,10 +70,7 @@
     """Renews this instance's lease and claims duties.
 
     Args:
-        instance: Id of this instance.
-        incarnation: Id of the present run of the instance's process.
-        address: IP and port for calls from other instances; empty if the instance
-            accepts no calls.
+        identity: This instance as its heartbeats show it to the others.
         store: Store shared by all instances.
         listener: Receives claimed and lost duties.
         clock: Time source; must keep running while a machine is suspended.
@@ -85,25 +83,23 @@
 
     def __init__(
         self,
-        instance: InstanceId,
-        incarnation: IncarnationId,
-        address: str,
+        identity: InstanceRow,
         store: Store,
         listener: DutyListener,
         clock: Clock,
         log: DecisionLog,
         metrics: MetricsRegistry,
     ):
-        self._instance = instance
-        self._incarnation = incarnation
-        self._address = address
+        self._identity = identity
+        self._instance = identity.instance
+        self._incarnation = identity.incarnation
         self._store = store
         self._listener = listener
         self._clock = clock
         self._log = log
         self._metrics = metrics
         self._observer = LeaseObserver(LEASE_SECONDS)
-        self._planner = ClaimPlanner(instance, self._observer)
+        self._planner = ClaimPlanner(identity.instance, self._observer)
         self._duty_rows: dict[DutyId, DutyRow] = {}
         self._owned_duties: dict[DutyId, FenceToken] = {}
         self._heartbeat_revision: int | None = None
@@ -186,7 +182,7 @@
         return make_heartbeat_key(self._instance)
 
     def _make_heartbeat(self) -> dict[str, Any]:
-        return make_heartbeat(self._incarnation, self._is_stopping, self._address)
+        return make_heartbeat(replace(self._identity, is_stopping=self._is_stopping))
 
     async def _renew(self) -> None:
         if self._is_stopping:
--- a/jujubebarrow/tests/test_ownerships.py
+++ b/jujubebarrow/tests/test_ownerships.py
@@ -1,11 +1,13 @@
-"""Claims of pools by instances that cannot tell which other instances are alive."""
+"""Which instance claims which pool, and claims that must not be made."""
 
 import unittest
 from asyncio import sleep
+from dataclasses import replace
 
-from jujubebarrow.identifiers import IncarnationId, InstanceId
+from jujubebarrow.identifiers import IncarnationId, InstanceId, ZoneId
+from jujubebarrow.ownerships.claim_planners import ClaimPlanner
 from jujubebarrow.ownerships.lease_observers import LeaseObserver
-from jujubebarrow.ownerships.ownership_rows import InstanceRow
+from jujubebarrow.ownerships.ownership_rows import DutyId, DutyRow, InstanceRow
 from jujubebarrow.stores.row_keys import TableName
 from jujubebarrow.tests.fakes.job_cases import JobCase
 from jujubebarrow.tests.fakes.job_clusters import JobCluster
@@ -43,6 +45,79 @@
         self.assertFalse(observer.is_alive(OWNER, 12.5))
 
 
+def _make_instance(
+    name: str, zone: str = "", pool_capacity: float = 1.0, is_stopping: bool = False
+) -> InstanceRow:
+    return InstanceRow(
+        InstanceId(name),
+        IncarnationId(f"{name}-1"),
+        is_stopping,
+        "",
+        revision=1,
+        zone=ZoneId(zone),
+        pool_capacity=pool_capacity,
+    )
+
+
+class ClaimPlannerTest(unittest.TestCase):
+    def _find_claims(
+        self,
+        instances: list[InstanceRow],
+        duties: list[str],
+        owners: dict[str, str] | None = None,
+    ) -> dict[str, str]:
+        """Return the instance that claims each duty at once."""
+        rows = {
+            DutyId(duty): DutyRow(
+                DutyId(duty), InstanceId(owner), IncarnationId(f"{owner}-1"), 1
+            )
+            for duty, owner in (owners or {}).items()
+        }
+        claims: dict[str, str] = {}
+        for instance in instances:
+            observer = LeaseObserver(LEASE_SECONDS)
+            observer.observe(instances, 10.0)
+            planner = ClaimPlanner(instance.instance, observer)
+            for duty in planner.choose([DutyId(duty) for duty in duties], rows, 10.0):
+                self.assertNotIn(duty, claims)
+                claims[duty] = instance.instance
+        return claims
+
+    def test_pools_do_not_go_to_small_instances_while_large_ones_have_room(
+        self,
+    ) -> None:
+        large = [_make_instance(f"large-{n}", pool_capacity=2.0) for n in range(3)]
+        small = [_make_instance(f"small-{n}", pool_capacity=0.5) for n in range(30)]
+        claims = self._find_claims(large + small, ["p0", "p1", "p2", "p3", "p4"])
+        self.assertEqual(len(claims), 5)
+        self.assertEqual(
+            {name.partition("-")[0] for name in claims.values()}, {"large"}
+        )
+
+    def test_pools_of_equal_instances_are_spread_over_the_zones(self) -> None:
+        instances = [
+            _make_instance(f"{zone}-{n}", zone) for zone in "abc" for n in range(4)
+        ]
+        claims = self._find_claims(instances, ["p0", "p1", "p2", "p3", "p4", "p5"])
+        zones = sorted(name.partition("-")[0] for name in claims.values())
+        self.assertEqual(zones, ["a", "a", "b", "b", "c", "c"])
+
+    def test_pool_of_a_stopping_owner_is_claimed_although_its_row_names_the_owner(
+        self,
+    ) -> None:
+        instances = [_make_instance("n0", is_stopping=True), _make_instance("n1")]
+        claims = self._find_claims(instances, ["p0"], {"p0": "n0"})
+        self.assertEqual(claims, {"p0": "n1"})
+
+    def test_instance_with_overdue_heartbeat_is_not_preferred(self) -> None:
+        observer = LeaseObserver(LEASE_SECONDS)
+        overdue = _make_instance("n0", pool_capacity=8.0)
+        observer.observe([overdue, _make_instance("n1")], 10.0)
+        observer.observe([replace(_make_instance("n1"), revision=2)], 11.3)
+        planner = ClaimPlanner(InstanceId("n1"), observer)
+        self.assertEqual(planner.choose([DutyId("p0")], {}, 11.3), ["p0"])
+
+
 class BlindInstanceTest(JobCase):
     def test_instance_that_reads_no_heartbeats_claims_no_pool_of_a_live_owner(
         self,
