Measure the load of a pool only after its workers have answered the new owner

Callers saw: after a change of owners, queues were served late although their pools had machines enough.

Cause: a worker counts as capacity once it has answered the present owner. In the first moments after a takeover a pool therefore seemed to have no machine, asked all other pools for theirs and got them.

The new test moves standby machines to a pool that needs none, without this fix.

A new owner now waits until each registered worker has answered or has not responded, 1.5 s at most, before it reports the pool's load.

--- a/jujubebarrow/runtimes/move_controllers.py
+++ b/jujubebarrow/runtimes/move_controllers.py
@@ -31,6 +31,9 @@
 DRAIN_GRACE_SECONDS = 2.0
 """Time after which the move of a worker that still runs tasks is cancelled; nine in
 ten tasks end within that time."""
+TAKEOVER_LIMIT_SECONDS = 1.5
+"""Longest time after a takeover for which the load is not measured because workers have
+not answered yet; longer than a lease renewal to an unresponsive worker."""
 SHORTAGE_LOG_PERIOD_SECONDS = 2.0
 """Minimum time between two log lines about a pool that is short of machines."""
 
@@ -90,6 +93,7 @@
 
     async def run(self) -> None:
         """Plan and execute moves until cancelled."""
+        await self._wait_for_workers()
         while self._machines.is_available:
             try:
                 await self._plan_and_move()
@@ -97,6 +101,25 @@
                 self._metrics.count("move_retry", type(error).__name__)
             await sleep(PLAN_PERIOD_SECONDS)
 
+    async def _wait_for_workers(self) -> None:
+        """Wait until the pool's workers have answered the new owner.
+
+        Before, the pool seems to have no capacity, and other pools would lend machines.
+        """
+        deadline = self._clock.monotonic() + TAKEOVER_LIMIT_SECONDS
+        while self._clock.monotonic() < deadline and not self._have_workers_answered():
+            await sleep(PLAN_PERIOD_SECONDS)
+
+    def _have_workers_answered(self) -> bool:
+        registered = [
+            worker
+            for worker in self._coordinator.state.workers.values()
+            if worker.entry is not None
+        ]
+        return bool(registered) and all(
+            worker.has_seen_token or worker.unresponsive_since for worker in registered
+        )
+
     async def _plan_and_move(self) -> None:
         if self._is_standby:
             await self._refresh_machines()
--- a/jujubebarrow/standins/emulated_gateways.py
+++ b/jujubebarrow/standins/emulated_gateways.py
@@ -39,6 +39,7 @@
         is_disconnected: Whether this instance can reach no worker.
         pending_renewal_loss_count: Number of upcoming renewals whose response will be
             lost.
+        extra_delay_seconds: Additional delay of each lease renewal in seconds.
     """
 
     def __init__(self, workers: dict[WorkerId, EmulatedWorker], random: Random):
@@ -47,6 +48,7 @@
         self.unreachable: set[WorkerId] = set()
         self.is_disconnected = False
         self.pending_renewal_loss_count = 0
+        self.extra_delay_seconds = 0.0
 
     def _is_reachable(self, worker: EmulatedWorker) -> bool:
         is_disconnected = self.is_disconnected or worker.worker in self.unreachable
@@ -98,7 +100,7 @@
         """
         worker = self._workers[order.worker]
         timeout_at = get_running_loop().time() + order.wait + RESPONSE_TIMEOUT_SECONDS
-        await sleep(ONE_WAY_DELAY_SECONDS)
+        await sleep(ONE_WAY_DELAY_SECONDS + self.extra_delay_seconds)
         if not self._is_reachable(worker):
             await sleep(RESPONSE_TIMEOUT_SECONDS)
             raise WorkerSilentError(f"worker {order.worker} is unreachable")
--- a/jujubebarrow/tests/test_job_machines.py
+++ b/jujubebarrow/tests/test_job_machines.py
@@ -46,6 +46,34 @@
 
         self.run_scenario(scenario, workers=4)
 
+    def test_takeover_requests_no_machines_while_workers_have_not_answered_yet(
+        self,
+    ) -> None:
+        async def scenario(cluster: JobCluster) -> None:
+            slow = TaskBehaviour(seconds=9.0)
+            step = StepSpec(count=2, needs=Resources(1000, 500), estimate=9.0)
+            for number in range(5):
+                await cluster.submit(number, (step,), behaviour=slow)
+            await sleep(1.0)
+            self.assertEqual(cluster.machines.moves, [])
+            owner = cluster.find_owner()
+            assert owner is not None
+            for instance in cluster.instances:
+                instance.gateway.extra_delay_seconds = 0.3
+            await owner.kill()
+            await sleep(5.0)
+            self.assertIsNotNone(cluster.find_owner())
+            self.assertEqual(cluster.machines.moves, [])
+            machine_counts = [
+                line["machines"]
+                for log in cluster.logs
+                for line in log.lines
+                if line["event"] == "pool_short"
+            ]
+            self.assertNotIn(0, machine_counts)
+
+        self.run_scenario(scenario, standby=3)
+
     def test_pool_short_of_capacity_gets_standby_machines(self) -> None:
         async def scenario(cluster: JobCluster) -> None:
             for number in range(40):
