Release pools whose state the owner fails to load

Cause: an instance that claimed a pool kept it for as long as it renewed its heartbeat, whether or not it could read the pool's jobs. Holding a lease was taken for serving.

In the new test the only owner in reach of the claim cannot read the jobs; without this fix it keeps the pool for ever.

An owner that has not loaded a pool 6 s after its claim, with the store in reach, releases it and does not claim it again for 10 s, if another instance is alive. The next one in the order of preference takes it.

--- a/jujubebarrow/ownerships/claim_planners.py
+++ b/jujubebarrow/ownerships/claim_planners.py
@@ -15,6 +15,8 @@
 CLAIMANT_SILENCE_SECONDS = 1.2
 """Seconds without a heartbeat after which an instance that still counts as alive is not
 preferred for a duty; about two heartbeats."""
+ABSTENTION_SECONDS = 10.0
+"""Seconds for which an instance does not claim a duty that it has failed to serve."""
 SMALLEST_CAPACITY = 0.01
 """Lowest pool capacity that is assumed, so that any instance can own a pool."""
 
@@ -35,6 +37,15 @@
         self._instance = instance
         self._observer = observer
         self._unowned_since: dict[DutyId, float] = {}
+        self._abstains_until: dict[DutyId, float] = {}
+
+    def abstain(self, duty: DutyId, now: float) -> None:
+        """Leave a duty to the other instances for some time."""
+        self._abstains_until[duty] = now + ABSTENTION_SECONDS
+
+    def has_successor(self, now: float) -> bool:
+        """Return whether another instance may claim duties."""
+        return any(row.instance != self._instance for row in self._list_claimants(now))
 
     def choose(
         self, duties: list[DutyId], rows: dict[DutyId, DutyRow], now: float
@@ -63,7 +74,9 @@
             order = _rank_claimants(duty, claimants, load)
             if order:
                 load[order[0]] += 1
-            if now - since >= self._count_steps(order) * CLAIM_STEP_SECONDS:
+            is_abstaining = now < self._abstains_until.get(duty, now)
+            wait_seconds = self._count_steps(order) * CLAIM_STEP_SECONDS
+            if not is_abstaining and now - since >= wait_seconds:
                 chosen.append(duty)
         return chosen
 
--- a/jujubebarrow/runtimes/entry_nodes.py
+++ b/jujubebarrow/runtimes/entry_nodes.py
@@ -178,6 +178,10 @@
         owner = self._owners.get(PoolId(duty))
         return owner is not None and not owner.is_closed
 
+    def is_loaded(self, duty: DutyId) -> bool:
+        """Return whether the owner for a duty has loaded the pool's state."""
+        return self.owns(PoolId(duty))
+
     def on_peers_changed(self, addresses: list[str]) -> None:
         """Forward the addresses of the other live instances."""
         self._on_peers(addresses)
--- a/jujubebarrow/runtimes/ownership_services.py
+++ b/jujubebarrow/runtimes/ownership_services.py
@@ -43,6 +43,9 @@
 pool has an owner after a power failure."""
 STARTUP_POLL_SECONDS = 0.12
 """Seconds between two polls of the owners during startup."""
+LOAD_LIMIT_SECONDS = 6.0
+"""Seconds after a claim, with the store in reach, after which a duty whose state is not
+loaded is released; several times the duration of a takeover with a slow store."""
 DUTY_PREFIX = "duty/"
 
 
@@ -61,6 +64,10 @@
     def is_serving(self, duty: DutyId) -> bool:
         """Return whether this instance is serving a duty."""
 
+    @abstractmethod
+    def is_loaded(self, duty: DutyId) -> bool:
+        """Return whether the state of a duty that this instance serves is loaded."""
+
     @abstractmethod
     def on_peers_changed(self, addresses: list[str]) -> None:
         """Handle the present addresses of the other live instances."""
@@ -102,6 +109,7 @@
         self._planner = ClaimPlanner(identity.instance, self._observer)
         self._duty_rows: dict[DutyId, DutyRow] = {}
         self._owned_duties: dict[DutyId, FenceToken] = {}
+        self._load_started_at: dict[DutyId, float] = {}
         self._heartbeat_revision: int | None = None
         self._lease_valid_until = float("-inf")
         self._is_stopping = False
@@ -152,30 +160,39 @@
     async def hand_over(self) -> None:
         """Release all duties; other instances can then claim them without a wait."""
         self._is_stopping = True
+        released = list(self._owned_duties)
+        await self._release(released, "handed over")
+        # Marks this instance as stopping for the other instances. The write has no
+        # condition, because repeating the write is harmless.
+        await self._commit_release(
+            Transaction(
+                writes={self._heartbeat_key: self._make_heartbeat()}, nonce=uuid4().hex
+            ),
+            released,
+        )
+
+    async def _release(self, duties: list[DutyId], reason: str) -> None:
         conditions = {}
         writes: dict[str, dict[str, Any] | None] = {}
-        for duty in self._owned_duties:
+        for duty in duties:
             key = _duty_key(duty)
             conditions[key] = self._duty_rows[duty].revision
             writes[key] = {"holder": "", "incarnation": ""}
-        released = list(self._owned_duties)
-        for duty in released:
-            await self._end_duty(duty, "handed over")
-        transactions = [
-            Transaction(conditions=conditions, writes=writes, nonce=uuid4().hex),
-            # Marks this instance as stopping for the other instances. The write has no
-            # condition, because repeating the write is harmless.
-            Transaction(
-                writes={self._heartbeat_key: self._make_heartbeat()}, nonce=uuid4().hex
-            ),
-        ]
-        for transaction in transactions:
-            if not transaction.writes:
-                continue
-            try:
-                await self._store.commit(transaction)
-            except (StoreError, TransactionConflictError) as error:
-                self._log.write("hand_over_failed", duties=released, detail=str(error))
+        for duty in duties:
+            await self._end_duty(duty, reason)
+        if duties:
+            await self._commit_release(
+                Transaction(conditions=conditions, writes=writes, nonce=uuid4().hex),
+                duties,
+            )
+
+    async def _commit_release(
+        self, transaction: Transaction, duties: list[DutyId]
+    ) -> None:
+        try:
+            await self._store.commit(transaction)
+        except (StoreError, TransactionConflictError) as error:
+            self._log.write("hand_over_failed", duties=duties, detail=str(error))
 
     @property
     def _heartbeat_key(self) -> str:
@@ -242,8 +259,12 @@
         if self._is_stopping or now < self._started_at + SETTLE_SECONDS:
             return
         if now > self._lease_valid_until:
+            # The time during which the store is out of reach does not count as time
+            # for the load.
+            self._load_started_at = dict.fromkeys(self._owned_duties, now)
             return
         await self._reclaim_unserved()
+        await self._release_unloaded(now)
         for duty in self._planner.choose(self.duties, self._duty_rows, now):
             await self._claim(duty)
 
@@ -267,6 +288,22 @@
             self._metrics.count("duty_taken_up")
             await self._claim(duty)
 
+    async def _release_unloaded(self, now: float) -> None:
+        """Release duties whose state this instance fails to load.
+
+        Another instance may have a better link to the store.
+        """
+        overdue = [
+            duty
+            for duty in self._owned_duties
+            if not self._listener.is_loaded(duty)
+            and now - self._load_started_at[duty] > LOAD_LIMIT_SECONDS
+            and self._planner.has_successor(now)
+        ]
+        for duty in overdue:
+            self._planner.abstain(duty, now)
+        await self._release(overdue, "not loaded")
+
     def _apply_rows(self, rows: list[Row]) -> None:
         self._duty_rows = {}
         for row in rows:
@@ -294,6 +331,7 @@
             duty, self._instance, self._incarnation, revision
         )
         self._owned_duties[duty] = token
+        self._load_started_at[duty] = self._clock.monotonic()
         silence_seconds = None
         if row and row.holder:
             silence_seconds = round(
@@ -313,6 +351,7 @@
 
     async def _end_duty(self, duty: DutyId, reason: str) -> None:
         token = self._owned_duties.pop(duty)
+        self._load_started_at.pop(duty, None)
         row = self._duty_rows.get(duty)
         self._log.write(
             "duty_dropped",
--- a/jujubebarrow/standins/emulated_stores.py
+++ b/jujubebarrow/standins/emulated_stores.py
@@ -66,7 +66,8 @@
         commit_attempts: Number of attempts to commit a transaction.
         is_disconnected: Whether this client's calls time out.
         is_rejecting_calls: Whether this client's calls fail at once with status 503.
-        unreadable_tables: Tables whose change feeds time out for this client.
+        unreadable_tables: Tables whose rows and change feeds this client cannot read;
+            such reads time out.
     """
 
     commit_attempts = 2
@@ -121,6 +122,7 @@
     async def read(self, prefix: str, limit: int = 0) -> RowSet:
         """Return the rows whose key starts with a prefix."""
         await self._deliver_request()
+        await self._check_readable(prefix)
         rows = self._shared.table.read(prefix, limit)
         await sleep(ONE_WAY_DELAY_SECONDS)
         return rows
@@ -133,9 +135,7 @@
             StoreError: The store was unreachable or rejected the call.
         """
         await self._deliver_request()
-        if prefix.split("/", 1)[0] in self.unreadable_tables:
-            await sleep(RESPONSE_TIMEOUT_SECONDS)
-            raise StoreError("no answer", True)
+        await self._check_readable(prefix)
         if since < self._shared.oldest_readable_revision:
             raise HistoryLostError(prefix)
         truncation_count = self._shared.history_truncation_count
@@ -148,6 +148,11 @@
         await sleep(ONE_WAY_DELAY_SECONDS)
         return rows
 
+    async def _check_readable(self, prefix: str) -> None:
+        if prefix.split("/", 1)[0] in self.unreadable_tables:
+            await sleep(RESPONSE_TIMEOUT_SECONDS)
+            raise StoreError("no answer", True)
+
     async def list_instances(self) -> InstanceList:
         """Return an empty list; the emulated store tracks no instances."""
         return InstanceList(instances={})
--- a/jujubebarrow/tests/test_ownerships.py
+++ b/jujubebarrow/tests/test_ownerships.py
@@ -132,6 +132,32 @@
 
         self.run_scenario(scenario)
 
+    def test_pool_whose_jobs_the_owner_cannot_read_gets_another_owner(self) -> None:
+        async def scenario(cluster: JobCluster) -> None:
+            job = await cluster.submit(1)
+            owner = cluster.find_owner()
+            assert owner is not None
+            rest = [other for other in cluster.instances if other is not owner]
+            impaired = rest[0]
+            impaired.store.unreadable_tables = {TableName.JOBS.value}
+            # Without this the instance would read the jobs through another one.
+            impaired.is_isolated = True
+            rest[1].store.is_rejecting_calls = True
+            await owner.kill()
+            await sleep(4.0)
+            rest[1].store.is_rejecting_calls = False
+            serving = await cluster.wait_for(
+                lambda: cluster.find_owner() is rest[1], 12.0
+            )
+            self.assertTrue(serving)
+            self.assertTrue(
+                await cluster.wait_for_phase(
+                    job, "completed", 10.0, cluster.instances.index(rest[1])
+                )
+            )
+
+        self.run_scenario(scenario)
+
     def test_store_outage_that_ends_later_for_heartbeats_moves_no_pool(self) -> None:
         for seed in range(1, 9):
 
