Count a queue's waiting jobs directly when an owner's report is old or missing

Cause: the count is a row that a pool's owner wrote only when the number changed, without a time. While a pool had no owner that had loaded its jobs, or the owner did not receive the accepted jobs, the last figure stood, and 0 was given for a queue without a row.

Now the row carries the time of the store's clock at which the jobs were counted, never too late, and the owner renews it: with any transaction of the queue after 0.5 s, else by a transaction of its own after 1 s. It does not while its feed of accepted jobs is over 2.9 s behind, or while jobs are loaded or reloaded. A reader takes the reports if those of all pools that have run jobs of the queue are at most 1.8 s old by the clock of the response that carries them, so a job counts 1.8 + 2.9 s after its acceptance at the latest; the bound is 5 s. Otherwise it counts the rows of jobs and progress, once for concurrent callers and at most once a second, or refuses if the store does not answer. The event and the counter pending_counted tell of such counts.

Without either gate on loading, with a feed that may be 99 s behind, and with reports that may be 99 s old, tests fail. An unchanged queue takes at most 20 calls in 20 s, a queue whose progress changes at most 2 of its own in 10 s.

An owner that finds its fence lost in a report's transaction stops, as with any other transaction; before, it only counted this.

--- a/jujubebarrow/runtimes/entry_nodes.py
+++ b/jujubebarrow/runtimes/entry_nodes.py
@@ -207,6 +207,7 @@
             self._make_move_controller,
             self._make_advice_controller,
             self._job_watcher.wait_until_loaded,
+            self._job_watcher.read_store_time,
             self._clock,
             self._log,
             self._metrics,
--- a/jujubebarrow/runtimes/job_intakes.py
+++ b/jujubebarrow/runtimes/job_intakes.py
@@ -24,7 +24,7 @@
     make_progress_key,
 )
 from jujubebarrow.runtimes.job_watchers import read_job
-from jujubebarrow.stores.row_keys import TableName, make_key
+from jujubebarrow.runtimes.pending_counters import PendingCounter
 from jujubebarrow.stores.rows import Row
 from jujubebarrow.stores.stores import Store
 from jujubebarrow.stores.transactions import ABSENT_REVISION, Transaction
@@ -64,6 +64,7 @@
         self._clock = clock
         self._log = log
         self._metrics = metrics
+        self._pending_counter = PendingCounter(store, clock, log, metrics)
 
     async def submit(
         self,
@@ -200,19 +201,15 @@
     async def count_pending(self, route: QueueRoute) -> int:
         """Return the number of a queue's accepted jobs without a started task.
 
-        The pools' owners report this number to the store at intervals.
-
         Raises:
             RefusalError: The store does not answer.
         """
-        prefix = make_key(TableName.LOADS, route.queue, "")
         try:
-            found = await self._store.read(prefix)
+            return await self._pending_counter.count(route)
         except StoreError as error:
             raise RefusalError(
                 ErrorKind.STORE_UNAVAILABLE, str(error), STORE_RETRY_SECONDS
             ) from error
-        return sum((row.value or {}).get("pending", 0) for row in found.rows)
 
 
 def _make_record(
--- a/jujubebarrow/runtimes/job_watchers.py
+++ b/jujubebarrow/runtimes/job_watchers.py
@@ -19,6 +19,10 @@
 FEED_SPACING_SECONDS = 0.06
 """Minimum time between two requests; short compared with a job's objective of 1 s."""
 
+FEED_LAG_LIMIT_SECONDS = 2.9
+"""Longest delay of the report of an accepted job while the jobs count as complete;
+callers are promised that a job is visible 3 s after its acceptance."""
+
 
 def read_job(row: Row, metrics: MetricsRegistry) -> JobRecord | None:
     """Decode an accepted job; count an undecodable row and return None."""
@@ -65,9 +69,18 @@
         """Stop notifying a listener."""
         self._listeners.remove(listener)
 
+    def read_store_time(self) -> float | None:
+        """Return the time of the store's clock in seconds, which is never too late.
+
+        Returns None if accepted jobs may be unreported for too long.
+        """
+        return self.estimate_store_time(FEED_LAG_LIMIT_SECONDS)
+
     async def reload(self) -> tuple[int, list[Row]]:
         """Return the current revision; tell listeners to read earlier rows."""
+        sent_at = self._clock.monotonic()
         found = await self._store.read(make_key(TableName.CONTROL, "", ""))
+        self.record_store_time(sent_at, found.clock)
         for listener in list(self._listeners):
             listener.on_history_lost()
         return found.revision, []
--- a/jujubebarrow/runtimes/load_reporters.py
+++ b/jujubebarrow/runtimes/load_reporters.py
@@ -1,63 +1,35 @@
-"""Publishes the number of a pool's pending jobs, which have no started task yet."""
+"""Renews the reports of a pool's pending jobs."""
 
 from asyncio import sleep
-from typing import Any
 
-from jujubebarrow.clocks.clocks import Clock
-from jujubebarrow.coordinators.pool_coordinators import PoolCoordinator
-from jujubebarrow.identifiers import PoolId, QueueId
-from jujubebarrow.metrics.registries import MetricsRegistry
-from jujubebarrow.runtimes.job_row_keys import make_load_key
-from jujubebarrow.runtimes.progress_writers import DisplacedError, ProgressWriter
+from jujubebarrow.runtimes.load_reports import LoadReports
+from jujubebarrow.runtimes.owned_tasks import OwnedTasks
+from jujubebarrow.runtimes.progress_writers import ProgressWriter
 
-REPORT_PERIOD_SECONDS = 0.8
-"""Time between two reports; loads that callers receive must be at most 2 s old."""
+CHECK_PERIOD_SECONDS = 0.2
+"""Time between two checks for reports that have to be renewed."""
+RENEWAL_AGE_SECONDS = 1.0
+"""Age from which a report is renewed by a transaction of its own; numbers that callers
+receive must be at most 2 s old."""
 
 
 class LoadReporter:
-    """Writes the number of pending jobs of each queue when the number has changed.
+    """Renews each queue's report that no other transaction has renewed.
 
     Args:
-        pool: Pool whose pending jobs are counted.
-        coordinator: Makes the scheduling decisions of the pool.
+        reports: Creates the rows of the reports.
         writer: Writer of rows that are protected by the owner's fence.
-        clock: Time source.
-        metrics: Registry of the counters.
+        tasks: Runs background tasks until the owner closes.
     """
 
-    def __init__(
-        self,
-        pool: PoolId,
-        coordinator: PoolCoordinator,
-        writer: ProgressWriter,
-        clock: Clock,
-        metrics: MetricsRegistry,
-    ):
-        self._pool = pool
-        self._coordinator = coordinator
+    def __init__(self, reports: LoadReports, writer: ProgressWriter, tasks: OwnedTasks):
+        self._reports = reports
         self._writer = writer
-        self._clock = clock
-        self._metrics = metrics
-        self._reported: dict[str, int] = {}
+        self._tasks = tasks
 
     async def run(self) -> None:
-        """Report changed numbers of pending jobs until cancelled."""
+        """Renew reports until cancelled."""
         while True:
-            for name, pending_count in self._coordinator.demand.count_pending().items():
-                queue = QueueId(name)
-                if self._reported.get(name) != pending_count and self._writer.has_fence(
-                    queue
-                ):
-                    await self._report(queue, pending_count)
-            await sleep(REPORT_PERIOD_SECONDS)
-
-    async def _report(self, queue: QueueId, pending_count: int) -> None:
-        document: dict[str, Any] = {"pending": pending_count}
-        try:
-            await self._writer.write_row(
-                queue, make_load_key(queue, self._pool), document
-            )
-        except DisplacedError:
-            self._metrics.count("load_report_failed", "displaced")
-            return
-        self._reported[queue] = pending_count
+            for queue in self._reports.list_due(RENEWAL_AGE_SECONDS):
+                self._tasks.start(self._writer.write_report(queue))
+            await sleep(CHECK_PERIOD_SECONDS)
--- a/jujubebarrow/runtimes/pool_owners.py
+++ b/jujubebarrow/runtimes/pool_owners.py
@@ -18,6 +18,7 @@
 from jujubebarrow.runtimes.job_listeners import JobListener
 from jujubebarrow.runtimes.lease_recorders import LeaseRecorder
 from jujubebarrow.runtimes.load_reporters import LoadReporter
+from jujubebarrow.runtimes.load_reports import LoadReports
 from jujubebarrow.runtimes.move_controllers import MoveController
 from jujubebarrow.runtimes.order_senders import OrderSender
 from jujubebarrow.runtimes.owned_tasks import OwnedTasks
@@ -61,6 +62,8 @@
         make_advice_controller: Creates the controller that requests placement advice
             for steps.
         wait_for_feed: Waits until the change feed reports each job accepted later.
+        read_store_time: Returns the present time of the store's clock in seconds, which
+            is never too late; None if the feed may not have reported accepted jobs.
         clock: Time source; must keep running while a machine is suspended.
         log: Decision log.
         metrics: Registry of the counters and latencies.
@@ -86,6 +89,7 @@
             [PoolCoordinator, OwnerHooks], AdviceController
         ],
         wait_for_feed: Callable[[], Awaitable[None]],
+        read_store_time: Callable[[], float | None],
         clock: Clock,
         log: DecisionLog,
         metrics: MetricsRegistry,
@@ -96,6 +100,7 @@
         self._store = store
         self._gateway = gateway
         self._wait_for_feed = wait_for_feed
+        self._read_store_time = read_store_time
         self._clock = clock
         self._log = log
         self._metrics = metrics
@@ -103,15 +108,18 @@
         self._sessions: dict[WorkerId, WorkerSession] = {}
         self._is_loaded = False
         self._loading_queues: set[QueueId] = set()
+        self._reload_count = 0
         self._pending_jobs: dict[QueueId, list[JobRecord]] = {}
         self._is_plan_scheduled = False
         self._is_closed = False
         now = clock.monotonic()
         self.coordinator = PoolCoordinator(pool, token, options, now, log)
+        reports = LoadReports(pool, self.coordinator, self._find_count_time, clock)
         self._writer = ProgressWriter(
             pool,
             token,
             self.coordinator,
+            reports,
             store,
             self._tasks,
             self.on_change,
@@ -145,9 +153,7 @@
             self.coordinator, self, self._wave_controller
         )
         self._advice_controller = make_advice_controller(self.coordinator, self)
-        self._load_reporter = LoadReporter(
-            pool, self.coordinator, self._writer, clock, metrics
-        )
+        self._load_reporter = LoadReporter(reports, self._writer, self._tasks)
 
     def open(self, fleet: FleetMap) -> None:
         """Apply the configuration and start to load the pool's leases and jobs.
@@ -226,6 +232,15 @@
         self._tasks.start(self._advice_controller.run())
         self.on_change()
 
+    def _find_count_time(self, queue: QueueId) -> float | None:
+        """Return the store's time, or None while jobs of a queue may be missing."""
+        is_complete = (
+            self._is_loaded
+            and not self._reload_count
+            and queue not in self._loading_queues
+        )
+        return self._read_store_time() if is_complete else None
+
     def on_job_accepted(self, record: JobRecord) -> None:
         """Add an accepted job; load its queue first if this owner lacks the fence."""
         if record.pool != self.pool or self._is_closed:
@@ -258,10 +273,12 @@
     def on_history_lost(self) -> None:
         """Reload all jobs, because the change feed has skipped some changes."""
         if self._is_loaded:
+            self._reload_count += 1
             self._tasks.start(self._reload())
 
     async def _reload(self) -> None:
         if await self._load_with_retries(self._loader.load_queues):
+            self._reload_count -= 1
             self.on_change()
 
     async def _load_with_retries(self, read: Callable[[], Awaitable[None]]) -> bool:
--- a/jujubebarrow/runtimes/progress_writers.py
+++ b/jujubebarrow/runtimes/progress_writers.py
@@ -19,14 +19,15 @@
     make_job_key,
     make_progress_key,
 )
+from jujubebarrow.runtimes.load_reports import LoadReports
 from jujubebarrow.runtimes.owned_tasks import OwnedTasks
 from jujubebarrow.stores.stores import Store
 from jujubebarrow.stores.transactions import ABSENT_REVISION, Transaction
 from jujubebarrow.workloads.identifiers import FenceToken
 
 JOBS_PER_TRANSACTION_LIMIT = 45
-"""Most jobs in one transaction: two rows per job and one fence row stay below the
-store's limit of 100 rows."""
+"""Most jobs in one transaction: two rows per job, two entries for the fence row and one
+for the report of pending jobs stay below the store's limit of 100 entries."""
 RETRY_SECONDS = 0.1
 """Seconds before a transaction with unknown outcome is repeated."""
 
@@ -49,6 +50,7 @@
         pool: Id of the owned pool.
         token: Fencing token of the pool's owner.
         coordinator: Makes the scheduling decisions of the pool.
+        reports: Creates the reports of pending jobs, which transactions renew.
         store: Store shared by all instances.
         tasks: Runs background tasks until the owner closes.
         on_outcome: Called after each transaction with changed jobs, whether the store
@@ -64,6 +66,7 @@
         pool: PoolId,
         token: FenceToken,
         coordinator: PoolCoordinator,
+        reports: LoadReports,
         store: Store,
         tasks: OwnedTasks,
         on_outcome: Callable[[], None],
@@ -75,6 +78,7 @@
         self._pool = pool
         self._token = token
         self._coordinator = coordinator
+        self._reports = reports
         self._store = store
         self._tasks = tasks
         self._on_outcome = on_outcome
@@ -165,6 +169,8 @@
     ) -> list[str]:
         """Store rows of a queue, or return the keys in absent_rows that do exist.
 
+        The transaction also renews the queue's report of pending jobs if it is due.
+
         A transaction with unknown outcome is repeated until the outcome is known: the
         store recognises a transaction that has taken effect by its nonce.
 
@@ -178,14 +184,18 @@
             DisplacedError: Another instance has taken over the pool.
         """
         fence = make_fence_key(queue, self._pool)
+        counted_at = self._clock.monotonic()
+        report = self._reports.make_rows(queue)
         transaction = Transaction(
             conditions={fence: self._fences[queue]} | absent_rows,
-            writes=writes | {fence: {"token": self._token}},
+            writes=writes | report | {fence: {"token": self._token}},
             nonce=uuid4().hex,
         )
         while True:
             try:
                 self._fences[queue] = await self._store.commit(transaction)
+                if report:
+                    self._reports.record_stored(queue, counted_at)
                 return []
             except TransactionConflictError as error:
                 if fence in error.keys:
@@ -221,13 +231,20 @@
         except DisplacedError:
             self._on_superseded()
 
-    async def write_row(self, queue: QueueId, key: str, value: dict[str, Any]) -> None:
-        """Write one row, protected by the fence of a queue.
+    async def write_report(self, queue: QueueId) -> None:
+        """Renew a queue's report of pending jobs if it is due.
 
-        Raises:
-            DisplacedError: Another instance has taken over the pool.
+        Does nothing without the queue's fence or during another transaction of the
+        queue.
         """
-        await self._commit_exclusively(queue, {key: value})
+        if queue not in self._fences or queue in self._queues_in_transaction:
+            return
+        if not self._reports.make_rows(queue):
+            return
+        try:
+            await self._commit_exclusively(queue, {})
+        except DisplacedError:
+            self._on_superseded()
 
     async def _commit_exclusively(
         self, queue: QueueId, writes: dict[str, dict[str, Any] | None]
--- a/jujubebarrow/runtimes/table_watchers.py
+++ b/jujubebarrow/runtimes/table_watchers.py
@@ -9,6 +9,7 @@
 from jujubebarrow.logs.decision_logs import DecisionLog
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.stores.rows import Row
+from jujubebarrow.stores.store_clocks import StoreClock
 from jujubebarrow.stores.stores import Store
 
 RETRY_SECONDS = 0.15
@@ -54,6 +55,8 @@
         self._metrics = metrics
         self._revision: int | None = None
         self._failed_at: float | None = None
+        self._store_clock = StoreClock(clock)
+        self._complete_at = float("-inf")
 
     @abstractmethod
     async def apply(self, rows: list[Row], sent_at: float) -> None:
@@ -84,6 +87,30 @@
         """Minimum time in seconds between two requests."""
         return self._spacing
 
+    def estimate_store_time(self, longest_lag: float) -> float | None:
+        """Return the time of the store's clock, which is never too late.
+
+        Returns None if a change may be unreported although the store made it more than
+        the longest lag before the returned time.
+
+        Args:
+            longest_lag: Longest acceptable delay of a change in seconds.
+        """
+        now = self._clock.monotonic()
+        if now - self._complete_at > longest_lag:
+            return None
+        return self._store_clock.to_earliest_store_time(now)
+
+    def record_store_time(self, sent_at: float, store_time: float) -> None:
+        """Record a time of the store's clock up to which all changes are known.
+
+        Args:
+            sent_at: Monotonic time in seconds at which the request was sent.
+            store_time: Store time in seconds from the response just received.
+        """
+        self._store_clock.record_store_time(sent_at, store_time)
+        self._complete_at = self._clock.monotonic()
+
     async def wait_until_loaded(self) -> None:
         """Wait until the revision to watch from is known.
 
@@ -96,6 +123,7 @@
         while True:
             if not self.is_needed:
                 self._revision = None
+                self._complete_at = float("-inf")
                 self.clear()
                 await sleep(POLL_SECONDS)
                 continue
@@ -122,6 +150,7 @@
             prefix = f"{self._table}/"
             changes = await self._store.read_changes(prefix, self._revision, self._wait)
             revision, rows = changes.revision, changes.rows
+            self.record_store_time(sent_at, changes.clock)
         await self.apply(rows, sent_at)
         self._revision = revision
 
--- a/jujubebarrow/stores/store_clocks.py
+++ b/jujubebarrow/stores/store_clocks.py
@@ -7,8 +7,8 @@
     """Converts between the monotonic clocks of this process and of the store.
 
     The store reads its clock at an unknown moment between a request and the response.
-    The offset between the clocks is therefore known only as a range. Both conversions
-    use the end of the range that gives the later time.
+    The offset between the clocks is therefore known only as a range. A conversion uses
+    the end of the range that gives the later time, unless its name says otherwise.
 
     Args:
         clock: Monotonic clock of this process.
@@ -33,6 +33,13 @@
         """Convert a local time to the store's clock."""
         return round(local_time + self._maximum_offset, 3)
 
+    def to_earliest_store_time(self, local_time: float) -> float:
+        """Convert a local time to the store's clock, at the earliest end of the range.
+
+        The result is never later than the true store time.
+        """
+        return local_time + self._minimum_offset
+
     def to_local_time(self, store_time: float) -> float:
         """Convert a time of the store's clock to local time."""
         return store_time - self._minimum_offset
