Count a job as waiting until a worker has started one of its tasks

Cause: a job counted as begun from the plan of its first run on, before the start had reached a worker.

Now a job has begun when a worker acknowledges a start or lists a run.

--- a/jujubebarrow/coordinators/job_demands.py
+++ b/jujubebarrow/coordinators/job_demands.py
@@ -6,7 +6,6 @@
 from jujubebarrow.coordinators.worker_views import WorkerView
 from jujubebarrow.placements.job_orders import LATE_VALUE_SHARE, JobOrder, estimate_work
 from jujubebarrow.workloads.identifiers import WorkerIncarnation
-from jujubebarrow.workloads.job_phases import JobPhase
 
 RANK_GROUP_WEIGHTS = (1.0, 1.0, LATE_VALUE_SHARE, 0.0)
 """Factor of a job's requests in the demand, by the group of the job's rank."""
@@ -94,11 +93,11 @@
         return needed_workers * largest_cpu
 
     def count_pending(self) -> dict[str, int]:
-        """Return the number of queued jobs without a started task, by queue."""
+        """Return the number of unfinished jobs without a started task, by queue."""
         pending: dict[str, int] = {}
         for job in self._state.jobs.values():
             count = pending.setdefault(job.record.queue, 0)
-            if job.phase is JobPhase.QUEUED and not job.has_started_tasks:
+            if not job.phase.is_final and not job.has_started_tasks:
                 pending[job.record.queue] = count + 1
         return pending
 
--- a/jujubebarrow/coordinators/job_progresses.py
+++ b/jujubebarrow/coordinators/job_progresses.py
@@ -25,6 +25,10 @@
         record: Stored record of the accepted job.
         accepted_at: Estimated time in seconds on this process's monotonic clock at
             which the job was accepted.
+
+    Attributes:
+        has_started_tasks: Whether a worker has acknowledged the start of a task or has
+            listed a run; a planned run need not have started.
     """
 
     def __init__(self, record: JobRecord, accepted_at: float):
@@ -141,7 +145,6 @@
         assert task is not None and task.active is None and not task.is_done
         task.active = run
         task.last_run = run.run
-        self.has_started_tasks = True
         if self.phase is JobPhase.QUEUED:
             self.phase = JobPhase.RUNNING
 
--- a/jujubebarrow/coordinators/pool_states.py
+++ b/jujubebarrow/coordinators/pool_states.py
@@ -48,6 +48,7 @@
         self.late_start_stops: list[StopOrder] = []
         self.recorded_leases: dict[WorkerId, RecordedLease] = {}
         self._changed: dict[QueueId, dict[JobId, None]] = defaultdict(dict)
+        self._deferred: dict[QueueId, dict[JobId, None]] = defaultdict(dict)
         self._finished_runs: dict[JobId, list[FinishedRunRef]] = defaultdict(list)
 
     def ensure_worker(self, worker: WorkerId) -> WorkerView:
@@ -123,21 +124,44 @@
         if finished_run is not None:
             self._finished_runs[job.record.job].append(finished_run)
 
+    def mark_started(self, job: JobProgress) -> None:
+        """Record that a task of a job has started.
+
+        The change is deferred: the next transaction of the queue stores it.
+        """
+        if not job.has_started_tasks:
+            job.has_started_tasks = True
+            self._deferred[job.record.queue][job.record.job] = None
+
     def changed_queues(self) -> list[QueueId]:
-        """Return the queues whose jobs have unstored progress."""
+        """Return the queues whose jobs have unstored progress that is not deferred."""
         return [queue for queue, jobs in self._changed.items() if jobs]
 
     def pop_changes(self, queue: QueueId, limit: int) -> list[JobChange]:
         """Remove and return unstored changes of a queue's jobs.
 
+        Deferred changes follow the others; there are none if all changes are deferred.
+
+        Args:
+            queue: Queue that the jobs were submitted to.
+            limit: Maximum number of jobs.
+        """
+        if not self._changed[queue]:
+            return []
+        return self.pop_all_changes(queue, limit)
+
+    def pop_all_changes(self, queue: QueueId, limit: int) -> list[JobChange]:
+        """Remove and return unstored changes, also if all of them are deferred.
+
         Args:
             queue: Queue that the jobs were submitted to.
             limit: Maximum number of jobs.
         """
-        job_ids = list(self._changed[queue])[:limit]
+        job_ids = list(self._changed[queue] | self._deferred[queue])[:limit]
         changes = []
         for job_id in job_ids:
-            del self._changed[queue][job_id]
+            self._changed[queue].pop(job_id, None)
+            self._deferred[queue].pop(job_id, None)
             finished_runs = self._finished_runs.pop(job_id, [])
             job = self.jobs.get(job_id)
             if job is not None:
--- a/jujubebarrow/coordinators/reconcilers.py
+++ b/jujubebarrow/coordinators/reconcilers.py
@@ -137,6 +137,7 @@
         task = job.find_task(running.task) if job is not None else None
         if job is None or task is None:
             return False
+        self._state.mark_started(job)
         if running.checkpoint:
             task.checkpoint = running.checkpoint
         if job.phase.is_final:
@@ -168,6 +169,7 @@
         if run is None or job is None or task is None or task.active is not run:
             worker.mark_recorded(finished.number)
             return
+        self._state.mark_started(job)
         self._state.release_run(job, task, now)
         if finished.checkpoint:
             task.checkpoint = finished.checkpoint
--- a/jujubebarrow/coordinators/run_orders.py
+++ b/jujubebarrow/coordinators/run_orders.py
@@ -101,6 +101,9 @@
         if worker is None or (run.task, run.run) not in worker.runs:
             return
         if outcome in (OrderOutcome.ACCEPTED, OrderOutcome.OUTDATED):
+            job = self._state.jobs.get(run.task.job)
+            if job is not None:
+                self._state.mark_started(job)
             if run.stage is RunStage.RECORDED:
                 run.stage = RunStage.CONFIRMED
                 run.confirmed_at = now
--- a/jujubebarrow/runtimes/pending_counters.py
+++ b/jujubebarrow/runtimes/pending_counters.py
@@ -111,8 +111,8 @@
 
 def _has_begun(row: Row) -> bool:
     document = row.value or {}
-    phase = document.get(PHASE_KEY, JobPhase.QUEUED.value)
-    return document.get(BEGUN_KEY, False) or phase != JobPhase.QUEUED.value
+    phase = JobPhase(document.get(PHASE_KEY, JobPhase.QUEUED))
+    return phase.is_final or document.get(BEGUN_KEY, False)
 
 
 def _find_outdated_reports(found: RowSet, pool: PoolId) -> dict[str, float | None]:
--- a/jujubebarrow/runtimes/progress_writers.py
+++ b/jujubebarrow/runtimes/progress_writers.py
@@ -234,17 +234,26 @@
     async def write_report(self, queue: QueueId) -> None:
         """Renew a queue's report of pending jobs if it is due.
 
-        Does nothing without the queue's fence or during another transaction of the
-        queue.
+        The transaction also stores deferred changes. Does nothing without the queue's
+        fence or during another transaction of the queue.
         """
         if queue not in self._fences or queue in self._queues_in_transaction:
             return
         if not self._reports.make_rows(queue):
             return
+        self._queues_in_transaction.add(queue)
         try:
-            await self._commit_exclusively(queue, {})
+            state = self._coordinator.state
+            changes = state.pop_all_changes(queue, JOBS_PER_TRANSACTION_LIMIT)
+            if changes:
+                await self._write(queue, changes)
+            else:
+                await self.commit(queue, {}, {})
         except DisplacedError:
             self._on_superseded()
+        finally:
+            self._queues_in_transaction.discard(queue)
+        self.write_changes()
 
     async def _commit_exclusively(
         self, queue: QueueId, writes: dict[str, dict[str, Any] | None]
--- a/jujubebarrow/tests/test_job_counts.py
+++ b/jujubebarrow/tests/test_job_counts.py
@@ -12,6 +12,7 @@
 from typing import Any
 from unittest.mock import patch
 
+from jujubebarrow.coordinators.job_progresses import BEGUN_KEY
 from jujubebarrow.errors.exceptions import RefusalError, StoreError
 from jujubebarrow.errors.kinds import ErrorKind
 from jujubebarrow.identifiers import IncarnationId, InstanceId, JobId
@@ -182,6 +183,31 @@
 
         self.run_scenario(scenario)
 
+    def test_count_has_planned_jobs_whose_workers_have_started_no_task(self) -> None:
+        for is_crash in (True, False):
+
+            async def scenario(cluster: JobCluster, is_crash: bool = is_crash) -> None:
+                job = await cluster.submit(99)
+                self.assertTrue(await cluster.wait_for_phase(job, "completed", 10.0))
+                for worker in cluster.workers.values():
+                    if is_crash:
+                        worker.crash()
+                for instance in cluster.instances:
+                    instance.gateway.unreachable.update(cluster.workers)
+                for number in range(9):
+                    await cluster.submit(number)
+                for _ in range(10):
+                    await sleep(1.0)
+                    self.assertEqual(await count_pending(cluster, 0), 9)
+                owner = find_owner_number(cluster)
+                other = (owner + 1) % 3
+                give_pool_to_ghost(cluster)
+                await cluster.instances[owner].kill()
+                await sleep(3.0)
+                self.assertEqual(await count_pending(cluster, other), 9)
+
+            self.run_scenario(scenario)
+
     def test_count_is_never_under_the_truth_while_owners_and_store_fail(self) -> None:
         for seed in range(1, 9):
 
@@ -295,6 +321,21 @@
 
         self.run_scenario(scenario)
 
+    def test_start_of_a_task_is_stored_with_the_next_transaction(self) -> None:
+        async def scenario(cluster: JobCluster) -> None:
+            await cluster.submit(1)
+            await sleep(3.0)
+            key = f"progress/{QUEUE}/{2:016x}"
+            with counted_commits(lambda sent: key in sent.writes) as commits:
+                await cluster.submit(2, behaviour=TaskBehaviour(seconds=60.0))
+                await sleep(1.5)
+            self.assertTrue(commits[-1].writes[key][BEGUN_KEY])
+            self.assertIn(LOAD_KEY, commits[-1].writes)
+            self.assertNotIn(BEGUN_KEY, commits[-2].writes[key])
+            self.assertLessEqual(len(commits), 3)
+
+        self.run_scenario(scenario)
+
     def test_reports_of_a_busy_queue_take_no_calls_of_their_own(self) -> None:
         async def scenario(cluster: JobCluster) -> None:
             await cluster.submit(1000)
