Reload a pool whose jobs' history was lost during its takeover

A job that was accepted while a new owner loaded the pool could stay unknown to this owner for good: it never started, and was missing in the count of waiting jobs.

Cause: the owner ignored a loss of the change feed's history until it had loaded the pool. Jobs accepted between its read of a queue and the feed's new start were then neither read nor reported.

Now such a loss is noted and the pool is loaded once more after the takeover.

Found by reading; no trace shows it yet.

--- a/jujubebarrow/runtimes/pool_owners.py
+++ b/jujubebarrow/runtimes/pool_owners.py
@@ -109,6 +109,7 @@
         self._is_loaded = False
         self._loading_queues: set[QueueId] = set()
         self._reload_count = 0
+        self._is_reload_needed = False
         self._pending_jobs: dict[QueueId, list[JobRecord]] = {}
         self._is_plan_scheduled = False
         self._is_closed = False
@@ -203,6 +204,7 @@
     async def _take_over(self) -> None:
         started_at = self._clock.monotonic()
         await self._wait_for_feed()
+        self._is_reload_needed = False
         loaded = await gather(
             self._load_with_retries(self._lease_recorder.load),
             self._load_with_retries(self._loader.load_queues),
@@ -219,6 +221,8 @@
             workers=len(state.workers),
             seconds=round(self._clock.monotonic() - started_at, 3),
         )
+        if self._is_reload_needed:
+            self.on_history_lost()
         pending_jobs, self._pending_jobs = self._pending_jobs, {}
         for records in pending_jobs.values():
             for record in records:
@@ -272,9 +276,11 @@
 
     def on_history_lost(self) -> None:
         """Reload all jobs, because the change feed has skipped some changes."""
-        if self._is_loaded:
-            self._reload_count += 1
-            self._tasks.start(self._reload())
+        if not self._is_loaded:
+            self._is_reload_needed = True
+            return
+        self._reload_count += 1
+        self._tasks.start(self._reload())
 
     async def _reload(self) -> None:
         if await self._load_with_retries(self._loader.load_queues):
--- a/jujubebarrow/tests/test_job_owners.py
+++ b/jujubebarrow/tests/test_job_owners.py
@@ -5,12 +5,15 @@
 """
 
 from asyncio import sleep
+from unittest.mock import patch
 
 from jujubebarrow.errors.exceptions import RefusalError
 from jujubebarrow.errors.kinds import ErrorKind
+from jujubebarrow.standins.emulated_stores import EmulatedStore
 from jujubebarrow.standins.emulated_workers import TaskBehaviour
+from jujubebarrow.stores.rows import RowSet
 from jujubebarrow.tests.fakes.job_cases import JobCase
-from jujubebarrow.tests.fakes.job_clusters import POOL, JobCluster
+from jujubebarrow.tests.fakes.job_clusters import POOL, QUEUE, JobCluster
 from jujubebarrow.workloads.resources import Resources
 from jujubebarrow.workloads.step_specs import StepSpec
 
@@ -195,6 +198,46 @@
 
         self.run_scenario(scenario)
 
+    def test_changes_dropped_by_feed_during_a_takeover_are_reloaded(self) -> None:
+        # The store truncates its history after the new owner has read the jobs and
+        # before it has loaded all else.
+        read = EmulatedStore.read
+
+        async def read_slowly(
+            store: EmulatedStore, prefix: str, limit: int = 0
+        ) -> RowSet:
+            if prefix == f"progress/{QUEUE}/":
+                await sleep(2.0)
+            return await read(store, prefix, limit)
+
+        async def scenario(cluster: JobCluster) -> None:
+            await cluster.submit(99)
+            await sleep(2.0)
+            owner = cluster.find_owner()
+            assert owner is not None
+            other = 1 if cluster.instances[0] is owner else 0
+            await owner.kill()
+            with patch.object(EmulatedStore, "read", read_slowly):
+                fence = cluster.store.table.read(f"fences/{QUEUE}/").rows[0]
+                await cluster.wait_for(
+                    lambda: (
+                        cluster.store.table.read(f"fences/{QUEUE}/").rows[0] != fence
+                    ),
+                    10.0,
+                )
+                await sleep(0.2)
+                cluster.store.history_truncation_count += 1
+                job = await cluster.submit(1, instance=other)
+                revision = cluster.store.table.revision
+                cluster.store.oldest_readable_revision = revision + 1
+                cluster.store.history_truncation_count += 1
+                await sleep(0.3)
+                cluster.store.oldest_readable_revision = 0
+                await sleep(3.0)
+            self.assertTrue(await cluster.wait_for_phase(job, "completed", 10.0, other))
+
+        self.run_scenario(scenario)
+
     def test_task_on_unregistered_worker_is_restarted(
         self,
     ) -> None:
