Delete closed jobs also after a takeover of their pool

What was seen: the rows of a job that is closed when its pool is taken over stayed in the store forever, and every later takeover read them.

Cause: the time of the close is set when the final phase has been stored, after its row was written, so the next owner loaded the job without that time and never counted its retention.

Why the fix works: the first purge after a takeover takes the present time as the time of the close. The stored time of another instance is not used, as clocks differ and may jump, and a row must not be deleted early.

--- a/jujubebarrow/coordinators/job_progresses.py
+++ b/jujubebarrow/coordinators/job_progresses.py
@@ -38,6 +38,12 @@
         self._finished: set[int] = set()
         self._next_occurrence = 0
 
+    @property
+    def is_closed_in_store(self) -> bool:
+        """Whether the stored phase is final and no run may still be executing."""
+        is_final = self.stored_phase is not None and self.stored_phase.is_final
+        return is_final and not self._has_active_runs()
+
     def open_due_occurrences(self, wall: float, early_start: float) -> None:
         """Open the occurrences that are due.
 
--- a/jujubebarrow/coordinators/pool_coordinators.py
+++ b/jujubebarrow/coordinators/pool_coordinators.py
@@ -303,8 +303,13 @@
     def remove_closed_jobs(self, wall: float) -> list[JobProgress]:
         """Remove and return closed jobs whose retention time is over.
 
-        A closed job stays while one of its runs may still be executing.
+        A closed job stays while one of its runs may still be executing. The retention
+        time of a job that another owner has closed starts with the first call, since
+        the clocks of two instances differ.
         """
+        for job in self.state.jobs.values():
+            if job.is_closed_in_store and not job.closed_at:
+                job.closed_at = wall
         closed_before = wall - self.state.options.retention
         expired = [
             job
--- a/jujubebarrow/tests/test_job_takeovers.py
+++ b/jujubebarrow/tests/test_job_takeovers.py
@@ -317,6 +317,19 @@
 
         self.run_scenario(scenario)
 
+    def test_closed_jobs_are_deleted_after_a_takeover(self) -> None:
+        async def scenario(cluster: JobCluster) -> None:
+            job = await submit(cluster, 1)
+            self.assertTrue(await cluster.wait_for_phase(job, "completed", 5.0))
+            await get_owner(cluster).kill()
+            await wait_for_owner(cluster)
+            await sleep(250.0)
+            for table in ("jobs", "progress"):
+                keys = [row.key for row in cluster.store.table.read(f"{table}/").rows]
+                self.assertNotIn(f"{table}/{QUEUE}/{job}", keys)
+
+        self.run_scenario(scenario)
+
     def test_rows_of_older_build_are_loaded_and_compacted(self) -> None:
         async def scenario(cluster: JobCluster) -> None:
             documents = {}
