Read the jobs of a queue once in a takeover, and none of other pools

Cause: an owner read all jobs of all queues to find those of its pool, and those of its own queues again after it had acquired the fence.

Why the fix works: an instance marks the queue with its first job for a pool, in the transaction that accepts the job. A pool that has neither a fence nor the mark in a queue, while another pool has a mark there, has had no job of it. Where it has one of both, the fence is acquired first and the jobs are read after it. Queues without any mark (accepted by an earlier build) are read as before. A job that is accepted later arrives by the feed, which is watched before the load.

--- a/jujubebarrow/runtimes/job_intakes.py
+++ b/jujubebarrow/runtimes/job_intakes.py
@@ -22,6 +22,7 @@
     make_cancellation_key,
     make_job_key,
     make_progress_key,
+    make_use_key,
 )
 from jujubebarrow.runtimes.job_watchers import read_job
 from jujubebarrow.stores.row_keys import TableName, make_key
@@ -64,6 +65,7 @@
         self._clock = clock
         self._log = log
         self._metrics = metrics
+        self._marked_uses: set[str] = set()
 
     async def submit(
         self,
@@ -92,9 +94,15 @@
         if error_text:
             raise RefusalError(ErrorKind.BAD_REQUEST, error_text)
         record = _make_record(route, team, job, submission, self._clock.wall())
+        writes: dict[str, dict[str, Any] | None] = {
+            make_job_key(route.queue, job): record.to_document()
+        }
+        use_key = make_use_key(route.queue, route.pool)
+        if use_key not in self._marked_uses:
+            writes[use_key] = {}
         transaction = Transaction(
             conditions={make_job_key(route.queue, job): ABSENT_REVISION},
-            writes={make_job_key(route.queue, job): record.to_document()},
+            writes=writes,
             nonce=uuid4().hex,
         )
         try:
@@ -107,6 +115,7 @@
             raise self._make_refusal(error) from error
         except TimeoutError as error:
             raise RefusalError(ErrorKind.RUN_UNKNOWN, "store", 0.5) from error
+        self._marked_uses.add(use_key)
         self._log.write(
             "job_accepted",
             job=job,
--- a/jujubebarrow/runtimes/job_row_keys.py
+++ b/jujubebarrow/runtimes/job_row_keys.py
@@ -7,6 +7,9 @@
 """Suffix of the key of a cancellation's row. The row is in the same table as the job's
 row, so that one change feed delivers both rows in order."""
 
+USED_SUFFIX = "/used"
+"""Suffix of the key of the row that marks a pool as having had a job of a queue."""
+
 
 def make_job_key(queue: QueueId, job: JobId) -> str:
     """Return the key of the row whose existence marks a job as accepted."""
@@ -31,6 +34,15 @@
     return make_key(TableName.FENCES, queue, pool)
 
 
+def make_use_key(queue: QueueId, pool: PoolId) -> str:
+    """Return the key of the row that marks a pool as having had a job of a queue.
+
+    The row is in the same table and partition as the queue's fences, so that one read
+    returns both.
+    """
+    return make_key(TableName.FENCES, queue, pool + USED_SUFFIX)
+
+
 def make_load_key(queue: QueueId, pool: PoolId) -> str:
     """Return the key of the row with the number of a queue's pending jobs in a pool."""
     return make_key(TableName.LOADS, queue, pool)
--- a/jujubebarrow/runtimes/pool_loaders.py
+++ b/jujubebarrow/runtimes/pool_loaders.py
@@ -6,7 +6,12 @@
 from jujubebarrow.coordinators.pool_coordinators import PoolCoordinator
 from jujubebarrow.identifiers import JobId, PoolId, QueueId
 from jujubebarrow.metrics.registries import MetricsRegistry
-from jujubebarrow.runtimes.job_row_keys import CANCELLED_SUFFIX
+from jujubebarrow.runtimes.job_row_keys import (
+    CANCELLED_SUFFIX,
+    USED_SUFFIX,
+    make_fence_key,
+    make_use_key,
+)
 from jujubebarrow.runtimes.job_watchers import read_job
 from jujubebarrow.runtimes.progress_writers import ProgressWriter
 from jujubebarrow.stores.row_keys import RowKey, TableName, make_key
@@ -67,16 +72,13 @@
             skip_if_empty: Whether to acquire no fence for a queue without a job of this
                 pool.
         """
-        jobs = await self._read(TableName.JOBS, queue)
-        records = self._find_pool_jobs(jobs)
-        if skip_if_empty and not records:
-            return
         if not self._writer.has_fence(queue):
+            if skip_if_empty and not await self._may_have_jobs(queue):
+                return
             await self._writer.acquire_fence(queue)
-            # Until this owner acquired the fence, the former owner could still write.
-            # It may have deleted the rows of closed jobs after the first read.
-            jobs = await self._read(TableName.JOBS, queue)
-            records = self._find_pool_jobs(jobs)
+        # Until this owner acquired the fence, the former owner could still write.
+        jobs = await self._read(TableName.JOBS, queue)
+        records = self._find_pool_jobs(jobs)
         progress = {
             RowKey.parse(row.key).name: row.value
             for row in await self._read(TableName.PROGRESS, queue)
@@ -94,6 +96,20 @@
                 job = JobId(name.removesuffix(CANCELLED_SUFFIX))
                 self._coordinator.cancel_job(job)
 
+    async def _may_have_jobs(self, queue: QueueId) -> bool:
+        """Return whether a queue may have jobs of this pool, without reading the jobs.
+
+        Reads the jobs only if no pool is marked as having had a job of the queue: an
+        earlier build has accepted the queue's jobs.
+        """
+        keys = {row.key for row in await self._read(TableName.FENCES, queue)}
+        own_keys = (make_fence_key(queue, self._pool), make_use_key(queue, self._pool))
+        if not keys.isdisjoint(own_keys):
+            return True
+        if any(key.endswith(USED_SUFFIX) for key in keys):
+            return False
+        return bool(self._find_pool_jobs(await self._read(TableName.JOBS, queue)))
+
     def _find_pool_jobs(self, rows: list[Row]) -> list[JobRecord]:
         records = [
             read_job(row, self._metrics)
--- a/jujubebarrow/tests/test_job_takeovers.py
+++ b/jujubebarrow/tests/test_job_takeovers.py
@@ -6,12 +6,14 @@
 """
 
 from asyncio import gather, get_running_loop, sleep
+from dataclasses import replace
 from typing import Any
 
 from jujubebarrow.identifiers import JobId
 from jujubebarrow.standins.emulated_workers import TaskBehaviour
 from jujubebarrow.stores.rows import Row, RowSet
 from jujubebarrow.stores.transactions import Transaction
+from jujubebarrow.tests.fakes.fake_machines import STANDBY
 from jujubebarrow.tests.fakes.job_cases import JobCase
 from jujubebarrow.tests.fakes.job_clusters import (
     POOL,
@@ -130,6 +132,70 @@
 
         self.run_scenario(scenario, workers=5)
 
+    def test_takeover_reads_the_job_rows_of_a_queue_once(self) -> None:
+        async def scenario(cluster: JobCluster) -> None:
+            await submit(cluster, 1, seconds=20.0)
+            await sleep(0.5)
+            await get_owner(cluster).kill()
+            loading = await wait_for_loading_owner(cluster)
+            loading.store.read_prefixes.clear()
+            await wait_for_owner(cluster)
+            reads = loading.store.read_prefixes
+            self.assertEqual(reads.count(f"jobs/{QUEUE}/"), 1)
+
+        self.run_scenario(scenario)
+
+    def test_takeover_reads_no_jobs_of_other_pools(self) -> None:
+        async def scenario(cluster: JobCluster) -> None:
+            for number in range(20):
+                await submit(cluster, number, seconds=60.0)
+            await sleep(1.0)
+            instance = next(
+                instance
+                for instance in cluster.instances
+                if instance.node is not None and instance.node.owns(STANDBY)
+            )
+            assert instance.node is not None
+            owner = instance.node.find_owner(STANDBY)
+            assert owner is not None
+            owner.on_superseded()
+            read_bytes = instance.store.read_bytes
+            node = instance.node
+            self.assertTrue(await cluster.wait_for(lambda: node.owns(STANDBY), 5.0))
+            self.assertLess(instance.store.read_bytes - read_bytes, TAKEOVER_READ_BYTES)
+            fences = [row.key for row in cluster.store.table.read("fences/").rows]
+            self.assertNotIn(f"fences/{QUEUE}/{STANDBY}", fences)
+
+        self.run_scenario(scenario)
+
+    def test_job_accepted_without_owner_in_queue_of_other_pool_is_loaded(self) -> None:
+        async def scenario(cluster: JobCluster) -> None:
+            await submit(cluster, 1, seconds=60.0)
+            for instance in cluster.instances:
+                node = instance.node
+                if node is not None and node.owns(STANDBY):
+                    await instance.kill()
+            other = next(
+                n for n, i in enumerate(cluster.instances) if i.node is not None
+            )
+            route = replace(ROUTE, pool=STANDBY)
+            job = await submit(cluster, 2, instance=other, route=route)
+
+            def is_loaded() -> bool:
+                owners = [
+                    instance.node.find_owner(STANDBY)
+                    for instance in cluster.instances
+                    if instance.node is not None
+                ]
+                return any(
+                    owner is not None and job in owner.coordinator.state.jobs
+                    for owner in owners
+                )
+
+            self.assertTrue(await cluster.wait_for(is_loaded, 10.0))
+
+        self.run_scenario(scenario)
+
     def test_repeated_submission_after_close_succeeds_and_runs_nothing(self) -> None:
         async def scenario(cluster: JobCluster) -> None:
             job = await submit(cluster, 1)
