Log a failed load of a pool and keep the queues already loaded

What was seen: of 38 claims 5 ended in pool_taken_over, and nothing told why the others did not.

Cause: a failed load was only counted. It also started again with all queues, while the reads of the others went on beside the next attempt.

Why the fix works: each failed attempt returns the queue that failed after its batch has ended, and the queues that were loaded are left out of the next attempt. The line pool_load_failed (pool, queue, detail, seconds since the claim, attempts) is written for attempt 1, 2, 4, 8 and so on.

--- a/jujubebarrow/errors/exceptions.py
+++ b/jujubebarrow/errors/exceptions.py
@@ -3,6 +3,7 @@
 from jujubebarrow.errors.error_responses import ERROR_RESPONSES, ErrorResponse
 from jujubebarrow.errors.kinds import ErrorKind
 from jujubebarrow.errors.run_states import RunState
+from jujubebarrow.identifiers import QueueId
 
 
 class JujubebarrowError(Exception):
@@ -71,6 +72,19 @@
         super().__init__(detail, may_have_applied=False)
 
 
+class QueueLoadError(StoreError):
+    """The stored jobs of a queue could not be loaded.
+
+    Args:
+        queue: Queue whose jobs could not be loaded.
+        detail: Cause of the failure.
+    """
+
+    def __init__(self, queue: QueueId, detail: str):
+        super().__init__(detail)
+        self.queue = queue
+
+
 class TransactionConflictError(JujubebarrowError):
     """A transaction was rejected because a condition on a row failed.
 
--- a/jujubebarrow/runtimes/pool_loaders.py
+++ b/jujubebarrow/runtimes/pool_loaders.py
@@ -4,6 +4,7 @@
 
 from jujubebarrow.clocks.clocks import Clock
 from jujubebarrow.coordinators.pool_coordinators import PoolCoordinator
+from jujubebarrow.errors.exceptions import QueueLoadError, StoreError
 from jujubebarrow.identifiers import JobId, PoolId, QueueId
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.runtimes.job_row_keys import (
@@ -55,14 +56,32 @@
         self._clock = clock
         self._metrics = metrics
 
-    async def load_queues(self) -> None:
-        """Load all queues that have jobs of this pool, several at a time."""
+    async def load_queues(self, loaded: set[QueueId]) -> None:
+        """Load all queues that have jobs of this pool, several at a time.
+
+        Args:
+            loaded: Queues to leave out. Each queue that has been loaded is added, so
+                that a call after a failure continues with the other queues.
+
+        Raises:
+            DisplacedError: An owner with a higher token has a fence.
+            QueueLoadError: A queue could not be loaded.
+            StoreError: The queues could not be listed.
+        """
         names = await self._store.list_partitions(TableName.JOBS.value)
-        for start in range(0, len(names), CONCURRENT_QUEUES_LIMIT):
-            batch = names[start : start + CONCURRENT_QUEUES_LIMIT]
-            await gather(
-                *(self.load_queue(QueueId(name), skip_if_empty=True) for name in batch)
+        queues = [QueueId(name) for name in names if name not in loaded]
+        for start in range(0, len(queues), CONCURRENT_QUEUES_LIMIT):
+            batch = queues[start : start + CONCURRENT_QUEUES_LIMIT]
+            results = await gather(
+                *(self.load_queue(queue, skip_if_empty=True) for queue in batch),
+                return_exceptions=True,
+            )
+            loaded.update(
+                queue
+                for queue, result in zip(batch, results, strict=True)
+                if result is None
             )
+            _raise_first(results)
 
     async def load_queue(self, queue: QueueId, skip_if_empty: bool) -> None:
         """Read a queue's jobs and add those of this pool to the coordinator.
@@ -71,7 +90,17 @@
             queue: Queue to load.
             skip_if_empty: Whether to acquire no fence for a queue without a job of this
                 pool.
+
+        Raises:
+            DisplacedError: An owner with a higher token has the fence.
+            QueueLoadError: A call to the store failed.
         """
+        try:
+            await self._load_queue(queue, skip_if_empty)
+        except StoreError as error:
+            raise QueueLoadError(queue, str(error)) from error
+
+    async def _load_queue(self, queue: QueueId, skip_if_empty: bool) -> None:
         if not self._writer.has_fence(queue):
             if skip_if_empty and not await self._may_have_jobs(queue):
                 return
@@ -125,3 +154,10 @@
     async def _read(self, table: TableName, queue: QueueId) -> list[Row]:
         found = await self._store.read(make_key(table, queue, ""))
         return found.rows
+
+
+def _raise_first(results: list[BaseException | None]) -> None:
+    """Raise the first error, if any; a failed call to the store only after others."""
+    errors = [result for result in results if result is not None]
+    if errors:
+        raise min(errors, key=lambda error: isinstance(error, StoreError))
--- a/jujubebarrow/runtimes/pool_owners.py
+++ b/jujubebarrow/runtimes/pool_owners.py
@@ -7,7 +7,7 @@
 from jujubebarrow.coordinators.coordinator_options import CoordinatorOptions
 from jujubebarrow.coordinators.orders import StopOrder
 from jujubebarrow.coordinators.pool_coordinators import PoolCoordinator
-from jujubebarrow.errors.exceptions import StoreError
+from jujubebarrow.errors.exceptions import QueueLoadError, StoreError
 from jujubebarrow.fleets.fleet_maps import FleetMap
 from jujubebarrow.gateways.worker_gateways import WorkerGateway
 from jujubebarrow.identifiers import JobId, PoolId, QueueId
@@ -42,6 +42,8 @@
 """Number of periodic plans between two deletions of closed jobs."""
 RETRY_SECONDS = 0.2
 """Seconds before a failed read of the store is repeated."""
+LOGGED_DETAIL_LIMIT = 120
+"""Most characters of the detail in the log line of a failed load."""
 
 
 class PoolOwner(JobListener, WorkerListener, OwnerHooks):
@@ -107,6 +109,7 @@
         self._is_plan_scheduled = False
         self._is_closed = False
         now = clock.monotonic()
+        self._claimed_at = now
         self.coordinator = PoolCoordinator(pool, token, options, now, log)
         self._writer = ProgressWriter(
             pool,
@@ -199,7 +202,7 @@
         await self._wait_for_feed()
         loaded = await gather(
             self._load_with_retries(self._lease_recorder.load),
-            self._load_with_retries(self._loader.load_queues),
+            self._load_all_queues(),
         )
         if not all(loaded):
             return
@@ -261,16 +264,22 @@
             self._tasks.start(self._reload())
 
     async def _reload(self) -> None:
-        if await self._load_with_retries(self._loader.load_queues):
+        if await self._load_all_queues():
             self.on_change()
 
+    async def _load_all_queues(self) -> bool:
+        loaded: set[QueueId] = set()
+        return await self._load_with_retries(lambda: self._loader.load_queues(loaded))
+
     async def _load_with_retries(self, read: Callable[[], Awaitable[None]]) -> bool:
         """Retry a read until it succeeds; return whether the pool is still owned.
 
         Args:
             read: Reads rows from the store and applies them.
         """
+        attempts = 0
         while True:
+            attempts += 1
             try:
                 await read()
                 return True
@@ -280,8 +289,22 @@
             except StoreError as error:
                 self._metrics.count("retry", "load")
                 self._metrics.count("store_unanswered", str(error)[:40])
+                self._log_failed_load(error, attempts)
                 await sleep(RETRY_SECONDS)
 
+    def _log_failed_load(self, error: StoreError, attempts: int) -> None:
+        if attempts.bit_count() > 1:
+            # The first attempt and then each doubling of the attempts are logged.
+            return
+        self._log.write(
+            "pool_load_failed",
+            pool=self.pool,
+            queue=error.queue if isinstance(error, QueueLoadError) else "",
+            detail=str(error)[:LOGGED_DETAIL_LIMIT],
+            seconds=round(self._clock.monotonic() - self._claimed_at, 3),
+            attempts=attempts,
+        )
+
     def on_worker_changed(self, entry: WorkerEntry) -> None:
         """Apply a new or changed registration of a worker."""
         if self._is_closed:
--- a/jujubebarrow/tests/test_job_takeovers.py
+++ b/jujubebarrow/tests/test_job_takeovers.py
@@ -9,8 +9,9 @@
 from dataclasses import replace
 from typing import Any
 
-from jujubebarrow.identifiers import JobId
+from jujubebarrow.identifiers import JobId, QueueId
 from jujubebarrow.standins.emulated_workers import TaskBehaviour
+from jujubebarrow.stores.commit_results import CommitResult
 from jujubebarrow.stores.rows import Row, RowSet
 from jujubebarrow.stores.transactions import Transaction
 from jujubebarrow.tests.fakes.fake_machines import STANDBY
@@ -36,6 +37,7 @@
 CLOSED_JOB_READ_BYTES = 600
 TAKEOVER_READ_BYTES = 20_000
 """Bytes that a takeover may read besides the jobs: heartbeats, owners, workers."""
+OTHER_QUEUE = replace(ROUTE, queue=QueueId("bind"), prefix="/bind/")
 
 
 def make_name(number: int) -> JobId:
@@ -132,16 +134,26 @@
 
         self.run_scenario(scenario, workers=5)
 
-    def test_takeover_reads_the_job_rows_of_a_queue_once(self) -> None:
+    def test_takeover_reads_the_job_rows_of_a_queue_once_after_its_fence(self) -> None:
         async def scenario(cluster: JobCluster) -> None:
             await submit(cluster, 1, seconds=20.0)
             await sleep(0.5)
             await get_owner(cluster).kill()
             loading = await wait_for_loading_owner(cluster)
-            loading.store.read_prefixes.clear()
+            calls = loading.store.read_prefixes
+            calls.clear()
+            original = loading.store.try_commit
+
+            async def try_commit(transaction: Transaction) -> CommitResult:
+                result = await original(transaction)
+                calls.extend(transaction.writes)
+                return result
+
+            loading.store.try_commit = try_commit  # type: ignore[method-assign]
             await wait_for_owner(cluster)
-            reads = loading.store.read_prefixes
-            self.assertEqual(reads.count(f"jobs/{QUEUE}/"), 1)
+            read, fence = f"jobs/{QUEUE}/", f"fences/{QUEUE}/{POOL}"
+            self.assertEqual(calls.count(read), 1)
+            self.assertLess(calls.index(fence), calls.index(read))
 
         self.run_scenario(scenario)
 
@@ -383,6 +395,38 @@
 
         self.run_scenario(scenario)
 
+    def test_cancelled_job_keeps_its_row_while_a_run_is_active(self) -> None:
+        async def scenario(cluster: JobCluster) -> None:
+            job = await submit(cluster, 1, seconds=30.0)
+            await sleep(1.0)
+            for instance in cluster.instances:
+                instance.gateway.unreachable.update(cluster.workers)
+            await cluster.cancel(job)
+            await sleep(1.0)
+            self.assertTrue(is_closed(cluster, job))
+            key = f"jobs/{QUEUE}/{job}"
+            row = read_row(cluster, key)
+            assert row is not None and row.value is not None
+            self.assertEqual(row.value["payload"], make_payload(1))
+            await get_owner(cluster).kill()
+            owner = await wait_for_owner(cluster)
+            assert owner.node is not None
+            pool_owner = owner.node.find_owner(POOL)
+            assert pool_owner is not None
+            progress = pool_owner.coordinator.state.jobs[job]
+            self.assertEqual(len(list(progress.active_runs())), 1)
+            for instance in cluster.instances:
+                instance.gateway.unreachable.clear()
+            await sleep(3.0)
+            row = read_row(cluster, key)
+            assert row is not None and row.value is not None
+            self.assertEqual(row.value["payload"], "")
+            index = cluster.instances.index(owner)
+            self.assertEqual(await cluster.read_phase(job, index), "cancelled")
+            self.assertEqual(len(cluster.list_runs()), 1)
+
+        self.run_scenario(scenario)
+
     def test_closed_jobs_are_deleted_after_a_takeover(self) -> None:
         async def scenario(cluster: JobCluster) -> None:
             job = await submit(cluster, 1)
@@ -437,3 +481,36 @@
                 self.assertEqual(row.value["payload"], "")
 
         self.run_scenario(scenario)
+
+    def test_failed_load_is_logged_and_keeps_loaded_queues(self) -> None:
+        async def scenario(cluster: JobCluster) -> None:
+            await submit(cluster, 1, seconds=60.0)
+            await submit(cluster, 2, seconds=60.0, route=OTHER_QUEUE)
+            await sleep(1.0)
+            await get_owner(cluster).kill()
+            loading = await wait_for_loading_owner(cluster)
+            stores = [i.store for i in cluster.instances if i.node is not None]
+            for store in stores:
+                store.read_prefixes.clear()
+                store.failing_prefixes.add(f"progress/{QUEUE}/")
+            await sleep(10.0)
+            self.assertIsNone(cluster.find_owner())
+            for store in stores:
+                store.failing_prefixes.clear()
+            await wait_for_owner(cluster)
+            prefix = f"jobs/{OTHER_QUEUE.queue}/"
+            reads = [prefix for store in stores for prefix in store.read_prefixes]
+            self.assertEqual(reads.count(prefix), 1)
+            lines = [
+                line
+                for line in loading.log.lines
+                if line["event"] == "pool_load_failed"
+            ]
+            self.assertTrue(1 <= len(lines) <= 8, len(lines))
+            self.assertEqual(lines[0]["pool"], POOL)
+            self.assertEqual(lines[0]["queue"], QUEUE)
+            self.assertIn("no answer", lines[0]["detail"])
+            self.assertEqual(lines[0]["attempts"], 1)
+            self.assertGreaterEqual(lines[-1]["seconds"], lines[0]["seconds"])
+
+        self.run_scenario(scenario)
