--- a/jujubebarrow/tests/test_job_takeovers.py
+++ b/jujubebarrow/tests/test_job_takeovers.py
@@ -9,7 +9,10 @@
 from dataclasses import replace
 from typing import Any
 
-from jujubebarrow.identifiers import JobId, QueueId
+from jujubebarrow.errors.exceptions import RefusalError
+from jujubebarrow.errors.kinds import ErrorKind
+from jujubebarrow.identifiers import JobId, QueueId, TeamId
+from jujubebarrow.runtimes.job_browsers import JobBrowser
 from jujubebarrow.standins.emulated_workers import TaskBehaviour
 from jujubebarrow.stores.commit_results import CommitResult
 from jujubebarrow.stores.rows import Row, RowSet
@@ -33,6 +36,7 @@
 PAYLOAD_BYTES = 2000
 STEP = StepSpec(count=1, needs=Resources(1000, 500), estimate=0.2)
 LONG = StepSpec(count=1, needs=Resources(1000, 500), long_running=True)
+TRANSACTION_ENTRY_LIMIT = 100
 OPEN_JOB_READ_BYTES = 2 * PAYLOAD_BYTES
 CLOSED_JOB_READ_BYTES = 600
 TAKEOVER_READ_BYTES = 20_000
@@ -157,6 +161,39 @@
 
         self.run_scenario(scenario)
 
+    def test_transactions_of_an_owner_keep_the_limits_of_the_store(self) -> None:
+        async def scenario(cluster: JobCluster) -> None:
+            transactions = []
+            store = get_owner(cluster).store
+            original = store.try_commit
+
+            async def try_commit(transaction: Transaction) -> CommitResult:
+                transactions.append(transaction)
+                return await original(transaction)
+
+            store.try_commit = try_commit  # type: ignore[method-assign]
+            for jobs in ([1], range(2, 120)):
+                await gather(*(submit(cluster, number) for number in jobs))
+                await sleep(5.0)
+            sizes = [len(each.conditions) + len(each.writes) for each in transactions]
+            self.assertGreater(max(sizes), TRANSACTION_ENTRY_LIMIT // 2)
+            self.assertLessEqual(max(sizes), TRANSACTION_ENTRY_LIMIT)
+            closed = [
+                key
+                for transaction in transactions
+                for key, value in transaction.writes.items()
+                if key.startswith(f"jobs/{QUEUE}/")
+                and value is not None
+                and "outcome" in value
+            ]
+            self.assertEqual(len(closed), 119)
+            await sleep(250.0)
+            self.assertEqual(cluster.store.table.read("jobs/").rows, [])
+            sizes = [len(each.conditions) + len(each.writes) for each in transactions]
+            self.assertLessEqual(max(sizes), TRANSACTION_ENTRY_LIMIT)
+
+        self.run_scenario(scenario, workers=16)
+
     def test_takeover_reads_no_jobs_of_other_pools(self) -> None:
         async def scenario(cluster: JobCluster) -> None:
             for number in range(20):
@@ -245,6 +282,24 @@
 
             self.run_scenario(scenario)
 
+    def test_closed_job_is_shown_to_operators_and_hidden_from_other_teams(self) -> None:
+        async def scenario(cluster: JobCluster) -> None:
+            instance = cluster.instances[0]
+            browser = JobBrowser(instance.store, instance.metrics)
+            job = await submit(cluster, 1, step=replace(STEP, count=3))
+            accepted = await browser.find_job(QUEUE, job)
+            assert accepted is not None
+            self.assertTrue(await cluster.wait_for_phase(job, "completed", 5.0))
+            expected = replace(accepted, phase=JobPhase.COMPLETED)
+            self.assertEqual(await browser.find_job(QUEUE, job), expected)
+            self.assertEqual(await browser.list_jobs(QUEUE), [expected])
+            assert instance.node is not None
+            with self.assertRaises(RefusalError) as caught:
+                await instance.node.intake.cancel(ROUTE, TeamId("trawlers"), job)
+            self.assertEqual(caught.exception.kind, ErrorKind.NOT_FOUND)
+
+        self.run_scenario(scenario)
+
     def test_cancel_with_row_read_before_close_is_answered_truly(self) -> None:
         async def scenario(cluster: JobCluster) -> None:
             job = await submit(cluster, 1)
