--- a/jujubebarrow/coordinators/job_progresses.py
+++ b/jujubebarrow/coordinators/job_progresses.py
@@ -42,6 +42,12 @@
         self._finished: set[int] = set()
         self._next_occurrence = 0
 
+    @property
+    def is_closed_in_store(self) -> bool:
+        """Whether the stored phase is final and no run may still be executing."""
+        is_final = self.stored_phase is not None and self.stored_phase.is_final
+        return is_final and not self._has_active_runs()
+
     def open_due_occurrences(self, wall: float, early_start: float) -> None:
         """Open the occurrences that are due.
 
@@ -213,6 +219,14 @@
                 rows.append([occurrence, number, f"{done_mask:x}", started])
         return rows
 
+    def restore_closed(self, outcome: JobPhase) -> None:
+        """Restore the progress of a job whose record is compact.
+
+        Args:
+            outcome: Final phase of the job.
+        """
+        self.phase = self.stored_phase = outcome
+
     def restore(self, document: dict[str, Any], now: float) -> None:
         """Restore the progress that an owner of the pool has stored.
 
--- a/jujubebarrow/runtimes/job_intakes.py
+++ b/jujubebarrow/runtimes/job_intakes.py
@@ -22,6 +22,7 @@
     make_cancellation_key,
     make_job_key,
     make_progress_key,
+    make_use_key,
 )
 from jujubebarrow.runtimes.job_watchers import read_job
 from jujubebarrow.runtimes.pending_counters import PendingCounter
@@ -65,6 +66,7 @@
         self._log = log
         self._metrics = metrics
         self._pending_counter = PendingCounter(store, clock, log, metrics)
+        self._marked_uses: set[str] = set()
 
     async def submit(
         self,
@@ -93,9 +95,15 @@
         if error_text:
             raise RefusalError(ErrorKind.BAD_REQUEST, error_text)
         record = _make_record(route, team, job, submission, self._clock.wall())
+        writes: dict[str, dict[str, Any] | None] = {
+            make_job_key(route.queue, job): record.to_document()
+        }
+        use_key = make_use_key(route.queue, route.pool)
+        if use_key not in self._marked_uses:
+            writes[use_key] = {}
         transaction = Transaction(
             conditions={make_job_key(route.queue, job): ABSENT_REVISION},
-            writes={make_job_key(route.queue, job): record.to_document()},
+            writes=writes,
             nonce=uuid4().hex,
         )
         try:
@@ -108,6 +116,7 @@
             raise self._make_refusal(error) from error
         except TimeoutError as error:
             raise RefusalError(ErrorKind.RUN_UNKNOWN, "store", 0.5) from error
+        self._marked_uses.add(use_key)
         self._log.write(
             "job_accepted",
             job=job,
@@ -147,6 +156,8 @@
             ) from error
         if record is None:
             raise RefusalError(ErrorKind.NOT_FOUND, job)
+        if record.outcome is not None:
+            return record.outcome
         return JobPhase.CANCELLED if is_cancelled else JobPhase.QUEUED
 
     async def _read_value(self, key: str) -> dict[str, Any] | None:
@@ -164,7 +175,7 @@
         return row, record, any(row.key == cancellation_key for row in found.rows)
 
     async def cancel(self, route: QueueRoute, team: TeamId, job: JobId) -> None:
-        """Store the cancellation of a job.
+        """Store the cancellation of a job; a closed job keeps its final phase.
 
         Raises:
             RefusalError: The team has no such job, the store does not answer, or
@@ -186,7 +197,7 @@
         row, record, is_cancelled = await self._read_job(route, job)
         if row is None or record is None or record.team != team:
             raise RefusalError(ErrorKind.NOT_FOUND, job)
-        if is_cancelled:
+        if is_cancelled or record.outcome is not None:
             return True
         cancellation_key = make_cancellation_key(route.queue, job)
         transaction = Transaction(
--- a/jujubebarrow/runtimes/owned_tasks.py
+++ b/jujubebarrow/runtimes/owned_tasks.py
@@ -32,6 +32,8 @@
         task = create_task(self._run_logged(coroutine))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        # A task that is cancelled before its first step never awaits the coroutine.
+        task.add_done_callback(lambda _: coroutine.close())
 
     async def _run_logged(self, coroutine: Coroutine[Any, Any, None]) -> None:
         try:
--- a/jujubebarrow/runtimes/pending_counters.py
+++ b/jujubebarrow/runtimes/pending_counters.py
@@ -17,6 +17,7 @@
 from jujubebarrow.stores.rows import Row, RowSet
 from jujubebarrow.stores.stores import Store
 from jujubebarrow.workloads.job_phases import JobPhase
+from jujubebarrow.workloads.job_records import OUTCOME_KEY
 
 REPORT_AGE_LIMIT_SECONDS = 1.8
 """Age up to which a report is used; callers are promised numbers of at most 2 s."""
@@ -95,7 +96,11 @@
 
     async def _read_and_count(self, queue: QueueId) -> int:
         jobs = await self._store.read(make_key(TableName.JOBS, queue, ""))
-        names = {RowKey.parse(row.key).name for row in jobs.rows}
+        names = {
+            RowKey.parse(row.key).name
+            for row in jobs.rows
+            if OUTCOME_KEY not in (row.value or {})
+        }
         waiting = {
             name
             for name in names
