Write errors of libraries as lines of the event log, not as tracebacks

Seen: tracebacks of "Exception after Future was cancelled" and CurlError among the structured lines on the output of the instances.

Cause: no handler was set for Python's log records, so that they went to standard error with their tracebacks. Tornado logs one at each call that fails after the task that waited for it was cancelled. Closing a client with calls in progress logged one more, as curl scheduled a timeout that reached the closed client.

The set-up of the event log takes the records of all libraries. A cancelled call leaves its future to a callback that logs (and so counts) a later failure without a traceback.

--- a/jujubebarrow/daemons/logs.py
+++ b/jujubebarrow/daemons/logs.py
@@ -8,7 +8,13 @@
 from jujubebarrow.metrics.registries import MetricsRegistry
 
 LOG_FORMAT = "{time:YYYY-MM-DDTHH:mm:ss.SSSZ} {level} {message}"
-LIBRARY_LOGGERS = ("tornado.general", "tornado.application", "websockets", "asyncio")
+LIBRARY_LOGGERS = (
+    "tornado.general",
+    "tornado.application",
+    "websockets",
+    "asyncio",
+    "jujubebarrow",
+)
 
 
 class CountingHandler(logging.Handler):
--- a/jujubebarrow/logs/event_logs.py
+++ b/jujubebarrow/logs/event_logs.py
@@ -1,5 +1,6 @@
 """Non-blocking decision log with a limited rate of lines."""
 
+import logging
 import os
 import sys
 from collections.abc import Callable
@@ -8,8 +9,10 @@
 from loguru import logger
 from msgspec import json
 
+from jujubebarrow.clocks.boot_clocks import BootClock
 from jujubebarrow.clocks.clocks import Clock
 from jujubebarrow.logs.decision_logs import DecisionLog
+from jujubebarrow.logs.library_logs import LibraryLogHandler
 from jujubebarrow.metrics.registries import MetricsRegistry
 
 AVERAGE_LINE_RATE = 200.0
@@ -72,6 +75,13 @@
 
 
 def set_up_event_log(metrics: MetricsRegistry) -> None:
-    """Configure the logger to write to standard output without blocking."""
+    """Write events, and log records of libraries, to standard output without blocking.
+
+    Without a handler, Python writes the records with their tracebacks to standard
+    error.
+    """
     logger.remove()
     logger.add(make_stdout_sink(metrics), format="{message}", level="INFO")
+    clock = BootClock()
+    handler = LibraryLogHandler(EventLog(clock, metrics), clock, metrics)
+    logging.basicConfig(handlers=[handler], level=logging.INFO, force=True)
--- a/jujubebarrow/transports/http_clients.py
+++ b/jujubebarrow/transports/http_clients.py
@@ -1,17 +1,21 @@
 """HTTP client with persistent connections."""
 
+from asyncio import CancelledError, Future, shield
 from dataclasses import dataclass
+from logging import getLogger
 from typing import Any
 
 from pycurl import E_COULDNT_CONNECT, E_OPERATION_TIMEDOUT, M_MAXCONNECTS
 from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
-from tornado.httpclient import HTTPClientError, HTTPRequest
+from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
 
 from jujubebarrow.errors.exceptions import JujubebarrowError
 
 CONNECT_TIMEOUT_TEXT = "Connection timed out"
 """Part of curl's error message for a timeout before the connection was established."""
 
+_logger = getLogger(__name__)
+
 
 class HttpCallError(JujubebarrowError):
     """An HTTP call got no response.
@@ -57,6 +61,10 @@
     def close(self) -> None:
         """Close all connections."""
         self._client.close()
+        # When calls in progress are closed, curl schedules a timeout, which would reach
+        # the closed client.
+        if self._client._timeout is not None:
+            self._client.io_loop.remove_timeout(self._client._timeout)
 
     async def call(
         self,
@@ -95,7 +103,7 @@
             **options,
         )
         try:
-            response = await self._client.fetch(request, raise_error=False)
+            response = await self._fetch(request)
         except (HTTPClientError, OSError) as error:
             raise HttpCallError(str(error), _may_have_arrived(error)) from error
         if response.code == 599:
@@ -103,6 +111,22 @@
             raise HttpCallError(str(error), _may_have_arrived(error))
         return ClientResponse(response.code, response.body)
 
+    async def _fetch(self, request: HTTPRequest) -> HTTPResponse:
+        future: Future[HTTPResponse] = self._client.fetch(request, raise_error=False)
+        try:
+            # Tornado logs a traceback for a call that fails after its future was
+            # cancelled.
+            return await shield(future)
+        except CancelledError:
+            future.add_done_callback(_log_abandoned_call)
+            raise
+
+
+def _log_abandoned_call(future: Future[HTTPResponse]) -> None:
+    error = None if future.cancelled() else future.exception()
+    if error is not None:
+        _logger.info("abandoned call failed: %s", error)
+
 
 def _may_have_arrived(error: BaseException | None) -> bool:
     if not isinstance(error, CurlError):
