Do not relay calls because a response was too large for the link

Seen: on instances with a small link, one read that ended as "Operation timed out after 900 milliseconds with 262068 out of 1013270 bytes received" sent all calls of the instance through other instances for 1 s, where the same large responses came back.

Cause: any failed call counted as a store that the instance can't reach.

Evidence: test_slow_response_does_not_switch_calls_to_relays fails on the former code (1 relayed call instead of 0) and passes now; a store that sends nothing still switches (test_store_without_response_switches_calls_to_relays, which passes on both).

The HTTP client collects the body itself, so that it knows how much of it had arrived when the timeout ended the call. Such a call raises SlowResponseError, which neither switches calls to relays nor excludes a relay. Connections refused or reset, statuses, and timeouts without a byte do, as before.

--- a/jujubebarrow/errors/exceptions.py
+++ b/jujubebarrow/errors/exceptions.py
@@ -64,6 +64,21 @@
         self.may_have_applied = may_have_applied
 
 
+class SlowResponseError(StoreError):
+    """Only a part of the store's response arrived within the timeout.
+
+    The store is reachable, but the response was too large for the network link.
+
+    Args:
+        detail: Cause of the failure.
+        received_bytes: Size of the part that arrived.
+    """
+
+    def __init__(self, detail: str, received_bytes: int):
+        super().__init__(detail)
+        self.received_bytes = received_bytes
+
+
 class HistoryLostError(StoreError):
     """The store no longer retains all changes since the requested revision."""
 
--- a/jujubebarrow/platform/stores.py
+++ b/jujubebarrow/platform/stores.py
@@ -8,7 +8,11 @@
 import cbor2
 from msgspec import DecodeError, Struct, json
 
-from jujubebarrow.errors.exceptions import HistoryLostError, StoreError
+from jujubebarrow.errors.exceptions import (
+    HistoryLostError,
+    SlowResponseError,
+    StoreError,
+)
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.stores.commit_results import CommitResult
 from jujubebarrow.stores.instance_lists import InstanceList
@@ -192,6 +196,9 @@
         try:
             response = await self._client.call(method, self._url + path, timeout, body)
         except HttpCallError as error:
+            if error.is_response_incomplete:
+                self._metrics.count("store_failure", "incomplete")
+                raise SlowResponseError(str(error), error.received_bytes) from error
             self._metrics.count("store_failure", "unanswered")
             raise StoreError(str(error), error.may_have_arrived) from error
         if response.status not in (200, 410, 412):
--- a/jujubebarrow/stores/relayed_stores.py
+++ b/jujubebarrow/stores/relayed_stores.py
@@ -12,7 +12,11 @@
 from typing import Any, TypeVar
 
 from jujubebarrow.clocks.clocks import Clock
-from jujubebarrow.errors.exceptions import HistoryLostError, StoreError
+from jujubebarrow.errors.exceptions import (
+    HistoryLostError,
+    SlowResponseError,
+    StoreError,
+)
 from jujubebarrow.logs.decision_logs import DecisionLog
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.stores.commit_results import CommitResult
@@ -126,7 +130,7 @@
         self._metrics.count("store_relay")
         try:
             return await self._relay.call(address, body, wait)
-        except HistoryLostError:
+        except (HistoryLostError, SlowResponseError):
             raise
         except StoreError:
             self._metrics.count("store_relay_failed")
@@ -146,14 +150,15 @@
         for address in self._choose_relays():
             try:
                 return decode(await self._call_relay(address, body, wait))
-            except HistoryLostError:
+            except (HistoryLostError, SlowResponseError):
                 raise
             except StoreError:
                 # The next instance or the direct call may still succeed.
                 self._metrics.count("retry", "relay")
         try:
             result = await call_direct()
-        except HistoryLostError:
+        except (HistoryLostError, SlowResponseError):
+            # The store is reachable.
             raise
         except StoreError as error:
             self._record_direct_result(error)
@@ -170,6 +175,8 @@
             )
         try:
             result = await self._direct.try_commit(transaction)
+        except SlowResponseError:
+            raise
         except StoreError as error:
             self._record_direct_result(error)
             raise
--- a/jujubebarrow/tests/test_slow_links.py
+++ b/jujubebarrow/tests/test_slow_links.py
@@ -96,6 +96,41 @@
             await asyncio.sleep(HEARTBEAT_PERIOD_SECONDS)
 
 
+class SlowLinkReadTest(SlowLinkCase):
+    async def read_with_heartbeats(self, parts: list[str]) -> list[list[Any]]:
+        failures: list[str] = []
+        delays: list[float] = []
+        for number in range(5):
+            self.standin.put("control", "", f"duty/pool-{number}", make_value(80))
+        heartbeat = asyncio.create_task(self.keep_heartbeat(failures, delays))
+        await asyncio.sleep(0.1)
+        found = await asyncio.wait_for(
+            asyncio.gather(*(self.store.read(f"jobs/{part}/") for part in parts)), 20
+        )
+        heartbeat.cancel()
+        self.assertGreater(len(delays), 3)
+        self.assertEqual(failures, [])
+        self.assertEqual(self.relay.call_count, 0)
+        return [rows.rows for rows in found]
+
+    async def test_slow_response_does_not_switch_calls_to_relays(self) -> None:
+        self.standin.put("jobs", "q", "a" * 16, make_value(900_000))
+        with self.assertRaises(StoreError):
+            await self.store.read("jobs/q/")
+        await self.store.read("control//")
+        self.assertEqual(self.relay.call_count, 0)
+        self.assertEqual(self.count_events("store_relayed"), 0)
+
+    async def test_store_without_response_switches_calls_to_relays(self) -> None:
+        self.standin.is_stalled = True
+        with self.assertRaises(StoreError):
+            await self.store.read("jobs/q/")
+        with self.assertRaises(StoreError):
+            await self.store.read("jobs/q/")
+        self.assertEqual(self.relay.call_count, 1)
+        self.assertEqual(self.count_events("store_relayed"), 1)
+
+
 class ReadProgressTest(SlowLinkCase):
     async def test_row_after_a_row_removed_between_pages_is_read(self) -> None:
         self.fill("q", 1200, 20)
--- a/jujubebarrow/transports/http_clients.py
+++ b/jujubebarrow/transports/http_clients.py
@@ -2,10 +2,17 @@
 
 from asyncio import CancelledError, Future, shield
 from dataclasses import dataclass
+from io import BytesIO
 from logging import getLogger
 from typing import Any
 
-from pycurl import E_COULDNT_CONNECT, E_OPERATION_TIMEDOUT, M_MAXCONNECTS
+from pycurl import (
+    E_COULDNT_CONNECT,
+    E_OPERATION_TIMEDOUT,
+    M_MAXCONNECTS,
+    WRITEFUNCTION,
+    Curl,
+)
 from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
 from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
 
@@ -14,6 +21,9 @@
 CONNECT_TIMEOUT_TEXT = "Connection timed out"
 """Part of curl's error message for a timeout before the connection was established."""
 
+BODY_LIMIT_BYTES = 100 * 1024 * 1024
+"""Largest response body; a larger one fails the call."""
+
 _logger = getLogger(__name__)
 
 
@@ -23,11 +33,26 @@
     Args:
         detail: Error message of the HTTP client.
         may_have_arrived: Whether the server may have received the request.
+        received_bytes: Size of the part of the response body that arrived.
+        has_timed_out: Whether the timeout ended the call.
     """
 
-    def __init__(self, detail: str, may_have_arrived: bool):
+    def __init__(
+        self,
+        detail: str,
+        may_have_arrived: bool,
+        received_bytes: int = 0,
+        has_timed_out: bool = False,
+    ):
         super().__init__(detail)
         self.may_have_arrived = may_have_arrived
+        self.received_bytes = received_bytes
+        self.has_timed_out = has_timed_out
+
+    @property
+    def is_response_incomplete(self) -> bool:
+        """Whether the call timed out after a part of the response had arrived."""
+        return self.has_timed_out and self.received_bytes > 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,10 +62,35 @@
     Attributes:
         status: HTTP status code.
         body: Response body.
+        transfer_seconds: Time from the first to the last byte of the response.
     """
 
     status: int
     body: bytes
+    transfer_seconds: float = 0.0
+
+
+class _ResponseBody:
+    """Collects a response body, so that its size is known after a failure, too."""
+
+    def __init__(self) -> None:
+        self._buffer = BytesIO()
+
+    @property
+    def size_bytes(self) -> int:
+        return self._buffer.tell()
+
+    def to_bytes(self) -> bytes:
+        return self._buffer.getvalue()
+
+    def attach(self, curl: Curl) -> None:
+        curl.setopt(WRITEFUNCTION, self._write)
+
+    def _write(self, chunk: bytes) -> int:
+        if self.size_bytes + len(chunk) > BODY_LIMIT_BYTES:
+            # Accepting fewer bytes than were offered makes curl fail the call.
+            return 0
+        return self._buffer.write(chunk)
 
 
 class HttpClient:
@@ -90,6 +140,7 @@
         if body is not None:
             headers = {"Content-Type": "application/json"} | (headers or {})
             options["expect_100_continue"] = False
+        received = _ResponseBody()
         request = HTTPRequest(
             url,
             method=method,
@@ -100,16 +151,21 @@
             follow_redirects=False,
             decompress_response=False,
             allow_nonstandard_methods=True,
+            prepare_curl_callback=received.attach,
             **options,
         )
         try:
             response = await self._fetch(request)
         except (HTTPClientError, OSError) as error:
-            raise HttpCallError(str(error), _may_have_arrived(error)) from error
+            raise _make_call_error(error, received.size_bytes) from error
         if response.code == 599:
-            error = response.error
-            raise HttpCallError(str(error), _may_have_arrived(error))
-        return ClientResponse(response.code, response.body)
+            raise _make_call_error(response.error, received.size_bytes)
+        times = response.time_info
+        return ClientResponse(
+            response.code,
+            received.to_bytes(),
+            max(0.0, times.get("total", 0.0) - times.get("starttransfer", 0.0)),
+        )
 
     async def _fetch(self, request: HTTPRequest) -> HTTPResponse:
         future: Future[HTTPResponse] = self._client.fetch(request, raise_error=False)
@@ -128,6 +184,13 @@
         _logger.info("abandoned call failed: %s", error)
 
 
+def _make_call_error(error: BaseException | None, received_bytes: int) -> HttpCallError:
+    has_timed_out = isinstance(error, CurlError) and error.errno == E_OPERATION_TIMEDOUT
+    return HttpCallError(
+        str(error), _may_have_arrived(error), received_bytes, has_timed_out
+    )
+
+
 def _may_have_arrived(error: BaseException | None) -> bool:
     if not isinstance(error, CurlError):
         return True
--- a/jujubebarrow/transports/http_relays.py
+++ b/jujubebarrow/transports/http_relays.py
@@ -4,7 +4,7 @@
 
 from tornado.httputil import HTTPServerRequest
 
-from jujubebarrow.errors.exceptions import StoreError
+from jujubebarrow.errors.exceptions import SlowResponseError, StoreError
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.stores.relay_messages import (
     MEDIA_TYPE,
@@ -44,6 +44,10 @@
                 {"Content-Type": MEDIA_TYPE},
             )
         except HttpCallError as error:
+            if error.is_response_incomplete:
+                raise SlowResponseError(
+                    f"relay: {error}", error.received_bytes
+                ) from error
             raise StoreError(f"relay: {error}", error.may_have_arrived) from error
         if response.status != 200:
             raise StoreError(f"relay: status {response.status}", False)
