Read rows in pages that the instance's link can carry

Seen: on instances with a link of 10 Mbit/s, which carries half of that, reads of up to 1 MB in one response ended at the timeout of 0.9 s and began again from the first byte; heartbeats and polls of the owners on the same link timed out with 0 bytes received, so that the pool went to the next instance, which did the same.

Cause: a page was as large as the store allows, whatever the link; any number of pages was requested at the same time; a failed page ended the whole read.

Evidence, with a stand-in store behind a link of 600 kB/s that all calls share, on the former code: a read of 1.5 MB fails ("536533 out of 996728 bytes received"), so do 40 parallel reads of 49 kB ("36822 out of 49297 bytes received"), the same if the store takes 0.3 s for each call, and a read after one rejected page.

The settings give the link's nominal rate (Limits.LinkMbps). PageSizer derives the size of pages, reduces it after slow transfers and timeouts, and learns the size of the rows of each table. ReadThrottle lets large pages wait while what is outstanding would take too long on the link; transactions and single rows do not wait, small partitions only for each other. PagedReader reads a failed page again from the last row received, at most three times in all, and keeps the first page's revision. Relayed reads are paged in the same way, through a new relayed call.

--- a/jujubebarrow/platform/main.py
+++ b/jujubebarrow/platform/main.py
@@ -32,6 +32,7 @@
 from jujubebarrow.runtimes.entry_nodes import EntryNode, EntryOptions
 from jujubebarrow.runtimes.fleet_watchers import FleetWatcher
 from jujubebarrow.runtimes.worker_watchers import WorkerWatcher
+from jujubebarrow.stores.read_throttles import ReadThrottle
 from jujubebarrow.stores.relayed_stores import RelayedStore
 from jujubebarrow.transports.http_relays import HttpRelayClient, RelayHandler
 from jujubebarrow.transports.http_servers import HttpListener, HttpRequestHandler
@@ -81,12 +82,19 @@
         loop.add_signal_handler(signal.SIGHUP, self._log_ignored_reload)
         settings = self._settings
         async with AsyncExitStack() as stack:
-            direct = PlatformStore(settings.store_address, self._metrics)
+            throttle = ReadThrottle(settings.link_mbps, self._metrics)
+            direct = PlatformStore(settings.store_address, throttle, self._metrics)
             stack.callback(direct.close)
             relay = HttpRelayClient()
             stack.callback(relay.close)
             store = RelayedStore(
-                direct, relay, SystemRandom(), self._clock, self._log, self._metrics
+                direct,
+                relay,
+                throttle,
+                SystemRandom(),
+                self._clock,
+                self._log,
+                self._metrics,
             )
             workers = PlatformWorkers(self._metrics)
             stack.callback(workers.close)
--- a/jujubebarrow/platform/settings_files.py
+++ b/jujubebarrow/platform/settings_files.py
@@ -8,6 +8,8 @@
 
 PATH_VARIABLE = "JUJUBEBARROW_CONFIG"
 DEFAULT_PATH = "/etc/jujubebarrow/settings.conf"
+DEFAULT_LINK_MBPS = 1000.0
+"""Rate of a network link of which nothing is known."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -40,6 +42,7 @@
             above its target latency.
         absence_window: Time for which a task counts as unavailable after an
             absence.
+        link_mbps: Rate of this instance's network link in Mbit/s.
     """
 
     instance: InstanceId
@@ -63,6 +66,7 @@
     throttle_delay: float
     interference_tolerance: float
     absence_window: float
+    link_mbps: float
 
 
 def load_platform_settings(path: Path) -> PlatformSettings:
@@ -151,6 +155,8 @@
             throttle_delay=self._milliseconds("Bounds.PaceMs", 0.1),
             interference_tolerance=self._milliseconds("Bounds.HarmMs", 4.0),
             absence_window=self._milliseconds("Bounds.NoticeMs", 4.5),
+            link_mbps=self._number("Limits.LinkMbps", DEFAULT_LINK_MBPS)
+            or DEFAULT_LINK_MBPS,
         )
         if self._faults:
             raise SettingsError(self._faults)
--- a/jujubebarrow/platform/stores.py
+++ b/jujubebarrow/platform/stores.py
@@ -16,7 +16,10 @@
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.stores.commit_results import CommitResult
 from jujubebarrow.stores.instance_lists import InstanceList
+from jujubebarrow.stores.paged_readers import PagedReader
+from jujubebarrow.stores.read_throttles import ReadThrottle
 from jujubebarrow.stores.row_keys import RowKey
+from jujubebarrow.stores.row_pages import RowPage
 from jujubebarrow.stores.rows import Row, RowSet
 from jujubebarrow.stores.stores import Store
 from jujubebarrow.stores.transactions import Transaction
@@ -39,15 +42,6 @@
 NONCE_FIELD = "n"
 
 
-class _WireRows(Struct, rename="pascal"):
-    rows: list[dict[str, Any]] = []
-    has_more: bool = False
-    # Revision of the whole store at the time of the response.
-    ver: int = 0
-    # The store's monotonic clock in milliseconds.
-    now_ms: int = 0
-
-
 class _WireParts(Struct):
     parts: list[str] = []
 
@@ -57,6 +51,7 @@
 
     Args:
         address: IP and port of the store.
+        throttle: Limits what reads put on this instance's network link.
         metrics: Registry of the counters.
     """
 
@@ -64,8 +59,12 @@
     # up, which takes two attempts. Pool owners retry a failed transaction themselves.
     commit_attempts = 2
 
-    def __init__(self, address: str, metrics: MetricsRegistry):
+    def __init__(self, address: str, throttle: ReadThrottle, metrics: MetricsRegistry):
         super().__init__(metrics)
+        self._throttle = throttle
+        self._reader = PagedReader(
+            lambda prefix, start: self.read_page(prefix, start, 0), metrics
+        )
         self._url = f"http://{address}"
         self._client = HttpClient(CONNECTION_LIMIT)
 
@@ -96,26 +95,25 @@
         return CommitResult(revision=document.get("Ver", 0), nonces=nonces)
 
     async def read(self, prefix: str, limit: int = 0) -> RowSet:
-        """Return all rows whose key starts with a prefix; ``limit`` is ignored."""
+        """Return the rows whose key starts with a prefix."""
+        return await self._reader.read(prefix, limit)
+
+    async def read_page(self, prefix: str, start: str, limit: int) -> RowPage:
+        """Return a part of the rows whose key starts with a prefix."""
         key = RowKey.parse(prefix)
         query = {"Table": key.table, "part": key.partition}
         if key.name:
             query["From"] = key.name
             query["To"] = key.name[:-1] + chr(ord(key.name[-1]) + 1)
-        rows: list[Row] = []
-        revision: int | None = None
-        while True:
-            page = await self._read_page("/-/rows-get", query, TIMEOUT_SECONDS)
-            # Later changes must be read from the first page's revision on, since rows
-            # may change while the remaining pages are read.
-            revision = page.ver if revision is None else revision
-            page_rows = _decode_rows(page.rows)
-            # A page begins with the last row read, unless that row was deleted.
-            is_repeated = rows and page_rows and page_rows[0].key == rows[-1].key
-            rows.extend(page_rows[1:] if is_repeated else page_rows)
-            if not page.has_more or not page_rows:
-                return RowSet(revision=revision, rows=rows, clock=page.now_ms / 1000)
-            query["From"] = RowKey.parse(page_rows[-1].key).name
+        if start:
+            query["From"] = start
+
+        async def fetch(row_limit: int) -> RowPage:
+            if row_limit:
+                query["Limit"] = str(row_limit)
+            return await self._read_page("/-/rows-get", query, TIMEOUT_SECONDS)
+
+        return await self._throttle.read_page(prefix, start, limit, fetch)
 
     async def read_changes(self, prefix: str, since: int, wait: float) -> RowSet:
         """Return rows of the prefix's table that changed after a revision.
@@ -128,11 +126,7 @@
             "WaitMs": str(round(wait * 1000)),
         }
         page = await self._read_page("/-/rows-feed", query, TIMEOUT_SECONDS + wait)
-        return RowSet(
-            revision=page.ver,
-            rows=_decode_rows(page.rows),
-            clock=page.now_ms / 1000,
-        )
+        return RowSet(revision=page.revision, rows=page.rows, clock=page.clock)
 
     async def list_partitions(self, table: str) -> list[str]:
         """Return the partitions of a table that have rows."""
@@ -168,7 +162,7 @@
 
     async def _read_page(
         self, path: str, query: dict[str, str], timeout: float
-    ) -> _WireRows:
+    ) -> RowPage:
         response = await self._call("GET", f"{path}?{urlencode(query)}", timeout)
         if response.status == 410:
             raise HistoryLostError(path)
@@ -176,11 +170,14 @@
             raise _make_status_error(response)
         try:
             document = json.decode(response.body)
-            return _WireRows(
-                document.get("rows", []),
-                document.get("HasMore", False),
-                document["Ver"],
-                document.get("NowMs", 0),
+            return RowPage(
+                rows=_decode_rows(document.get("rows", [])),
+                # Revision of the whole store at the time of the response.
+                revision=document["Ver"],
+                has_more=document.get("HasMore", False),
+                clock=document.get("NowMs", 0) / 1000,
+                size_bytes=len(response.body),
+                transfer_seconds=response.transfer_seconds,
             )
         except (DecodeError, KeyError, AttributeError) as error:
             raise StoreError(f"unreadable answer: {error}", False) from error
--- a/jujubebarrow/stores/relay_messages.py
+++ b/jujubebarrow/stores/relay_messages.py
@@ -8,6 +8,7 @@
 
 from jujubebarrow.errors.exceptions import HistoryLostError, StoreError
 from jujubebarrow.stores.commit_results import CommitResult
+from jujubebarrow.stores.row_pages import RowPage
 from jujubebarrow.stores.rows import RowSet
 from jujubebarrow.stores.stores import Store
 from jujubebarrow.stores.transactions import Transaction
@@ -16,6 +17,7 @@
 MEDIA_TYPE = "application/cbor"
 COMMIT = "commit"
 READ = "read"
+PAGE = "page"
 CHANGES = "changes"
 PARTITIONS = "partitions"
 HISTORY_LOST = "history-lost"
@@ -63,6 +65,9 @@
             return asdict(await store.try_commit(transaction))
         if operation == READ:
             return asdict(await store.read(call["prefix"], call["limit"]))
+        if operation == PAGE:
+            page = await store.read_page(call["prefix"], call["start"], call["limit"])
+            return asdict(page)
         if operation == CHANGES:
             rows = await store.read_changes(call["prefix"], call["since"], call["wait"])
             return asdict(rows)
@@ -101,3 +106,8 @@
 def decode_rows(result: Any) -> RowSet:
     """Return the rows of a relayed read."""
     return convert(result, RowSet)
+
+
+def decode_page(result: Any) -> RowPage:
+    """Return the page of a relayed read."""
+    return convert(result, RowPage)
--- a/jujubebarrow/stores/relayed_stores.py
+++ b/jujubebarrow/stores/relayed_stores.py
@@ -21,15 +21,19 @@
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.stores.commit_results import CommitResult
 from jujubebarrow.stores.instance_lists import InstanceList
+from jujubebarrow.stores.paged_readers import PagedReader
+from jujubebarrow.stores.read_throttles import ReadThrottle
 from jujubebarrow.stores.relay_messages import (
     CHANGES,
+    PAGE,
     PARTITIONS,
-    READ,
     decode_commit,
+    decode_page,
     decode_rows,
     encode_call,
     encode_commit,
 )
+from jujubebarrow.stores.row_pages import RowPage
 from jujubebarrow.stores.rows import RowSet
 from jujubebarrow.stores.stores import Store
 from jujubebarrow.stores.transactions import Transaction
@@ -69,6 +73,8 @@
     Args:
         direct: Client for direct calls to the store.
         relay: Client for calls that another instance executes.
+        throttle: Limits what relayed reads put on this instance's network link; direct
+            reads are limited by the direct client.
         random: Random generator that spreads relayed calls over the instances.
         clock: Time source for the backoff times.
         log: Decision log.
@@ -81,6 +87,7 @@
         self,
         direct: Store,
         relay: RelayClient,
+        throttle: ReadThrottle,
         random: Random,
         clock: Clock,
         log: DecisionLog,
@@ -89,6 +96,10 @@
         super().__init__(metrics)
         self._direct = direct
         self._relay = relay
+        self._throttle = throttle
+        self._reader = PagedReader(
+            lambda prefix, start: self.read_page(prefix, start, 0), metrics
+        )
         self._random = random
         self._clock = clock
         self._log = log
@@ -147,9 +158,20 @@
         decode: Callable[[Any], Result],
     ) -> Result:
         """Execute a read-only call through a relay; directly if no relay succeeds."""
+
+        async def call_relay(address: str) -> Result:
+            return decode(await self._call_relay(address, body, wait))
+
+        return await self._choose_route(call_relay, call_direct)
+
+    async def _choose_route(
+        self,
+        call_relay: Callable[[str], Awaitable[Result]],
+        call_direct: Callable[[], Awaitable[Result]],
+    ) -> Result:
         for address in self._choose_relays():
             try:
-                return decode(await self._call_relay(address, body, wait))
+                return await call_relay(address)
             except (HistoryLostError, SlowResponseError):
                 raise
             except StoreError:
@@ -185,11 +207,20 @@
 
     async def read(self, prefix: str, limit: int = 0) -> RowSet:
         """Return the rows whose key starts with a prefix."""
-        return await self._call_readonly(
-            encode_call(READ, prefix=prefix, limit=limit),
-            0.0,
-            lambda: self._direct.read(prefix, limit),
-            decode_rows,
+        return await self._reader.read(prefix, limit)
+
+    async def read_page(self, prefix: str, start: str, limit: int) -> RowPage:
+        """Return a part of the rows whose key starts with a prefix."""
+
+        async def call_relay(address: str) -> RowPage:
+            async def fetch(row_limit: int) -> RowPage:
+                body = encode_call(PAGE, prefix=prefix, start=start, limit=row_limit)
+                return decode_page(await self._call_relay(address, body))
+
+            return await self._throttle.read_page(prefix, start, limit, fetch)
+
+        return await self._choose_route(
+            call_relay, lambda: self._direct.read_page(prefix, start, limit)
         )
 
     async def read_changes(self, prefix: str, since: int, wait: float) -> RowSet:
--- a/jujubebarrow/stores/stores.py
+++ b/jujubebarrow/stores/stores.py
@@ -6,6 +6,8 @@
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.stores.commit_results import CommitResult
 from jujubebarrow.stores.instance_lists import InstanceList
+from jujubebarrow.stores.row_keys import RowKey
+from jujubebarrow.stores.row_pages import RowPage
 from jujubebarrow.stores.rows import RowSet
 from jujubebarrow.stores.transactions import Transaction
 
@@ -81,6 +83,21 @@
             limit: Limit on the returned rows; 0 for no limit.
         """
 
+    async def read_page(self, prefix: str, start: str, limit: int) -> RowPage:
+        """Return a part of the rows whose key starts with a prefix.
+
+        A store whose reads are always small returns all rows from ``start`` on.
+
+        Args:
+            prefix: Start of the row keys.
+            start: Name of the first row; empty for the first page.
+            limit: Limit on the returned rows, of which there may be fewer; 0 for no
+                limit.
+        """
+        found = await self.read(prefix)
+        rows = [row for row in found.rows if RowKey.parse(row.key).name >= start]
+        return RowPage(rows=rows, revision=found.revision, clock=found.clock)
+
     @abstractmethod
     async def read_changes(self, prefix: str, since: int, wait: float) -> RowSet:
         """Return rows changed after a revision; wait for a change if there is none.
--- a/jujubebarrow/tests/fakes/job_clusters.py
+++ b/jujubebarrow/tests/fakes/job_clusters.py
@@ -28,6 +28,7 @@
 from jujubebarrow.standins.emulated_gateways import EmulatedGateway
 from jujubebarrow.standins.emulated_stores import EmulatedStore, SharedStore
 from jujubebarrow.standins.emulated_workers import EmulatedWorker, TaskBehaviour
+from jujubebarrow.stores.read_throttles import ReadThrottle
 from jujubebarrow.stores.relay_messages import decode_response, execute_call
 from jujubebarrow.stores.relayed_stores import RelayClient, RelayedStore
 from jujubebarrow.stores.transactions import Transaction
@@ -43,6 +44,7 @@
 
 LEASE_SECONDS = 6.0
 KEY_FRESHNESS_SECONDS = 4.0
+LINK_MBPS = 1000.0
 POOL = PoolId("labels")
 QUEUE = QueueId("print")
 ROUTE = QueueRoute(
@@ -98,6 +100,7 @@
         relayed = RelayedStore(
             self.store,
             FakeRelay(cluster, self),
+            ReadThrottle(LINK_MBPS, self.metrics),
             cluster.random,
             clock,
             self.log,
--- a/jujubebarrow/tests/fakes/slow_link_stores.py
+++ b/jujubebarrow/tests/fakes/slow_link_stores.py
@@ -131,6 +131,8 @@
             for name, values in parse_qs(url.query, keep_blank_values=True).items()
         }
         self.calls.append(query)
+        if not 0 < int(query.get("Limit", "1")) <= PAGE_LIMIT_ROWS:
+            return {}
         if len(self.calls) - 1 in self.failing_reads:
             return {}
         return self._read(query)
