--- a/jujubebarrow/platform/settings_files.py
+++ b/jujubebarrow/platform/settings_files.py
@@ -8,6 +8,10 @@
 
 PATH_VARIABLE = "JUJUBEBARROW_CONFIG"
 DEFAULT_PATH = "/etc/jujubebarrow/settings.conf"
+DEFAULT_CORES = 1.0
+"""Processor cores of a machine of which nothing is known."""
+DEFAULT_LINK_MBPS = 1000.0
+"""Rate of a network link of which nothing is known."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -155,8 +159,9 @@
             throttle_delay=self._milliseconds("Bounds.PaceMs", 0.1),
             interference_tolerance=self._milliseconds("Bounds.HarmMs", 4.0),
             absence_window=self._milliseconds("Bounds.NoticeMs", 4.5),
-            link_mbps=self._number("Limits.LinkMbps", 1000.0),
-            cores=self._number("Limits.CpuShare", 1.0),
+            link_mbps=self._number("Limits.LinkMbps", DEFAULT_LINK_MBPS)
+            or DEFAULT_LINK_MBPS,
+            cores=self._number("Limits.CpuShare", DEFAULT_CORES) or DEFAULT_CORES,
         )
         if self._faults:
             raise SettingsError(self._faults)
