Adopt runs that a restarted worker may execute

Callers could see: a task that runs twice at the same time.

Cause: start orders name the worker, not its incarnation. A worker that restarted under its id executed and acknowledged a start that was sent before the owner knew of the restart. When the owner learned of it, the run counted as one of the former incarnation, was recorded as over ("worker restarted"), and the task was started again.

A run that its incarnation has listed ends with it, as before. A run whose start is in transit or unacknowledged is stopped in the new incarnation first, as unacknowledged ones were before. Any other run stays until the next list of runs tells whether the new incarnation executes it.

--- a/jujubebarrow/coordinators/active_runs.py
+++ b/jujubebarrow/coordinators/active_runs.py
@@ -34,11 +34,13 @@
     Attributes:
         task: Task that the run executes.
         run: Number of the run among the runs of its task.
-        incarnation: Worker incarnation that the run was planned for.
+        incarnation: Worker incarnation that the run was planned for, or a later one
+            that may execute the run.
         reserved: Resources reserved for the run on its worker.
         usage: Resources that count against its team's upper limit.
         is_long_running: Whether the run lasts until it is stopped.
         stage: Stage that the run has reached.
+        is_listed: Whether that incarnation has listed the run.
         confirmed_at: Time in seconds at which the worker acknowledged the start or
             first listed the run.
         stop_acknowledged_at: Time in seconds at which the worker acknowledged the stop.
@@ -64,6 +66,7 @@
     usage: Resources
     is_long_running: bool = False
     stage: RunStage = RunStage.PLANNED
+    is_listed: bool = False
     confirmed_at: float = 0.0
     stop_acknowledged_at: float = 0.0
     unacknowledged_starts: int = 0
--- a/jujubebarrow/coordinators/reconcilers.py
+++ b/jujubebarrow/coordinators/reconcilers.py
@@ -85,15 +85,31 @@
             # execute a late start.
             self._state.late_start_stops.append(self._make_stop(worker, task, number))
         for run in runs:
-            if run.incarnation[1] >= started_at_ms:
-                continue
-            if run.unacknowledged_starts and now < run.late_start_until:
-                # The new incarnation may still execute the late start.
-                run.incarnation = worker.incarnation
-                run.stage = RunStage.RECORDED
-                self._state.request_stop(run)
-            else:
-                self.record_unreported_end(worker, run, "worker restarted", now)
+            if run.incarnation[1] < started_at_ms:
+                self._move_to_new_incarnation(worker, run, now)
+
+    def _move_to_new_incarnation(
+        self, worker: WorkerView, run: ActiveRun, now: float
+    ) -> None:
+        """End a run of a former incarnation, unless the new one may execute the run.
+
+        Start orders name the worker, not the incarnation, so that the new incarnation
+        may have executed a start that was sent before the restart was known.
+        """
+        is_late = bool(run.unacknowledged_starts) and now < run.late_start_until
+        is_in_transit = run.stage is RunStage.RECORDED and run.is_start_sent
+        is_unsent = (
+            run.stage in (RunStage.PLANNED, RunStage.RECORDED) and not run.is_start_sent
+        )
+        if is_late or is_in_transit:
+            run.incarnation = worker.incarnation
+            run.stage = RunStage.RECORDED
+            self._state.request_stop(run)
+        elif is_unsent or run.is_listed:
+            self.record_unreported_end(worker, run, "worker restarted", now)
+        else:
+            # The next list of runs tells whether the new incarnation executes the run.
+            run.incarnation = worker.incarnation
 
     def record_unreported_end(
         self, worker: WorkerView, run: ActiveRun, reason: str, now: float
@@ -126,6 +142,7 @@
         run = worker.runs.get((running.task, running.run))
         if run is None:
             return False
+        run.is_listed = True
         if run.stage in (RunStage.RECORDED, RunStage.INHERITED):
             run.stage = RunStage.CONFIRMED
             run.confirmed_at = now
--- a/jujubebarrow/tests/proof_job_core.py
+++ b/jujubebarrow/tests/proof_job_core.py
@@ -24,6 +24,9 @@
     # The same as with 75 and 103, but the job was cancelled while the start was in
     # transit.
     116,
+    # A restarted worker executed and acknowledged a start that was sent before the
+    # restart was known.
+    130,
     # No owner could record some finished runs before the worker's lease expired. In
     # that case, the workers' contract allows the task to run again; the check skips
     # the runs that the worker lists in unacknowledged_at_expiry.
--- a/jujubebarrow/tests/test_job_core.py
+++ b/jujubebarrow/tests/test_job_core.py
@@ -83,6 +83,20 @@
 
         self.run_scenario(scenario)
 
+    def test_start_executed_by_a_restarted_worker_is_not_repeated(self) -> None:
+        async def scenario(cluster: JobCluster) -> None:
+            job = await cluster.submit(1)
+            self.assertTrue(await cluster.wait_for_phase(job, "completed", 10.0))
+            worker = cluster.workers[WorkerId("w0")]
+            worker.crash()
+            worker.restart()
+            slow = TaskBehaviour(seconds=4.0)
+            job = await cluster.submit(2, behaviour=slow)
+            self.assertTrue(await cluster.wait_for_phase(job, "completed", 20.0))
+            self.assertEqual(set(cluster.count_starts().values()), {1})
+
+        self.run_scenario(scenario, workers=1)
+
     def test_unacknowledged_starts_are_not_moved_to_another_worker(self) -> None:
         """Guards against two runs of a task when a worker executes a start late."""
 
