Count the absence of an instance up to the last poll only

Callers could see: requests that run although another instance still runs them, if an instance that cannot read the platform's list took a listed one for terminated.

Cause: the absence of an instance from the list was counted up to the present, also while the list was not read.

test_time_without_a_poll_does_not_count_as_absence_of_an_instance fails without this fix.

--- a/jujubebarrow/members/absences.py
+++ b/jujubebarrow/members/absences.py
@@ -16,6 +16,7 @@
         self._clock = clock
         self._terminated_after = terminated_after
         self._listing: InstanceList | None = None
+        self._polled_at = float("-inf")
         self._reported_leaving: frozenset[str] = frozenset()
         self._absent_since: dict[str, float] = {}
         self._tracked: set[str] = set()
@@ -50,6 +51,7 @@
         """Apply the result of a new poll of the platform's instance list."""
         self._listing = listing
         now = self._clock.monotonic()
+        self._polled_at = now
         for name in listing.instances:
             self._tracked.add(name)
             self._absent_since.pop(name, None)
@@ -69,8 +71,12 @@
         return self._listing is not None and name in self._listing.instances
 
     def is_terminated(self, name: str) -> bool:
-        """Return whether the absence proves that an instance is terminated."""
+        """Return whether the absence proves that an instance is terminated.
+
+        Only time up to the last poll counts, since the instance may have been listed
+        after it.
+        """
         since = self._absent_since.get(name)
         if since is None:
             return False
-        return self._clock.monotonic() - since >= self._terminated_after
+        return self._polled_at - since >= self._terminated_after
--- /dev/null
+++ b/jujubebarrow/tests/test_ownership_gaps.py
@@ -0,0 +1,275 @@
+"""Pools that stay unserved, or move, although an instance could serve them."""
+
+import unittest
+from asyncio import sleep
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+from random import Random
+from typing import Any, NoReturn
+from unittest.mock import patch
+
+from jujubebarrow.clocks.manual_clocks import ManualClock
+from jujubebarrow.errors.exceptions import StoreError
+from jujubebarrow.identifiers import IncarnationId, InstanceId
+from jujubebarrow.members.absences import AbsenceTracker
+from jujubebarrow.ownerships.claim_planners import ClaimPlanner
+from jujubebarrow.ownerships.lease_observers import LeaseObserver
+from jujubebarrow.ownerships.ownership_rows import DutyId, DutyRow, InstanceRow
+from jujubebarrow.pools.pool_loads import PoolLoad
+from jujubebarrow.runtimes.load_registries import LOAD_PREFIX, PARTITION
+from jujubebarrow.standins.emulated_stores import EmulatedStore
+from jujubebarrow.stores.commit_results import CommitResult
+from jujubebarrow.stores.instance_lists import InstanceList
+from jujubebarrow.stores.row_keys import TableName, make_key
+from jujubebarrow.stores.rows import RowSet
+from jujubebarrow.stores.transactions import Transaction
+from jujubebarrow.tests.fakes.job_cases import JobCase
+from jujubebarrow.tests.fakes.job_clusters import POOL, QUEUE, Instance, JobCluster
+from jujubebarrow.tests.test_job_counts import commit, give_pool_to_ghost
+
+LEASE_SECONDS = 2.0
+TERMINATED_AFTER_SECONDS = 10.0
+DUTY_KEY = f"control//duty/{POOL}"
+
+
+def _count_claims(instance: Instance) -> int:
+    return sum(
+        line["event"] == "duty_claimed" and line["duty"] == POOL
+        for line in instance.log.lines
+    )
+
+
+def _find_owner(cluster: JobCluster) -> Instance:
+    owner = cluster.find_owner()
+    assert owner is not None
+    return owner
+
+
+def _find_other_number(cluster: JobCluster, instance: Instance) -> int:
+    return (cluster.instances.index(instance) + 1) % len(cluster.instances)
+
+
+@contextmanager
+def _failing_calls(names: tuple[str, ...], random: Random) -> Iterator[None]:
+    """Let calls to the store fail on all instances, each after another time."""
+
+    async def fail(store: EmulatedStore, *arguments: Any) -> NoReturn:
+        await sleep(random.uniform(0.3, 0.9))
+        raise StoreError("no answer", True)
+
+    with ExitStack() as stack:
+        for name in names:
+            stack.enter_context(patch.object(EmulatedStore, name, fail))
+        yield
+
+
+class UnreadHeartbeatTest(unittest.TestCase):
+    def test_claim_made_after_the_last_read_of_heartbeats_is_not_taken_over(
+        self,
+    ) -> None:
+        # The holder has restarted; its new heartbeat is later than the last read.
+        observer = LeaseObserver(LEASE_SECONDS)
+        former = InstanceRow(InstanceId("n0"), IncarnationId("n0-1"), False, "", 1)
+        own = InstanceRow(
+            InstanceId("n1"), IncarnationId("n1-1"), False, "", 2, "", 8.0
+        )
+        observer.observe([former, own], 10.0)
+        row = DutyRow(DutyId("p0"), InstanceId("n0"), IncarnationId("n0-2"), 9)
+        planner = ClaimPlanner(InstanceId("n1"), observer)
+        self.assertEqual(planner.choose([row.duty], {row.duty: row}, 10.9), [])
+
+
+class UnreadInstanceListTest(unittest.TestCase):
+    def test_time_without_a_poll_does_not_count_as_absence_of_an_instance(self) -> None:
+        clock = ManualClock()
+        tracker = AbsenceTracker(clock, TERMINATED_AFTER_SECONDS)
+        tracker.track("e1")
+        tracker.update(InstanceList(instances={}))
+        clock.advance(TERMINATED_AFTER_SECONDS)
+        self.assertFalse(tracker.is_terminated("e1"))
+
+
+class OwnershipGapsTest(JobCase):
+    def test_instance_does_not_take_over_its_own_pool_before_it_reads_its_heartbeat(
+        self,
+    ) -> None:
+        # After a restart the last heartbeat that it has read is of its former process.
+        read_changes = EmulatedStore.read_changes
+        try_commit = EmulatedStore.try_commit
+
+        async def fail_to_read_heartbeats(
+            store: EmulatedStore, prefix: str, since: int, wait: float
+        ) -> RowSet:
+            if prefix != "heartbeats/":
+                return await read_changes(store, prefix, since, wait)
+            await sleep(0.9)
+            raise StoreError("no answer", True)
+
+        async def write_heartbeats_slowly(
+            store: EmulatedStore, sent: Transaction
+        ) -> CommitResult:
+            if any(key.startswith("heartbeats/") for key in sent.writes):
+                await sleep(0.1)
+            return await try_commit(store, sent)
+
+        async def scenario(cluster: JobCluster) -> None:
+            instance = cluster.instances[0]
+            await instance.kill()
+            commit(cluster, {DUTY_KEY: {"holder": "", "incarnation": ""}})
+            await sleep(5.0)
+            with (
+                patch.object(EmulatedStore, "read_changes", fail_to_read_heartbeats),
+                patch.object(EmulatedStore, "try_commit", write_heartbeats_slowly),
+            ):
+                await instance.start()
+                await sleep(1.4)
+            await sleep(3.0)
+            self.assertEqual(_count_claims(instance), 1)
+
+        self.run_scenario(scenario, instances=1)
+
+    def _run_outage(self, calls: tuple[str, ...], seconds: float, seed: int) -> None:
+        async def scenario(cluster: JobCluster) -> None:
+            await sleep(1.0 + seed * 0.07)
+            owner = cluster.find_owner()
+            claim_count = sum(map(_count_claims, cluster.instances))
+            with _failing_calls(calls, Random(seed)):
+                await sleep(seconds)
+            await sleep(6.0)
+            self.assertIs(cluster.find_owner(), owner, seed)
+            self.assertEqual(sum(map(_count_claims, cluster.instances)), claim_count)
+
+        self.run_scenario(scenario, seed=seed, instances=8)
+
+    def test_outage_of_writes_alone_moves_no_pool(self) -> None:
+        for seed in range(1, 9):
+            self._run_outage(("try_commit",), 3.0, seed)
+
+    def test_outage_shorter_than_a_lease_moves_no_pool(self) -> None:
+        for seed in range(1, 9):
+            self._run_outage(("try_commit", "read", "read_changes"), 1.4, seed)
+
+    def test_pool_whose_owner_receives_no_new_jobs_gets_another_owner(self) -> None:
+        async def scenario(cluster: JobCluster) -> None:
+            owner = _find_owner(cluster)
+            owner.store.unreadable_tables = {TableName.JOBS.value}
+            owner.is_isolated = True
+            other = _find_other_number(cluster, owner)
+            job = await cluster.submit(1, instance=other)
+            self.assertTrue(
+                await cluster.wait_for_phase(job, "completed", 30.0, instance=other)
+            )
+
+        self.run_scenario(scenario)
+
+    def test_pool_whose_owner_reaches_no_worker_gets_another_owner(self) -> None:
+        async def scenario(cluster: JobCluster) -> None:
+            owner = _find_owner(cluster)
+            owner.gateway.is_disconnected = True
+            other = _find_other_number(cluster, owner)
+            job = await cluster.submit(1, instance=other)
+            self.assertTrue(
+                await cluster.wait_for_phase(job, "completed", 30.0, instance=other)
+            )
+
+        self.run_scenario(scenario)
+
+    def test_pool_is_not_claimed_again_after_its_release_was_not_stored(self) -> None:
+        try_commit = EmulatedStore.try_commit
+
+        async def scenario(cluster: JobCluster) -> None:
+            await cluster.submit(1)
+            owner = _find_owner(cluster)
+            impaired, last = (
+                other for other in cluster.instances if other is not owner
+            )
+            impaired.store.unreadable_tables = {TableName.JOBS.value}
+            impaired.is_isolated = True
+            last.store.is_rejecting_calls = True
+
+            async def fail_to_release(
+                store: EmulatedStore, sent: Transaction
+            ) -> CommitResult:
+                is_release = any(
+                    value and value.get("holder") == ""
+                    for value in sent.writes.values()
+                )
+                if not is_release:
+                    return await try_commit(store, sent)
+                await sleep(0.9)
+                raise StoreError("no answer", True)
+
+            await owner.kill()
+            self.assertTrue(
+                await cluster.wait_for(lambda: _count_claims(impaired) > 0, 10.0)
+            )
+            last.store.is_rejecting_calls = False
+            claim_count = _count_claims(impaired)
+            with patch.object(EmulatedStore, "try_commit", fail_to_release):
+                await sleep(12.0)
+            self.assertEqual(_count_claims(impaired), claim_count)
+
+        self.run_scenario(scenario)
+
+    def test_pool_that_no_instance_loads_quickly_is_loaded_at_last(self) -> None:
+        read = EmulatedStore.read
+
+        async def read_slowly(
+            store: EmulatedStore, prefix: str, limit: int = 0
+        ) -> RowSet:
+            if prefix == f"progress/{QUEUE}/":
+                await sleep(7.0)
+            return await read(store, prefix, limit)
+
+        async def scenario(cluster: JobCluster) -> None:
+            await cluster.submit(1)
+            await sleep(2.0)
+            with patch.object(EmulatedStore, "read", read_slowly):
+                await _find_owner(cluster).kill()
+                self.assertTrue(
+                    await cluster.wait_for(
+                        lambda: cluster.find_owner() is not None, 60.0
+                    )
+                )
+
+        self.run_scenario(scenario)
+
+    def test_store_outage_does_not_count_as_failure_to_load(self) -> None:
+        for seed in range(1, 9):
+
+            async def scenario(cluster: JobCluster, seed: int = seed) -> None:
+                await cluster.submit(1)
+                await sleep(seed * 0.17)
+                owner = _find_owner(cluster)
+                others = [other for other in cluster.instances if other is not owner]
+                for other in others:
+                    other.store.unreadable_tables = {TableName.JOBS.value}
+                await owner.kill()
+                await cluster.wait_for(lambda: any(map(_count_claims, others)), 10.0)
+                cluster.store.is_down = True
+                await sleep(7.0)
+                cluster.store.is_down = False
+                await sleep(3.0)
+                reasons = [
+                    line["reason"]
+                    for other in others
+                    for line in other.log.lines
+                    if line["event"] == "duty_dropped"
+                ]
+                self.assertNotIn("not loaded", reasons, seed)
+
+            self.run_scenario(scenario, seed=seed)
+
+    def test_load_of_a_pool_without_owner_attracts_no_further_machines(self) -> None:
+        async def scenario(cluster: JobCluster) -> None:
+            await _find_owner(cluster).kill()
+            give_pool_to_ghost(cluster)
+            load = PoolLoad(
+                pool=POOL, demand=40000, capacity=24000, machines=3, movable=0
+            )
+            key = make_key(TableName.BALANCE, PARTITION, LOAD_PREFIX + POOL)
+            commit(cluster, {key: load.to_document()})
+            await sleep(30.0)
+            self.assertLessEqual(len(cluster.machines.moves), 2)
+
+        self.run_scenario(scenario, standby=8)
