Ignore loads of pools whose owner no longer reports

Callers saw: queues that lacked machines after a change of owners, while a pool that nobody served drew them.

Cause: the load of a pool was written when it changed and had no age. A pool without a working owner kept its last demand, and its last surplus kept other pools from lending.

A load now carries the store's time, is renewed each second, and counts for 3 s.

--- a/jujubebarrow/runtimes/load_registries.py
+++ b/jujubebarrow/runtimes/load_registries.py
@@ -20,6 +20,10 @@
 PARTITION = "balance"
 """Partition of the loads and moves; separate from the rows of heartbeats and duties, so
 that writes of loads never delay heartbeats or claims."""
+LOAD_AGE_LIMIT_SECONDS = 3.0
+"""Age from which a load is ignored, since its pool may have no owner; two renewals of a
+load and a slow store."""
+WRITTEN_AT = "at"
 CACHE_AGE_SECONDS = 0.25
 """Age up to which rows read for one pool are reused for this instance's other pools."""
 TRANSIT_SECONDS = 2.5
@@ -38,7 +42,8 @@
         metrics: Registry of the counters.
 
     Attributes:
-        loads: Load of each pool at the last refresh.
+        loads: Recent load of each pool at the last refresh; pools whose owner has not
+            reported for some time are left out.
     """
 
     def __init__(self, store: Store, clock: Clock, metrics: MetricsRegistry):
@@ -66,14 +71,16 @@
         self._store_clock.record_store_time(now, found.clock)
         self.loads = {}
         for row in found.rows:
-            self._apply_row(row)
+            self._apply_row(row, found.clock)
 
-    def _apply_row(self, row: Row) -> None:
+    def _apply_row(self, row: Row, store_time: float) -> None:
         name = RowKey.parse(row.key).name
         value = row.value or {}
         if name.startswith(LOAD_PREFIX):
             pool = PoolId(name.removeprefix(LOAD_PREFIX))
-            self.loads[pool] = PoolLoad.from_document(pool, value)
+            written_at = value.get(WRITTEN_AT, float("-inf"))
+            if store_time - written_at <= LOAD_AGE_LIMIT_SECONDS:
+                self.loads[pool] = PoolLoad.from_document(pool, value)
         elif name.startswith(MOVE_PREFIX):
             machine = MachineId(name.removeprefix(MOVE_PREFIX))
             recorded = self._moves.get(machine)
@@ -113,7 +120,8 @@
             StoreError: The write failed or its outcome is unknown.
         """
         key = make_key(TableName.BALANCE, PARTITION, LOAD_PREFIX + load.pool)
-        await self._write(key, load.to_document())
+        written_at = self._store_clock.to_store_time(self._clock.monotonic())
+        await self._write(key, load.to_document() | {WRITTEN_AT: written_at})
 
     async def claim_move(
         self, machine: MachineId, target: PoolId, holder: str
--- a/jujubebarrow/runtimes/move_controllers.py
+++ b/jujubebarrow/runtimes/move_controllers.py
@@ -31,6 +31,8 @@
 DRAIN_GRACE_SECONDS = 2.0
 """Time after which the move of a worker that still runs tasks is cancelled; nine in
 ten tasks end within that time."""
+LOAD_RENEWAL_SECONDS = 1.0
+"""Time after which an unchanged load is reported again."""
 TAKEOVER_LIMIT_SECONDS = 1.5
 """Longest time after a takeover for which the load is not measured because workers have
 not answered yet; longer than a lease renewal to an unresponsive worker."""
@@ -84,6 +86,7 @@
         self._log = log
         self._metrics = metrics
         self._written_load: PoolLoad | None = None
+        self._load_written_at = float("-inf")
         self._shortage_logged_at = float("-inf")
         self._machines_by_worker: dict[WorkerId, Machine] = {}
         self._spare_machines: list[Machine] = []
@@ -124,10 +127,11 @@
         if self._is_standby:
             await self._refresh_machines()
         load = self._measure_load()
-        if self._written_load is None or load.has_reportable_change(self._written_load):
+        await self._load_registry.refresh()
+        if self._is_report_due(load):
+            self._load_written_at = self._clock.monotonic()
             await self._load_registry.write_load(load)
             self._written_load = load
-        await self._load_registry.refresh()
         loads = dict(self._load_registry.loads)
         loads[self._pool] = load
         incoming = self._load_registry.count_incoming()
@@ -139,6 +143,13 @@
         else:
             await self._move_workers(targets)
 
+    def _is_report_due(self, load: PoolLoad) -> bool:
+        return (
+            self._written_load is None
+            or load.has_reportable_change(self._written_load)
+            or self._clock.monotonic() - self._load_written_at > LOAD_RENEWAL_SECONDS
+        )
+
     def _log_shortage(
         self, load: PoolLoad, moves: list[tuple[PoolId, PoolId]], incoming_count: int
     ) -> None:
--- a/jujubebarrow/tests/test_job_machines.py
+++ b/jujubebarrow/tests/test_job_machines.py
@@ -9,9 +9,13 @@
 
 from jujubebarrow.fleets.advice_options import AdviceOptions
 from jujubebarrow.fleets.wave_requests import WaveRequest
+from jujubebarrow.pools.pool_loads import PoolLoad
+from jujubebarrow.runtimes.load_registries import LOAD_PREFIX, PARTITION
 from jujubebarrow.standins.emulated_workers import TaskBehaviour
+from jujubebarrow.stores.row_keys import TableName, make_key
 from jujubebarrow.tests.fakes.job_cases import JobCase
-from jujubebarrow.tests.fakes.job_clusters import ROUTE, JobCluster
+from jujubebarrow.tests.fakes.job_clusters import POOL, ROUTE, JobCluster
+from jujubebarrow.tests.test_job_counts import commit, give_pool_to_ghost
 from jujubebarrow.workloads.finished_runs import RunOutcome
 from jujubebarrow.workloads.identifiers import MachineId, WorkerId
 from jujubebarrow.workloads.resources import Resources
@@ -74,6 +78,22 @@
 
         self.run_scenario(scenario, standby=3)
 
+    def test_load_of_a_pool_without_owner_attracts_no_further_machines(self) -> None:
+        async def scenario(cluster: JobCluster) -> None:
+            owner = cluster.find_owner()
+            assert owner is not None
+            await owner.kill()
+            give_pool_to_ghost(cluster)
+            load = PoolLoad(
+                pool=POOL, demand=40000, capacity=24000, machines=3, movable=0
+            )
+            key = make_key(TableName.BALANCE, PARTITION, LOAD_PREFIX + POOL)
+            commit(cluster, {key: load.to_document()})
+            await sleep(30.0)
+            self.assertLessEqual(len(cluster.machines.moves), 2)
+
+        self.run_scenario(scenario, standby=8)
+
     def test_pool_short_of_capacity_gets_standby_machines(self) -> None:
         async def scenario(cluster: JobCluster) -> None:
             for number in range(40):
