Keep pools with owners that serve them, and release those that are not served

Callers saw: jobs that stood still because the owner of their pool could not serve it, or because the pool changed hands without need.

Causes, found in the review of the release of pools that are not loaded: - a release that was not stored was claimed again at once by the same instance; - a pool that takes over 6 s to load on any instance was never loaded; - the time of an outage of the store counted as time without service; - a claim newer than the last read of the heartbeats counted as unowned, so that an instance took its own pool up to nine times in 1.1 s and left the former owners open; - an outage of writes alone let instances claim pools whose owners could not renew either; - an owner that receives no new jobs, or reaches no worker, kept its pool.

A release is repeated, one transaction a pool; the limit doubles with each release; outages restart it; a claim counts as owned for 2.2 s until a heartbeat of its holder is read; an instance whose lease had lapsed claims nothing for 2.2 s after the renewal; and an owner counts as serving while it is loaded, its feed of jobs is recent and a worker responds.

--- a/jujubebarrow/ownerships/claim_planners.py
+++ b/jujubebarrow/ownerships/claim_planners.py
@@ -15,6 +15,9 @@
 CLAIMANT_SILENCE_SECONDS = 1.2
 """Seconds without a heartbeat after which an instance that still counts as alive is not
 preferred for a duty; about two heartbeats."""
+UNREAD_HOLDER_SECONDS = 2.2
+"""Longest time for which a duty counts as owned although no heartbeat of its holder was
+read since the claim: a lease and its margin."""
 ABSTENTION_SECONDS = 10.0
 """Seconds for which an instance does not claim a duty that it has failed to serve."""
 SMALLEST_CAPACITY = 0.01
@@ -38,11 +41,17 @@
         self._observer = observer
         self._unowned_since: dict[DutyId, float] = {}
         self._abstains_until: dict[DutyId, float] = {}
+        # Revision of each duty's row and the time at which it was first seen.
+        self._rows_seen: dict[DutyId, tuple[int, float]] = {}
 
     def abstain(self, duty: DutyId, now: float) -> None:
         """Leave a duty to the other instances for some time."""
         self._abstains_until[duty] = now + ABSTENTION_SECONDS
 
+    def is_abstaining(self, duty: DutyId, now: float) -> bool:
+        """Return whether a duty is left to the other instances at present."""
+        return now < self._abstains_until.get(duty, now)
+
     def has_successor(self, now: float) -> bool:
         """Return whether another instance may claim duties."""
         return any(row.instance != self._instance for row in self._list_claimants(now))
@@ -74,9 +83,8 @@
             order = _rank_claimants(duty, claimants, load)
             if order:
                 load[order[0]] += 1
-            is_abstaining = now < self._abstains_until.get(duty, now)
             wait_seconds = self._count_steps(order) * CLAIM_STEP_SECONDS
-            if not is_abstaining and now - since >= wait_seconds:
+            if not self.is_abstaining(duty, now) and now - since >= wait_seconds:
                 chosen.append(duty)
         return chosen
 
@@ -91,13 +99,22 @@
             return False
         holder = self._observer.find(row.holder)
         if holder is None or holder.incarnation != row.incarnation:
-            return False
+            is_unread = holder is None or holder.revision < row.revision
+            return is_unread and self._is_new(row, now)
         if holder.is_stopping:
             # The instance has stopped its owners, although the release of their duties
             # may not be stored.
             return False
         return self._observer.is_alive(row.holder, now)
 
+    def _is_new(self, row: DutyRow, now: float) -> bool:
+        """Return whether a row may be newer than the last read of the heartbeats."""
+        seen = self._rows_seen.get(row.duty)
+        if seen is None or seen[0] != row.revision:
+            seen = (row.revision, now)
+            self._rows_seen[row.duty] = seen
+        return now - seen[1] <= UNREAD_HOLDER_SECONDS
+
     def _list_claimants(self, now: float) -> list[InstanceRow]:
         """Return the live instances that may claim duties, all else equal.
 
--- a/jujubebarrow/runtimes/entry_nodes.py
+++ b/jujubebarrow/runtimes/entry_nodes.py
@@ -178,9 +178,16 @@
         owner = self._owners.get(PoolId(duty))
         return owner is not None and not owner.is_closed
 
-    def is_loaded(self, duty: DutyId) -> bool:
-        """Return whether the owner for a duty has loaded the pool's state."""
-        return self.owns(PoolId(duty))
+    def is_able_to_serve(self, duty: DutyId) -> bool:
+        """Return whether a pool's owner is loaded and hears of new jobs and workers."""
+        owner = self._owners.get(PoolId(duty))
+        has_jobs = self._job_watcher.read_store_time() is not None
+        return (
+            owner is not None
+            and owner.is_running
+            and owner.reaches_workers
+            and has_jobs
+        )
 
     def on_peers_changed(self, addresses: list[str]) -> None:
         """Forward the addresses of the other live instances."""
--- a/jujubebarrow/runtimes/ownership_services.py
+++ b/jujubebarrow/runtimes/ownership_services.py
@@ -1,7 +1,7 @@
 """Writes this instance's heartbeat to the store and claims duties there."""
 
 from abc import ABC, abstractmethod
-from asyncio import sleep
+from asyncio import gather, sleep
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
 from typing import Any
@@ -43,9 +43,13 @@
 pool has an owner after a power failure."""
 STARTUP_POLL_SECONDS = 0.12
 """Seconds between two polls of the owners during startup."""
-LOAD_LIMIT_SECONDS = 6.0
-"""Seconds after a claim, with the store in reach, after which a duty whose state is not
-loaded is released; several times the duration of a takeover with a slow store."""
+SERVICE_GAP_LIMIT_SECONDS = 6.0
+"""Seconds without service, with the store in reach, after which a duty is released;
+several times the duration of a takeover with a slow store. Doubled with each release,
+since the state may take longer to load on any instance."""
+RECOVERY_SECONDS = LEASE_SECONDS + 0.2
+"""Seconds after the renewal of a lapsed lease in which the instance claims no duty, as
+other instances may have had the same difficulty and renew their leases."""
 DUTY_PREFIX = "duty/"
 
 
@@ -65,8 +69,8 @@
         """Return whether this instance is serving a duty."""
 
     @abstractmethod
-    def is_loaded(self, duty: DutyId) -> bool:
-        """Return whether the state of a duty that this instance serves is loaded."""
+    def is_able_to_serve(self, duty: DutyId) -> bool:
+        """Return whether this instance has and reaches all that a duty needs."""
 
     @abstractmethod
     def on_peers_changed(self, addresses: list[str]) -> None:
@@ -109,7 +113,10 @@
         self._planner = ClaimPlanner(identity.instance, self._observer)
         self._duty_rows: dict[DutyId, DutyRow] = {}
         self._owned_duties: dict[DutyId, FenceToken] = {}
-        self._load_started_at: dict[DutyId, float] = {}
+        # Time at which each duty was last served, or could first have been.
+        self._served_at: dict[DutyId, float] = {}
+        self._gap_limits: dict[DutyId, float] = {}
+        self._may_claim_from = float("-inf")
         self._heartbeat_revision: int | None = None
         self._lease_valid_until = float("-inf")
         self._is_stopping = False
@@ -172,19 +179,19 @@
         )
 
     async def _release(self, duties: list[DutyId], reason: str) -> None:
-        conditions = {}
-        writes: dict[str, dict[str, Any] | None] = {}
         for duty in duties:
-            key = _duty_key(duty)
-            conditions[key] = self._duty_rows[duty].revision
-            writes[key] = {"holder": "", "incarnation": ""}
-        for duty in duties:
-            await self._end_duty(duty, reason)
-        if duties:
-            await self._commit_release(
-                Transaction(conditions=conditions, writes=writes, nonce=uuid4().hex),
-                duties,
-            )
+            if duty in self._owned_duties:
+                await self._end_duty(duty, reason)
+        await gather(*(self._clear_holder(duty) for duty in duties))
+
+    async def _clear_holder(self, duty: DutyId) -> None:
+        key = _duty_key(duty)
+        transaction = Transaction(
+            conditions={key: self._duty_rows[duty].revision},
+            writes={key: {"holder": "", "incarnation": ""}},
+            nonce=uuid4().hex,
+        )
+        await self._commit_release(transaction, [duty])
 
     async def _commit_release(
         self, transaction: Transaction, duties: list[DutyId]
@@ -224,6 +231,9 @@
             self._heartbeat_revision = None
             self._metrics.count("heartbeat_conflict")
             return
+        now = self._clock.monotonic()
+        if float("-inf") < self._lease_valid_until < now:
+            self._may_claim_from = now + RECOVERY_SECONDS
         self._lease_valid_until = max(self._lease_valid_until, sent_at + LEASE_SECONDS)
 
     async def _read_heartbeat_revision(self) -> int:
@@ -249,6 +259,7 @@
             found = await self._store.read(make_key(TableName.CONTROL, "", ""))
         except StoreError as error:
             self._record_failure("owners_unread", str(error))
+            self._restart_gaps()
             return
         now = self._clock.monotonic()
         self._apply_rows(found.rows)
@@ -259,12 +270,12 @@
         if self._is_stopping or now < self._started_at + SETTLE_SECONDS:
             return
         if now > self._lease_valid_until:
-            # The time during which the store is out of reach does not count as time
-            # for the load.
-            self._load_started_at = dict.fromkeys(self._owned_duties, now)
+            self._restart_gaps()
             return
         await self._reclaim_unserved()
-        await self._release_unloaded(now)
+        await self._release_unserved(now)
+        if now < self._may_claim_from:
+            return
         for duty in self._planner.choose(self.duties, self._duty_rows, now):
             await self._claim(duty)
 
@@ -274,7 +285,8 @@
         A claim may have taken effect although the response was lost, and a pool's owner
         may have stopped although the row still names this instance. Without a new
         claim, the pool would stay unserved in both cases until this instance ends. A
-        new claim returns a new fencing token.
+        new claim returns a new fencing token. A duty that this instance has failed to
+        serve is released again instead.
         """
         for duty, row in list(self._duty_rows.items()):
             is_held_here = (row.holder, row.incarnation) == (
@@ -283,26 +295,38 @@
             )
             if not is_held_here or self._listener.is_serving(duty):
                 continue
-            if duty in self._owned_duties:
-                await self._end_duty(duty, "not served")
+            if self._planner.is_abstaining(duty, self._clock.monotonic()):
+                # The release of the duty was not stored.
+                await self._release([duty], "not served")
+                continue
             self._metrics.count("duty_taken_up")
             await self._claim(duty)
 
-    async def _release_unloaded(self, now: float) -> None:
-        """Release duties whose state this instance fails to load.
+    def _restart_gaps(self) -> None:
+        """Leave out the time in which the store is out of reach."""
+        now = self._clock.monotonic()
+        self._served_at = dict.fromkeys(self._owned_duties, now)
+
+    async def _release_unserved(self, now: float) -> None:
+        """Release duties that this instance owns but fails to serve.
 
-        Another instance may have a better link to the store.
+        Another instance may have a better link to the store or to the workers.
         """
-        overdue = [
-            duty
-            for duty in self._owned_duties
-            if not self._listener.is_loaded(duty)
-            and now - self._load_started_at[duty] > LOAD_LIMIT_SECONDS
-            and self._planner.has_successor(now)
-        ]
+        overdue = []
+        for duty in self._owned_duties:
+            if self._listener.is_able_to_serve(duty):
+                self._served_at[duty] = now
+            elif now - self._served_at[duty] > self._find_gap_limit(duty):
+                overdue.append(duty)
+        if not overdue or not self._planner.has_successor(now):
+            return
         for duty in overdue:
             self._planner.abstain(duty, now)
-        await self._release(overdue, "not loaded")
+            self._gap_limits[duty] = 2 * self._find_gap_limit(duty)
+        await self._release(overdue, "not served")
+
+    def _find_gap_limit(self, duty: DutyId) -> float:
+        return self._gap_limits.get(duty, SERVICE_GAP_LIMIT_SECONDS)
 
     def _apply_rows(self, rows: list[Row]) -> None:
         self._duty_rows = {}
@@ -327,11 +351,13 @@
             self._metrics.count("claim_failed", type(error).__name__)
             return
         token = FenceToken(revision)
+        if duty in self._owned_duties:
+            await self._end_duty(duty, "claimed again")
         self._duty_rows[duty] = DutyRow(
             duty, self._instance, self._incarnation, revision
         )
         self._owned_duties[duty] = token
-        self._load_started_at[duty] = self._clock.monotonic()
+        self._served_at[duty] = self._clock.monotonic()
         silence_seconds = None
         if row and row.holder:
             silence_seconds = round(
@@ -351,7 +377,7 @@
 
     async def _end_duty(self, duty: DutyId, reason: str) -> None:
         token = self._owned_duties.pop(duty)
-        self._load_started_at.pop(duty, None)
+        self._served_at.pop(duty, None)
         row = self._duty_rows.get(duty)
         self._log.write(
             "duty_dropped",
--- a/jujubebarrow/runtimes/pool_owners.py
+++ b/jujubebarrow/runtimes/pool_owners.py
@@ -183,6 +183,18 @@
         """Whether the pool's jobs are loaded and the owner has not stopped."""
         return self._is_loaded and not self._is_closed
 
+    @property
+    def reaches_workers(self) -> bool:
+        """Whether any registered worker responds, or none is registered."""
+        registered = [
+            worker
+            for worker in self.coordinator.state.workers.values()
+            if worker.entry is not None
+        ]
+        return not registered or any(
+            not worker.unresponsive_since for worker in registered
+        )
+
     def apply_fleet(self, fleet: FleetMap) -> None:
         """Apply the teams' upper limits and the queues' advice options."""
         limits = {team: spec.limit for team, spec in fleet.teams.items()}
