Cancel jobs whose cancellation arrives while their pool is loaded

Callers could see: a cancelled job whose tasks run on.

Cause: a new owner ignored the cancellation of a job that it had not loaded yet. If the cancellation was stored after the owner had read the queue's rows and reported before the rows were applied, nothing cancelled the job until one of its tasks had to be started again.

Evidence: found by reading while takeovers were reviewed. test_cancellation_during_a_takeover_is_not_lost fails without this change: three long-running tasks run on.

Such cancellations are kept until the load has ended and applied then; also those of jobs that were accepted meanwhile.

test_changes_dropped_by_feed_during_a_takeover_are_reloaded waits for the claim instead of the first row of the queue's fences, which is another row since queues are marked as used; it fails without the reload, as before.

--- a/jujubebarrow/runtimes/pool_owners.py
+++ b/jujubebarrow/runtimes/pool_owners.py
@@ -113,6 +113,8 @@
         self._reload_count = 0
         self._is_reload_needed = False
         self._pending_jobs: dict[QueueId, list[JobRecord]] = {}
+        # Cancelled jobs that this owner does not know, which may be loading.
+        self._unknown_cancelled: set[JobId] = set()
         self._is_plan_scheduled = False
         self._is_closed = False
         now = clock.monotonic()
@@ -227,6 +229,7 @@
         if not all(loaded):
             return
         self._is_loaded = True
+        self._cancel_loaded_jobs()
         state = self.coordinator.state
         self._log.write(
             "pool_taken_over",
@@ -282,13 +285,31 @@
         self._loading_queues.discard(queue)
         for record in self._pending_jobs.pop(queue, []):
             self.on_job_accepted(record)
+        self._cancel_loaded_jobs()
         self.on_change()
 
     def on_job_cancelled(self, queue: QueueId, job: JobId) -> None:
         """Stop a job whose cancellation has been stored."""
+        if job not in self.coordinator.state.jobs:
+            if self._is_loading:
+                self._unknown_cancelled.add(job)
+            return
         self.coordinator.cancel_job(job)
         self.on_change()
 
+    @property
+    def _is_loading(self) -> bool:
+        return bool(not self._is_loaded or self._reload_count or self._loading_queues)
+
+    def _cancel_loaded_jobs(self) -> None:
+        """Cancel the jobs whose cancellation was reported while they were loaded."""
+        for job in list(self._unknown_cancelled):
+            if job in self.coordinator.state.jobs:
+                self._unknown_cancelled.discard(job)
+                self.coordinator.cancel_job(job)
+        if not self._is_loading:
+            self._unknown_cancelled.clear()
+
     def on_history_lost(self) -> None:
         """Reload all jobs, because the change feed has skipped some changes."""
         if not self._is_loaded:
@@ -300,6 +321,7 @@
     async def _reload(self) -> None:
         if await self._load_all_queues():
             self._reload_count -= 1
+            self._cancel_loaded_jobs()
             self.on_change()
 
     async def _load_all_queues(self) -> bool:
--- a/jujubebarrow/tests/test_job_owners.py
+++ b/jujubebarrow/tests/test_job_owners.py
@@ -218,14 +218,9 @@
             other = 1 if cluster.instances[0] is owner else 0
             await owner.kill()
             with patch.object(EmulatedStore, "read", read_slowly):
-                fence = cluster.store.table.read(f"fences/{QUEUE}/").rows[0]
-                await cluster.wait_for(
-                    lambda: (
-                        cluster.store.table.read(f"fences/{QUEUE}/").rows[0] != fence
-                    ),
-                    10.0,
-                )
-                await sleep(0.2)
+                await cluster.wait_for(lambda: _count_claims(cluster) == 2, 10.0)
+                await sleep(0.3)
+                self.assertIsNone(cluster.find_owner())
                 cluster.store.history_truncation_count += 1
                 job = await cluster.submit(1, instance=other)
                 revision = cluster.store.table.revision
@@ -238,6 +233,35 @@
 
         self.run_scenario(scenario)
 
+    def test_cancellation_during_a_takeover_is_not_lost(self) -> None:
+        read = EmulatedStore.read
+
+        async def read_slowly(
+            store: EmulatedStore, prefix: str, limit: int = 0
+        ) -> RowSet:
+            if prefix == f"progress/{QUEUE}/":
+                await sleep(1.0)
+            return await read(store, prefix, limit)
+
+        async def scenario(cluster: JobCluster) -> None:
+            endless = TaskBehaviour(is_long_running=True)
+            job = await cluster.submit(1, (LONG,), behaviour=endless)
+            await sleep(1.0)
+            owner = cluster.find_owner()
+            assert owner is not None
+            other = 1 if cluster.instances[0] is owner else 0
+            await owner.kill()
+            with patch.object(EmulatedStore, "read", read_slowly):
+                await cluster.wait_for(lambda: _count_claims(cluster) == 2, 10.0)
+                await sleep(0.3)
+                self.assertIsNone(cluster.find_owner())
+                await cluster.cancel(job, other)
+                await sleep(5.0)
+            active = [run for run in cluster.list_runs() if run.ended_at is None]
+            self.assertEqual(active, [])
+
+        self.run_scenario(scenario)
+
     def test_task_on_unregistered_worker_is_restarted(
         self,
     ) -> None:
@@ -325,3 +349,11 @@
 def _find_leases(cluster: JobCluster) -> list[str]:
     rows = cluster.store.table.read(f"leases/{POOL}/lease").rows
     return [name for row in rows for name in (row.value or {})["leases"]]
+
+
+def _count_claims(cluster: JobCluster) -> int:
+    return sum(
+        line["event"] == "duty_claimed" and line["duty"] == POOL
+        for log in cluster.logs
+        for line in log.lines
+    )
