Split the listener and the service gaps from the ownership service

No change of behaviour: one type a file, and the times of an owner that does not serve its pools can be read without the claims.

--- a/jujubebarrow/runtimes/entry_nodes.py
+++ b/jujubebarrow/runtimes/entry_nodes.py
@@ -22,13 +22,14 @@
     InstanceRow,
 )
 from jujubebarrow.runtimes.advice_controllers import AdviceController
+from jujubebarrow.runtimes.duty_listeners import DutyListener
 from jujubebarrow.runtimes.fleet_sources import FleetSource
 from jujubebarrow.runtimes.job_intakes import JobIntake
 from jujubebarrow.runtimes.job_watchers import JobWatcher
 from jujubebarrow.runtimes.load_registries import LoadRegistry
 from jujubebarrow.runtimes.move_controllers import MoveController
 from jujubebarrow.runtimes.owner_hooks import OwnerHooks
-from jujubebarrow.runtimes.ownership_services import DutyListener, OwnershipService
+from jujubebarrow.runtimes.ownership_services import OwnershipService
 from jujubebarrow.runtimes.pool_owners import PoolOwner
 from jujubebarrow.runtimes.wave_controllers import WaveController
 from jujubebarrow.runtimes.wave_reporters import WaveReporter
--- a/jujubebarrow/runtimes/ownership_services.py
+++ b/jujubebarrow/runtimes/ownership_services.py
@@ -1,6 +1,5 @@
 """Writes this instance's heartbeat to the store and claims duties there."""
 
-from abc import ABC, abstractmethod
 from asyncio import gather, sleep
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
@@ -16,6 +15,8 @@
 from jujubebarrow.ownerships.claim_planners import ClaimPlanner
 from jujubebarrow.ownerships.lease_observers import LeaseObserver
 from jujubebarrow.ownerships.ownership_rows import DutyId, DutyRow, InstanceRow
+from jujubebarrow.ownerships.service_gaps import ServiceGaps
+from jujubebarrow.runtimes.duty_listeners import DutyListener
 from jujubebarrow.runtimes.heartbeat_watchers import (
     HeartbeatWatcher,
     make_heartbeat,
@@ -43,40 +44,12 @@
 pool has an owner after a power failure."""
 STARTUP_POLL_SECONDS = 0.12
 """Seconds between two polls of the owners during startup."""
-SERVICE_GAP_LIMIT_SECONDS = 6.0
-"""Seconds without service, with the store in reach, after which a duty is released;
-several times the duration of a takeover with a slow store. Doubled with each release,
-since the state may take longer to load on any instance."""
 RECOVERY_SECONDS = LEASE_SECONDS + 0.2
 """Seconds after the renewal of a lapsed lease in which the instance claims no duty, as
 other instances may have had the same difficulty and renew their leases."""
 DUTY_PREFIX = "duty/"
 
 
-class DutyListener(ABC):
-    """Receives changes of the duties that this instance owns."""
-
-    @abstractmethod
-    async def on_claimed(self, duty: DutyId, token: FenceToken) -> None:
-        """Start serving a claimed duty."""
-
-    @abstractmethod
-    async def on_lost(self, duty: DutyId) -> None:
-        """Stop serving a duty that this instance no longer owns."""
-
-    @abstractmethod
-    def is_serving(self, duty: DutyId) -> bool:
-        """Return whether this instance is serving a duty."""
-
-    @abstractmethod
-    def is_able_to_serve(self, duty: DutyId) -> bool:
-        """Return whether this instance has and reaches all that a duty needs."""
-
-    @abstractmethod
-    def on_peers_changed(self, addresses: list[str]) -> None:
-        """Handle the present addresses of the other live instances."""
-
-
 class OwnershipService:
     """Renews this instance's lease and claims duties.
 
@@ -113,9 +86,7 @@
         self._planner = ClaimPlanner(identity.instance, self._observer)
         self._duty_rows: dict[DutyId, DutyRow] = {}
         self._owned_duties: dict[DutyId, FenceToken] = {}
-        # Time at which each duty was last served, or could first have been.
-        self._served_at: dict[DutyId, float] = {}
-        self._gap_limits: dict[DutyId, float] = {}
+        self._gaps = ServiceGaps()
         self._may_claim_from = float("-inf")
         self._heartbeat_revision: int | None = None
         self._lease_valid_until = float("-inf")
@@ -259,7 +230,7 @@
             found = await self._store.read(make_key(TableName.CONTROL, "", ""))
         except StoreError as error:
             self._record_failure("owners_unread", str(error))
-            self._restart_gaps()
+            self._gaps.restart(self._clock.monotonic())
             return
         now = self._clock.monotonic()
         self._apply_rows(found.rows)
@@ -270,7 +241,7 @@
         if self._is_stopping or now < self._started_at + SETTLE_SECONDS:
             return
         if now > self._lease_valid_until:
-            self._restart_gaps()
+            self._gaps.restart(now)
             return
         await self._reclaim_unserved()
         await self._release_unserved(now)
@@ -302,11 +273,6 @@
             self._metrics.count("duty_taken_up")
             await self._claim(duty)
 
-    def _restart_gaps(self) -> None:
-        """Leave out the time in which the store is out of reach."""
-        now = self._clock.monotonic()
-        self._served_at = dict.fromkeys(self._owned_duties, now)
-
     async def _release_unserved(self, now: float) -> None:
         """Release duties that this instance owns but fails to serve.
 
@@ -315,19 +281,16 @@
         overdue = []
         for duty in self._owned_duties:
             if self._listener.is_able_to_serve(duty):
-                self._served_at[duty] = now
-            elif now - self._served_at[duty] > self._find_gap_limit(duty):
+                self._gaps.record_served(duty, now)
+            elif self._gaps.is_overdue(duty, now):
                 overdue.append(duty)
         if not overdue or not self._planner.has_successor(now):
             return
         for duty in overdue:
             self._planner.abstain(duty, now)
-            self._gap_limits[duty] = 2 * self._find_gap_limit(duty)
+            self._gaps.record_release(duty)
         await self._release(overdue, "not served")
 
-    def _find_gap_limit(self, duty: DutyId) -> float:
-        return self._gap_limits.get(duty, SERVICE_GAP_LIMIT_SECONDS)
-
     def _apply_rows(self, rows: list[Row]) -> None:
         self._duty_rows = {}
         for row in rows:
@@ -357,7 +320,7 @@
             duty, self._instance, self._incarnation, revision
         )
         self._owned_duties[duty] = token
-        self._served_at[duty] = self._clock.monotonic()
+        self._gaps.record_served(duty, self._clock.monotonic())
         silence_seconds = None
         if row and row.holder:
             silence_seconds = round(
@@ -377,7 +340,7 @@
 
     async def _end_duty(self, duty: DutyId, reason: str) -> None:
         token = self._owned_duties.pop(duty)
-        self._served_at.pop(duty, None)
+        self._gaps.remove(duty)
         row = self._duty_rows.get(duty)
         self._log.write(
             "duty_dropped",
--- a/jujubebarrow/tests/test_job_takeovers.py
+++ b/jujubebarrow/tests/test_job_takeovers.py
@@ -12,8 +12,8 @@
 from jujubebarrow.errors.exceptions import RefusalError
 from jujubebarrow.errors.kinds import ErrorKind
 from jujubebarrow.identifiers import JobId, QueueId, TeamId
+from jujubebarrow.ownerships.service_gaps import SERVICE_GAP_LIMIT_SECONDS
 from jujubebarrow.runtimes.job_browsers import JobBrowser
-from jujubebarrow.runtimes.ownership_services import SERVICE_GAP_LIMIT_SECONDS
 from jujubebarrow.standins.emulated_workers import TaskBehaviour
 from jujubebarrow.stores.commit_results import CommitResult
 from jujubebarrow.stores.rows import Row, RowSet
