Count a request as sent once its body was read for sending

Cause: if a kept connection is reset before any byte of the response, curl sends the request again on a new connection. When that one is refused, curl reports only "could not connect", which counted as a request that never left. The store had applied the transaction of the first attempt. The same would make an executed start order count as "unreached" and its task start elsewhere.

A request counts as one that may have arrived once curl has read its body. A connection that is refused at once reads none, so such calls still count as never sent.

--- a/jujubebarrow/transports/http_clients.py
+++ b/jujubebarrow/transports/http_clients.py
@@ -10,6 +10,9 @@
     E_COULDNT_CONNECT,
     E_OPERATION_TIMEDOUT,
     M_MAXCONNECTS,
+    READFUNCTION,
+    SEEKFUNC_OK,
+    SEEKFUNCTION,
     WRITEFUNCTION,
     Curl,
 )
@@ -70,6 +73,33 @@
     transfer_seconds: float = 0.0
 
 
+class _RequestBody:
+    """Supplies a request body, and tells whether any of it may have been sent.
+
+    Args:
+        data: Body; None for a request without body.
+    """
+
+    def __init__(self, data: bytes | None):
+        self._buffer = BytesIO(data) if data is not None else None
+        self.was_read = False
+
+    def attach(self, curl: Curl) -> None:
+        if self._buffer is not None:
+            curl.setopt(READFUNCTION, self._read)
+            curl.setopt(SEEKFUNCTION, self._seek)
+
+    def _read(self, size: int) -> bytes:
+        assert self._buffer is not None
+        self.was_read = True
+        return self._buffer.read(size)
+
+    def _seek(self, offset: int, origin: int) -> int:
+        assert self._buffer is not None
+        self._buffer.seek(offset, origin)
+        return SEEKFUNC_OK
+
+
 class _ResponseBody:
     """Collects a response body, so that its size is known after a failure, too."""
 
@@ -140,7 +170,13 @@
         if body is not None:
             headers = {"Content-Type": "application/json"} | (headers or {})
             options["expect_100_continue"] = False
+        sent = _RequestBody(body)
         received = _ResponseBody()
+
+        def attach(curl: Curl) -> None:
+            sent.attach(curl)
+            received.attach(curl)
+
         request = HTTPRequest(
             url,
             method=method,
@@ -151,15 +187,15 @@
             follow_redirects=False,
             decompress_response=False,
             allow_nonstandard_methods=True,
-            prepare_curl_callback=received.attach,
+            prepare_curl_callback=attach,
             **options,
         )
         try:
             response = await self._fetch(request)
         except (HTTPClientError, OSError) as error:
-            raise _make_call_error(error, received.size_bytes) from error
+            raise _make_call_error(error, sent, received) from error
         if response.code == 599:
-            raise _make_call_error(response.error, received.size_bytes)
+            raise _make_call_error(response.error, sent, received)
         times = response.time_info
         return ClientResponse(
             response.code,
@@ -184,10 +220,15 @@
         _logger.info("abandoned call failed: %s", error)
 
 
-def _make_call_error(error: BaseException | None, received_bytes: int) -> HttpCallError:
+def _make_call_error(
+    error: BaseException | None, sent: _RequestBody, received: _ResponseBody
+) -> HttpCallError:
     has_timed_out = isinstance(error, CurlError) and error.errno == E_OPERATION_TIMEDOUT
+    # If a kept connection is reset, curl repeats the request on a new connection and
+    # reports only the failure of the latter.
+    may_have_arrived = sent.was_read or _may_have_arrived(error)
     return HttpCallError(
-        str(error), _may_have_arrived(error), received_bytes, has_timed_out
+        str(error), may_have_arrived, received.size_bytes, has_timed_out
     )
 
 
