Apply cancellations after the jobs accepted during a takeover were added

The set of cancellations that arrive while a pool is loaded was emptied before the jobs accepted meanwhile were added, so theirs were forgotten. Callers saw nothing: such a job has not started, and the condition that its cancellation does not exist stops its first start. test_job_accepted_and_cancelled_during_a_takeover_does_not_run passes with the former order, too; it guards that condition.

Found by reading.

--- a/jujubebarrow/runtimes/pool_owners.py
+++ b/jujubebarrow/runtimes/pool_owners.py
@@ -229,7 +229,6 @@
         if not all(loaded):
             return
         self._is_loaded = True
-        self._cancel_loaded_jobs()
         state = self.coordinator.state
         self._log.write(
             "pool_taken_over",
@@ -245,6 +244,7 @@
         for records in pending_jobs.values():
             for record in records:
                 self.on_job_accepted(record)
+        self._cancel_loaded_jobs()
         self._tasks.start(self._plan_periodically())
         self._tasks.start(self._grant_controller.run())
         self._tasks.start(self._lease_recorder.run())
--- a/jujubebarrow/tests/test_job_owners.py
+++ b/jujubebarrow/tests/test_job_owners.py
@@ -262,6 +262,37 @@
 
         self.run_scenario(scenario)
 
+    def test_job_accepted_and_cancelled_during_a_takeover_does_not_run(self) -> None:
+        read = EmulatedStore.read
+
+        async def read_slowly(
+            store: EmulatedStore, prefix: str, limit: int = 0
+        ) -> RowSet:
+            if prefix == f"progress/{QUEUE}/":
+                await sleep(1.0)
+            return await read(store, prefix, limit)
+
+        async def scenario(cluster: JobCluster) -> None:
+            await cluster.submit(1)
+            await sleep(2.0)
+            owner = cluster.find_owner()
+            assert owner is not None
+            other = 1 if cluster.instances[0] is owner else 0
+            await owner.kill()
+            with patch.object(EmulatedStore, "read", read_slowly):
+                await cluster.wait_for(lambda: _count_claims(cluster) == 2, 10.0)
+                await sleep(0.3)
+                self.assertIsNone(cluster.find_owner())
+                endless = TaskBehaviour(is_long_running=True)
+                job = await cluster.submit(2, (LONG,), other, endless)
+                await cluster.cancel(job, other)
+                await sleep(3.0)
+            self.assertEqual(await cluster.read_phase(job, other), "cancelled")
+            starts = [run for run in cluster.list_runs() if run.task.job == job]
+            self.assertEqual(starts, [])
+
+        self.run_scenario(scenario)
+
     def test_task_on_unregistered_worker_is_restarted(
         self,
     ) -> None:
