Log what long-running tasks wait for, and grants that are short or fail

- tasks_wait: a step of a long-running job has waited for 2 s, 4 s and so on, and what it lacks: a grant or a worker, each with the inputs of the decision.
- grant_short: a request for a grant is not met; the line has the grants of all pools.
- grant_failed: the store or a conflict; attempts 1, 2, 4 and so on.
- silent_workers_recorded also tells when the recorded leases expire.

The logic is as it was. Each kind of line is written at doubling intervals.

--- a/jujubebarrow/coordinators/planners.py
+++ b/jujubebarrow/coordinators/planners.py
@@ -1,11 +1,13 @@
 """Planning of runs for startable tasks."""
 
 from collections import Counter
+from typing import Any
 
 from jujubebarrow.coordinators.active_runs import ActiveRun, RunStage
 from jujubebarrow.coordinators.job_progresses import JobProgress
 from jujubebarrow.coordinators.pool_states import PoolState
 from jujubebarrow.coordinators.step_states import StepState
+from jujubebarrow.coordinators.wait_recorders import WaitReason, WaitRecorder
 from jujubebarrow.coordinators.worker_views import WorkerView
 from jujubebarrow.placements.job_orders import JobOrder
 from jujubebarrow.placements.placers import choose_gang, choose_worker
@@ -19,11 +21,13 @@
     Args:
         state: Jobs and workers of the pool.
         order: Ranking of the jobs.
+        waits: Records why long-running tasks wait.
     """
 
-    def __init__(self, state: PoolState, order: JobOrder):
+    def __init__(self, state: PoolState, order: JobOrder, waits: WaitRecorder):
         self._state = state
         self._order = order
+        self._waits = waits
 
     def plan(self, now: float, wall: float) -> list[ActiveRun]:
         """Plan runs for all startable tasks that fit on a worker.
@@ -84,10 +88,12 @@
         run_counts = count_runs_by_worker(step)
         for index in step.waiting:
             if not self._state.grants.request_start(job.record.team, step.spec.needs):
+                self._record_wait(job, position, step, WaitReason.GRANT, now)
                 break
             task = step.tasks[index]
             worker = choose_worker(step.spec, workers, run_counts, task.avoided_worker)
             if worker is None:
+                self._record_wait(job, position, step, WaitReason.WORKER, now)
                 if step.spec.long_running:
                     self._preempt_runs(step, workers, run_counts)
                 break
@@ -95,8 +101,45 @@
             key = TaskKey(job.record.job, *position, index)
             number = RunNumber(task.last_run + 1)
             planned.append(self._plan_run(job, step, key, number, worker, now))
+        if not step.waiting:
+            self._waits.clear((job.record.job, *position))
         return planned
 
+    def _record_wait(
+        self,
+        job: JobProgress,
+        position: tuple[int, int],
+        step: StepState,
+        reason: WaitReason,
+        now: float,
+    ) -> None:
+        if not step.spec.long_running:
+            return
+
+        def describe() -> dict[str, Any]:
+            grants, team = self._state.grants, job.record.team
+            workers = self._state.workers.values()
+            counts = {
+                "accepting": [worker.can_accept_tasks(now) for worker in workers],
+                "unresponsive": [bool(w.unresponsive_since) for w in workers],
+                "paused": [worker.score.is_paused(now) for worker in workers],
+                "cordoned": [worker.is_cordoned for worker in workers],
+            }
+            return {
+                "pool": self._state.pool,
+                "team": team,
+                "tasks": len(step.waiting),
+                "needs": step.spec.needs,
+                "used": grants.used(team),
+                "granted": grants.granted(team),
+                "limit": grants.limit(team),
+                "per_worker": step.spec.most_per_worker,
+                "workers": len(workers),
+                **{name: sum(flags) for name, flags in counts.items()},
+            }
+
+        self._waits.record((job.record.job, *position), reason, now, describe)
+
     def _plan_gang(
         self,
         job: JobProgress,
--- a/jujubebarrow/coordinators/pool_coordinators.py
+++ b/jujubebarrow/coordinators/pool_coordinators.py
@@ -12,6 +12,7 @@
 from jujubebarrow.coordinators.run_orders import RunOrders
 from jujubebarrow.coordinators.stall_detectors import StallDetector
 from jujubebarrow.coordinators.throttlers import Throttler
+from jujubebarrow.coordinators.wait_recorders import WaitRecorder
 from jujubebarrow.coordinators.worker_views import WorkerView
 from jujubebarrow.identifiers import JobId, PoolId
 from jujubebarrow.logs.decision_logs import DecisionLog
@@ -56,7 +57,8 @@
         self.state = PoolState(pool, token, options, owned_since)
         self._log = log
         self._order = JobOrder()
-        self._planner = TaskPlanner(self.state, self._order)
+        self._waits = WaitRecorder(log)
+        self._planner = TaskPlanner(self.state, self._order, self._waits)
         self._reconciler = Reconciler(self.state, log)
         self._throttler = Throttler(self.state)
         self.orders = RunOrders(self.state, self._reconciler)
@@ -234,6 +236,7 @@
         if job.closed_at:
             return
         job.closed_at = wall
+        self._waits.remove_job(job.record.job)
         self._log.write(
             "job_closed",
             job=job.record.job,
--- /dev/null
+++ b/jujubebarrow/coordinators/wait_recorders.py
@@ -0,0 +1,77 @@
+"""Log lines that tell what the tasks of long-running jobs wait for."""
+
+from collections.abc import Callable
+from enum import Enum
+from typing import Any
+
+from jujubebarrow.identifiers import JobId
+from jujubebarrow.logs.decision_logs import DecisionLog
+
+FIRST_LINE_SECONDS = 2.0
+"""Seconds of waiting after which the first line is written; the usual waits for a
+grant, a store transaction or a preempted run are shorter."""
+
+
+class WaitReason(Enum):
+    """What the waiting tasks of a step lack.
+
+    Attributes:
+        GRANT: A part of the team's upper limit that is granted to the pool.
+        WORKER: A worker that accepts the step's tasks and has free capacity.
+    """
+
+    GRANT = "grant"
+    WORKER = "worker"
+
+
+class WaitRecorder:
+    """Writes a line for each step that waits, after two seconds and each doubling.
+
+    Args:
+        log: Decision log.
+    """
+
+    def __init__(self, log: DecisionLog):
+        self._log = log
+        # When each step began to wait, and the next age at which a line is due.
+        self._waits: dict[tuple[JobId, int, int], tuple[float, float]] = {}
+
+    def record(
+        self,
+        step: tuple[JobId, int, int],
+        reason: WaitReason,
+        now: float,
+        describe: Callable[[], dict[str, Any]],
+    ) -> None:
+        """Record that tasks of a step could not be placed.
+
+        Args:
+            step: Job, occurrence and index of the step.
+            reason: What the tasks lack at present.
+            now: Time in seconds.
+            describe: Returns the fields that explain the reason; only called if a line
+                is due.
+        """
+        since, due_age = self._waits.setdefault(step, (now, FIRST_LINE_SECONDS))
+        age = now - since
+        if age < due_age:
+            return
+        self._waits[step] = (since, 2 * due_age)
+        job, occurrence, number = step
+        self._log.write(
+            "tasks_wait",
+            job=job,
+            step=f"{occurrence}.{number}",
+            seconds=round(age, 1),
+            lacks=reason.value,
+            **describe(),
+        )
+
+    def clear(self, step: tuple[JobId, int, int]) -> None:
+        """Record that no task of a step waits any more."""
+        self._waits.pop(step, None)
+
+    def remove_job(self, job: JobId) -> None:
+        """Remove the steps of a closed job."""
+        for step in [step for step in self._waits if step[0] == job]:
+            del self._waits[step]
--- a/jujubebarrow/runtimes/grant_controllers.py
+++ b/jujubebarrow/runtimes/grant_controllers.py
@@ -1,6 +1,7 @@
 """Reserves a pool's grants (parts of the teams' upper limits) in the store."""
 
 from asyncio import sleep
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 from uuid import uuid4
@@ -26,6 +27,10 @@
 """Number of chunks in which a team's limit is granted; more chunks would cause more
 writes."""
 GRANT_NAME = "grant"
+SHORTAGE_LOG_SECONDS = 1.0
+"""Seconds for which a request is not met before the first line about it."""
+LOGGED_DETAIL_LIMIT = 120
+"""Most characters of an error in a line."""
 
 
 class GrantController:
@@ -65,6 +70,9 @@
         self._log = log
         self._metrics = metrics
         self._release_checked_at = clock.monotonic()
+        self._failure_counts: Counter[TeamId] = Counter()
+        # Since when a team's request is not met, and the next age to log.
+        self._shortages: dict[TeamId, tuple[float, float]] = {}
 
     async def run(self) -> None:
         """Adjust grants to the requested resources until cancelled."""
@@ -85,10 +93,48 @@
     async def _try_adjust(self, team: TeamId, requested: Resources) -> None:
         try:
             await self._adjust(team, requested)
-        except StoreError:
+        except StoreError as error:
             self._metrics.count("grant_failed", "store")
+            self._log_failure(team, str(error))
         except TransactionConflictError:
             self._metrics.count("retry", "grant")
+            self._log_failure(team, "conflict")
+        else:
+            self._failure_counts.pop(team, None)
+
+    def _log_failure(self, team: TeamId, detail: str) -> None:
+        self._failure_counts[team] += 1
+        attempts = self._failure_counts[team]
+        if attempts.bit_count() > 1:
+            # The first attempt and then each doubling of the attempts are logged.
+            return
+        self._log.write(
+            "grant_failed",
+            pool=self._pool,
+            team=team,
+            token=self._token,
+            detail=detail[:LOGGED_DETAIL_LIMIT],
+            attempts=attempts,
+        )
+
+    def _log_shortage(
+        self, team: TeamId, requested: Resources, pools: dict[str, Any]
+    ) -> None:
+        now = self._clock.monotonic()
+        since, due_age = self._shortages.setdefault(team, (now, SHORTAGE_LOG_SECONDS))
+        if now - since < due_age:
+            return
+        self._shortages[team] = (since, 2 * due_age)
+        self._log.write(
+            "grant_short",
+            pool=self._pool,
+            team=team,
+            seconds=round(now - since, 1),
+            requested=requested,
+            used=self._registry.used(team),
+            limit=self._registry.limit(team),
+            grants=pools,
+        )
 
     async def _adjust(self, team: TeamId, requested: Resources) -> None:
         key = make_key(TableName.GRANTS, team, GRANT_NAME)
@@ -107,6 +153,10 @@
         granted = compute_grant(
             limit, granted_elsewhere, used, requested, LIMIT_CHUNK_COUNT
         )
+        if any(requested) and granted == self._registry.granted(team):
+            self._log_shortage(team, requested, pools)
+        else:
+            self._shortages.pop(team, None)
         stored = Resources(*pool_entry[1:]) if pool_entry is not None else NO_RESOURCES
         is_token_missing = pool_entry is None or pool_entry[0] != self._token
         if granted == stored and not is_token_missing:
--- a/jujubebarrow/runtimes/lease_recorders.py
+++ b/jujubebarrow/runtimes/lease_recorders.py
@@ -161,6 +161,10 @@
             "silent_workers_recorded",
             pool=self._state.pool,
             workers=sorted(unresponsive),
+            expire_in=[
+                round(unresponsive[worker].expires_at - now, 1)
+                for worker in sorted(unresponsive)
+            ],
         )
 
     def _needs_record(self, worker: WorkerView, now: float) -> bool:
