Release grants that no pool uses to the pools that wait for them

Cause: what counts for the other pools is the grant that is stored, but an owner released only what its own registry knew of. The two differed, for the life of the owner, in these cases: - The first adjustment of a new owner fails, by a conflict or in the store. It was only counted, and the grant that the former owner had stored stayed. After a loss of all power five owners change each team's row within a tenth of a second, so conflicts are certain. - A write whose response was lost has raised the grant. A conflict may hide the same, as the row may have changed since. - The team's upper limit was set or changed after the first adjustment. Besides, a surplus was only released each 4 s, a part of a chunk never, and two pools could each hold a part that was too small for a run of either.

Ruled out: use that is not given back (the counted use of each pool agrees with its active runs under random faults); a new owner without limits (jobs of other limited teams start).

Change: a grant counts as confirmed only when a write with the owner's token has been answered, for the limit in force. Unconfirmed grants are written again until then, also unchanged ones, as an earlier write can take effect late only while the row is unchanged. A pool for whose runs too little is left keeps only what it uses and marks itself as waiting in the row; the other owners follow the rows by the feed and release what they do not use. A build without the marks drops them from a row that it writes, and the waiting pool sets its mark again with its next try.

--- a/jujubebarrow/coordinators/planners.py
+++ b/jujubebarrow/coordinators/planners.py
@@ -36,6 +36,7 @@
             now: Time in seconds.
             wall: Unix time in seconds.
         """
+        self._state.grants.clear_requests()
         workers = [w for w in self._state.workers.values() if w.can_accept_tasks(now)]
         jobs = [job for job in self._state.jobs.values() if not job.phase.is_final]
         for job in jobs:
@@ -86,8 +87,11 @@
             return self._plan_gang(job, position, step, workers, now)
         planned = []
         run_counts = count_runs_by_worker(step)
-        for index in step.waiting:
-            if not self._state.grants.request_start(job.record.team, step.spec.needs):
+        grants, team, needs = self._state.grants, job.record.team, step.spec.needs
+        waiting = step.waiting
+        for placed_count, index in enumerate(waiting):
+            count = len(waiting) - placed_count
+            if not grants.request_start(team, needs, count):
                 self._record_wait(job, position, step, WaitReason.GRANT, now)
                 break
             task = step.tasks[index]
--- a/jujubebarrow/limits/grant_registries.py
+++ b/jujubebarrow/limits/grant_registries.py
@@ -1,6 +1,7 @@
 """Grants of a pool, and the resources that the teams' runs use in the pool."""
 
 from jujubebarrow.identifiers import TeamId
+from jujubebarrow.limits.grant_planners import GrantRequest, fits_limit
 from jujubebarrow.workloads.resources import NO_RESOURCES, Resources
 
 
@@ -15,7 +16,7 @@
     def __init__(self) -> None:
         self._granted: dict[TeamId, Resources] = {}
         self._used: dict[TeamId, Resources] = {}
-        self._requested: dict[TeamId, Resources] = {}
+        self._requests: dict[TeamId, list[GrantRequest]] = {}
         self._limits: dict[TeamId, Resources] = {}
 
     def set_limits(self, limits: dict[TeamId, Resources]) -> None:
@@ -46,29 +47,44 @@
         """Remove the resources of a finished run."""
         self._used[team] = self.used(team).minus(amount)
 
-    def request_start(self, team: TeamId, amount: Resources) -> bool:
+    def clear_requests(self) -> None:
+        """Drop all requests; each plan of the pool requests anew what it lacks."""
+        self._requests.clear()
+
+    def request_start(self, team: TeamId, amount: Resources, count: int = 1) -> bool:
         """Return whether a run fits into the grant.
 
-        The resources of a run that does not fit are recorded as requested, so that the
-        next grant can include them.
+        A run that does not fit is recorded as requested, so that the next grant can
+        include it.
+
+        Args:
+            team: Team of the run.
+            amount: Resources of the run, or of a gang.
+            count: Number of such runs that wait.
         """
         if not self.is_limited(team):
             return True
         total = self.used(team).plus(amount)
-        if _fits_grant(total, self.granted(team), self._limits[team]):
+        if fits_limit(total, self.granted(team), self._limits[team]):
             return True
-        self._requested[team] = self._requested.get(team, NO_RESOURCES).plus(amount)
+        self._requests.setdefault(team, []).append(GrantRequest(amount, count))
         return False
 
-    def pop_requested(self) -> dict[TeamId, Resources]:
-        """Return and clear the resources requested beyond the grants."""
-        requested = self._requested
-        self._requested = {}
-        return requested
+    def requests(self, team: TeamId) -> list[GrantRequest]:
+        """Return the runs that did not fit in the latest plan."""
+        return self._requests.get(team, [])
+
+    def requesting_teams(self) -> list[TeamId]:
+        """Return the teams with a run that did not fit in the latest plan."""
+        return list(self._requests)
 
-    def teams(self) -> list[TeamId]:
-        """Return the teams whose grant is not empty."""
-        return [team for team, granted in self._granted.items() if any(granted)]
+    def teams_with_surplus(self) -> list[TeamId]:
+        """Return the teams whose grant is larger than what their runs use."""
+        return [team for team in self._granted if self.has_surplus(team)]
+
+    def has_surplus(self, team: TeamId) -> bool:
+        """Return whether a team's runs use less than the grant."""
+        return not self.granted(team).fits(self.used(team))
 
     def limited_teams(self) -> list[TeamId]:
         """Return the teams with an upper limit."""
@@ -77,39 +93,3 @@
     def limit(self, team: TeamId) -> Resources:
         """Return a team's upper limit."""
         return self._limits.get(team, NO_RESOURCES)
-
-
-def _fits_grant(total: Resources, granted: Resources, limit: Resources) -> bool:
-    return all(
-        not upper or amount <= granted_amount
-        for amount, granted_amount, upper in zip(total, granted, limit, strict=True)
-    )
-
-
-def compute_grant(
-    limit: Resources,
-    other_grants: Resources,
-    used: Resources,
-    requested: Resources,
-    chunk_count: int,
-) -> Resources:
-    """Return a pool's new grant, rounded up to whole chunks of the limit.
-
-    The grant is at most the part of the limit that is not granted to other pools.
-
-    Args:
-        limit: Upper limit of the team; 0 means no limit.
-        other_grants: Sum of the team's grants in the other pools.
-        used: Resources of the team's runs that may be active in this pool.
-        requested: Resources that the pool could use at once beyond its grant.
-        chunk_count: Number of chunks into which a limit is divided for granting.
-    """
-    amounts = []
-    for total, granted_elsewhere, active, extra in zip(
-        limit, other_grants, used, requested, strict=True
-    ):
-        chunk = -(-total // chunk_count)
-        headroom = chunk if extra else 0
-        target = -(-(active + extra + headroom) // chunk) * chunk if chunk else 0
-        amounts.append(max(0, min(target, total - granted_elsewhere)))
-    return Resources(*amounts)
--- a/jujubebarrow/runtimes/entry_nodes.py
+++ b/jujubebarrow/runtimes/entry_nodes.py
@@ -24,6 +24,7 @@
 from jujubebarrow.runtimes.advice_controllers import AdviceController
 from jujubebarrow.runtimes.duty_listeners import DutyListener
 from jujubebarrow.runtimes.fleet_sources import FleetSource
+from jujubebarrow.runtimes.grant_watchers import GrantWatcher
 from jujubebarrow.runtimes.job_intakes import JobIntake
 from jujubebarrow.runtimes.job_watchers import JobWatcher
 from jujubebarrow.runtimes.load_registries import LoadRegistry
@@ -124,6 +125,7 @@
         self._wave_store = WaveStore(store, reporter, clock)
         self._worker_source = worker_source
         self._job_watcher = JobWatcher(store, clock, log, metrics)
+        self._grant_watcher = GrantWatcher(store, clock, log, metrics)
         self._ownership = OwnershipService(
             InstanceRow(
                 options.instance,
@@ -163,6 +165,7 @@
             self.fleet_source,
             self._worker_source,
             self._job_watcher,
+            self._grant_watcher,
             self._ownership,
         ):
             component.open()
@@ -234,6 +237,7 @@
             self._make_wave_controller,
             self._make_move_controller,
             self._make_advice_controller,
+            self._grant_watcher,
             self._job_watcher.wait_until_loaded,
             self._job_watcher.read_store_time,
             self._clock,
--- a/jujubebarrow/runtimes/grant_controllers.py
+++ b/jujubebarrow/runtimes/grant_controllers.py
@@ -3,48 +3,56 @@
 from asyncio import sleep
 from collections import Counter
 from collections.abc import Callable
-from typing import Any
 from uuid import uuid4
 
 from jujubebarrow.clocks.clocks import Clock
 from jujubebarrow.errors.exceptions import StoreError, TransactionConflictError
 from jujubebarrow.identifiers import PoolId, TeamId
-from jujubebarrow.limits.grant_registries import GrantRegistry, compute_grant
+from jujubebarrow.limits.grant_planners import GrantPlan, plan_grant
+from jujubebarrow.limits.grant_registries import GrantRegistry
+from jujubebarrow.limits.grant_rows import GrantRow, PoolGrant
 from jujubebarrow.logs.decision_logs import DecisionLog
 from jujubebarrow.metrics.registries import MetricsRegistry
+from jujubebarrow.runtimes.grant_listeners import GrantListener
+from jujubebarrow.runtimes.grant_watchers import GrantWatcher
+from jujubebarrow.runtimes.progress_writers import DisplacedError
 from jujubebarrow.stores.row_keys import TableName, make_key
-from jujubebarrow.stores.rows import Row
 from jujubebarrow.stores.stores import Store
 from jujubebarrow.stores.transactions import ABSENT_REVISION, Transaction
 from jujubebarrow.workloads.identifiers import FenceToken
 from jujubebarrow.workloads.resources import NO_RESOURCES, Resources
 
 UPDATE_PERIOD_SECONDS = 0.1
-"""Time between two checks for requested increases of grants."""
+"""Time between two checks for grants to change."""
 RELEASE_PERIOD_SECONDS = 4.0
-"""Time between two checks for unused grants to release."""
-LIMIT_CHUNK_COUNT = 12
-"""Number of chunks in which a team's limit is granted; more chunks would cause more
-writes."""
+"""Time between two checks for unused grants to release if no other pool waits."""
+CONFLICT_ATTEMPTS = 3
+"""Most attempts to change a row that other pools change at the same time, before the
+next check tries again."""
 GRANT_NAME = "grant"
 SHORTAGE_LOG_SECONDS = 1.0
 """Seconds for which a request is not met before the first line about it."""
 LOGGED_DETAIL_LIMIT = 120
 """Most characters of an error in a line."""
+LOGGED_REQUESTS_LIMIT = 5
+"""Most requests of a team in a line."""
 
 
-class GrantController:
+class GrantController(GrantListener):
     """Raises and lowers the grants of one pool.
 
     A team's row holds the grant of each pool and the fencing token of that pool's
-    owner, so a superseded owner can no longer change a grant.
+    owner, so a superseded owner can no longer change a grant. A pool that waits for a
+    grant is marked in the row, and the other pools then release what they do not use.
 
     Args:
         pool: Pool whose grants are adjusted.
         token: Fencing token of the pool's owner.
         registry: Grants of the pool and their current use.
         store: Store that holds the teams' rows.
+        watcher: Reports changed rows.
         on_granted: Called after a grant was changed because resources were requested.
+        on_superseded: Called when another instance has taken over the pool.
         clock: Time source.
         log: Decision log.
         metrics: Registry of the counters.
@@ -56,7 +64,9 @@
         token: FenceToken,
         registry: GrantRegistry,
         store: Store,
+        watcher: GrantWatcher,
         on_granted: Callable[[], None],
+        on_superseded: Callable[[], None],
         clock: Clock,
         log: DecisionLog,
         metrics: MetricsRegistry,
@@ -65,42 +75,142 @@
         self._token = token
         self._registry = registry
         self._store = store
+        self._watcher = watcher
         self._on_granted = on_granted
+        self._on_superseded = on_superseded
         self._clock = clock
         self._log = log
         self._metrics = metrics
+        # Teams whose stored grant certainly is the one in the registry and carries this
+        # owner's token, each with the upper limit that the grant was computed from.
+        self._confirmed: dict[TeamId, Resources] = {}
+        # Teams for which another pool, or this pool, is marked as waiting.
+        self._awaited: set[TeamId] = set()
+        self._marked: set[TeamId] = set()
+        self._release_checks: set[TeamId] = set()
         self._release_checked_at = clock.monotonic()
         self._failure_counts: Counter[TeamId] = Counter()
         # Since when a team's request is not met, and the next age to log.
         self._shortages: dict[TeamId, tuple[float, float]] = {}
 
     async def run(self) -> None:
-        """Adjust grants to the requested resources until cancelled."""
-        for team in self._registry.limited_teams():
-            await self._try_adjust(team, NO_RESOURCES)
-        while True:
-            requested = self._registry.pop_requested()
-            now = self._clock.monotonic()
-            if now - self._release_checked_at > RELEASE_PERIOD_SECONDS:
-                self._release_checked_at = now
-                requested = (
-                    dict.fromkeys(self._registry.teams(), NO_RESOURCES) | requested
-                )
-            for team, amount in requested.items():
-                await self._try_adjust(team, amount)
-            await sleep(UPDATE_PERIOD_SECONDS)
-
-    async def _try_adjust(self, team: TeamId, requested: Resources) -> None:
+        """Adjust grants to the requested resources until cancelled or superseded."""
+        self._watcher.add_listener(self)
         try:
-            await self._adjust(team, requested)
-        except StoreError as error:
-            self._metrics.count("grant_failed", "store")
-            self._log_failure(team, str(error))
-        except TransactionConflictError:
-            self._metrics.count("retry", "grant")
-            self._log_failure(team, "conflict")
-        else:
-            self._failure_counts.pop(team, None)
+            while True:
+                for team in self._list_urgent():
+                    await self._try_adjust(team)
+                # One team at a time, so that requests need not wait for all of them.
+                team = self._choose_overdue()
+                is_adjusted = team is not None and await self._try_adjust(team)
+                await sleep(0.0 if is_adjusted else UPDATE_PERIOD_SECONDS)
+        except DisplacedError:
+            self._on_superseded()
+        finally:
+            self._watcher.remove_listener(self)
+
+    def on_grants_changed(self, team: TeamId, row: GrantRow) -> None:
+        """Handle a changed row of a team."""
+        self._record_waiting_pools(team, row)
+
+    def on_grants_skipped(self) -> None:
+        """Handle that some changes will not be reported."""
+        self._release_checks.update(self._registry.teams_with_surplus())
+
+    def _record_waiting_pools(self, team: TeamId, row: GrantRow) -> None:
+        is_awaited = row.is_awaited_by_others(self._pool)
+        (self._awaited.add if is_awaited else self._awaited.discard)(team)
+
+    def _list_urgent(self) -> list[TeamId]:
+        """Return the teams for which runs wait, here or in another pool."""
+        urgent = dict.fromkeys(self._registry.requesting_teams())
+        for team in self._awaited:
+            if self._registry.has_surplus(team):
+                urgent[team] = None
+        return list(urgent)
+
+    def _choose_overdue(self) -> TeamId | None:
+        """Return another team whose grant has to be checked, if there is one."""
+        now = self._clock.monotonic()
+        if now - self._release_checked_at > RELEASE_PERIOD_SECONDS:
+            self._release_checked_at = now
+            self._release_checks.update(self._registry.teams_with_surplus())
+        overdue = self._release_checks | self._marked.difference(
+            self._registry.requesting_teams()
+        )
+        overdue.update(
+            team
+            for team in self._registry.limited_teams()
+            if self._confirmed.get(team) != self._registry.limit(team)
+        )
+        return min(sorted(overdue), key=self._failure_counts.__getitem__, default=None)
+
+    async def _try_adjust(self, team: TeamId) -> bool:
+        """Adjust the grant of a team; return whether the stored grant is known."""
+        self._release_checks.discard(team)
+        for _ in range(CONFLICT_ATTEMPTS):
+            try:
+                await self._adjust(team)
+            except TransactionConflictError:
+                self._metrics.count("retry", "grant")
+                self._log_failure(team, "conflict")
+            except StoreError as error:
+                self._metrics.count("grant_failed", "store")
+                self._log_failure(team, str(error))
+                return False
+            else:
+                self._failure_counts.pop(team, None)
+                return True
+        return False
+
+    async def _adjust(self, team: TeamId) -> None:
+        key = make_key(TableName.GRANTS, team, GRANT_NAME)
+        found = await self._store.read(key)
+        row = next((row for row in found.rows if row.key == key), None)
+        grants = GrantRow.from_document(row.value if row else None)
+        self._record_waiting_pools(team, grants)
+        stored = grants.pools.get(self._pool, PoolGrant(FenceToken(0), NO_RESOURCES))
+        if stored.token > self._token:
+            self._metrics.count("grant_failed", "displaced")
+            raise DisplacedError
+        limit = self._registry.limit(team)
+        requests = list(self._registry.requests(team))
+        plan = plan_grant(
+            limit,
+            grants.sum_other_grants(self._pool),
+            self._registry.used(team),
+            requests,
+            team in self._awaited,
+        )
+        self._record_shortage(team, plan, grants)
+        changed = grants.replace_pool(
+            self._pool, PoolGrant(self._token, plan.granted), plan.is_waiting
+        )
+        # An unconfirmed grant is always written, as an earlier write may still take
+        # effect as long as the row has not changed.
+        if changed == grants and team in self._confirmed:
+            self._confirmed[team] = limit
+            self._registry.set_granted(team, plan.granted)
+            return
+        # Resources that are being released must not be used while the write is in
+        # progress.
+        previous = self._registry.granted(team)
+        self._registry.set_granted(team, _compute_minimum(previous, plan.granted))
+        self._confirmed.pop(team, None)
+        self._marked.add(team)
+        transaction = Transaction(
+            conditions={key: row.revision if row else ABSENT_REVISION},
+            writes={key: changed.to_document()},
+            nonce=uuid4().hex,
+        )
+        await self._store.commit(transaction)
+        self._confirmed[team] = limit
+        if not plan.is_waiting:
+            self._marked.discard(team)
+        self._registry.set_granted(team, plan.granted)
+        self._metrics.count("grant_changed")
+        if requests and not plan.is_waiting:
+            self._on_granted()
 
     def _log_failure(self, team: TeamId, detail: str) -> None:
         self._failure_counts[team] += 1
@@ -117,9 +227,11 @@
             attempts=attempts,
         )
 
-    def _log_shortage(
-        self, team: TeamId, requested: Resources, pools: dict[str, Any]
-    ) -> None:
+    def _record_shortage(self, team: TeamId, plan: GrantPlan, row: GrantRow) -> None:
+        """Log a request that is not met, after a second and each doubling."""
+        if not plan.is_waiting:
+            self._shortages.pop(team, None)
+            return
         now = self._clock.monotonic()
         since, due_age = self._shortages.setdefault(team, (now, SHORTAGE_LOG_SECONDS))
         if now - since < due_age:
@@ -130,58 +242,14 @@
             pool=self._pool,
             team=team,
             seconds=round(now - since, 1),
-            requested=requested,
+            requests=self._registry.requests(team)[:LOGGED_REQUESTS_LIMIT],
             used=self._registry.used(team),
             limit=self._registry.limit(team),
-            grants=pools,
+            grants={
+                pool: [grant.token, *grant.granted] for pool, grant in row.pools.items()
+            },
         )
 
-    async def _adjust(self, team: TeamId, requested: Resources) -> None:
-        key = make_key(TableName.GRANTS, team, GRANT_NAME)
-        row = await self._read_row(key)
-        pools: dict[str, Any] = dict((row.value or {}).get("pools", {})) if row else {}
-        pool_entry = pools.get(self._pool)
-        if pool_entry is not None and pool_entry[0] > self._token:
-            self._metrics.count("grant_failed", "displaced")
-            return
-        granted_elsewhere = NO_RESOURCES
-        for pool, entry in pools.items():
-            if pool != self._pool:
-                granted_elsewhere = granted_elsewhere.plus(Resources(*entry[1:]))
-        limit = self._registry.limit(team)
-        used = self._registry.used(team)
-        granted = compute_grant(
-            limit, granted_elsewhere, used, requested, LIMIT_CHUNK_COUNT
-        )
-        if any(requested) and granted == self._registry.granted(team):
-            self._log_shortage(team, requested, pools)
-        else:
-            self._shortages.pop(team, None)
-        stored = Resources(*pool_entry[1:]) if pool_entry is not None else NO_RESOURCES
-        is_token_missing = pool_entry is None or pool_entry[0] != self._token
-        if granted == stored and not is_token_missing:
-            self._registry.set_granted(team, granted)
-            return
-        pools[self._pool] = [self._token, *granted]
-        # Resources that are being released must not be used while the write is in
-        # progress.
-        previous = self._registry.granted(team)
-        self._registry.set_granted(team, _compute_minimum(previous, granted))
-        transaction = Transaction(
-            conditions={key: row.revision if row else ABSENT_REVISION},
-            writes={key: {"pools": pools}},
-            nonce=uuid4().hex,
-        )
-        await self._store.commit(transaction)
-        self._registry.set_granted(team, granted)
-        self._metrics.count("grant_changed")
-        if any(requested):
-            self._on_granted()
-
-    async def _read_row(self, key: str) -> Row | None:
-        found = await self._store.read(key)
-        return next((row for row in found.rows if row.key == key), None)
-
 
 def _compute_minimum(first: Resources, second: Resources) -> Resources:
     return Resources(*(min(pair) for pair in zip(first, second, strict=True)))
--- a/jujubebarrow/runtimes/pool_owners.py
+++ b/jujubebarrow/runtimes/pool_owners.py
@@ -15,6 +15,7 @@
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.runtimes.advice_controllers import AdviceController
 from jujubebarrow.runtimes.grant_controllers import GrantController
+from jujubebarrow.runtimes.grant_watchers import GrantWatcher
 from jujubebarrow.runtimes.job_listeners import JobListener
 from jujubebarrow.runtimes.lease_recorders import LeaseRecorder
 from jujubebarrow.runtimes.load_reporters import LoadReporter
@@ -63,6 +64,7 @@
             pools.
         make_advice_controller: Creates the controller that requests placement advice
             for steps.
+        grant_watcher: Reports changes of the teams' stored grants.
         wait_for_feed: Waits until the change feed reports each job accepted later.
         read_store_time: Returns the present time of the store's clock in seconds, which
             is never too late; None if the feed may not have reported accepted jobs.
@@ -90,6 +92,7 @@
         make_advice_controller: Callable[
             [PoolCoordinator, OwnerHooks], AdviceController
         ],
+        grant_watcher: GrantWatcher,
         wait_for_feed: Callable[[], Awaitable[None]],
         read_store_time: Callable[[], float | None],
         clock: Clock,
@@ -149,7 +152,16 @@
         )
         registry = self.coordinator.state.grants
         self._grant_controller = GrantController(
-            pool, token, registry, store, self.on_change, clock, log, metrics
+            pool,
+            token,
+            registry,
+            store,
+            grant_watcher,
+            self.on_change,
+            self.on_superseded,
+            clock,
+            log,
+            metrics,
         )
         self._lease_recorder = LeaseRecorder(
             self.coordinator.state, store, self.on_superseded, clock, log, metrics
