Request grants only for runs that the pool has free capacity for

Cause: a pool at its demand peak requested a part of the upper limit for each waiting task, and again with each plan until the grant was adjusted. It could start none of them, as its workers were full, and kept the whole limit of several teams from the other pools: grant_short at 14.5 s shows pool wucu52c with 1,602,917 of the 1,923,501 thousandths of a core of team golo782 and all of three other teams, more than all of its workers have, while its owner lost most of its calls to the store and could not release anything.

Change: a plan requests at most what fits into the capacity that its workers have left, in the order of the jobs. Long-running tasks are excepted, as other runs make way for them.

--- a/jujubebarrow/coordinators/planners.py
+++ b/jujubebarrow/coordinators/planners.py
@@ -12,6 +12,7 @@
 from jujubebarrow.placements.job_orders import JobOrder
 from jujubebarrow.placements.placers import choose_gang, choose_worker
 from jujubebarrow.workloads.identifiers import RunNumber, WorkerId
+from jujubebarrow.workloads.resources import NO_RESOURCES
 from jujubebarrow.workloads.task_keys import TaskKey
 
 
@@ -28,6 +29,8 @@
         self._state = state
         self._order = order
         self._waits = waits
+        # Free capacity of the pool that no run and no request of the plan takes yet.
+        self._spare = NO_RESOURCES
 
     def plan(self, now: float, wall: float) -> list[ActiveRun]:
         """Plan runs for all startable tasks that fit on a worker.
@@ -38,6 +41,9 @@
         """
         self._state.grants.clear_requests()
         workers = [w for w in self._state.workers.values() if w.can_accept_tasks(now)]
+        self._spare = NO_RESOURCES
+        for worker in workers:
+            self._spare = self._spare.plus(worker.free)
         jobs = [job for job in self._state.jobs.values() if not job.phase.is_final]
         for job in jobs:
             job.open_due_occurrences(wall, self._state.options.early_start)
@@ -87,11 +93,9 @@
             return self._plan_gang(job, position, step, workers, now)
         planned = []
         run_counts = count_runs_by_worker(step)
-        grants, team, needs = self._state.grants, job.record.team, step.spec.needs
         waiting = step.waiting
         for placed_count, index in enumerate(waiting):
-            count = len(waiting) - placed_count
-            if not grants.request_start(team, needs, count):
+            if not self._request_start(job, step, len(waiting) - placed_count):
                 self._record_wait(job, position, step, WaitReason.GRANT, now)
                 break
             task = step.tasks[index]
@@ -109,6 +113,26 @@
             self._waits.clear((job.record.job, *position))
         return planned
 
+    def _request_start(self, job: JobProgress, step: StepState, count: int) -> bool:
+        """Return whether a task of a step fits into the team's grant.
+
+        Otherwise requests a grant for the tasks that the pool has free capacity for;
+        the team's limit is of no use to a pool whose workers are full. Long-running
+        tasks can take the place of other runs and need no free capacity.
+
+        Args:
+            job: Job of the step.
+            step: Step with waiting tasks.
+            count: Number of waiting tasks.
+        """
+        if not step.spec.long_running:
+            count = step.spec.reserved.count_fitting(self._spare, count)
+        grants, team = self._state.grants, job.record.team
+        if grants.request_start(team, step.spec.needs, count):
+            return True
+        self._spare = self._spare.minus(step.spec.reserved.times(count))
+        return False
+
     def _record_wait(
         self,
         job: JobProgress,
@@ -156,7 +180,10 @@
         if len(indexes) < len(step.tasks):
             return []
         total = step.spec.needs.times(len(indexes))
-        if not self._state.grants.request_start(job.record.team, total):
+        reserved = step.spec.reserved.times(len(indexes))
+        count = reserved.count_fitting(self._spare, 1)
+        if not self._state.grants.request_start(job.record.team, total, count):
+            self._spare = self._spare.minus(reserved.times(count))
             return []
         chosen = choose_gang(step.spec, len(indexes), workers)
         if chosen is None:
@@ -190,6 +217,7 @@
         )
         job.record_planned_run(run)
         self._state.add_run(job, run)
+        self._spare = self._spare.minus(run.reserved)
         self._state.mark_changed(job)
         return run
 
--- a/jujubebarrow/limits/grant_registries.py
+++ b/jujubebarrow/limits/grant_registries.py
@@ -60,14 +60,15 @@
         Args:
             team: Team of the run.
             amount: Resources of the run, or of a gang.
-            count: Number of such runs that wait.
+            count: Number of such runs that could start; none is requested if 0.
         """
         if not self.is_limited(team):
             return True
         total = self.used(team).plus(amount)
         if fits_limit(total, self.granted(team), self._limits[team]):
             return True
-        self._requests.setdefault(team, []).append(GrantRequest(amount, count))
+        if count:
+            self._requests.setdefault(team, []).append(GrantRequest(amount, count))
         return False
 
     def requests(self, team: TeamId) -> list[GrantRequest]:
--- a/jujubebarrow/tests/test_grants.py
+++ b/jujubebarrow/tests/test_grants.py
@@ -153,6 +153,22 @@
 
         self.run_scenario(scenario)
 
+    def test_pool_whose_workers_are_full_takes_no_limit_for_its_backlog(self) -> None:
+        limit = Resources(80_000, 160_000)
+        capacity = Resources(24_000, 48_000)
+
+        async def scenario(cluster: JobCluster) -> None:
+            cluster.write_fleet(2, limit)
+            for number in range(60):
+                await cluster.submit(number, behaviour=TaskBehaviour(seconds=4.0))
+            for _ in range(20):
+                await sleep(0.2)
+                granted = Resources(*_read_grants(cluster)[POOL][1:])
+                rounding = Resources(2 * limit.cpu // 12, 2 * limit.memory // 12)
+                self.assertTrue(granted.fits(capacity.plus(rounding)), granted)
+
+        self.run_scenario(scenario)
+
 
 class AwaitedGrantTest(JobCase):
     def _find_wait(self, offset_seconds: float) -> float:
--- a/jujubebarrow/workloads/resources.py
+++ b/jujubebarrow/workloads/resources.py
@@ -32,6 +32,15 @@
         """Return the amount multiplied by a count."""
         return Resources(self.cpu * count, self.memory * count, self.gpus * count)
 
+    def count_fitting(self, capacity: "Resources", limit: int) -> int:
+        """Return how often this amount fits in a capacity, at most a limit."""
+        counts = [
+            available // amount
+            for amount, available in zip(self, capacity, strict=True)
+            if amount
+        ]
+        return max(0, min([limit, *counts]))
+
     def fits(self, capacity: "Resources") -> bool:
         """Return whether a capacity is large enough for this amount."""
         return (
