Count runs beyond a lowered limit in the grants of other pools

What callers could see: a team's runs exceed its upper limit after the limit was lowered, set for the first time, or removed and set again.

Cause: the stored grant of a pool was capped at the part of the limit that is left, also below what the pool's runs use, so that the other pools saw room that was in use. A team whose limit was absent for a moment was not checked again when the same limit came back.

Why it works: the stored grant is never less than the use; a second amount bounds the starts of the pool itself. A team is checked whenever its limit differs from the one of the confirmed grant, also if it has no limit.

--- a/jujubebarrow/limits/grant_planners.py
+++ b/jujubebarrow/limits/grant_planners.py
@@ -26,11 +26,14 @@
     """Grant that a pool should have.
 
     Attributes:
-        granted: Part of the team's upper limit.
+        granted: Part of the team's upper limit. Never less than what the pool uses,
+            even if the limit has become lower, so that other pools count all its runs.
+        usable: Part up to which the pool may start runs.
         is_waiting: Whether too little is left for each of the requested runs.
     """
 
     granted: Resources
+    usable: Resources
     is_waiting: bool
 
 
@@ -62,15 +65,16 @@
     if not is_waiting:
         for request in requests:
             requested = requested.plus(request.needs.times(request.count))
-    amounts = []
+    granted, usable = [], []
     for total, left, active, extra in zip(
         limit, available, used, requested, strict=True
     ):
         target = active + extra
         if not is_awaited and not is_waiting:
             target = _round_up(total, target, bool(extra))
-        amounts.append(max(0, min(target, left)) if total else 0)
-    return GrantPlan(Resources(*amounts), is_waiting)
+        usable.append(max(0, min(target, left)) if total else 0)
+        granted.append(max(active, usable[-1]) if total else 0)
+    return GrantPlan(Resources(*granted), Resources(*usable), is_waiting)
 
 
 def _round_up(total: int, target: int, has_headroom: bool) -> int:
--- a/jujubebarrow/limits/grant_registries.py
+++ b/jujubebarrow/limits/grant_registries.py
@@ -15,6 +15,7 @@
 
     def __init__(self) -> None:
         self._granted: dict[TeamId, Resources] = {}
+        self._usable: dict[TeamId, Resources] = {}
         self._used: dict[TeamId, Resources] = {}
         self._requests: dict[TeamId, list[GrantRequest]] = {}
         self._limits: dict[TeamId, Resources] = {}
@@ -27,9 +28,22 @@
         """Return whether a team has an upper limit."""
         return any(self._limits.get(team, NO_RESOURCES))
 
-    def set_granted(self, team: TeamId, granted: Resources) -> None:
-        """Record how much of a team's limit is granted to this pool."""
+    def set_granted(
+        self, team: TeamId, granted: Resources, usable: Resources | None = None
+    ) -> None:
+        """Record how much of a team's limit is granted to this pool.
+
+        Args:
+            team: Team with the limit.
+            granted: Stored grant.
+            usable: Part up to which runs may start; None for the whole grant.
+        """
         self._granted[team] = granted
+        self._usable[team] = granted if usable is None else usable
+
+    def usable(self, team: TeamId) -> Resources:
+        """Return up to how much of a team's limit this pool may start runs."""
+        return self._usable.get(team, NO_RESOURCES)
 
     def granted(self, team: TeamId) -> Resources:
         """Return how much of a team's limit is granted to this pool."""
@@ -65,7 +79,7 @@
         if not self.is_limited(team):
             return True
         total = self.used(team).plus(amount)
-        if fits_limit(total, self.granted(team), self._limits[team]):
+        if fits_limit(total, self.usable(team), self._limits[team]):
             return True
         if count:
             self._requests.setdefault(team, []).append(GrantRequest(amount, count))
--- a/jujubebarrow/runtimes/grant_controllers.py
+++ b/jujubebarrow/runtimes/grant_controllers.py
@@ -140,7 +140,7 @@
         )
         overdue.update(
             team
-            for team in self._registry.limited_teams()
+            for team in {*self._confirmed, *self._registry.limited_teams()}
             if self._confirmed.get(team) != self._registry.limit(team)
         )
         return min(sorted(overdue), key=self._failure_counts.__getitem__, default=None)
@@ -190,12 +190,15 @@
         # effect as long as the row has not changed.
         if changed == grants and team in self._confirmed:
             self._confirmed[team] = limit
-            self._registry.set_granted(team, plan.granted)
+            self._registry.set_granted(team, plan.granted, plan.usable)
             return
         # Resources that are being released must not be used while the write is in
         # progress.
-        previous = self._registry.granted(team)
-        self._registry.set_granted(team, _compute_minimum(previous, plan.granted))
+        self._registry.set_granted(
+            team,
+            _compute_minimum(self._registry.granted(team), plan.granted),
+            _compute_minimum(self._registry.usable(team), plan.usable),
+        )
         self._confirmed.pop(team, None)
         self._marked.add(team)
         transaction = Transaction(
@@ -207,7 +210,7 @@
         self._confirmed[team] = limit
         if not plan.is_waiting:
             self._marked.discard(team)
-        self._registry.set_granted(team, plan.granted)
+        self._registry.set_granted(team, plan.granted, plan.usable)
         self._metrics.count("grant_changed")
         if requests and not plan.is_waiting:
             self._on_granted()
