Release an awaited grant of a former owner before other grants are checked

What callers could see: a task waits for seconds after a takeover although no pool uses the team's limit.

Cause: a new owner checked one team after each pass over all requests, and a mark of a waiting pool did not move a team forward whose stored grant the registry does not know yet. A mark that is older than the first revision of the feed is not reported at all.

Change: a stored grant that this owner has not confirmed and does not use counts as a surplus, so that a mark makes it urgent. The other teams are checked one each 0.1 s, in an order that differs from pool to pool, so that all owners together keep within the store's rates after a loss of all power. A mark that a row has lost no longer leads to an endless check.

Tried first: two checks at a time without a pause.

--- a/jujubebarrow/runtimes/grant_controllers.py
+++ b/jujubebarrow/runtimes/grant_controllers.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from collections.abc import Callable
 from uuid import uuid4
+from zlib import crc32
 
 from jujubebarrow.clocks.clocks import Clock
 from jujubebarrow.errors.exceptions import StoreError, TransactionConflictError
@@ -86,6 +87,8 @@
         self._confirmed: dict[TeamId, Resources] = {}
         # Teams for which another pool, or this pool, is marked as waiting.
         self._awaited: set[TeamId] = set()
+        # This pool's grant in the row of a team that was last read or reported.
+        self._stored: dict[TeamId, Resources] = {}
         self._marked: set[TeamId] = set()
         self._release_checks: set[TeamId] = set()
         self._release_checked_at = clock.monotonic()
@@ -98,12 +101,15 @@
         self._watcher.add_listener(self)
         try:
             while True:
-                for team in self._list_urgent():
+                urgent = self._list_urgent()
+                for team in urgent:
                     await self._try_adjust(team)
-                # One team at a time, so that requests need not wait for all of them.
-                team = self._choose_overdue()
-                is_adjusted = team is not None and await self._try_adjust(team)
-                await sleep(0.0 if is_adjusted else UPDATE_PERIOD_SECONDS)
+                # One team each time, so that requests need not wait for all teams, and
+                # owners that start together keep within the rates of the store.
+                overdue = self._choose_overdue(urgent)
+                if overdue is not None:
+                    await self._try_adjust(overdue)
+                await sleep(UPDATE_PERIOD_SECONDS)
         except DisplacedError:
             self._on_superseded()
         finally:
@@ -120,16 +126,25 @@
     def _record_waiting_pools(self, team: TeamId, row: GrantRow) -> None:
         is_awaited = row.is_awaited_by_others(self._pool)
         (self._awaited.add if is_awaited else self._awaited.discard)(team)
+        if self._pool in row.pools:
+            self._stored[team] = row.pools[self._pool].granted
 
     def _list_urgent(self) -> list[TeamId]:
         """Return the teams for which runs wait, here or in another pool."""
         urgent = dict.fromkeys(self._registry.requesting_teams())
         for team in self._awaited:
-            if self._registry.has_surplus(team):
+            if self._registry.has_surplus(team) or self._has_stored_surplus(team):
                 urgent[team] = None
         return list(urgent)
 
-    def _choose_overdue(self) -> TeamId | None:
+    def _has_stored_surplus(self, team: TeamId) -> bool:
+        """Return whether an unconfirmed grant in the store exceeds what runs use."""
+        stored = self._stored.get(team, NO_RESOURCES)
+        return team not in self._confirmed and not stored.fits(
+            self._registry.used(team)
+        )
+
+    def _choose_overdue(self, urgent: list[TeamId]) -> TeamId | None:
         """Return another team whose grant has to be checked, if there is one."""
         now = self._clock.monotonic()
         if now - self._release_checked_at > RELEASE_PERIOD_SECONDS:
@@ -143,10 +158,19 @@
             for team in {*self._confirmed, *self._registry.limited_teams()}
             if self._confirmed.get(team) != self._registry.limit(team)
         )
-        return min(sorted(overdue), key=self._failure_counts.__getitem__, default=None)
+        overdue.difference_update(urgent)
+        # Pools that start together take the teams in different orders, so that they do
+        # not all change the same row.
+        return min(
+            overdue,
+            key=lambda team: (
+                self._failure_counts[team],
+                crc32(f"{self._pool}/{team}".encode()),
+            ),
+            default=None,
+        )
 
-    async def _try_adjust(self, team: TeamId) -> bool:
-        """Adjust the grant of a team; return whether the stored grant is known."""
+    async def _try_adjust(self, team: TeamId) -> None:
         self._release_checks.discard(team)
         for _ in range(CONFLICT_ATTEMPTS):
             try:
@@ -157,11 +181,10 @@
             except StoreError as error:
                 self._metrics.count("grant_failed", "store")
                 self._log_failure(team, str(error))
-                return False
+                return
             else:
                 self._failure_counts.pop(team, None)
-                return True
-        return False
+                return
 
     async def _adjust(self, team: TeamId) -> None:
         key = make_key(TableName.GRANTS, team, GRANT_NAME)
@@ -190,6 +213,8 @@
         # effect as long as the row has not changed.
         if changed == grants and team in self._confirmed:
             self._confirmed[team] = limit
+            if not plan.is_waiting:
+                self._marked.discard(team)
             self._registry.set_granted(team, plan.granted, plan.usable)
             return
         # Resources that are being released must not be used while the write is in
