Request a grant only for a run that a worker has room for

What callers could see: a task waits for seconds for a part of its team's limit that other pools reserve for tasks without a free worker, and constant writes of that team's grants.

Cause: a grant was requested before a worker was chosen. A pool with full workers released the unused part when another pool waited and requested it again in the next plan.

--- a/jujubebarrow/coordinators/planners.py
+++ b/jujubebarrow/coordinators/planners.py
@@ -95,15 +95,23 @@
         run_counts = count_runs_by_worker(step)
         waiting = step.waiting
         for placed_count, index in enumerate(waiting):
+            task = step.tasks[index]
+            worker = choose_worker(step.spec, workers, run_counts, task.avoided_worker)
+            victims = None
+            if worker is None and step.spec.long_running:
+                victims = self._find_preemptible_runs(step, workers, run_counts)
+            if worker is None and victims is None:
+                self._record_wait(job, position, step, WaitReason.WORKER, now)
+                break
+            # A grant is requested only for a run that could start, since the other
+            # pools cannot use what is granted.
             if not self._request_start(job, step, len(waiting) - placed_count):
                 self._record_wait(job, position, step, WaitReason.GRANT, now)
                 break
-            task = step.tasks[index]
-            worker = choose_worker(step.spec, workers, run_counts, task.avoided_worker)
             if worker is None:
                 self._record_wait(job, position, step, WaitReason.WORKER, now)
-                if step.spec.long_running:
-                    self._preempt_runs(step, workers, run_counts)
+                for run in victims or ():
+                    self._state.request_stop(run)
                 break
             run_counts[worker.worker] += 1
             key = TaskKey(job.record.job, *position, index)
@@ -179,15 +187,15 @@
         indexes = step.waiting
         if len(indexes) < len(step.tasks):
             return []
+        chosen = choose_gang(step.spec, len(indexes), workers)
+        if chosen is None:
+            return []
         total = step.spec.needs.times(len(indexes))
         reserved = step.spec.reserved.times(len(indexes))
         count = reserved.count_fitting(self._spare, 1)
         if not self._state.grants.request_start(job.record.team, total, count):
             self._spare = self._spare.minus(reserved.times(count))
             return []
-        chosen = choose_gang(step.spec, len(indexes), workers)
-        if chosen is None:
-            return []
         number = RunNumber(max(task.last_run for task in step.tasks) + 1)
         checkpoint = max(task.checkpoint for task in step.tasks)
         planned = []
@@ -221,13 +229,15 @@
         self._state.mark_changed(job)
         return run
 
-    def _preempt_runs(
+    def _find_preemptible_runs(
         self,
         step: StepState,
         workers: list[WorkerView],
         run_counts: Counter[WorkerId],
-    ) -> None:
-        """Stop runs of finite tasks so that a long-running task fits on their worker.
+    ) -> list[ActiveRun] | None:
+        """Return runs of finite tasks without which a long-running task would fit.
+
+        Returns None if no worker has enough of them.
 
         Chooses the worker on which the fewest runs have to be stopped, and on that
         worker the runs with the least progress.
@@ -242,8 +252,7 @@
             chosen = self._choose_victims(step, worker)
             if chosen is not None and (best is None or len(chosen) < len(best)):
                 best = chosen
-        for run in best or ():
-            self._state.request_stop(run)
+        return best
 
     def _choose_victims(
         self, step: StepState, worker: WorkerView
