Give up a recorded run that was never sent to an unreachable worker

What callers could see: a task does not start for as long as its worker is unreachable and registered, although another worker has room; its resources count as used.

Cause: the run is recorded after its worker has become unresponsive, so no start order is sent, and only runs with a sent start were given up after the lease.

--- a/jujubebarrow/coordinators/pool_coordinators.py
+++ b/jujubebarrow/coordinators/pool_coordinators.py
@@ -177,7 +177,11 @@
             and worker.is_unreachable_after_lease
         ):
             for run in list(worker.runs.values()):
-                if run.is_start_sent or worker.entry is None:
+                if (
+                    run.is_start_sent
+                    or worker.entry is None
+                    or worker.unresponsive_since
+                ):
                     self._expire_run(worker, run, now)
         if worker.entry is None and not worker.runs and worker.is_lease_expired(now):
             del self.state.workers[worker.worker]
