Lend machines again whose maintenance wave is completed

What callers could see: a pool that is short of machines does not get spare ones.

Cause: the machines under maintenance were only replaced while a wave was in progress, so the last machines of a completed wave stayed in the set, and a second wave replaced the set of the first.

Evidence: test_maintained_machines fails without this change (1 move instead of 2).

--- a/jujubebarrow/runtimes/wave_controllers.py
+++ b/jujubebarrow/runtimes/wave_controllers.py
@@ -99,7 +99,7 @@
         self._tokens: dict[tuple[int, MachineId], FenceToken] = {}
         self._claimed_at: dict[tuple[int, MachineId], float] = {}
         self._first_seen_at: dict[tuple[int, MachineId], float] = {}
-        self._machines_under_maintenance: set[MachineId] = set()
+        self._machines_under_maintenance: dict[int, set[MachineId]] = {}
 
     async def run(self) -> None:
         """Execute the requested waves until cancelled."""
@@ -120,18 +120,22 @@
 
     def is_under_maintenance(self, machine: MachineId) -> bool:
         """Return whether a machine is being maintained or drained for maintenance."""
-        return machine in self._machines_under_maintenance
+        return any(
+            machine in machines
+            for machines in self._machines_under_maintenance.values()
+        )
 
     async def _process_wave(self, wave: WaveRequest) -> None:
         await self._refresh_list()
         stored = await self._store.read(wave)
         if stored.record.is_completed:
             self._completed_waves.add(wave.wave)
+            self._machines_under_maintenance.pop(wave.wave, None)
             await self._store.write(wave, stored, stored.record)
             self._log.write("wave_completed", wave=wave.wave)
             return
         machines_by_id = {machine.machine: machine for machine in self._listed}
-        self._machines_under_maintenance = {
+        self._machines_under_maintenance[wave.wave] = {
             name
             for name, maintenance in stored.record.machines.items()
             if maintenance.state
@@ -268,7 +272,8 @@
         record: WaveRecord,
     ) -> None:
         # Added before the write, so that the machine is not moved during the write.
-        self._machines_under_maintenance.add(machine)
+        machines = self._machines_under_maintenance.setdefault(wave.wave, set())
+        machines.add(machine)
         revision = await self._store.write(wave, stored, record)
         key = (wave.wave, machine)
         self._tokens[key] = FenceToken(revision)
--- /dev/null
+++ b/jujubebarrow/tests/test_maintained_machines.py
@@ -0,0 +1,33 @@
+"""Machines whose maintenance is done.
+
+The test guards against a machine that is withheld from other pools after its wave.
+"""
+
+from asyncio import sleep
+
+from jujubebarrow.fleets.wave_requests import WaveRequest
+from jujubebarrow.standins.emulated_workers import TaskBehaviour
+from jujubebarrow.tests.fakes.job_cases import JobCase
+from jujubebarrow.tests.fakes.job_clusters import JobCluster
+from jujubebarrow.workloads.identifiers import MachineId
+
+WAVE_SECONDS = 20.0
+
+
+class MaintainedMachineTest(JobCase):
+    def test_machines_of_a_completed_wave_can_be_lent_again(self) -> None:
+        async def scenario(cluster: JobCluster) -> None:
+            names = (MachineId("m-w2"), MachineId("m-w3"))
+            wave = WaveRequest(
+                wave=7, machines=names, duration=WAVE_SECONDS, max_concurrent=2
+            )
+            cluster.write_wave(wave)
+            await sleep(WAVE_SECONDS)
+            rows = cluster.store.table.read("status//wave/7").rows
+            self.assertTrue((rows[0].value or {})["completed"])
+            for number in range(40):
+                await cluster.submit(number, behaviour=TaskBehaviour(seconds=2.0))
+            await sleep(15.0)
+            self.assertEqual(len(cluster.machines.moves), 2)
+
+        self.run_scenario(scenario, workers=2, standby=2)
