--- a/jujubebarrow/tests/fakes/grant_pools.py
+++ b/jujubebarrow/tests/fakes/grant_pools.py
@@ -69,6 +69,11 @@
         self._stop()
         await self._watcher.close()
 
+    def set_limit(self, limit: Resources) -> None:
+        """Apply another upper limit, also for later owners."""
+        self._limit = limit
+        self.registry.set_limits({self._team: limit})
+
     def _stop(self) -> None:
         for loop in self._loops:
             loop.cancel()
