Keep calls off a path to the store that is known to be down

The owner keeps its lease, since one call in a while comes through a relay.

Causes, all of them timeouts of a path that is known to be down:

- A second after a failed direct call, all calls went directly again, and each of them waited for its timeout of 0.9 s; calls of the owner were the probe.
- An instance whose own direct calls fail tried them for others, too; the caller lost another 0.9 s, and used the same instance again a second later.
- A call that waits for changes of the jobs noticed the failure only after 2.9 s, on the owner and on a relay.

An instance whose path is down rejects calls of others at once, and also those in progress when the path goes down. Calls that wait for changes change over to a relay with the first other call that fails. Relays that have succeeded are preferred, failed ones are left out for 1 s, doubled up to 8 s.

The emulated store's calls for changes now time out as late as real ones do.

--- a/jujubebarrow/platform/main.py
+++ b/jujubebarrow/platform/main.py
@@ -35,6 +35,7 @@
 from jujubebarrow.runtimes.worker_watchers import WorkerWatcher
 from jujubebarrow.stores.read_throttles import ReadThrottle
 from jujubebarrow.stores.relayed_stores import RelayedStore
+from jujubebarrow.stores.stores import Store
 from jujubebarrow.transports.http_relays import HttpRelayClient, RelayHandler
 from jujubebarrow.transports.http_servers import HttpListener, HttpRequestHandler
 
@@ -97,6 +98,7 @@
                 self._log,
                 self._metrics,
             )
+            stack.callback(store.close)
             workers = PlatformWorkers(self._metrics)
             stack.callback(workers.close)
             machines = PlatformMachines(
@@ -129,7 +131,7 @@
                 store.set_peer_addresses,
             )
             await node.open(stack)
-            caller_listener = self._listen(stack, node, direct)
+            caller_listener = self._listen(stack, node, store.peer_call_store)
             self._log.write(
                 "started", instance=settings.instance, incarnation=incarnation
             )
@@ -141,7 +143,7 @@
         self._log.write("stopped", instance=settings.instance)
 
     def _listen(
-        self, stack: AsyncExitStack, node: EntryNode, store: PlatformStore
+        self, stack: AsyncExitStack, node: EntryNode, store: Store
     ) -> HttpListener:
         settings, metrics = self._settings, self._metrics
         host = settings.readiness_address.rsplit(":", 1)[0]
--- a/jujubebarrow/standins/emulated_stores.py
+++ b/jujubebarrow/standins/emulated_stores.py
@@ -71,6 +71,7 @@
         is_rejecting_calls: Whether this client's calls fail at once with status 503.
         unreadable_tables: Tables whose rows and change feeds this client cannot read;
             such reads time out.
+        loss_probability: Probability that a call of this client gets no response.
         failing_prefixes: Prefixes whose reads get no response.
         read_bytes: Encoded size of all rows that this client has received.
         read_prefixes: Prefix of each read of rows, in the order of the requests.
@@ -83,6 +84,7 @@
         self._shared = shared
         self.is_disconnected = False
         self.is_rejecting_calls = False
+        self.loss_probability = 0.0
         self.unreadable_tables: set[str] = set()
         self.failing_prefixes: set[str] = set()
         self.read_bytes = 0
@@ -95,12 +97,20 @@
         )
         return rows
 
-    async def _deliver_request(self) -> None:
+    def _is_lost(self) -> bool:
+        if self.is_disconnected or self._shared.is_down:
+            return True
+        return (
+            self.loss_probability > 0.0
+            and self._shared.random.random() < self.loss_probability
+        )
+
+    async def _deliver_request(self, wait: float = 0.0) -> None:
         await sleep(ONE_WAY_DELAY_SECONDS + self._shared.extra_delay_seconds)
         if self.is_rejecting_calls:
             raise StoreError("status 503", False)
-        if self.is_disconnected or self._shared.is_down:
-            await sleep(RESPONSE_TIMEOUT_SECONDS)
+        if self._is_lost():
+            await sleep(RESPONSE_TIMEOUT_SECONDS + wait)
             raise StoreError("no answer", True)
 
     async def try_commit(self, transaction: Transaction) -> CommitResult:
@@ -158,7 +168,8 @@
             HistoryLostError: The store no longer has all changes since that revision.
             StoreError: The store was unreachable or rejected the call.
         """
-        await self._deliver_request()
+        timeout_at = get_running_loop().time() + RESPONSE_TIMEOUT_SECONDS + wait
+        await self._deliver_request(wait)
         await self._check_readable(prefix)
         if since < self._shared.oldest_readable_revision:
             raise HistoryLostError(prefix)
@@ -167,7 +178,7 @@
         if truncation_count != self._shared.history_truncation_count:
             raise HistoryLostError(prefix)
         if self.is_disconnected or self._shared.is_down:
-            await sleep(RESPONSE_TIMEOUT_SECONDS)
+            await sleep(timeout_at - get_running_loop().time())
             raise StoreError("no answer", True)
         await sleep(ONE_WAY_DELAY_SECONDS)
         return self._count_bytes(rows)
--- /dev/null
+++ b/jujubebarrow/stores/relay_selectors.py
@@ -0,0 +1,61 @@
+"""Chooses the instances that relay calls to the store."""
+
+from random import Random
+
+from jujubebarrow.clocks.clocks import Clock
+
+BACKOFF_SECONDS = 1.0
+"""Time after a failed relayed call in which the same instance is not used again;
+doubles with each further failure."""
+LONGEST_BACKOFF_SECONDS = 8.0
+PROVEN_COUNT = 4
+"""Number of instances with a successful call from which on no others are tried first;
+several, since relayed calls take room on the links of those instances."""
+
+
+class RelaySelector:
+    """Remembers which instances have relayed calls and which have failed to.
+
+    Args:
+        random: Random generator that spreads calls over the instances.
+        clock: Time source for the backoff times.
+    """
+
+    def __init__(self, random: Random, clock: Clock):
+        self._random = random
+        self._clock = clock
+        self._proven: set[str] = set()
+        # Number of failures in a row of each instance, and when it may be used again.
+        self._failures: dict[str, tuple[int, float]] = {}
+
+    def choose(self, addresses: list[str], limit: int) -> list[str]:
+        """Return instances to try one after the other.
+
+        Args:
+            addresses: Addresses of the live instances.
+            limit: Limit on the returned instances.
+        """
+        now = self._clock.monotonic()
+        candidates = [
+            address
+            for address in addresses
+            if now >= self._failures.get(address, (0, now))[1]
+        ]
+        self._random.shuffle(candidates)
+        proven = [address for address in candidates if address in self._proven]
+        if len(proven) >= PROVEN_COUNT:
+            others = [address for address in candidates if address not in self._proven]
+            candidates = proven + others
+        return candidates[:limit]
+
+    def record_success(self, address: str) -> None:
+        """Record a call that an instance has relayed."""
+        self._proven.add(address)
+        self._failures.pop(address, None)
+
+    def record_failure(self, address: str) -> None:
+        """Record a call that an instance has failed to relay."""
+        self._proven.discard(address)
+        count = self._failures.get(address, (0, 0.0))[0] + 1
+        seconds = min(BACKOFF_SECONDS * 2 ** (count - 1), LONGEST_BACKOFF_SECONDS)
+        self._failures[address] = (count, self._clock.monotonic() + seconds)
--- a/jujubebarrow/stores/relayed_stores.py
+++ b/jujubebarrow/stores/relayed_stores.py
@@ -7,6 +7,7 @@
 """
 
 from abc import ABC, abstractmethod
+from asyncio import Task, create_task
 from collections.abc import Awaitable, Callable
 from random import Random
 from typing import Any, TypeVar
@@ -20,8 +21,11 @@
 from jujubebarrow.logs.decision_logs import DecisionLog
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.stores.commit_results import CommitResult
+from jujubebarrow.stores.direct_paths import DirectPath
 from jujubebarrow.stores.instance_lists import InstanceList
 from jujubebarrow.stores.paged_readers import PagedReader
+from jujubebarrow.stores.path_races import run_until_down
+from jujubebarrow.stores.peer_call_stores import PeerCallStore
 from jujubebarrow.stores.read_throttles import ReadThrottle
 from jujubebarrow.stores.relay_messages import (
     CHANGES,
@@ -33,18 +37,21 @@
     encode_call,
     encode_commit,
 )
+from jujubebarrow.stores.relay_selectors import RelaySelector
+from jujubebarrow.stores.row_keys import TableName, make_key
 from jujubebarrow.stores.row_pages import RowPage
 from jujubebarrow.stores.rows import RowSet
 from jujubebarrow.stores.stores import Store
 from jujubebarrow.stores.transactions import Transaction
 
-DIRECT_BACKOFF_SECONDS = 1.0
-"""Time after a failed direct call in which no further direct call is tried while
-another instance can relay."""
-RELAY_BACKOFF_SECONDS = 1.0
-"""Time after a failed relayed call in which the same instance is not used again."""
-RELAY_ATTEMPTS = 2
-"""Limit on the instances that are tried for one read-only call."""
+RELAY_ATTEMPTS = 3
+"""Limit on the instances that are tried for one call; an instance whose own path to the
+store is down rejects the call at once."""
+RELAYED_WAIT_SECONDS = 0.5
+"""Limit on the time that the store may delay a relayed response, since the relay may
+fail in the meantime."""
+PROBE_PREFIX = make_key(TableName.CONTROL, "", "probe")
+"""Key that is read to probe the direct path; the row need not exist."""
 
 Result = TypeVar("Result")
 
@@ -100,55 +107,92 @@
         self._reader = PagedReader(
             lambda prefix, start: self.read_page(prefix, start, 0), metrics
         )
-        self._random = random
         self._clock = clock
         self._log = log
-        self._direct_retry_at = float("-inf")
-        self._relay_retry_at: dict[str, float] = {}
-        self._is_relaying = False
+        self._path = DirectPath(clock)
+        self._selector = RelaySelector(random, clock)
+        self._probe_task: Task[None] | None = None
         self._peer_addresses: list[str] = []
+        self._peer_call_store = PeerCallStore(direct, self._path, metrics)
+
+    @property
+    def peer_call_store(self) -> Store:
+        """Client that executes the calls of other instances, which are not relayed."""
+        return self._peer_call_store
+
+    def close(self) -> None:
+        """Stop probing the direct path."""
+        if self._probe_task is not None:
+            self._probe_task.cancel()
 
     def set_peer_addresses(self, addresses: list[str]) -> None:
         """Set the addresses of the other live instances, which may relay calls."""
         self._peer_addresses = addresses
 
     def _choose_relays(self) -> list[str]:
-        """Return instances that may relay a call; none if a direct call is due."""
-        now = self._clock.monotonic()
-        if now >= self._direct_retry_at:
+        """Return instances that may relay a call; none while the path is up."""
+        if not self._path.is_down:
             return []
-        candidates = [
-            address
-            for address in self._peer_addresses
-            if now >= self._relay_retry_at.get(address, float("-inf"))
-        ]
-        self._random.shuffle(candidates)
-        return candidates[:RELAY_ATTEMPTS]
-
-    def _record_direct_result(self, error: StoreError | None) -> None:
-        if error is not None:
-            self._direct_retry_at = self._clock.monotonic() + DIRECT_BACKOFF_SECONDS
-        if self._is_relaying == (error is not None):
-            return
-        self._is_relaying = error is not None
-        self._log.write(
-            "store_relayed" if error is not None else "store_direct",
-            detail=str(error) if error is not None else "",
-            instances=len(self._peer_addresses),
-        )
+        if self._path.is_probe_due and self._probe_task is None:
+            self._probe_task = create_task(self._probe())
+        return self._selector.choose(self._peer_addresses, RELAY_ATTEMPTS)
+
+    async def _probe(self) -> None:
+        # Calls of this instance take the relays meanwhile, so that none waits for the
+        # timeout of a path that is still down.
+        sent_at = self._clock.monotonic()
+        try:
+            await self._direct.read(PROBE_PREFIX)
+        except SlowResponseError:
+            self._record_success(sent_at)
+        except StoreError as error:
+            self._record_failure(error)
+        else:
+            self._record_success(sent_at)
+        finally:
+            self._probe_task = None
+
+    def _record_failure(self, error: StoreError) -> None:
+        if self._path.record_failure():
+            self._log.write(
+                "store_relayed",
+                detail=str(error),
+                instances=len(self._peer_addresses),
+            )
+
+    def _record_success(self, sent_at: float) -> None:
+        if self._path.record_success(sent_at):
+            self._log.write(
+                "store_direct", detail="", instances=len(self._peer_addresses)
+            )
+
+    async def _call_direct(self, call: Callable[[], Awaitable[Result]]) -> Result:
+        sent_at = self._clock.monotonic()
+        try:
+            result = await call()
+        except (HistoryLostError, SlowResponseError):
+            # The store is reachable.
+            self._record_success(sent_at)
+            raise
+        except StoreError as error:
+            self._record_failure(error)
+            raise
+        self._record_success(sent_at)
+        return result
 
     async def _call_relay(self, address: str, body: bytes, wait: float = 0.0) -> Any:
         self._metrics.count("store_relay")
         try:
-            return await self._relay.call(address, body, wait)
+            result = await self._relay.call(address, body, wait)
         except (HistoryLostError, SlowResponseError):
+            self._selector.record_success(address)
             raise
         except StoreError:
             self._metrics.count("store_relay_failed")
-            self._relay_retry_at[address] = (
-                self._clock.monotonic() + RELAY_BACKOFF_SECONDS
-            )
+            self._selector.record_failure(address)
             raise
+        self._selector.record_success(address)
+        return result
 
     async def _call_readonly(
         self,
@@ -162,7 +206,16 @@
         async def call_relay(address: str) -> Result:
             return decode(await self._call_relay(address, body, wait))
 
-        return await self._choose_route(call_relay, call_direct)
+        if not wait or self._path.is_down:
+            return await self._choose_route(
+                call_relay, lambda: self._call_direct(call_direct)
+            )
+        # The timeout of a call that waits for changes is several times that of others.
+        call = self._call_direct(call_direct)
+        async with run_until_down(call, self._path) as direct_task:
+            if direct_task.done():
+                return await direct_task
+            return await self._choose_route(call_relay, lambda: direct_task)
 
     async def _choose_route(
         self,
@@ -177,33 +230,19 @@
             except StoreError:
                 # The next instance or the direct call may still succeed.
                 self._metrics.count("retry", "relay")
-        try:
-            result = await call_direct()
-        except (HistoryLostError, SlowResponseError):
-            # The store is reachable.
-            raise
-        except StoreError as error:
-            self._record_direct_result(error)
-            raise
-        self._record_direct_result(None)
-        return result
+        return await call_direct()
 
     async def try_commit(self, transaction: Transaction) -> CommitResult:
         """Send a transaction once and return the result."""
-        relays = self._choose_relays()
-        if relays:
-            return decode_commit(
-                await self._call_relay(relays[0], encode_commit(transaction))
-            )
-        try:
-            result = await self._direct.try_commit(transaction)
-        except SlowResponseError:
-            raise
-        except StoreError as error:
-            self._record_direct_result(error)
-            raise
-        self._record_direct_result(None)
-        return result
+        for address in self._choose_relays():
+            body = encode_commit(transaction)
+            try:
+                return decode_commit(await self._call_relay(address, body))
+            except StoreError as error:
+                if error.may_have_applied:
+                    raise
+                self._metrics.count("retry", "relay")
+        return await self._call_direct(lambda: self._direct.try_commit(transaction))
 
     async def read(self, prefix: str, limit: int = 0) -> RowSet:
         """Return the rows whose key starts with a prefix."""
@@ -219,15 +258,19 @@
 
             return await self._throttle.read_page(prefix, start, limit, fetch)
 
+        async def call_direct() -> RowPage:
+            return await self._direct.read_page(prefix, start, limit)
+
         return await self._choose_route(
-            call_relay, lambda: self._direct.read_page(prefix, start, limit)
+            call_relay, lambda: self._call_direct(call_direct)
         )
 
     async def read_changes(self, prefix: str, since: int, wait: float) -> RowSet:
         """Return rows changed after a revision; wait up to ``wait`` seconds for one."""
+        relayed_wait = min(wait, RELAYED_WAIT_SECONDS)
         return await self._call_readonly(
-            encode_call(CHANGES, prefix=prefix, since=since, wait=wait),
-            wait,
+            encode_call(CHANGES, prefix=prefix, since=since, wait=relayed_wait),
+            relayed_wait,
             lambda: self._direct.read_changes(prefix, since, wait),
             decode_rows,
         )
--- a/jujubebarrow/tests/fakes/job_clusters.py
+++ b/jujubebarrow/tests/fakes/job_clusters.py
@@ -72,7 +72,8 @@
         for other in self._cluster.instances:
             if other.name == address and other.node is not None:
                 if not self._instance.is_isolated and not other.is_isolated:
-                    return decode_response(await execute_call(body, other.store))
+                    store = other.relayed.peer_call_store
+                    return decode_response(await execute_call(body, store))
         await sleep(1.0)
         raise StoreError("instance unreachable", True)
 
@@ -96,8 +97,8 @@
         cluster.logs.append(self.log)
         self.store = EmulatedStore(cluster.store, self.metrics)
         self.gateway = EmulatedGateway(cluster.workers, cluster.random)
-        clock = LoopClock(get_running_loop())
-        relayed = RelayedStore(
+        clock = self.clock = LoopClock(get_running_loop())
+        relayed = self.relayed = RelayedStore(
             self.store,
             FakeRelay(cluster, self),
             ReadThrottle(LINK_MBPS, self.metrics),
@@ -151,6 +152,7 @@
             self.store.is_disconnected = True
             self.gateway.is_disconnected = True
             self.is_isolated = True
+            self.relayed.close()
             await node.close()
             await self._stack.aclose()
 
--- a/jujubebarrow/transports/http_relays.py
+++ b/jujubebarrow/transports/http_relays.py
@@ -17,8 +17,9 @@
 from jujubebarrow.transports.http_clients import HttpCallError, HttpClient
 from jujubebarrow.transports.http_servers import HttpRequestHandler, ServerResponse
 
-CONNECTION_LIMIT = 16
-"""Limit on parallel calls; a few calls wait for changes, the rest are commits."""
+CONNECTION_LIMIT = 40
+"""Limit on parallel calls; as many as of direct calls, since relays carry all of them
+while the direct path is down."""
 TIMEOUT_SECONDS = 1.2
 """Timeout of a call, slightly longer than the store timeout of the other instance."""
 
