Release pools whose owner stores no progress or polls only now and then

Seen by callers: jobs of a pool aren't started for as long as its owner's lease is renewed, although the owner's transactions get no outcome.

Causes: an owner counted as serving when it had loaded the pool, heard of new jobs and reached a worker; whether its transactions were stored was not looked at. And each failed poll of the owners restarted the time without service, since no instance may have reached the store meanwhile.

Heartbeats contain the number of renewals of their lease. The median of the other instances, not the own clock, measures the time in which a pool could have been served: it stands still while the store is unavailable to all, and goes on while it is only unavailable to the owner. A second of service makes up for half a second without. The limit still doubles with each release.

duty_unserved tells why a pool is released.

Evidence: test_pool_whose_owner_stores_no_progress_gets_another_owner and test_failed_polls_of_an_owner_do_not_extend_its_time_without_service failed before: the job wasn't completed within 30 s. test_transactions_that_no_owner_can_store_move_a_pool_ever_more_rarely passed before, too; it guards against pools that move to and fro.

--- a/jujubebarrow/ownerships/ownership_rows.py
+++ b/jujubebarrow/ownerships/ownership_rows.py
@@ -25,6 +25,7 @@
         zone: Availability zone of the instance; empty if unknown.
         pool_capacity: Number of busy pools that the instance can own at a time; may be
             a fraction.
+        renewal_count: Number of renewals of the lease by this run of the process.
     """
 
     instance: InstanceId
@@ -34,6 +35,7 @@
     revision: int
     zone: ZoneId = UNKNOWN_ZONE
     pool_capacity: float = DEFAULT_POOL_CAPACITY
+    renewal_count: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/jujubebarrow/ownerships/service_gaps.py
+++ b/jujubebarrow/ownerships/service_gaps.py
@@ -3,34 +3,40 @@
 from jujubebarrow.ownerships.ownership_rows import DutyId
 
 SERVICE_GAP_LIMIT_SECONDS = 6.0
-"""Seconds without service, with the store in reach, after which a duty is released;
-several times the duration of a takeover with a slow store. Doubled with each release,
-since the state may take longer to load on any instance."""
+"""Seconds without service, in which others reached the store, after which a duty is
+released; several times the duration of a takeover with a slow store. Doubled with each
+release, since the state may take longer to load on any instance."""
+RECOVERY_FACTOR = 0.5
+"""Seconds without service that a second of service makes up for, so that an owner that
+serves only now and then does not keep a duty."""
 
 
 class ServiceGaps:
-    """Tracks since when each owned duty is not served."""
+    """Adds up how long each owned duty is not served."""
 
     def __init__(self) -> None:
-        # Time at which each duty was last served, or could first have been.
-        self._served_at: dict[DutyId, float] = {}
+        self._gaps: dict[DutyId, float] = {}
         self._limits: dict[DutyId, float] = {}
 
-    def record_served(self, duty: DutyId, now: float) -> None:
-        """Record that a duty is served, or has just been claimed."""
-        self._served_at[duty] = now
-
-    def restart(self, now: float) -> None:
-        """Leave out the time up to now, in which no instance could have served."""
-        self._served_at = dict.fromkeys(self._served_at, now)
+    def start(self, duty: DutyId) -> None:
+        """Start tracking a duty that has just been claimed."""
+        self._gaps[duty] = 0.0
 
     def remove(self, duty: DutyId) -> None:
         """Stop tracking a duty that is no longer owned."""
-        self._served_at.pop(duty, None)
+        self._gaps.pop(duty, None)
+
+    def add_service(self, duty: DutyId, seconds: float) -> None:
+        """Record that a duty was served for some time."""
+        self._gaps[duty] = max(0.0, self._gaps[duty] - seconds * RECOVERY_FACTOR)
+
+    def add_gap(self, duty: DutyId, seconds: float) -> None:
+        """Record that a duty was not served while other instances reached the store."""
+        self._gaps[duty] += seconds
 
-    def is_overdue(self, duty: DutyId, now: float) -> bool:
+    def is_overdue(self, duty: DutyId) -> bool:
         """Return whether a duty has not been served for too long."""
-        return now - self._served_at[duty] > self._find_limit(duty)
+        return self._gaps[duty] > self._find_limit(duty)
 
     def record_release(self, duty: DutyId) -> None:
         """Double the limit for the next time that this instance owns a duty."""
--- a/jujubebarrow/runtimes/duty_listeners.py
+++ b/jujubebarrow/runtimes/duty_listeners.py
@@ -3,6 +3,7 @@
 from abc import ABC, abstractmethod
 
 from jujubebarrow.ownerships.ownership_rows import DutyId
+from jujubebarrow.ownerships.service_obstacles import ServiceObstacle
 from jujubebarrow.workloads.identifiers import FenceToken
 
 
@@ -22,8 +23,8 @@
         """Return whether this instance is serving a duty."""
 
     @abstractmethod
-    def is_able_to_serve(self, duty: DutyId) -> bool:
-        """Return whether this instance has and reaches all that a duty needs."""
+    def find_obstacle(self, duty: DutyId) -> ServiceObstacle | None:
+        """Return why this instance cannot serve a duty in time; None if it can."""
 
     @abstractmethod
     def on_peers_changed(self, addresses: list[str]) -> None:
--- a/jujubebarrow/runtimes/entry_nodes.py
+++ b/jujubebarrow/runtimes/entry_nodes.py
@@ -21,6 +21,7 @@
     DutyId,
     InstanceRow,
 )
+from jujubebarrow.ownerships.service_obstacles import ServiceObstacle
 from jujubebarrow.runtimes.advice_controllers import AdviceController
 from jujubebarrow.runtimes.duty_listeners import DutyListener
 from jujubebarrow.runtimes.fleet_sources import FleetSource
@@ -182,16 +183,14 @@
         owner = self._owners.get(PoolId(duty))
         return owner is not None and not owner.is_closed
 
-    def is_able_to_serve(self, duty: DutyId) -> bool:
-        """Return whether a pool's owner is loaded and hears of new jobs and workers."""
+    def find_obstacle(self, duty: DutyId) -> ServiceObstacle | None:
+        """Return why the owner of a pool cannot serve it in time; None if it can."""
         owner = self._owners.get(PoolId(duty))
-        has_jobs = self._job_watcher.read_store_time() is not None
-        return (
-            owner is not None
-            and owner.is_running
-            and owner.reaches_workers
-            and has_jobs
-        )
+        if owner is None or not owner.is_running:
+            return ServiceObstacle.NOT_LOADED
+        if self._job_watcher.read_store_time() is None:
+            return ServiceObstacle.FEED_LATE
+        return owner.health.find_obstacle()
 
     def on_peers_changed(self, addresses: list[str]) -> None:
         """Forward the addresses of the other live instances."""
--- a/jujubebarrow/runtimes/heartbeat_watchers.py
+++ b/jujubebarrow/runtimes/heartbeat_watchers.py
@@ -47,6 +47,7 @@
         "address": row.address,
         "zone": row.zone,
         "pools": row.pool_capacity,
+        "renewals": row.renewal_count,
     }
 
 
@@ -61,6 +62,7 @@
         row.revision,
         ZoneId(value.get("zone", UNKNOWN_ZONE)),
         value.get("pools", DEFAULT_POOL_CAPACITY),
+        value.get("renewals", 0),
     )
 
 
--- a/jujubebarrow/runtimes/ownership_services.py
+++ b/jujubebarrow/runtimes/ownership_services.py
@@ -15,6 +15,7 @@
 from jujubebarrow.ownerships.claim_planners import ClaimPlanner
 from jujubebarrow.ownerships.lease_observers import LeaseObserver
 from jujubebarrow.ownerships.ownership_rows import DutyId, DutyRow, InstanceRow
+from jujubebarrow.ownerships.peer_progresses import PeerProgress
 from jujubebarrow.ownerships.service_gaps import ServiceGaps
 from jujubebarrow.runtimes.duty_listeners import DutyListener
 from jujubebarrow.runtimes.heartbeat_watchers import (
@@ -87,6 +88,10 @@
         self._duty_rows: dict[DutyId, DutyRow] = {}
         self._owned_duties: dict[DutyId, FenceToken] = {}
         self._gaps = ServiceGaps()
+        self._peer_progress = PeerProgress(
+            identity.instance, self._observer, RENEW_PERIOD_SECONDS
+        )
+        self._renewal_count = 0
         self._may_claim_from = float("-inf")
         self._heartbeat_revision: int | None = None
         self._lease_valid_until = float("-inf")
@@ -177,7 +182,13 @@
         return make_heartbeat_key(self._instance)
 
     def _make_heartbeat(self) -> dict[str, Any]:
-        return make_heartbeat(replace(self._identity, is_stopping=self._is_stopping))
+        return make_heartbeat(
+            replace(
+                self._identity,
+                is_stopping=self._is_stopping,
+                renewal_count=self._renewal_count,
+            )
+        )
 
     async def _renew(self) -> None:
         if self._is_stopping:
@@ -203,6 +214,7 @@
             self._metrics.count("heartbeat_conflict")
             return
         now = self._clock.monotonic()
+        self._renewal_count += 1
         if float("-inf") < self._lease_valid_until < now:
             self._may_claim_from = now + RECOVERY_SECONDS
         self._lease_valid_until = max(self._lease_valid_until, sent_at + LEASE_SECONDS)
@@ -230,9 +242,9 @@
             found = await self._store.read(make_key(TableName.CONTROL, "", ""))
         except StoreError as error:
             self._record_failure("owners_unread", str(error))
-            self._gaps.restart(self._clock.monotonic())
             return
         now = self._clock.monotonic()
+        serviceable_seconds = self._peer_progress.measure(now)
         self._apply_rows(found.rows)
         for duty in list(self._owned_duties):
             row = self._duty_rows.get(duty)
@@ -241,10 +253,9 @@
         if self._is_stopping or now < self._started_at + SETTLE_SECONDS:
             return
         if now > self._lease_valid_until:
-            self._gaps.restart(now)
             return
         await self._reclaim_unserved()
-        await self._release_unserved(now)
+        await self._release_unserved(now, serviceable_seconds)
         if now < self._may_claim_from:
             return
         for duty in self._planner.choose(self.duties, self._duty_rows, now):
@@ -273,23 +284,31 @@
             self._metrics.count("duty_taken_up")
             await self._claim(duty)
 
-    async def _release_unserved(self, now: float) -> None:
+    async def _release_unserved(self, now: float, seconds: float) -> None:
         """Release duties that this instance owns but fails to serve.
 
         Another instance may have a better link to the store or to the workers.
+
+        Args:
+            now: Monotonic time in seconds.
+            seconds: Time since the last poll in which other instances could serve.
         """
-        overdue = []
+        overdue = {}
         for duty in self._owned_duties:
-            if self._listener.is_able_to_serve(duty):
-                self._gaps.record_served(duty, now)
-            elif self._gaps.is_overdue(duty, now):
-                overdue.append(duty)
+            obstacle = self._listener.find_obstacle(duty)
+            if obstacle is None:
+                self._gaps.add_service(duty, seconds)
+                continue
+            self._gaps.add_gap(duty, seconds)
+            if self._gaps.is_overdue(duty):
+                overdue[duty] = obstacle
         if not overdue or not self._planner.has_successor(now):
             return
-        for duty in overdue:
+        for duty, obstacle in overdue.items():
+            self._log.write("duty_unserved", duty=duty, obstacle=obstacle.value)
             self._planner.abstain(duty, now)
             self._gaps.record_release(duty)
-        await self._release(overdue, "not served")
+        await self._release(list(overdue), "not served")
 
     def _apply_rows(self, rows: list[Row]) -> None:
         self._duty_rows = {}
@@ -320,7 +339,7 @@
             duty, self._instance, self._incarnation, revision
         )
         self._owned_duties[duty] = token
-        self._gaps.record_served(duty, self._clock.monotonic())
+        self._gaps.start(duty)
         silence_seconds = None
         if row and row.holder:
             silence_seconds = round(
--- a/jujubebarrow/runtimes/pool_owners.py
+++ b/jujubebarrow/runtimes/pool_owners.py
@@ -23,6 +23,7 @@
 from jujubebarrow.runtimes.move_controllers import MoveController
 from jujubebarrow.runtimes.order_senders import OrderSender
 from jujubebarrow.runtimes.owned_tasks import OwnedTasks
+from jujubebarrow.runtimes.owner_healths import OwnerHealth
 from jujubebarrow.runtimes.owner_hooks import OwnerHooks
 from jujubebarrow.runtimes.ownership_services import OwnershipService
 from jujubebarrow.runtimes.pool_loaders import PoolLoader
@@ -75,6 +76,7 @@
     Attributes:
         pool: Id of the owned pool.
         coordinator: Makes the scheduling decisions of the pool.
+        health: Tells why the loaded pool is not served in time.
     """
 
     def __init__(
@@ -137,6 +139,7 @@
             log,
             metrics,
         )
+        self.health = OwnerHealth(self.coordinator, self._writer)
         self._loader = PoolLoader(
             pool, self.coordinator, self._writer, store, clock, metrics
         )
@@ -197,18 +200,6 @@
         """Whether the pool's jobs are loaded and the owner has not stopped."""
         return self._is_loaded and not self._is_closed
 
-    @property
-    def reaches_workers(self) -> bool:
-        """Whether any registered worker responds, or none is registered."""
-        registered = [
-            worker
-            for worker in self.coordinator.state.workers.values()
-            if worker.entry is not None
-        ]
-        return not registered or any(
-            not worker.unresponsive_since for worker in registered
-        )
-
     def apply_fleet(self, fleet: FleetMap) -> None:
         """Apply the teams' upper limits and the queues' advice options."""
         limits = {team: spec.limit for team, spec in fleet.teams.items()}
--- a/jujubebarrow/runtimes/progress_writers.py
+++ b/jujubebarrow/runtimes/progress_writers.py
@@ -90,11 +90,19 @@
         self._metrics = metrics
         self._fences: dict[QueueId, int] = {}
         self._queues_in_transaction: set[QueueId] = set()
+        # Time at which each transaction without an outcome was first sent.
+        self._sent_at: dict[QueueId, float] = {}
 
     def has_fence(self, queue: QueueId) -> bool:
         """Return whether this owner has acquired the fence of a queue."""
         return queue in self._fences
 
+    @property
+    def unanswered_seconds(self) -> float:
+        """Longest time for which a transaction has had no outcome."""
+        now = self._clock.monotonic()
+        return max((now - at for at in self._sent_at.values()), default=0.0)
+
     async def acquire_fence(self, queue: QueueId) -> None:
         """Acquire the fence of a queue, which stops all writes by earlier owners.
 
@@ -196,18 +204,28 @@
             writes=writes | report | {fence: {"token": self._token}},
             nonce=uuid4().hex,
         )
+        self._sent_at[queue] = counted_at
+        try:
+            conflicts = await self._commit_until_answered(queue, transaction)
+        finally:
+            del self._sent_at[queue]
+        if fence in conflicts:
+            self._log.write(
+                "fence_lost", pool=self._pool, queue=queue, token=self._token
+            )
+            raise DisplacedError
+        if report and not conflicts:
+            self._reports.record_stored(queue, counted_at)
+        return conflicts
+
+    async def _commit_until_answered(
+        self, queue: QueueId, transaction: Transaction
+    ) -> list[str]:
         while True:
             try:
                 self._fences[queue] = await self._store.commit(transaction)
-                if report:
-                    self._reports.record_stored(queue, counted_at)
                 return []
             except TransactionConflictError as error:
-                if fence in error.keys:
-                    self._log.write(
-                        "fence_lost", pool=self._pool, queue=queue, token=self._token
-                    )
-                    raise DisplacedError from error
                 return error.keys
             except StoreError as error:
                 self._metrics.count("retry", "progress")
--- a/jujubebarrow/standins/emulated_stores.py
+++ b/jujubebarrow/standins/emulated_stores.py
@@ -72,6 +72,8 @@
         unreadable_tables: Tables whose rows and change feeds this client cannot read;
             such reads time out.
         loss_probability: Probability that a call of this client gets no response.
+        unwritable_tables: Tables to which this client cannot write; such transactions
+            time out.
         failing_prefixes: Prefixes whose reads get no response.
         read_bytes: Encoded size of all rows that this client has received.
         read_prefixes: Prefix of each read of rows, in the order of the requests.
@@ -86,6 +88,7 @@
         self.is_rejecting_calls = False
         self.loss_probability = 0.0
         self.unreadable_tables: set[str] = set()
+        self.unwritable_tables: set[str] = set()
         self.failing_prefixes: set[str] = set()
         self.read_bytes = 0
         self.read_prefixes: list[str] = []
@@ -121,6 +124,10 @@
                 was lost.
         """
         await self._deliver_request()
+        tables = {RowKey.parse(key).table for key in transaction.writes}
+        if not self.unwritable_tables.isdisjoint(tables):
+            await sleep(RESPONSE_TIMEOUT_SECONDS)
+            raise StoreError("no answer", True)
         shared = self._shared
         draw = shared.random.random()
         if draw < shared.late_write_probability:
--- a/jujubebarrow/tests/test_ownership_gaps.py
+++ b/jujubebarrow/tests/test_ownership_gaps.py
@@ -146,6 +146,63 @@
 
         self.run_scenario(scenario)
 
+    def test_pool_whose_owner_stores_no_progress_gets_another_owner(self) -> None:
+        async def scenario(cluster: JobCluster) -> None:
+            owner = _find_owner(cluster)
+            owner.store.unwritable_tables = {TableName.PROGRESS.value}
+            owner.is_isolated = True
+            other = _find_other_number(cluster, owner)
+            job = await cluster.submit(1, instance=other)
+            self.assertTrue(
+                await cluster.wait_for_phase(job, "completed", 30.0, instance=other)
+            )
+
+        self.run_scenario(scenario)
+
+    def test_failed_polls_of_an_owner_do_not_extend_its_time_without_service(
+        self,
+    ) -> None:
+        read = EmulatedStore.read
+
+        async def scenario(cluster: JobCluster) -> None:
+            owner = _find_owner(cluster)
+            owner.store.unreadable_tables = {TableName.JOBS.value}
+            owner.is_isolated = True
+            poll_count = 0
+
+            async def fail_every_second_poll(
+                store: EmulatedStore, prefix: str, limit: int = 0
+            ) -> RowSet:
+                nonlocal poll_count
+                if store is owner.store and prefix == "control//":
+                    poll_count += 1
+                    if poll_count % 2:
+                        raise StoreError("status 503", False)
+                return await read(store, prefix, limit)
+
+            other = _find_other_number(cluster, owner)
+            with patch.object(EmulatedStore, "read", fail_every_second_poll):
+                job = await cluster.submit(1, instance=other)
+                self.assertTrue(
+                    await cluster.wait_for_phase(job, "completed", 30.0, instance=other)
+                )
+
+        self.run_scenario(scenario)
+
+    def test_transactions_that_no_owner_can_store_move_a_pool_ever_more_rarely(
+        self,
+    ) -> None:
+        async def scenario(cluster: JobCluster) -> None:
+            for instance in cluster.instances:
+                instance.store.unwritable_tables = {TableName.PROGRESS.value}
+            await cluster.submit(1)
+            claim_count = sum(map(_count_claims, cluster.instances))
+            await sleep(60.0)
+            moves = sum(map(_count_claims, cluster.instances)) - claim_count
+            self.assertLessEqual(moves, 6)
+
+        self.run_scenario(scenario)
+
     def test_pool_whose_owner_reaches_no_worker_gets_another_owner(self) -> None:
         async def scenario(cluster: JobCluster) -> None:
             owner = _find_owner(cluster)
