--- a/jujubebarrow/stores/relay_selectors.py
+++ b/jujubebarrow/stores/relay_selectors.py
@@ -8,9 +8,9 @@
 """Time after a failed relayed call in which the same instance is not used again;
 doubles with each further failure."""
 LONGEST_BACKOFF_SECONDS = 8.0
-PROVEN_COUNT = 4
+PROVEN_COUNT = 8
 """Number of instances with a successful call from which on no others are tried first;
-several, since relayed calls take room on the links of those instances."""
+large enough that the calls of a busy owner take little room on each one's link."""
 
 
 class RelaySelector:
