Set the time of progress whenever a run is confirmed

Cause: progressed_at is 0 before the start is acknowledged. A list of the worker that comes before the acknowledgement, for instance because the response to the start is lost, confirmed the run without setting it, and the stall detector took the 0 for a moment. Both ways to become CONFIRMED now call ActiveRun.confirm, which sets the time. An inherited run is measured from its confirmation too, no longer from its load, since nothing is known about its progress before.

The same elsewhere: last_failure_at 0 made a worker without any failure count as unreachable if a recorded lease ended before the local clock's zero (a machine that booted within the lease), so that its runs were given up before it could report how they ended. last_contact_at 0 made a single lost order mark a worker as unresponsive that a new owner had not contacted yet.

The signature of the patched restore in the mutation proof follows the code; what it checks is as before.

--- a/jujubebarrow/coordinators/active_runs.py
+++ b/jujubebarrow/coordinators/active_runs.py
@@ -52,8 +52,7 @@
         ticket: Grant of the placement advice; empty if the queue needs no advice.
         progress_percent: Progress in percent that the worker last reported.
         progressed_at: Time in seconds at which the progress last changed; before the
-            first change, the time at which the start was acknowledged or an inherited
-            run was loaded; 0 before that.
+            first change, the time of the confirmation. Not set before that.
         load: Load that the worker last reported, see ``RunningTask``.
         speed_percent: Speed that the worker last acknowledged, in percent of full
             speed.
@@ -82,3 +81,13 @@
     def worker(self) -> WorkerId:
         """Id of the worker that the run was planned for."""
         return WorkerId(self.incarnation[0])
+
+    def confirm(self, now: float) -> None:
+        """Record that the worker acknowledged the start or listed the run.
+
+        Args:
+            now: Time in seconds.
+        """
+        self.stage = RunStage.CONFIRMED
+        self.confirmed_at = now
+        self.progressed_at = now
--- a/jujubebarrow/coordinators/job_progresses.py
+++ b/jujubebarrow/coordinators/job_progresses.py
@@ -227,12 +227,11 @@
         """
         self.phase = self.stored_phase = outcome
 
-    def restore(self, document: dict[str, Any], now: float) -> None:
+    def restore(self, document: dict[str, Any]) -> None:
         """Restore the progress that an owner of the pool has stored.
 
         Args:
             document: Stored form of the progress.
-            now: Time in seconds.
         """
         self.phase = JobPhase(document[PHASE_KEY])
         self.stored_phase = self.phase
@@ -247,7 +246,7 @@
                     step.mark_done(index)
             for row in started:
                 key = TaskKey(self.record.job, occurrence, number, row[0])
-                _restore_task(step, key, row, now)
+                _restore_task(step, key, row)
 
 
 def _encode_task(index: int, task: TaskState) -> list[Any]:
@@ -257,7 +256,7 @@
     return row
 
 
-def _restore_task(step: StepState, key: TaskKey, row: list[Any], now: float) -> None:
+def _restore_task(step: StepState, key: TaskKey, row: list[Any]) -> None:
     task = step.tasks[key.index]
     task.last_run, task.failures, task.checkpoint = row[1], row[2], row[3]
     if len(row) > 4:
@@ -270,5 +269,4 @@
             is_long_running=step.spec.long_running,
             stage=RunStage.INHERITED,
             is_start_sent=True,
-            progressed_at=now,
         )
--- a/jujubebarrow/coordinators/pool_coordinators.py
+++ b/jujubebarrow/coordinators/pool_coordinators.py
@@ -95,13 +95,11 @@
         elif progress is None:
             self.state.mark_changed(job)
         else:
-            self._restore_job(job, progress, now)
+            self._restore_job(job, progress)
         return True
 
-    def _restore_job(
-        self, job: JobProgress, progress: dict[str, object], now: float
-    ) -> None:
-        job.restore(progress, now)
+    def _restore_job(self, job: JobProgress, progress: dict[str, object]) -> None:
+        job.restore(progress)
         for run in job.active_runs():
             self.state.add_run(job, run)
         if job.phase.is_final and not any(job.active_runs()):
--- a/jujubebarrow/coordinators/reconcilers.py
+++ b/jujubebarrow/coordinators/reconcilers.py
@@ -144,8 +144,7 @@
             return False
         run.is_listed = True
         if run.stage in (RunStage.RECORDED, RunStage.INHERITED):
-            run.stage = RunStage.CONFIRMED
-            run.confirmed_at = now
+            run.confirm(now)
         if running.percent != run.progress_percent:
             run.progress_percent = running.percent
             run.progressed_at = now
--- a/jujubebarrow/coordinators/run_orders.py
+++ b/jujubebarrow/coordinators/run_orders.py
@@ -105,9 +105,7 @@
             if job is not None:
                 self._state.mark_started(job)
             if run.stage is RunStage.RECORDED:
-                run.stage = RunStage.CONFIRMED
-                run.confirmed_at = now
-                run.progressed_at = now
+                run.confirm(now)
         elif outcome is OrderOutcome.UNACKNOWLEDGED:
             run.unacknowledged_starts += 1
             if (
@@ -189,7 +187,8 @@
         if result.outcome is OrderOutcome.UNREACHED:
             worker.record_failure(now)
         elif result.outcome is OrderOutcome.UNACKNOWLEDGED:
-            if now - worker.last_contact_at > UNRESPONSIVE_SECONDS:
+            contact_at = worker.last_contact_at
+            if contact_at is not None and now - contact_at > UNRESPONSIVE_SECONDS:
                 worker.record_failure(now)
         elif result.clock is not None and run.incarnation == worker.incarnation:
             worker.record_contact(result.clock, now, self._state.options.longest_lease)
--- a/jujubebarrow/coordinators/worker_views.py
+++ b/jujubebarrow/coordinators/worker_views.py
@@ -37,9 +37,9 @@
         self.score = WorkerScore()
         self.lease_end = expiry
         self.is_lease_recorded = False
-        self.last_contact_at = 0.0
+        self.last_contact_at: float | None = None
         self.unresponsive_since = 0.0
-        self.last_failure_at = 0.0
+        self.last_failure_at = float("-inf")
         self.acknowledged = 0
         self.draining_since = 0.0
         self.is_cordoned = False
--- a/jujubebarrow/tests/proof_job_mutations.py
+++ b/jujubebarrow/tests/proof_job_mutations.py
@@ -43,8 +43,8 @@
         )
 
     def test_inherited_runs_dropped(self) -> None:
-        def restore(self: JobProgress, document: dict[str, Any], now: float) -> None:
-            original(self, document, now)
+        def restore(self: JobProgress, document: dict[str, Any]) -> None:
+            original(self, document)
             for _, _, step in self.steps():
                 for task in step.tasks:
                     task.active = None
