Poll unresponsive workers without runs until they respond

What callers saw: a task of a long-running job whose run lapsed did not run again although a worker had room, for as long as its pool kept its owner (LOST).

Cause: a worker session renews only while its worker has runs. When the runs of an unreachable worker were given up after its lease, the session became idle with unresponsive_since still set. An unresponsive worker gets no tasks, and without tasks nobody asked it again: the owner never used the worker again, even though it was registered and reachable, and kept its stored lease expiry. The same followed from one start to an idle worker that was refused a connection. Each cut took workers from the pool until its owner changed or the workers restarted.

A session is no longer idle while its worker is unresponsive.

The randomised test runs two long-running jobs on six workers, at most one task of a job per worker, and checks from the workers' own records that a task runs again within the time that the platform's rules leave.

--- a/jujubebarrow/runtimes/worker_sessions.py
+++ b/jujubebarrow/runtimes/worker_sessions.py
@@ -42,7 +42,9 @@
     """Loop that renews the leases on one worker while the worker has active runs.
 
     The loop also renews while finished runs of the worker are not yet stored and
-    acknowledged, and until the worker has seen the owner's token.
+    acknowledged, until the worker has seen the owner's token, and while the worker is
+    unresponsive: such a worker gets no tasks, so nothing else would show that it
+    responds again.
 
     Args:
         worker: Coordinator's view of the worker.
@@ -87,6 +89,7 @@
         worker = self._worker
         return (
             worker.has_seen_token
+            and not worker.unresponsive_since
             and not worker.runs
             and not worker.has_unrecorded_finished_runs
             and self._sent_acknowledgement >= worker.acknowledged
--- a/jujubebarrow/tests/fakes/job_clusters.py
+++ b/jujubebarrow/tests/fakes/job_clusters.py
@@ -311,12 +311,12 @@
         after the cancellation of the job.
         """
         return [
-            *self._find_repeated_runs(),
+            *self.find_repeated_runs(),
             *self._find_overloaded_workers(),
             *self._find_starts_after_cancellation(),
         ]
 
-    def _find_repeated_runs(self) -> list[str]:
+    def find_repeated_runs(self) -> list[str]:
         violations = []
         by_task = defaultdict(list)
         for run in self.list_runs():
