Let a worker accept tasks again whose maintenance did not take place

What callers could see: less room than the pool's workers have.

Cause: only a restart of the worker ended the cordon that a wave had set, and a machine that is refused, or that another owner has marked as done, does not restart.

--- a/jujubebarrow/runtimes/wave_controllers.py
+++ b/jujubebarrow/runtimes/wave_controllers.py
@@ -31,7 +31,12 @@
 from jujubebarrow.runtimes.fleet_sources import FleetSource
 from jujubebarrow.runtimes.owner_hooks import OwnerHooks
 from jujubebarrow.runtimes.wave_stores import StoredWave, WaveStore
-from jujubebarrow.workloads.identifiers import FenceToken, MachineId, WorkerId
+from jujubebarrow.workloads.identifiers import (
+    FenceToken,
+    MachineId,
+    WorkerId,
+    WorkerIncarnation,
+)
 
 ACTIVE_POLL_SECONDS = 0.3
 """Seconds between two polls of an active wave."""
@@ -100,6 +105,8 @@
         self._claimed_at: dict[tuple[int, MachineId], float] = {}
         self._first_seen_at: dict[tuple[int, MachineId], float] = {}
         self._machines_under_maintenance: dict[int, set[MachineId]] = {}
+        # Incarnation of each worker that this controller has cordoned.
+        self._cordoned: dict[tuple[int, MachineId], WorkerIncarnation] = {}
 
     async def run(self) -> None:
         """Execute the requested waves until cancelled."""
@@ -128,6 +135,7 @@
     async def _process_wave(self, wave: WaveRequest) -> None:
         await self._refresh_list()
         stored = await self._store.read(wave)
+        self._uncordon_finished(wave, stored.record)
         if stored.record.is_completed:
             self._completed_waves.add(wave.wave)
             self._machines_under_maintenance.pop(wave.wave, None)
@@ -206,7 +214,7 @@
         if key not in self._tokens:
             await self._reclaim_machine(wave, stored, machine, maintenance)
             return
-        self._cordon(machine.worker, True)
+        self._cordon(key, machine.worker)
         now = self._clock.monotonic()
         waited_seconds = now - self._claimed_at[key]
         if not self._evacuator.evacuate(
@@ -294,10 +302,29 @@
         worker = self._coordinator.state.workers.get(machine.worker)
         return worker is not None and worker.is_cordoned
 
-    def _cordon(self, name: WorkerId, is_cordoned: bool) -> None:
+    def _cordon(self, key: tuple[int, MachineId], name: WorkerId) -> None:
         worker = self._coordinator.state.workers.get(name)
         if worker is not None:
-            worker.is_cordoned = is_cordoned
+            worker.is_cordoned = True
+            self._cordoned[key] = worker.incarnation
+
+    def _uncordon_finished(self, wave: WaveRequest, record: WaveRecord) -> None:
+        """Let workers accept tasks again whose machines are no longer maintained.
+
+        Most workers have restarted by then, which has reset them.
+        """
+        for key, incarnation in list(self._cordoned.items()):
+            maintenance = record.machines.get(key[1])
+            is_finished = (
+                maintenance is None or maintenance.state is MachineMaintenanceState.DONE
+            )
+            if key[0] != wave.wave or not is_finished:
+                continue
+            del self._cordoned[key]
+            worker = self._coordinator.state.workers.get(WorkerId(incarnation[0]))
+            if worker is not None and worker.incarnation == incarnation:
+                worker.is_cordoned = False
+                self._hooks.on_change()
 
     async def _claim_next_machine(
         self,
