Let long-running tasks use a paused worker when no other has room

Cause: a worker on which runs of two jobs failed gets no new tasks for 2 to 16 s. The pause spares finite tasks their attempts. Long-running tasks have no attempts to lose, and with at most one task per worker the paused worker is often the only one that is apart from the other tasks of the job.

A paused worker is now the last choice for a long-running task: after the other workers with room and after those on which finite runs can be stopped. Queues that need placement advice are as they were, since no advice is requested for paused workers.

--- a/jujubebarrow/coordinators/planners.py
+++ b/jujubebarrow/coordinators/planners.py
@@ -7,6 +7,7 @@
 from jujubebarrow.coordinators.job_progresses import JobProgress
 from jujubebarrow.coordinators.pool_states import PoolState
 from jujubebarrow.coordinators.step_states import StepState
+from jujubebarrow.coordinators.task_states import TaskState
 from jujubebarrow.coordinators.wait_recorders import WaitReason, WaitRecorder
 from jujubebarrow.coordinators.worker_views import WorkerView
 from jujubebarrow.placements.job_orders import JobOrder
@@ -40,9 +41,11 @@
             wall: Unix time in seconds.
         """
         self._state.grants.clear_requests()
-        workers = [w for w in self._state.workers.values() if w.can_accept_tasks(now)]
+        workers = [w for w in self._state.workers.values() if w.is_available]
+        unpaused = [w for w in workers if w.can_accept_tasks(now)]
+        paused = [w for w in workers if not w.can_accept_tasks(now)]
         self._spare = NO_RESOURCES
-        for worker in workers:
+        for worker in unpaused:
             self._spare = self._spare.plus(worker.free)
         jobs = [job for job in self._state.jobs.values() if not job.phase.is_final]
         for job in jobs:
@@ -51,12 +54,9 @@
         planned: list[ActiveRun] = []
         for job in jobs:
             for occurrence, number, step in job.startable_steps():
-                allowed = self._filter_by_advice(
-                    job, (occurrence, number), step, workers, now
-                )
-                planned += self._plan_step(
-                    job, (occurrence, number), step, allowed, now
-                )
+                position = (occurrence, number)
+                allowed = self._filter_by_advice(job, position, step, unpaused, now)
+                planned += self._plan_step(job, position, step, allowed, paused, now)
         return planned
 
     def _filter_by_advice(
@@ -87,8 +87,19 @@
         position: tuple[int, int],
         step: StepState,
         workers: list[WorkerView],
+        paused: list[WorkerView],
         now: float,
     ) -> list[ActiveRun]:
+        """Plan runs for the waiting tasks of a step.
+
+        Args:
+            job: Job of the step.
+            position: Index of the occurrence and index of the step.
+            step: State of the step.
+            workers: Workers that accept tasks of the step.
+            paused: Workers that are paused because recent runs on them failed.
+            now: Time in seconds.
+        """
         if step.spec.gang:
             return self._plan_gang(job, position, step, workers, now)
         planned = []
@@ -100,6 +111,8 @@
             victims = None
             if worker is None and step.spec.long_running:
                 victims = self._find_preemptible_runs(step, workers, run_counts)
+                if victims is None:
+                    worker = self._choose_paused(job, step, paused, run_counts, task)
             if worker is None and victims is None:
                 self._record_wait(job, position, step, WaitReason.WORKER, now)
                 break
@@ -229,6 +242,23 @@
         self._state.mark_changed(job)
         return run
 
+    def _choose_paused(
+        self,
+        job: JobProgress,
+        step: StepState,
+        paused: list[WorkerView],
+        run_counts: Counter[WorkerId],
+        task: TaskState,
+    ) -> WorkerView | None:
+        """Return a paused worker for a long-running task, or None.
+
+        A pause spares finite tasks the attempts that they would use up. Long-running
+        tasks have no attempts to lose and must not wait while there is room.
+        """
+        if self._state.advice.is_needed(job.record.queue):
+            return None
+        return choose_worker(step.spec, paused, run_counts, task.avoided_worker)
+
     def _find_preemptible_runs(
         self,
         step: StepState,
@@ -237,10 +267,9 @@
     ) -> list[ActiveRun] | None:
         """Return runs of finite tasks without which a long-running task would fit.
 
-        Returns None if no worker has enough of them.
-
         Chooses the worker on which the fewest runs have to be stopped, and on that
-        worker the runs with the least progress.
+        worker the runs with the least progress. Returns None if there is no such
+        worker.
         """
         best: list[ActiveRun] | None = None
         for worker in workers:
--- a/jujubebarrow/coordinators/worker_views.py
+++ b/jujubebarrow/coordinators/worker_views.py
@@ -89,6 +89,11 @@
 
     def can_accept_tasks(self, now: float) -> bool:
         """Return whether new tasks may be placed on the worker."""
+        return self.is_available and not self.score.is_paused(now)
+
+    @property
+    def is_available(self) -> bool:
+        """Whether the worker accepts tasks, unless recent failures have paused it."""
         entry = self.entry
         return (
             entry is not None
@@ -96,7 +101,6 @@
             and self.has_seen_token
             and not self.is_cordoned
             and not self.unresponsive_since
-            and not self.score.is_paused(now)
         )
 
     def remaining_warmup(self, now: float) -> float:
