Count own renewals, too, where the heartbeats of others are not read

An owner that reads neither new jobs nor heartbeats kept its pool since: the median of the others' renewals stood still for it. The own renewals, which are stored, show as well that the store is available.

--- a/jujubebarrow/ownerships/peer_progresses.py
+++ b/jujubebarrow/ownerships/peer_progresses.py
@@ -1,11 +1,11 @@
-"""Time in which the other instances reached the store."""
+"""Time in which instances reached the store."""
 
 from jujubebarrow.identifiers import IncarnationId, InstanceId
 from jujubebarrow.ownerships.lease_observers import LeaseObserver
 
 
 class PeerProgress:
-    """Measures how long other instances have renewed their leases.
+    """Measures how long the instances have renewed their leases.
 
     Each heartbeat contains the number of renewals of its instance. Unlike the time of
     this instance's own clock, that number does not increase while the store is
@@ -25,15 +25,18 @@
         self._observer = observer
         self._renewal_period = renewal_period
         self._measured_at = float("-inf")
+        self._own_count = 0
         self._renewals: dict[tuple[InstanceId, IncarnationId], int] = {}
 
-    def measure(self, now: float) -> float:
+    def measure(self, now: float, own_count: int) -> float:
         """Return the seconds since the last measurement in which others could serve.
 
-        This is the median of the other live instances.
+        This is the median of the other live instances; or the time of this instance if
+        that is longer, since it may not read the heartbeats of the others.
 
         Args:
             now: Monotonic time in seconds.
+            own_count: Number of renewals by this instance.
         """
         renewals = {
             (row.instance, row.incarnation): row.renewal_count
@@ -46,7 +49,9 @@
             if name in self._renewals
         )
         median = counts[len(counts) // 2] if counts else 0
-        seconds = min(median * self._renewal_period, now - self._measured_at)
+        count = max(median, own_count - self._own_count)
+        seconds = min(count * self._renewal_period, now - self._measured_at)
         self._renewals = renewals
+        self._own_count = own_count
         self._measured_at = now
         return seconds
--- a/jujubebarrow/runtimes/ownership_services.py
+++ b/jujubebarrow/runtimes/ownership_services.py
@@ -244,7 +244,7 @@
             self._record_failure("owners_unread", str(error))
             return
         now = self._clock.monotonic()
-        serviceable_seconds = self._peer_progress.measure(now)
+        serviceable_seconds = self._peer_progress.measure(now, self._renewal_count)
         self._apply_rows(found.rows)
         for duty in list(self._owned_duties):
             row = self._duty_rows.get(duty)
--- a/jujubebarrow/tests/test_ownership_gaps.py
+++ b/jujubebarrow/tests/test_ownership_gaps.py
@@ -203,6 +203,24 @@
 
         self.run_scenario(scenario)
 
+    def test_pool_whose_owner_reads_neither_jobs_nor_heartbeats_gets_another_owner(
+        self,
+    ) -> None:
+        async def scenario(cluster: JobCluster) -> None:
+            owner = _find_owner(cluster)
+            owner.store.unreadable_tables = {
+                TableName.JOBS.value,
+                TableName.HEARTBEATS.value,
+            }
+            owner.is_isolated = True
+            other = _find_other_number(cluster, owner)
+            job = await cluster.submit(1, instance=other)
+            self.assertTrue(
+                await cluster.wait_for_phase(job, "completed", 30.0, instance=other)
+            )
+
+        self.run_scenario(scenario)
+
     def test_pool_whose_owner_reaches_no_worker_gets_another_owner(self) -> None:
         async def scenario(cluster: JobCluster) -> None:
             owner = _find_owner(cluster)
