Release runs whose start can't be sent to an unresponsive worker

What callers saw: a task that was recorded for a worker waits for as long as that worker is unreachable and stays registered, although another worker has room (LOST).

Cause: no start is sent to an unresponsive worker, and the runs of a lost worker were given up only if their start had been sent. A run that was stored just before or while its worker became unresponsive met neither condition.

This is safe without waiting for a lease: no worker has received the start, and the run number is not used again.

--- a/jujubebarrow/coordinators/pool_coordinators.py
+++ b/jujubebarrow/coordinators/pool_coordinators.py
@@ -9,7 +9,7 @@
 from jujubebarrow.coordinators.planners import TaskPlanner
 from jujubebarrow.coordinators.pool_states import PoolState
 from jujubebarrow.coordinators.reconcilers import Reconciler
-from jujubebarrow.coordinators.run_orders import RunOrders
+from jujubebarrow.coordinators.run_orders import UNRESPONSIVE_SECONDS, RunOrders
 from jujubebarrow.coordinators.stall_detectors import StallDetector
 from jujubebarrow.coordinators.throttlers import Throttler
 from jujubebarrow.coordinators.wait_recorders import WaitRecorder
@@ -181,6 +181,7 @@
                     or worker.unresponsive_since
                 ):
                     self._expire_run(worker, run, now)
+        self._release_unsent_runs(worker, now)
         if worker.entry is None and not worker.runs and worker.is_lease_expired(now):
             del self.state.workers[worker.worker]
             return
@@ -190,6 +191,20 @@
                 for run in list(worker.runs.values()):
                     self.state.request_stop(run)
 
+    def _release_unsent_runs(self, worker: WorkerView, now: float) -> None:
+        """Release the runs of an unresponsive worker whose start was never sent.
+
+        No order is sent to an unresponsive worker, so that these runs would wait for
+        the worker for as long as it stays registered.
+        """
+        since = worker.unresponsive_since
+        if not since or now - since < UNRESPONSIVE_SECONDS:
+            return
+        for run in list(worker.runs.values()):
+            if run.stage is RunStage.RECORDED and not run.is_start_sent:
+                reason = "start not sent, worker unresponsive"
+                self._reconciler.record_unreported_end(worker, run, reason, now)
+
     def _expire_run(self, worker: WorkerView, run: ActiveRun, now: float) -> None:
         if run.stage is RunStage.PLANNED:
             return
--- a/jujubebarrow/tests/test_long_running_waits.py
+++ b/jujubebarrow/tests/test_long_running_waits.py
@@ -2,12 +2,18 @@
 
 import unittest
 from asyncio import get_running_loop, sleep
+from dataclasses import replace
 from random import Random
 
+from jujubebarrow.coordinators.active_runs import ActiveRun
+from jujubebarrow.identifiers import JobId
 from jujubebarrow.runtimes.pool_owners import PoolOwner
+from jujubebarrow.standins.emulated_stores import EmulatedStore
 from jujubebarrow.standins.emulated_workers import TaskBehaviour
+from jujubebarrow.stores.commit_results import CommitResult
+from jujubebarrow.stores.transactions import Transaction
 from jujubebarrow.tests.fakes.job_cases import JobCase
-from jujubebarrow.tests.fakes.job_clusters import POOL, JobCluster
+from jujubebarrow.tests.fakes.job_clusters import POOL, QUEUE, JobCluster
 from jujubebarrow.tests.fakes.long_running_faults import LongRunningFaults
 from jujubebarrow.tests.fakes.virtual_loops import run_virtual
 from jujubebarrow.workloads.resources import Resources
@@ -59,6 +65,23 @@
     return owner
 
 
+def find_active_runs(cluster: JobCluster, job: JobId) -> list[ActiveRun]:
+    progress = find_pool_owner(cluster).coordinator.state.jobs.get(job)
+    return list(progress.active_runs()) if progress is not None else []
+
+
+def delay_first_commit(store: EmulatedStore, job: JobId, seconds: float) -> None:
+    """Delay the first transaction that stores the progress of a job."""
+    original, key, pending = store.try_commit, f"progress/{QUEUE}/{job}", [seconds]
+
+    async def try_commit(transaction: Transaction) -> CommitResult:
+        if key in transaction.writes and pending:
+            await sleep(pending.pop())
+        return await original(transaction)
+
+    store.try_commit = try_commit  # type: ignore[method-assign]
+
+
 class WaitCauseTest(JobCase):
     def test_worker_reached_again_after_its_runs_were_given_up_gets_tasks(self) -> None:
         async def scenario(cluster: JobCluster) -> None:
@@ -77,6 +100,28 @@
 
         self.run_scenario(scenario, workers=2)
 
+    def test_start_that_cannot_be_sent_moves_to_another_worker(self) -> None:
+        # The worker becomes unreachable while the run is being stored.
+        async def scenario(cluster: JobCluster) -> None:
+            lasting = TaskBehaviour(is_long_running=True)
+            await cluster.submit(1, (LONG_RUNNING,), behaviour=lasting)
+            await sleep(1.0)
+            owner = cluster.find_owner()
+            assert owner is not None
+            delay_first_commit(owner.store, JobId(f"{2:016x}"), 3.0)
+            step = replace(LONG_RUNNING, count=1)
+            job = await cluster.submit(2, (step,), behaviour=lasting)
+            await cluster.wait_for(lambda: find_active_runs(cluster, job), 3.0)
+            unreachable = find_active_runs(cluster, job)[0].worker
+            owner.gateway.unreachable.add(unreachable)
+
+            def is_running() -> bool:
+                return any(run.task.job == job for run in cluster.list_runs())
+
+            self.assertTrue(await cluster.wait_for(is_running, 9.0))
+
+        self.run_scenario(scenario, workers=2)
+
     def test_long_running_task_uses_the_only_worker_apart_although_it_is_paused(
         self,
     ) -> None:
