Allow the wait for a lost worker's lease in the test of waits

Only this case is allowed: the last run was on a worker that is lost for good, until the longest lease after the present owner took over and one more poll.

--- a/jujubebarrow/tests/fakes/long_running_faults.py
+++ b/jujubebarrow/tests/fakes/long_running_faults.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable
 from random import Random
 
+from jujubebarrow.coordinators.worker_views import CLOCK_RATE
 from jujubebarrow.errors.exceptions import RefusalError
 from jujubebarrow.standins.emulated_workers import EmulatedWorker, TaskBehaviour
 from jujubebarrow.tests.fakes.job_clusters import POOL, Instance, JobCluster
@@ -20,6 +21,8 @@
 """Time after the end of its last run in which a task may wait."""
 WAIT_SECONDS = 3.0
 """Time for which a task then has to wait with room before the wait counts."""
+POLL_SECONDS = 1.0
+"""Time from the end of a lease until an unreachable worker was polled once more."""
 WATCH_SECONDS = 20.0
 WATCH_PERIOD_SECONDS = 0.1
 FINITE_CPU = 1000
@@ -292,7 +295,9 @@
                     self._find_last_end(task) + RESTART_SECONDS,
                     calm_since + CALM_SECONDS - WAIT_SECONDS,
                 )
-                if now() > earliest + WAIT_SECONDS and task not in reported:
+                is_late = now() > earliest + WAIT_SECONDS
+                may_lease_hold = now() < self._find_lease_limit(task)
+                if is_late and not may_lease_hold and task not in reported:
                     reported.add(task)
                     waits.append(
                         f"{task} waits at {now():.2f}, last run ended at "
@@ -313,6 +318,24 @@
         found = job.find_task(task) if job is not None else None
         return f"owner {owner.name} since {state.owned_since:.2f}: {found}"
 
+    def _find_lease_limit(self, task: TaskKey) -> float:
+        """Return until when the owner can't know that the last run of a task is over.
+
+        The worker is lost, and a former owner may have renewed its lease for some time
+        after the present owner took over.
+        """
+        runs = [run for run in self.cluster.list_runs() if run.task == task]
+        if not runs or max(runs, key=lambda run: run.run).worker not in self.lost:
+            return 0.0
+        owner = self.cluster.find_owner()
+        pool_owner = owner.node.find_owner(POOL) if owner and owner.node else None
+        if pool_owner is None:
+            return 0.0
+        state = pool_owner.coordinator.state
+        options = state.options
+        longest_wait = options.superseded_renewal + options.longest_lease / CLOCK_RATE
+        return state.owned_since + longest_wait + POLL_SECONDS
+
     def _find_last_end(self, task: TaskKey) -> float:
         ends = [
             run.ended_at or 0.0 for run in self.cluster.list_runs() if run.task == task
