Make no pool release grants for a run that is larger than the whole limit

What callers could see: more writes of grants than needed, for as long as a run that needs more than its team's upper limit waits.

Cause: such a run marked its pool as waiting for good, although nothing can be left for it.

Runs beyond the limit no longer count as requests. The new test of plan_grant failed before.

--- a/jujubebarrow/limits/grant_planners.py
+++ b/jujubebarrow/limits/grant_planners.py
@@ -58,6 +58,10 @@
             has no headroom.
     """
     available = limit.minus(other_grants)
+    # A run that is larger than the whole limit can never start.
+    requests = [
+        request for request in requests if fits_limit(request.needs, limit, limit)
+    ]
     is_waiting = bool(requests) and not any(
         fits_limit(used.plus(request.needs), available, limit) for request in requests
     )
--- a/jujubebarrow/runtimes/grant_controllers.py
+++ b/jujubebarrow/runtimes/grant_controllers.py
@@ -85,11 +85,12 @@
         # Teams whose stored grant certainly is the one in the registry and carries this
         # owner's token, each with the upper limit that the grant was computed from.
         self._confirmed: dict[TeamId, Resources] = {}
-        # Teams for which another pool, or this pool, is marked as waiting.
+        # Teams whose row marks another pool as waiting.
         self._awaited: set[TeamId] = set()
+        # Teams whose row may mark this pool as waiting.
+        self._marked: set[TeamId] = set()
         # This pool's grant in the row of a team that was last read or reported.
         self._stored: dict[TeamId, Resources] = {}
-        self._marked: set[TeamId] = set()
         self._release_checks: set[TeamId] = set()
         self._release_checked_at = clock.monotonic()
         self._failure_counts: Counter[TeamId] = Counter()
--- a/jujubebarrow/tests/test_grants.py
+++ b/jujubebarrow/tests/test_grants.py
@@ -211,6 +211,12 @@
         self.assertTrue(plan.is_waiting)
         self.assertEqual(plan.granted, Resources(500, 100))
 
+    def test_run_larger_than_the_limit_makes_no_other_pool_release_grants(self) -> None:
+        request = GrantRequest(Resources(4001, 100), 1)
+        plan = plan_grant(LIMIT, NO_RESOURCES, NO_RESOURCES, [request], False)
+        self.assertFalse(plan.is_waiting)
+        self.assertEqual(plan.granted, NO_RESOURCES)
+
     def test_pool_keeps_no_headroom_while_another_pool_waits(self) -> None:
         used = Resources(100, 100)
         plan = plan_grant(LIMIT, NO_RESOURCES, used, [], True)
