Release pools whose owner keeps failing to load jobs after the takeover

What callers could see: accepted jobs that do not start while the pool has an owner with a valid lease: those of a queue that is new to the pool, or all that were accepted while the store's history was lost.

Cause: the class of the slow owners, holding a lease taken for serving. An owner counts as loaded from its takeover on. Jobs of a new queue, and all jobs after lost history, are loaded later, with endless retries; an owner whose retries fail, but which hears of changes and has no open transaction, counted as serving.

A load that has failed and not succeeded since counts as time without service (`jobs of a queue not loaded`). A load in progress that has not failed does not count. The limit of 6 s, its doubling and the condition that the others reach the store are as for the other reasons.

Risk: a load that fails on all instances, while their heartbeats get through, moves a pool whose known jobs were served, and then no job of it runs until a load succeeds.

Evidence: test_pool_whose_owner_cannot_load_a_new_queue_gets_another_owner and test_pool_whose_owner_cannot_reload_its_jobs_gets_another_owner failed on (the job was not completed within 30 s) and pass with the change, as do the other tests of test_ownership_gaps; test_outage_shorter_than_a_lease_moves_no_pool is known red before and after.

--- a/jujubebarrow/runtimes/entry_nodes.py
+++ b/jujubebarrow/runtimes/entry_nodes.py
@@ -190,6 +190,8 @@
             return ServiceObstacle.NOT_LOADED
         if self._job_watcher.read_store_time() is None:
             return ServiceObstacle.FEED_LATE
+        if owner.has_failing_load:
+            return ServiceObstacle.QUEUE_UNREAD
         return owner.health.find_obstacle()
 
     def on_peers_changed(self, addresses: list[str]) -> None:
--- a/jujubebarrow/runtimes/pool_owners.py
+++ b/jujubebarrow/runtimes/pool_owners.py
@@ -116,6 +116,7 @@
         self._is_loaded = False
         self._loading_queues: set[QueueId] = set()
         self._reload_count = 0
+        self._failing_load_count = 0
         self._is_reload_needed = False
         self._pending_jobs: dict[QueueId, list[JobRecord]] = {}
         # Cancelled jobs that this owner does not know, which may be loading.
@@ -200,6 +201,11 @@
         """Whether the pool's jobs are loaded and the owner has not stopped."""
         return self._is_loaded and not self._is_closed
 
+    @property
+    def has_failing_load(self) -> bool:
+        """Whether jobs are not loaded yet although an attempt to load them failed."""
+        return self._failing_load_count > 0
+
     def apply_fleet(self, fleet: FleetMap) -> None:
         """Apply the teams' upper limits and the queues' advice options."""
         limits = {team: spec.limit for team, spec in fleet.teams.items()}
@@ -342,7 +348,6 @@
             attempts += 1
             try:
                 await read()
-                return True
             except DisplacedError:
                 self.on_superseded()
                 return False
@@ -350,7 +355,13 @@
                 self._metrics.count("retry", "load")
                 self._metrics.count("store_unanswered", str(error)[:40])
                 self._log_failed_load(error, attempts)
+                if attempts == 1:
+                    self._failing_load_count += 1
                 await sleep(RETRY_SECONDS)
+            else:
+                if attempts > 1:
+                    self._failing_load_count -= 1
+                return True
 
     def _log_failed_load(self, error: StoreError, attempts: int) -> None:
         if attempts.bit_count() > 1:
--- a/jujubebarrow/tests/test_ownership_gaps.py
+++ b/jujubebarrow/tests/test_ownership_gaps.py
@@ -221,6 +221,41 @@
 
         self.run_scenario(scenario)
 
+    def test_pool_whose_owner_cannot_load_a_new_queue_gets_another_owner(self) -> None:
+        async def scenario(cluster: JobCluster) -> None:
+            await sleep(2.0)
+            owner = _find_owner(cluster)
+            owner.store.unreadable_tables = {TableName.PROGRESS.value}
+            owner.is_isolated = True
+            other = _find_other_number(cluster, owner)
+            job = await cluster.submit(1, instance=other)
+            self.assertTrue(
+                await cluster.wait_for_phase(job, "completed", 30.0, instance=other)
+            )
+
+        self.run_scenario(scenario)
+
+    def test_pool_whose_owner_cannot_reload_its_jobs_gets_another_owner(self) -> None:
+        # The change feed never reports the second job.
+        async def scenario(cluster: JobCluster) -> None:
+            await cluster.submit(1)
+            await sleep(3.0)
+            owner = _find_owner(cluster)
+            owner.store.unreadable_tables = {TableName.PROGRESS.value}
+            owner.is_isolated = True
+            other = _find_other_number(cluster, owner)
+            cluster.store.history_truncation_count += 1
+            job = await cluster.submit(2, instance=other)
+            cluster.store.oldest_readable_revision = cluster.store.table.revision + 1
+            cluster.store.history_truncation_count += 1
+            await sleep(0.3)
+            cluster.store.oldest_readable_revision = 0
+            self.assertTrue(
+                await cluster.wait_for_phase(job, "completed", 30.0, instance=other)
+            )
+
+        self.run_scenario(scenario)
+
     def test_pool_whose_owner_reaches_no_worker_gets_another_owner(self) -> None:
         async def scenario(cluster: JobCluster) -> None:
             owner = _find_owner(cluster)
