--- a/jujubebarrow/standins/tables.py
+++ b/jujubebarrow/standins/tables.py
@@ -84,13 +84,11 @@
         if changed_rows.rows or wait <= 0:
             return changed_rows
         try:
-            await wait_for(self._wait_until_changed(prefix, since), wait)
+            async with self._changed:
+                await wait_for(
+                    self._changed.wait_for(lambda: self.changes(prefix, since).rows),
+                    wait,
+                )
         except TimeoutError:
             pass
         return self.changes(prefix, since)
-
-    async def _wait_until_changed(self, prefix: str, since: int) -> None:
-        # wait_for runs this in a task of its own, which must both take and release the
-        # lock: a caller that is cancelled may end before the task does.
-        async with self._changed:
-            await self._changed.wait_for(lambda: self.changes(prefix, since).rows)
