--- a/jujubebarrow/standins/tables.py
+++ b/jujubebarrow/standins/tables.py
@@ -1,6 +1,6 @@
 """In-memory table with conditional transactions, used by the stand-ins and tests."""
 
-from asyncio import Condition, wait_for
+from asyncio import Future, get_running_loop
 from collections.abc import Callable
 from time import monotonic
 from typing import Any
@@ -25,7 +25,7 @@
         self.revision = 0
         self._clock = clock
         self._rows = RowIndex()
-        self._changed = Condition()
+        self._waiting: set[Future[None]] = set()
 
     def commit(self, transaction: Transaction) -> CommitResult:
         """Apply a transaction if all its conditions are met.
@@ -58,8 +58,9 @@
 
     async def notify(self) -> None:
         """Wake all readers that wait for changes."""
-        async with self._changed:
-            self._changed.notify_all()
+        for future in self._waiting:
+            if not future.done():
+                future.set_result(None)
 
     def read(self, prefix: str, limit: int = 0) -> RowSet:
         """Return the rows under a prefix that are not deleted.
@@ -83,12 +84,21 @@
         changed_rows = self.changes(prefix, since)
         if changed_rows.rows or wait <= 0:
             return changed_rows
-        try:
-            async with self._changed:
-                await wait_for(
-                    self._changed.wait_for(lambda: self.changes(prefix, since).rows),
-                    wait,
-                )
-        except TimeoutError:
-            pass
-        return self.changes(prefix, since)
+        loop = get_running_loop()
+        end = loop.time() + wait
+        while not changed_rows.rows and loop.time() < end:
+            future = loop.create_future()
+            timer = loop.call_at(end, _set_done, future)
+            self._waiting.add(future)
+            try:
+                await future
+            finally:
+                timer.cancel()
+                self._waiting.discard(future)
+            changed_rows = self.changes(prefix, since)
+        return changed_rows
+
+
+def _set_done(future: Future[None]) -> None:
+    if not future.done():
+        future.set_result(None)
