--- a/jujubebarrow/standins/tables.py
+++ b/jujubebarrow/standins/tables.py
@@ -25,7 +25,8 @@
         self.revision = 0
         self._clock = clock
         self._rows = RowIndex()
-        self._waiting: set[Future[None]] = set()
+        # Insertion order keeps seeded runs reproducible; a set is ordered by address.
+        self._waiting: dict[Future[None], None] = {}
 
     def commit(self, transaction: Transaction) -> CommitResult:
         """Apply a transaction if all its conditions are met.
@@ -89,12 +90,12 @@
         while not changed_rows.rows and loop.time() < end:
             future = loop.create_future()
             timer = loop.call_at(end, _set_done, future)
-            self._waiting.add(future)
+            self._waiting[future] = None
             try:
                 await future
             finally:
                 timer.cancel()
-                self._waiting.discard(future)
+                del self._waiting[future]
             changed_rows = self.changes(prefix, since)
         return changed_rows
 
