Read changes without a wait until the store answers again

Callers were refused counts of waiting jobs for up to 6 s after an outage of the store, and owners heard of new jobs as late: a request for changes that may wait 2 s times out after 2.9 s, and one that was sent at the end of an outage is waited for in full.

Whether the relays covered this was open: they do not, if the whole store is away.

--- a/jujubebarrow/runtimes/table_watchers.py
+++ b/jujubebarrow/runtimes/table_watchers.py
@@ -148,7 +148,10 @@
             revision, rows = await self.reload()
         else:
             prefix = f"{self._table}/"
-            changes = await self._store.read_changes(prefix, self._revision, self._wait)
+            # A request that may wait takes as much longer to time out. After a failure,
+            # requests that do not wait find the store again sooner.
+            wait = self._wait if self._failed_at is None else 0.0
+            changes = await self._store.read_changes(prefix, self._revision, wait)
             revision, rows = changes.revision, changes.rows
             self.record_store_time(sent_at, changes.clock)
         await self.apply(rows, sent_at)
