--- a/jujubebarrow/stores/relay_selectors.py
+++ b/jujubebarrow/stores/relay_selectors.py
@@ -8,6 +8,9 @@
 """Time after a failed relayed call in which the same instance is not used again;
 doubles with each further failure."""
 LONGEST_BACKOFF_SECONDS = 8.0
+DOUBLING_LIMIT = 16
+"""Limit on the exponent of the backoff, which would exceed the range of a float after
+about a thousand failures."""
 PROVEN_COUNT = 8
 """Number of instances with a successful call from which on no others are tried first;
 large enough that the calls of a busy owner take little room on each one's link."""
@@ -57,5 +60,6 @@
         """Record a call that an instance has failed to relay."""
         self._proven.discard(address)
         count = self._failures.get(address, (0, 0.0))[0] + 1
-        seconds = min(BACKOFF_SECONDS * 2 ** (count - 1), LONGEST_BACKOFF_SECONDS)
+        doublings = min(count - 1, DOUBLING_LIMIT)
+        seconds = min(BACKOFF_SECONDS * 2**doublings, LONGEST_BACKOFF_SECONDS)
         self._failures[address] = (count, self._clock.monotonic() + seconds)
--- a/jujubebarrow/tests/test_store_paths.py
+++ b/jujubebarrow/tests/test_store_paths.py
@@ -68,6 +68,14 @@
             pauses.append(clock.now - failed_at)
         self.assertEqual(pauses, [1.0, 2.0, 4.0])
 
+    def test_relay_that_fails_thousands_of_calls_can_be_used_again(self) -> None:
+        clock = ManualClock()
+        selector = RelaySelector(Random(1), clock)
+        for _ in range(2000):
+            selector.record_failure("a")
+        clock.now += 8.0
+        self.assertEqual(selector.choose(["a"], 1), ["a"])
+
     def test_relayed_calls_are_spread_over_several_instances(self) -> None:
         selector = RelaySelector(Random(1), ManualClock())
         addresses = [f"n{number}" for number in range(40)]
