Compare a backlog with the free room of the pool, not with each worker

Cause: each plan compared each startable step of the backlog with every worker of the pool, although all of them were full, and computed the objective and the remaining work of each job anew. The work of a plan grew with jobs times workers, and a plan follows each event.

A plan now asks for the largest free amounts of its workers first and skips steps that fit on none. Free amounts, objectives and remaining work are kept instead of computed. Steps with placement advice and long-running steps are planned as before, since they have effects without room.

proof_job_mutations.test_capacity_not_checked disables the new check, too; with the old patch alone the mutation no longer had an effect. compute_objective and estimate_work became attributes of the job; test_overload reads them there.

--- a/jujubebarrow/coordinators/job_demands.py
+++ b/jujubebarrow/coordinators/job_demands.py
@@ -4,7 +4,7 @@
 from jujubebarrow.coordinators.job_progresses import JobProgress
 from jujubebarrow.coordinators.pool_states import PoolState
 from jujubebarrow.coordinators.worker_views import WorkerView
-from jujubebarrow.placements.job_orders import LATE_VALUE_SHARE, JobOrder, estimate_work
+from jujubebarrow.placements.job_orders import LATE_VALUE_SHARE, JobOrder
 from jujubebarrow.workloads.identifiers import WorkerIncarnation
 
 RANK_GROUP_WEIGHTS = (1.0, 1.0, LATE_VALUE_SHARE, 0.0)
@@ -30,7 +30,7 @@
         Ignores long-running jobs and jobs with several occurrences.
         """
         if not job.record.is_long_running and job.record.occurrence_count == 1:
-            self._arrivals.add_work(estimate_work(job), now)
+            self._arrivals.add_work(job.estimated_work, now)
 
     def count_demand(self, now: float) -> int:
         """Return the demand of the pool in thousandths of a core.
--- a/jujubebarrow/coordinators/job_progresses.py
+++ b/jujubebarrow/coordinators/job_progresses.py
@@ -27,6 +27,9 @@
             which the job was accepted.
 
     Attributes:
+        objective: Time in seconds from its acceptance in which the job should complete.
+        estimated_work: Estimated work of one occurrence in core-seconds.
+        is_long_running: Whether a step runs until the job is cancelled.
         has_started_tasks: Whether a worker has acknowledged the start of a task or has
             listed a run; a planned run need not have started.
     """
@@ -34,6 +37,10 @@
     def __init__(self, record: JobRecord, accepted_at: float):
         self.record = record
         self.accepted_at = accepted_at
+        # Copies of what the record computes anew at each access.
+        self.objective = record.objective
+        self.estimated_work = record.estimated_work
+        self.is_long_running = record.is_long_running
         self.phase = JobPhase.QUEUED
         self.stored_phase: JobPhase | None = None
         self.has_started_tasks = False
@@ -41,6 +48,7 @@
         self._occurrences: dict[int, list[StepState]] = {}
         self._finished: set[int] = set()
         self._next_occurrence = 0
+        self._remaining: tuple[float, float] | None = None
 
     @property
     def is_closed_in_store(self) -> bool:
@@ -68,6 +76,7 @@
         if steps is None:
             steps = [StepState(spec) for spec in self.record.steps]
             self._occurrences[number] = steps
+            self._remaining = None
         return steps
 
     def next_occurrence_at(self) -> float | None:
@@ -89,7 +98,7 @@
             return
         for occurrence, steps in self._occurrences.items():
             for number, step in enumerate(steps):
-                if step.is_done or not step.waiting:
+                if step.is_done or not step.has_waiting:
                     continue
                 if all(steps[before].is_done for before in step.spec.after):
                     yield occurrence, number, step
@@ -111,6 +120,11 @@
             Time in seconds of the longest chain of unfinished steps, and the work of
             all unfinished tasks in core-seconds.
         """
+        if self._remaining is None:
+            self._remaining = self._compute_remaining()
+        return self._remaining
+
+    def _compute_remaining(self) -> tuple[float, float]:
         chain = 0.0
         work = 0.0
         for steps in self._occurrences.values():
@@ -160,6 +174,7 @@
         if step is None:
             return
         step.mark_done(key.index)
+        self._remaining = None
         steps = self._occurrences[key.occurrence]
         if all(other.is_done for other in steps) and not self.record.is_long_running:
             self._finished.add(key.occurrence)
@@ -244,6 +259,7 @@
             for index in range(len(step.tasks)):
                 if done_mask >> index & 1:
                     step.mark_done(index)
+                    self._remaining = None
             for row in started:
                 key = TaskKey(self.record.job, occurrence, number, row[0])
                 _restore_task(step, key, row)
--- a/jujubebarrow/coordinators/planners.py
+++ b/jujubebarrow/coordinators/planners.py
@@ -10,6 +10,7 @@
 from jujubebarrow.coordinators.task_states import TaskState
 from jujubebarrow.coordinators.wait_recorders import WaitReason, WaitRecorder
 from jujubebarrow.coordinators.worker_views import WorkerView
+from jujubebarrow.placements.free_rooms import FreeRoom
 from jujubebarrow.placements.job_orders import JobOrder
 from jujubebarrow.placements.placers import choose_gang, choose_worker
 from jujubebarrow.workloads.identifiers import RunNumber, WorkerId
@@ -30,6 +31,7 @@
         self._state = state
         self._order = order
         self._waits = waits
+        self._room = FreeRoom([])
         # Free capacity of the pool that no run and no request of the plan takes yet.
         self._spare = NO_RESOURCES
 
@@ -44,6 +46,7 @@
         workers = [w for w in self._state.workers.values() if w.is_available]
         unpaused = [w for w in workers if w.can_accept_tasks(now)]
         paused = [w for w in workers if not w.can_accept_tasks(now)]
+        self._room = FreeRoom(unpaused)
         self._spare = NO_RESOURCES
         for worker in unpaused:
             self._spare = self._spare.plus(worker.free)
@@ -54,11 +57,25 @@
         planned: list[ActiveRun] = []
         for job in jobs:
             for occurrence, number, step in job.startable_steps():
+                if not self._can_start(job, step):
+                    continue
                 position = (occurrence, number)
                 allowed = self._filter_by_advice(job, position, step, unpaused, now)
                 planned += self._plan_step(job, position, step, allowed, paused, now)
         return planned
 
+    def _can_start(self, job: JobProgress, step: StepState) -> bool:
+        """Return False if planning a step would have no effect.
+
+        Advice is requested ahead of free capacity, and long-running tasks can take the
+        place of others.
+        """
+        return (
+            step.spec.long_running
+            or self._room.may_fit(step.spec.reserved)
+            or self._state.advice.is_needed(job.record.queue)
+        )
+
     def _filter_by_advice(
         self,
         job: JobProgress,
@@ -238,6 +255,7 @@
         )
         job.record_planned_run(run)
         self._state.add_run(job, run)
+        self._room.invalidate()
         self._spare = self._spare.minus(run.reserved)
         self._state.mark_changed(job)
         return run
--- a/jujubebarrow/coordinators/pool_coordinators.py
+++ b/jujubebarrow/coordinators/pool_coordinators.py
@@ -16,7 +16,7 @@
 from jujubebarrow.coordinators.worker_views import WorkerView
 from jujubebarrow.identifiers import JobId, PoolId
 from jujubebarrow.logs.decision_logs import DecisionLog
-from jujubebarrow.placements.job_orders import JobOrder, compute_objective
+from jujubebarrow.placements.job_orders import JobOrder
 from jujubebarrow.workloads.identifiers import FenceToken, WorkerId
 from jujubebarrow.workloads.job_phases import JobPhase
 from jujubebarrow.workloads.job_records import JobRecord
@@ -259,7 +259,7 @@
             job=job.record.job,
             phase=job.phase.value,
             age=round(now - job.accepted_at, 3),
-            objective=round(compute_objective(job), 3),
+            objective=round(job.objective, 3),
         )
 
     def _release_start(self, job: JobProgress, run: ActiveRun, now: float) -> None:
--- a/jujubebarrow/coordinators/step_states.py
+++ b/jujubebarrow/coordinators/step_states.py
@@ -30,6 +30,11 @@
             if not task.is_done and task.active is None
         ]
 
+    @property
+    def has_waiting(self) -> bool:
+        """Whether a task is not done and has no active run."""
+        return any(not task.is_done and task.active is None for task in self.tasks)
+
     def mark_done(self, index: int) -> None:
         """Mark a task as done; all tasks of a gang become done together."""
         indexes = range(len(self.tasks)) if self.spec.gang else (index,)
--- a/jujubebarrow/coordinators/worker_views.py
+++ b/jujubebarrow/coordinators/worker_views.py
@@ -30,7 +30,7 @@
 
     def __init__(self, worker: WorkerId, expiry: float):
         self.worker = worker
-        self.entry: WorkerEntry | None = None
+        self._entry: WorkerEntry | None = None
         self.started_at_ms = 0
         self.address = ""
         self.runs: dict[tuple[TaskKey, RunNumber], ActiveRun] = {}
@@ -50,6 +50,7 @@
         self._clock_read_at: float | None = None
         self._finished_runs: OrderedDict[int, bool] = OrderedDict()
         self._reserved = NO_RESOURCES
+        self._free = NO_RESOURCES
         self._long_running_count = 0
 
     @property
@@ -57,6 +58,16 @@
         """Last known incarnation of the worker."""
         return WorkerIncarnation((self.worker, self.started_at_ms))
 
+    @property
+    def entry(self) -> WorkerEntry | None:
+        """Registration of the worker; None while the worker is not registered."""
+        return self._entry
+
+    @entry.setter
+    def entry(self, entry: WorkerEntry | None) -> None:
+        self._entry = entry
+        self._free = self.capacity.minus(self._reserved)
+
     @property
     def capacity(self) -> Resources:
         """Total resources of the worker; none while the worker is not registered."""
@@ -64,8 +75,8 @@
 
     @property
     def free(self) -> Resources:
-        """Resources that are not reserved by runs."""
-        return self.capacity.minus(self._reserved)
+        """Resources that are not reserved by runs; negative after a reduction."""
+        return self._free
 
     @property
     def reserved(self) -> Resources:
@@ -113,12 +124,14 @@
         """Reserve the resources of a run."""
         self.runs[run.task, run.run] = run
         self._reserved = self._reserved.plus(run.reserved)
+        self._free = self._free.minus(run.reserved)
         self._long_running_count += run.is_long_running
 
     def remove_run(self, run: ActiveRun) -> None:
         """Release the resources of a run that has ended."""
         if self.runs.pop((run.task, run.run), None) is not None:
             self._reserved = self._reserved.minus(run.reserved)
+            self._free = self._free.plus(run.reserved)
             self._long_running_count -= run.is_long_running
 
     def record_unacknowledged_start(self, run: ActiveRun) -> None:
--- a/jujubebarrow/placements/job_orders.py
+++ b/jujubebarrow/placements/job_orders.py
@@ -47,7 +47,7 @@
     def record_job(self, job: JobProgress) -> None:
         """Include a job's work in the mean of its queue."""
         count, total = self._totals.get(job.record.queue, (0, 0.0))
-        self._totals[job.record.queue] = (count + 1, total + estimate_work(job))
+        self._totals[job.record.queue] = (count + 1, total + job.estimated_work)
 
     def rank(self, job: JobProgress, now: float) -> JobRank:
         """Return the sort key of a job.
@@ -56,10 +56,10 @@
             job: Progress of the job.
             now: Time in seconds on the clock of ``accepted_at``.
         """
-        if job.record.is_long_running:
+        if job.is_long_running:
             return JobRank(0, 0.0, job.accepted_at)
         remaining_chain, remaining_work = job.estimate_remaining()
-        objective = compute_objective(job)
+        objective = job.objective
         age = now - job.accepted_at
         density = self._estimate_value(job) / max(remaining_work, 0.01)
         if age + remaining_chain <= objective:
@@ -72,25 +72,5 @@
         count, total = self._totals.get(job.record.queue, (0, 0.0))
         mean = total / count if count and total else 1.0
         return (
-            FIXED_VALUE_SHARE + (1 - FIXED_VALUE_SHARE) * estimate_work(job) / mean
+            FIXED_VALUE_SHARE + (1 - FIXED_VALUE_SHARE) * job.estimated_work / mean
         ) * mean
-
-
-def estimate_work(job: JobProgress) -> float:
-    """Return the estimated work of one occurrence of a job in core-seconds."""
-    return job.record.estimated_work
-
-
-def estimate_chain(job: JobProgress) -> float:
-    """Return the estimated time in seconds of a job's longest chain of steps."""
-    longest: list[float] = []
-    for step in job.record.steps:
-        before = max((longest[number] for number in step.after), default=0.0)
-        longest.append(before + step.estimate)
-    return max(longest, default=0.0)
-
-
-def compute_objective(job: JobProgress) -> float:
-    """Return the time in seconds from its acceptance in which a job should complete."""
-    record = job.record
-    return record.stretch * estimate_chain(job) + record.target
--- a/jujubebarrow/tests/proof_job_mutations.py
+++ b/jujubebarrow/tests/proof_job_mutations.py
@@ -9,6 +9,7 @@
 from jujubebarrow.coordinators.run_orders import RunOrders
 from jujubebarrow.coordinators.worker_views import WorkerView
 from jujubebarrow.placements import placers
+from jujubebarrow.placements.free_rooms import FreeRoom
 from jujubebarrow.tests.proof_job_core import REGRESSION_SEEDS, simulate
 
 EARLY_EXPIRY_SECONDS = 4.5
@@ -54,7 +55,8 @@
 
     def test_capacity_not_checked(self) -> None:
         self.assert_detected(
-            patch.object(placers, "can_run", lambda step, worker, run_count: True)
+            patch.object(placers, "can_run", lambda step, worker, run_count: True),
+            patch.object(FreeRoom, "may_fit", lambda self, needs: True),
         )
 
     def test_unacknowledged_starts_not_stopped_after_a_restart(self) -> None:
--- a/jujubebarrow/tests/test_overload.py
+++ b/jujubebarrow/tests/test_overload.py
@@ -13,11 +13,7 @@
 from jujubebarrow.coordinators.pool_states import PoolState
 from jujubebarrow.coordinators.worker_views import WorkerView
 from jujubebarrow.identifiers import JobId, PoolId, QueueId, TeamId, ZoneId
-from jujubebarrow.placements.job_orders import (
-    JobOrder,
-    compute_objective,
-    estimate_work,
-)
+from jujubebarrow.placements.job_orders import JobOrder
 from jujubebarrow.placements.placers import choose_worker
 from jujubebarrow.pools.pool_loads import PoolLoad
 from jujubebarrow.pools.surplus_planners import plan_moves
@@ -110,14 +106,13 @@
 
     def share_of_met_objectives(self, jobs: list[JobProgress]) -> float:
         met_count = sum(
-            self.done_at.get(job.record.job, 1e9) - job.accepted_at
-            <= compute_objective(job)
+            self.done_at.get(job.record.job, 1e9) - job.accepted_at <= job.objective
             for job in jobs
         )
         return met_count / len(jobs)
 
     def largest_jobs(self) -> list[JobProgress]:
-        jobs = sorted(self.jobs, key=estimate_work)
+        jobs = sorted(self.jobs, key=lambda job: job.estimated_work)
         return jobs[-max(1, len(jobs) // 10) :]
 
 
@@ -242,7 +237,7 @@
             rate = ArrivalRate()
             for job in peak.jobs:
                 now = job.accepted_at
-                rate.add_work(estimate_work(job), now)
+                rate.add_work(job.estimated_work, now)
                 if rate.compute_required_cores(now) > POOL_CORES:
                     break
             self.assertLess(now, 1.0, seed)
--- a/jujubebarrow/workloads/job_records.py
+++ b/jujubebarrow/workloads/job_records.py
@@ -71,6 +71,15 @@
             step.count * step.needs.cpu / 1000 * step.estimate for step in self.steps
         )
 
+    @property
+    def objective(self) -> float:
+        """Time in seconds from its acceptance in which the job should complete."""
+        longest: list[float] = []
+        for step in self.steps:
+            before = max((longest[number] for number in step.after), default=0.0)
+            longest.append(before + step.estimate)
+        return self.stretch * max(longest, default=0.0) + self.target
+
     @property
     def occurrence_count(self) -> int:
         """Number of times that the steps are run."""
