Release starts that a worker's reduced capacity has no room for

A worker's capacity may shrink while it runs. New plans used the smaller capacity from its registration on, but a run that was stored before and not sent yet, for instance because the worker did not respond or the owner's lease was in doubt, was sent however late: a start that brings the worker over its capacity (LIMIT). Such a run is released now and placed anew. A worker over its capacity also took room away from the estimate of what the pool can start, so that less of a team's limit was requested.

test_start_that_was_not_sent_before_the_reduction_is_not_sent and test_start_that_still_fits_after_the_reduction_is_sent failed before.

--- a/jujubebarrow/coordinators/planners.py
+++ b/jujubebarrow/coordinators/planners.py
@@ -52,7 +52,8 @@
         self._room = FreeRoom(unpaused)
         self._spare = NO_RESOURCES
         for worker in unpaused:
-            self._spare = self._spare.plus(worker.free)
+            if not worker.is_over_capacity:
+                self._spare = self._spare.plus(worker.free)
         jobs = [job for job in self._state.jobs.values() if not job.phase.is_final]
         for job in jobs:
             job.open_due_occurrences(wall, self._state.options.early_start)
--- a/jujubebarrow/coordinators/run_orders.py
+++ b/jujubebarrow/coordinators/run_orders.py
@@ -70,6 +70,10 @@
             return None
         if run.stage is not RunStage.RECORDED or run.incarnation != worker.incarnation:
             return None
+        if worker.is_over_capacity and not run.is_start_sent:
+            reason = "capacity reduced before the start"
+            self._reconciler.record_unreported_end(worker, run, reason, now)
+            return None
         if worker.unresponsive_since:
             # Each attempt would delay the lease expiry, after which the runs of an
             # unreachable worker are started elsewhere.
--- a/jujubebarrow/coordinators/worker_views.py
+++ b/jujubebarrow/coordinators/worker_views.py
@@ -79,6 +79,11 @@
         """Resources that are not reserved by runs; negative after a reduction."""
         return self._free
 
+    @property
+    def is_over_capacity(self) -> bool:
+        """Whether the runs need more than a reduced capacity."""
+        return self._entry is not None and min(self._free) < 0
+
     @property
     def reserved(self) -> Resources:
         """Resources reserved by runs that may still be executing."""
