Fail a request after three upstreams have broken it off

A request now fails with upstream-incomplete after three attempts whose connection broke after the start; the operator's explanation of the request names the upstreams, and the counter request_given_up counts. Timeouts and refusals do not count: a slow or draining upstream is no sign of a crash.

Whether the caller then sends the request again is up to the caller: the answer says that it may have run.

--- a/jujubebarrow/homes/attempts.py
+++ b/jujubebarrow/homes/attempts.py
@@ -31,6 +31,9 @@
 of the refusal."""
 NOT_STARTED_LIMIT = 40
 """Number of attempts not started by an upstream after which a request fails."""
+BROKEN_OFF_LIMIT = 3
+"""Number of attempts broken off by their upstreams after which a request fails; the
+request itself may be what takes the upstreams down."""
 SERVER_ERROR_STATUS = 500
 RETRY_AFTER_SECONDS = 1.0
 
@@ -151,6 +154,8 @@
         if error.may_have_started:
             if error.timed_out:
                 scheduler.record_timeout(entry.queue)
+            else:
+                entry.broken_off_count += 1
             entry.failed_upstreams.add(start.member.upstream)
             self._record_upstream_failure(start)
             self._keep_slot_until_lease_end(scheduler, start)
@@ -231,7 +236,13 @@
             self._check_retry_of_unstarted(scheduler, entry, error)
             return
         reason = "upstream-timeout" if error.timed_out else "upstream-incomplete"
-        if entry.idempotent and self._try_reserve_retry(scheduler, entry, reason):
+        if entry.broken_off_count >= BROKEN_OFF_LIMIT:
+            self._metrics.count("request_given_up", entry.queue)
+            upstreams = ", ".join(sorted(entry.failed_upstreams))
+            self._explanations.add(
+                entry.request, f"given up, broken off by {upstreams}"
+            )
+        elif entry.idempotent and self._try_reserve_retry(scheduler, entry, reason):
             return
         kind = ErrorKind.UPSTREAM_INCOMPLETE
         if error.timed_out:
--- a/jujubebarrow/queues/entries.py
+++ b/jujubebarrow/queues/entries.py
@@ -33,6 +33,7 @@
             included, since the upstream may accept the request later.
         not_started_count: Number of attempts that no upstream started, because the
             upstream refused the request or was unreachable.
+        broken_off_count: Number of attempts whose connection broke after the start.
         possible_start_count: Number of attempts that an upstream may have started.
     """
 
@@ -49,3 +50,4 @@
     failed_upstreams: set[UpstreamId] = field(default_factory=set)
     not_started_count: int = 0
     possible_start_count: int = 0
+    broken_off_count: int = 0
--- a/jujubebarrow/tests/fakes/fake_workers.py
+++ b/jujubebarrow/tests/fakes/fake_workers.py
@@ -64,6 +64,10 @@
         self.started_runs.append(run)
         self.running[task.task] = run
         self.on_start(run)
+        if self.fault == "crash":
+            self.is_down = True
+            del self.running[task.task]
+            raise DispatchError("connection reset", may_have_started=True)
         return create_task(self._execute(run), context=Context())  # type: ignore[return-value]
 
     async def _execute(self, run: Run) -> TaskResponse:
