Let suspects take any worker after a second, and repeated crashers come last

Tasks that had lost one worker beside a crashing task waited for 29 s although most of the room was free.

Cause: a suspect was only started on workers that had been up for 5 s, unless there was none; with a crash every second nearly each such worker was taken by the next crashing task.

Now a suspect waits 1 s at most for such a worker, and steps with a task that has crashed two workers in a row are planned after all others. The test of workers that crash by turns still passes, so that the shorter wait gives no innocent task up there.

--- a/jujubebarrow/coordinators/planners.py
+++ b/jujubebarrow/coordinators/planners.py
@@ -1,6 +1,7 @@
 """Planning of runs for startable tasks."""
 
 from collections import Counter
+from collections.abc import Iterator
 from typing import Any
 
 from jujubebarrow.coordinators.active_runs import ActiveRun, RunStage
@@ -19,6 +20,8 @@
 
 ESTABLISHED_SECONDS = 5.0
 """Time since its start after which a worker's crash under a task is hardly its own."""
+ESTABLISHED_WAIT_SECONDS = 1.0
+"""Time for which a suspect waits for such a worker before it takes any other."""
 
 
 class TaskPlanner:
@@ -59,16 +62,30 @@
             job.open_due_occurrences(wall, self._state.options.early_start)
         jobs.sort(key=lambda job: self._order.rank(job, now))
         planned: list[ActiveRun] = []
+        for job, position, step in self._order_steps(jobs):
+            if not self._can_start(job, step):
+                continue
+            allowed = self._filter_by_advice(job, position, step, unpaused, now)
+            planned += self._plan_step(job, position, step, allowed, paused, now, wall)
+        return planned
+
+    def _order_steps(
+        self, jobs: list[JobProgress]
+    ) -> Iterator[tuple[JobProgress, tuple[int, int], StepState]]:
+        """Iterate over the startable steps in the order of the jobs.
+
+        Steps with a task that has crashed its workers repeatedly come last, as each of
+        their starts may take a worker away from all others.
+        """
+        last = []
         for job in jobs:
             for occurrence, number, step in job.startable_steps():
-                if not self._can_start(job, step):
-                    continue
-                position = (occurrence, number)
-                allowed = self._filter_by_advice(job, position, step, unpaused, now)
-                planned += self._plan_step(
-                    job, position, step, allowed, paused, now, wall
-                )
-        return planned
+                item = (job, (occurrence, number), step)
+                if step.is_crashing:
+                    last.append(item)
+                else:
+                    yield item
+        yield from last
 
     def _can_start(self, job: JobProgress, step: StepState) -> bool:
         """Return False if planning a step would have no effect.
@@ -133,7 +150,7 @@
         waiting = sorted(step.waiting, key=lambda index: step.tasks[index].is_suspect)
         for placed_count, index in enumerate(waiting):
             task = step.tasks[index]
-            worker = _choose_worker(step, task, workers, run_counts, wall)
+            worker = _choose_worker(step, task, workers, run_counts, now, wall)
             victims = None
             if worker is None and step.spec.long_running:
                 victims = self._find_preemptible_runs(step, workers, run_counts)
@@ -337,33 +354,22 @@
     task: TaskState,
     workers: list[WorkerView],
     run_counts: Counter[WorkerId],
+    now: float,
     wall: float,
 ) -> WorkerView | None:
     """Return the worker for a task, or None if no worker is suitable.
 
-    A task that may crash its worker must be told from a worker that crashes by itself.
+    A suspect waits some time for a worker that has been up for long, since one that has
+    just started may crash by itself.
     """
-    if task.is_suspect:
-        workers = find_established(workers, wall)
+    if task.is_suspect and now - task.absent_since < ESTABLISHED_WAIT_SECONDS:
+        started_before = 1000 * (wall - ESTABLISHED_SECONDS)
+        workers = [w for w in workers if w.started_at_ms <= started_before]
     return choose_worker(
         step.spec, workers, run_counts, task.avoided_worker, task.is_suspect
     )
 
 
-def find_established(workers: list[WorkerView], wall: float) -> list[WorkerView]:
-    """Return the workers that have been up for some time, or all if there is none.
-
-    A worker that has just started may be one that crashes by itself.
-
-    Args:
-        workers: Workers that accept tasks.
-        wall: Unix time in seconds.
-    """
-    started_before = 1000 * (wall - ESTABLISHED_SECONDS)
-    established = [w for w in workers if w.started_at_ms <= started_before]
-    return established or workers
-
-
 def count_runs_by_worker(step: StepState) -> Counter[WorkerId]:
     """Return the number of a step's active runs on each worker."""
     return Counter(task.active.worker for task in step.tasks if task.active is not None)
--- a/jujubebarrow/coordinators/step_states.py
+++ b/jujubebarrow/coordinators/step_states.py
@@ -3,6 +3,9 @@
 from jujubebarrow.coordinators.task_states import TaskState
 from jujubebarrow.workloads.step_specs import StepSpec
 
+REPEATED_CRASH_COUNT = 2
+"""Crashes in a row from which on they are hardly by chance."""
+
 
 class StepState:
     """States of the tasks of a step.
@@ -35,6 +38,11 @@
         """Whether a task is not done and has no active run."""
         return any(not task.is_done and task.active is None for task in self.tasks)
 
+    @property
+    def is_crashing(self) -> bool:
+        """Whether a task has crashed its workers repeatedly."""
+        return any(task.crashes >= REPEATED_CRASH_COUNT for task in self.tasks)
+
     def mark_done(self, index: int) -> None:
         """Mark a task as done; all tasks of a gang become done together."""
         indexes = range(len(self.tasks)) if self.spec.gang else (index,)
--- a/jujubebarrow/tests/test_crashing_tasks.py
+++ b/jujubebarrow/tests/test_crashing_tasks.py
@@ -148,3 +148,23 @@
             self.assertEqual(set(by_worker.values()), {1})
 
         self.run_scenario(scenario, workers=8)
+
+    def test_tasks_beside_many_crashing_ones_do_not_wait_for_all_of_them(self) -> None:
+        async def scenario(cluster: JobCluster) -> None:
+            beside, crashing = [], []
+            for number in range(12):
+                steps = (StepSpec(count=3, needs=SMALL),)
+                behaviour = TaskBehaviour(seconds=0.8)
+                beside.append(await cluster.submit(number, steps, behaviour=behaviour))
+                steps = (StepSpec(needs=SMALL),)
+                crashing.append(
+                    await cluster.submit(100 + number, steps, behaviour=CRASHING)
+                )
+            for job in beside:
+                self.assertTrue(await cluster.wait_for_phase(job, "completed", 30.0))
+            for job in crashing:
+                self.assertTrue(await cluster.wait_for_phase(job, "failed", 90.0))
+                self.assert_given_up(cluster, job)
+
+        for seed in range(1, 4):
+            self.run_scenario(scenario, workers=4, seed=seed)
