--- a/jujubebarrow/coordinators/planners.py
+++ b/jujubebarrow/coordinators/planners.py
@@ -63,8 +63,6 @@
         jobs.sort(key=lambda job: self._order.rank(job, now))
         planned: list[ActiveRun] = []
         for job, position, step in self._order_steps(jobs):
-            if not self._can_start(job, step):
-                continue
             allowed = self._filter_by_advice(job, position, step, unpaused, now)
             planned += self._plan_step(job, position, step, allowed, paused, now, wall)
         return planned
@@ -72,7 +70,7 @@
     def _order_steps(
         self, jobs: list[JobProgress]
     ) -> Iterator[tuple[JobProgress, tuple[int, int], StepState]]:
-        """Iterate over the startable steps in the order of the jobs.
+        """Iterate over the steps that may start now in the order of the jobs.
 
         Steps with a task that has crashed its workers repeatedly come last, as each of
         their starts may take a worker away from all others.
@@ -80,6 +78,8 @@
         last = []
         for job in jobs:
             for occurrence, number, step in job.startable_steps():
+                if not self._can_start(job, step):
+                    continue
                 item = (job, (occurrence, number), step)
                 if step.is_crashing:
                     last.append(item)
