--- a/jujubebarrow/tests/test_changed_capacity.py
+++ b/jujubebarrow/tests/test_changed_capacity.py
@@ -3,6 +3,7 @@
 import unittest
 from asyncio import sleep
 from collections.abc import Callable
+from dataclasses import replace
 
 from jujubebarrow.coordinators.active_runs import RunStage
 from jujubebarrow.coordinators.pool_coordinators import PoolCoordinator
@@ -126,15 +127,7 @@
 def reduce_worker(coordinator: PoolCoordinator, capacity: Resources) -> None:
     worker = coordinator.state.workers[WorkerId("w0")]
     assert worker.entry is not None
-    entry = worker.entry.__class__(
-        worker=worker.worker,
-        started_at_ms=1,
-        pool=worker.entry.pool,
-        address="a",
-        zone=worker.entry.zone,
-        state=worker.entry.state,
-        capacity=capacity,
-    )
+    entry = replace(worker.entry, capacity=capacity)
     coordinator.handle_registration(entry, 0.2)
 
 
