--- a/jujubebarrow/tests/proof_job_mutations.py
+++ b/jujubebarrow/tests/proof_job_mutations.py
@@ -57,6 +57,7 @@
         self.assert_detected(
             patch.object(placers, "can_run", lambda step, worker, run_count: True),
             patch.object(FreeRoom, "may_fit", lambda self, needs: True),
+            patch.object(WorkerView, "is_over_capacity", False),
         )
 
     def test_unacknowledged_starts_not_stopped_after_a_restart(self) -> None:
