--- a/jujubebarrow/runtimes/move_controllers.py
+++ b/jujubebarrow/runtimes/move_controllers.py
@@ -38,6 +38,8 @@
 not answered yet; longer than a lease renewal to an unresponsive worker."""
 SHORTAGE_LOG_PERIOD_SECONDS = 2.0
 """Minimum time between two log lines about a pool that is short of machines."""
+LOAD_LOG_PERIOD_SECONDS = 1.0
+"""Time between two log lines with the load of a pool that has work."""
 
 
 class MoveController:
@@ -88,6 +90,7 @@
         self._written_load: PoolLoad | None = None
         self._load_written_at = float("-inf")
         self._shortage_logged_at = float("-inf")
+        self._load_logged_at = float("-inf")
         self._machines_by_worker: dict[WorkerId, Machine] = {}
         self._spare_machines: list[Machine] = []
         self._listed_at = float("-inf")
@@ -137,6 +140,7 @@
         incoming = self._load_registry.count_incoming()
         moves = plan_moves(loads, incoming)
         targets = [target for source, target in moves if source == self._pool]
+        self._log_load(load, incoming.get(self._pool, 0))
         self._log_shortage(load, moves, incoming.get(self._pool, 0))
         if self._is_standby:
             await self._move_spare_machines(targets)
@@ -150,6 +154,27 @@
             or self._clock.monotonic() - self._load_written_at > LOAD_RENEWAL_SECONDS
         )
 
+    def _log_load(self, load: PoolLoad, incoming_count: int) -> None:
+        """Log the load of a pool that has work, and the machines on their way."""
+        now = self._clock.monotonic()
+        is_idle = not load.backlog and not load.demand
+        if is_idle or now - self._load_logged_at < LOAD_LOG_PERIOD_SECONDS:
+            return
+        self._load_logged_at = now
+        workers = self._coordinator.state.workers.values()
+        self._log.write(
+            "pool_load",
+            pool=self._pool,
+            demand=load.demand,
+            backlog=load.backlog,
+            capacity=load.capacity,
+            reserved=sum(worker.reserved.cpu for worker in workers),
+            machines=load.machines,
+            movable=load.movable,
+            incoming=incoming_count,
+            leaving=len(self._pending_moves),
+        )
+
     def _log_shortage(
         self, load: PoolLoad, moves: list[tuple[PoolId, PoolId]], incoming_count: int
     ) -> None:
