Divide a full pool among the teams by their weights

Callers of calm teams got late labels while one team sent several times its usual: the job core ordered jobs by their value for the work left and knew no teams at all. The glossary promises weighted max-min fairness when a pool is full, but only the scheduler of single requests kept it; a team's weight reached the owner of a pool and was dropped there.

Jobs that can still finish in time are now divided by team: what a team requests and runs beyond its weighted share of the pool's capacity comes after the jobs within their shares. Without contention nothing changes. Late jobs come last as before, so a share is never spent on them.

--- a/jujubebarrow/benches/experiments.py
+++ b/jujubebarrow/benches/experiments.py
@@ -8,9 +8,9 @@
 
 from jujubebarrow.benches.audits import percentile
 from jujubebarrow.benches.demands import HANBIT, KORO, DemandShape
-from jujubebarrow.benches.entitlements import compute_entitlements
 from jujubebarrow.benches.policies import NO_HYSTERESIS, SHIPPED, STATIC, Policy
 from jujubebarrow.benches.simulations import Simulation
+from jujubebarrow.shares.entitlements import compute_entitlements
 
 LOAD_SECONDS = 160.0
 WAVE_SECONDS = 400.0
--- a/jujubebarrow/coordinators/job_demands.py
+++ b/jujubebarrow/coordinators/job_demands.py
@@ -68,11 +68,8 @@
         return sum(self._sum_requested_cpu(job) for job in self._state.jobs.values())
 
     def _sum_requested_cpu(self, job: JobProgress) -> int:
-        waiting = sum(
-            len(step.waiting) * step.spec.reserved.cpu
-            for _, _, step in job.startable_steps()
-        )
-        return waiting + sum(run.reserved.cpu for run in job.active_runs())
+        running = sum(run.reserved.cpu for run in job.active_runs())
+        return job.sum_waiting_cpu() + running
 
     def _compute_spread_demand(self) -> int:
         """Return the capacity that long-running steps need to spread their tasks.
--- a/jujubebarrow/coordinators/job_progresses.py
+++ b/jujubebarrow/coordinators/job_progresses.py
@@ -139,6 +139,13 @@
             chain = max(chain, *longest)
         return chain, work
 
+    def sum_waiting_cpu(self) -> int:
+        """Return the requests of startable tasks in thousandths of a core."""
+        return sum(
+            len(step.waiting) * step.spec.reserved.cpu
+            for _, _, step in self.startable_steps()
+        )
+
     def active_runs(self) -> Iterator[ActiveRun]:
         """Iterate over all runs that may still be executing."""
         for _, _, step in self.steps():
--- a/jujubebarrow/coordinators/planners.py
+++ b/jujubebarrow/coordinators/planners.py
@@ -11,8 +11,9 @@
 from jujubebarrow.coordinators.task_states import TaskState
 from jujubebarrow.coordinators.wait_recorders import WaitReason, WaitRecorder
 from jujubebarrow.coordinators.worker_views import WorkerView
+from jujubebarrow.placements.fair_shares import FairShare
 from jujubebarrow.placements.free_rooms import FreeRoom
-from jujubebarrow.placements.job_orders import JobOrder
+from jujubebarrow.placements.job_orders import IN_TIME_GROUP, JobOrder
 from jujubebarrow.placements.placers import choose_gang, choose_worker
 from jujubebarrow.workloads.identifiers import RunNumber, WorkerId
 from jujubebarrow.workloads.resources import NO_RESOURCES
@@ -30,12 +31,20 @@
     Args:
         state: Jobs and workers of the pool.
         order: Ranking of the jobs.
+        fair_share: Finds the jobs beyond their team's share.
         waits: Records why long-running tasks wait.
     """
 
-    def __init__(self, state: PoolState, order: JobOrder, waits: WaitRecorder):
+    def __init__(
+        self,
+        state: PoolState,
+        order: JobOrder,
+        fair_share: FairShare,
+        waits: WaitRecorder,
+    ):
         self._state = state
         self._order = order
+        self._fair_share = fair_share
         self._waits = waits
         self._room = FreeRoom([])
         # Free capacity of the pool that no run and no request of the plan takes yet.
@@ -60,13 +69,30 @@
         jobs = [job for job in self._state.jobs.values() if not job.phase.is_final]
         for job in jobs:
             job.open_due_occurrences(wall, self._state.options.early_start)
-        jobs.sort(key=lambda job: self._order.rank(job, now))
+        jobs = self._sort_jobs(jobs, unpaused, now)
         planned: list[ActiveRun] = []
         for job, position, step in self._order_steps(jobs):
             allowed = self._filter_by_advice(job, position, step, unpaused, now)
             planned += self._plan_step(job, position, step, allowed, paused, now, wall)
         return planned
 
+    def _sort_jobs(
+        self, jobs: list[JobProgress], workers: list[WorkerView], now: float
+    ) -> list[JobProgress]:
+        """Return the jobs by rank, those beyond their team's share after the others.
+
+        Only jobs that can still finish in time are divided by team; late ones come
+        after them as before.
+        """
+        ranked = [(self._order.rank(job, now), job) for job in jobs]
+        ranked.sort(key=lambda item: item[0])
+        in_time = [job for rank, job in ranked if rank.group == IN_TIME_GROUP]
+        capacity = sum(worker.capacity_for_finite_cpu for worker in workers)
+        excess = self._fair_share.find_excess(in_time, self._state.finite_cpu, capacity)
+        if excess:
+            ranked.sort(key=lambda item: (item[0].group, item[1].record.job in excess))
+        return [job for _, job in ranked]
+
     def _order_steps(
         self, jobs: list[JobProgress]
     ) -> Iterator[tuple[JobProgress, tuple[int, int], StepState]]:
--- a/jujubebarrow/coordinators/pool_coordinators.py
+++ b/jujubebarrow/coordinators/pool_coordinators.py
@@ -17,6 +17,7 @@
 from jujubebarrow.coordinators.worker_views import WorkerView
 from jujubebarrow.identifiers import JobId, PoolId
 from jujubebarrow.logs.decision_logs import DecisionLog
+from jujubebarrow.placements.fair_shares import FairShare
 from jujubebarrow.placements.job_orders import JobOrder
 from jujubebarrow.workloads.identifiers import FenceToken, WorkerId
 from jujubebarrow.workloads.job_phases import JobPhase
@@ -59,7 +60,10 @@
         self._log = log
         self._order = JobOrder()
         self._waits = WaitRecorder(log)
-        self._planner = TaskPlanner(self.state, self._order, self._waits)
+        self.fair_share = FairShare()
+        self._planner = TaskPlanner(
+            self.state, self._order, self.fair_share, self._waits
+        )
         self._losses = LossRecorder(self.state, log)
         self._reconciler = Reconciler(self.state, self._losses, log)
         self._throttler = Throttler(self.state)
--- a/jujubebarrow/coordinators/pool_states.py
+++ b/jujubebarrow/coordinators/pool_states.py
@@ -1,6 +1,6 @@
 """Jobs, workers and unstored changes of one pool."""
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 
 from jujubebarrow.coordinators.active_runs import ActiveRun, RunStage
 from jujubebarrow.coordinators.coordinator_options import CoordinatorOptions
@@ -10,7 +10,7 @@
 from jujubebarrow.coordinators.recorded_leases import RecordedLease
 from jujubebarrow.coordinators.task_states import TaskState
 from jujubebarrow.coordinators.worker_views import CLOCK_RATE, WorkerView
-from jujubebarrow.identifiers import JobId, PoolId, QueueId
+from jujubebarrow.identifiers import JobId, PoolId, QueueId, TeamId
 from jujubebarrow.limits.grant_registries import GrantRegistry
 from jujubebarrow.placements.advice_registries import AdviceRegistry
 from jujubebarrow.workloads.identifiers import FenceToken, WorkerId
@@ -41,6 +41,8 @@
         self.workers: dict[WorkerId, WorkerView] = {}
         self.grants = GrantRegistry()
         self.advice = AdviceRegistry()
+        # Processor time in thousandths of a core reserved by each team's finite runs.
+        self.finite_cpu: Counter[TeamId] = Counter()
         # Runs for which an order has to be sent, and stop orders against late starts.
         self.starts: list[ActiveRun] = []
         self.stops: list[ActiveRun] = []
@@ -84,6 +86,8 @@
         """Reserve the resources of a run on its worker and in its team's grant."""
         self.ensure_worker(run.worker).add_run(run)
         self.grants.add_usage(job.record.team, run.usage)
+        if not run.is_long_running:
+            self.finite_cpu[job.record.team] += run.reserved.cpu
 
     def release_run(self, job: JobProgress, task: TaskState, now: float) -> None:
         """Clear the active run of a task and release the resources of the run."""
@@ -96,6 +100,8 @@
         if worker is not None:
             worker.remove_run(run)
         self.grants.remove_usage(job.record.team, run.usage)
+        if not run.is_long_running:
+            self.finite_cpu[job.record.team] -= run.reserved.cpu
 
     def request_stop(self, run: ActiveRun) -> None:
         """Request the stop of a run; its resources stay reserved until the run ends.
--- a/jujubebarrow/coordinators/worker_views.py
+++ b/jujubebarrow/coordinators/worker_views.py
@@ -52,6 +52,7 @@
         self._reserved = NO_RESOURCES
         self._free = NO_RESOURCES
         self._long_running_count = 0
+        self._long_running_cpu = 0
         self._unproven_suspects: set[tuple[TaskKey, RunNumber]] = set()
 
     @property
@@ -89,6 +90,11 @@
         """Resources reserved by runs that may still be executing."""
         return self._reserved
 
+    @property
+    def capacity_for_finite_cpu(self) -> int:
+        """Capacity in thousandths of a core that long-running tasks leave."""
+        return max(0, self.capacity.cpu - self._long_running_cpu)
+
     @property
     def has_long_running(self) -> bool:
         """Whether a long-running task may still be executing on the worker."""
@@ -136,7 +142,9 @@
         self.runs[run.task, run.run] = run
         self._reserved = self._reserved.plus(run.reserved)
         self._free = self._free.minus(run.reserved)
-        self._long_running_count += run.is_long_running
+        if run.is_long_running:
+            self._long_running_count += 1
+            self._long_running_cpu += run.reserved.cpu
         if run.is_suspect and not run.is_proven:
             self._unproven_suspects.add((run.task, run.run))
 
@@ -145,7 +153,9 @@
         if self.runs.pop((run.task, run.run), None) is not None:
             self._reserved = self._reserved.minus(run.reserved)
             self._free = self._free.plus(run.reserved)
-            self._long_running_count -= run.is_long_running
+            if run.is_long_running:
+                self._long_running_count -= 1
+                self._long_running_cpu -= run.reserved.cpu
             self._unproven_suspects.discard((run.task, run.run))
 
     def prove_run(self, run: ActiveRun) -> None:
--- a/jujubebarrow/placements/job_orders.py
+++ b/jujubebarrow/placements/job_orders.py
@@ -19,6 +19,9 @@
 """Share of the mean value that each job has regardless of its work; the rest of a
 job's value is proportional to its work."""
 
+IN_TIME_GROUP = 1
+"""Group of the jobs that can still meet their objective."""
+
 
 class JobRank(NamedTuple):
     """Sort key of a job; the lowest is placed first.
@@ -63,7 +66,7 @@
         age = now - job.accepted_at
         density = self._estimate_value(job) / max(remaining_work, 0.01)
         if age + remaining_chain <= objective:
-            return JobRank(1, -density, job.accepted_at)
+            return JobRank(IN_TIME_GROUP, -density, job.accepted_at)
         if age + remaining_chain <= LATE_FACTOR * objective:
             return JobRank(2, -density * LATE_VALUE_SHARE, job.accepted_at)
         return JobRank(3, -density, job.accepted_at)
--- a/jujubebarrow/runtimes/pool_owners.py
+++ b/jujubebarrow/runtimes/pool_owners.py
@@ -207,9 +207,12 @@
         return self._failing_load_count > 0
 
     def apply_fleet(self, fleet: FleetMap) -> None:
-        """Apply the teams' upper limits and the queues' advice options."""
+        """Apply the teams' limits and weights and the queues' advice options."""
         limits = {team: spec.limit for team, spec in fleet.teams.items()}
         self.coordinator.state.grants.set_limits(limits)
+        self.coordinator.fair_share.set_weights(
+            {team: spec.weight for team, spec in fleet.teams.items()}
+        )
         self.coordinator.state.advice.set_options(
             {
                 queue: route.advice
--- a/jujubebarrow/benches/entitlements.py
+++ b/jujubebarrow/shares/entitlements.py
@@ -1,9 +1,16 @@
 """Division of a pool's capacity among the teams by weighted max-min fairness."""
 
+from collections.abc import Mapping
+from typing import TypeVar
+
+TeamName = TypeVar("TeamName", bound=str)
+
 
 def compute_entitlements(
-    demands: dict[str, float], shares: dict[str, float], capacity: float
-) -> dict[str, float]:
+    demands: Mapping[TeamName, float],
+    shares: Mapping[TeamName, float],
+    capacity: float,
+) -> dict[TeamName, float]:
     """Return the capacity that each team is entitled to.
 
     A team gets at most its demand. Capacity that a team does not need is divided among
@@ -14,7 +21,7 @@
         shares: Share of each team, its weight in the division.
         capacity: Total capacity, in the unit of the demands.
     """
-    entitlements: dict[str, float] = {}
+    entitlements: dict[TeamName, float] = {}
     unsatisfied = {team for team, amount in demands.items() if amount > 0}
     remaining = capacity
     while unsatisfied:
--- a/jujubebarrow/tests/fakes/job_clusters.py
+++ b/jujubebarrow/tests/fakes/job_clusters.py
@@ -2,6 +2,7 @@
 
 from asyncio import get_running_loop, sleep
 from collections import Counter, defaultdict
+from collections.abc import Mapping
 from contextlib import AsyncExitStack
 from random import Random
 from typing import Any
@@ -218,7 +219,13 @@
     def unregister_worker(self, name: WorkerId) -> None:
         self._write(f"servers//{name}", None)
 
-    def write_fleet(self, version: int = 1, limit: Resources = NO_RESOURCES) -> None:
+    def write_fleet(
+        self,
+        version: int = 1,
+        limit: Resources = NO_RESOURCES,
+        weights: Mapping[TeamId, float] | None = None,
+    ) -> None:
+        weights = weights or {TEAM: 1.0}
         fleet = FleetMap(
             version=version,
             routes=index_routes([self.route]),
@@ -227,7 +234,10 @@
                 POOL: PoolSpec(pool=POOL),
                 STANDBY: PoolSpec(pool=STANDBY, is_standby=True),
             },
-            teams={TEAM: TeamSpec(team=TEAM, limit=limit)},
+            teams={
+                team: TeamSpec(team=team, weight=weight, limit=limit)
+                for team, weight in weights.items()
+            },
         )
         self._write("op//config", fleet)
 
@@ -260,6 +270,7 @@
         instance: int = 0,
         behaviour: TaskBehaviour | None = None,
         timeout: float = 3.0,
+        team: TeamId = TEAM,
     ) -> JobId:
         job = JobId(f"{number:016x}")
         payload = f"job-{number}"
@@ -269,7 +280,7 @@
         node = self.instances[instance].node
         assert node is not None
         submission = JobSubmission(payload=payload, steps=steps)
-        await node.intake.submit(ROUTE, TEAM, job, submission, timeout)
+        await node.intake.submit(ROUTE, team, job, submission, timeout)
         self.accepted.add(job)
         return job
 
