Order all machine moves of a round at once

A pool at its demand peak got its machines when the peak was nearly over. An owner claimed and ordered one machine after the other, 30 ms each, planned its next round only after the last of them, lent half of its machines in a round at most, and looked for changed loads each 0.25 s from rows up to 0.25 s old.

One transaction now claims all moves of a round, and their orders are sent at the same time. An order without a response stays pending and no longer keeps the others back. The bound on machines that stay with the lender is kept; the second one, half of its machines in one plan, only made 30 idle machines of 40 take two rounds, and is gone. Loads are looked at each 0.15 s.

--- a/jujubebarrow/pools/surplus_planners.py
+++ b/jujubebarrow/pools/surplus_planners.py
@@ -15,8 +15,6 @@
 """Ratio of a pool's demand to its capacity above which the pool needs machines."""
 LENDING_LOAD_RATIO = 0.5
 """Ratio of demand to remaining capacity up to which a pool lends machines."""
-MAX_LENT_SHARE = 0.5
-"""Largest share of a pool's machines that the pool lends in one plan."""
 MIN_MACHINE_COUNT = 2
 """Machines that stay in each pool, so that one is left if another is lost."""
 RETAINED_SHARE = 0.75
@@ -115,10 +113,7 @@
     unneeded = (
         int((load.capacity - load.demand / LENDING_LOAD_RATIO) / size) if size else 0
     )
-    lent_limit = min(
-        int(load.machines * MAX_LENT_SHARE), load.machines - retained_count
-    )
-    return max(0, min(load.movable, unneeded, lent_limit))
+    return max(0, min(load.movable, unneeded, load.machines - retained_count))
 
 
 def _choose_source(loads: dict[PoolId, PoolLoad], surplus: dict[PoolId, int]) -> PoolId:
--- a/jujubebarrow/runtimes/load_registries.py
+++ b/jujubebarrow/runtimes/load_registries.py
@@ -24,10 +24,12 @@
 """Age from which a load is ignored, since its pool may have no owner; two renewals of a
 load and a slow store."""
 WRITTEN_AT = "at"
-CACHE_AGE_SECONDS = 0.25
+CACHE_AGE_SECONDS = 0.1
 """Age up to which rows read for one pool are reused for this instance's other pools."""
 TRANSIT_SECONDS = 2.5
 """Time after the order for a move during which the machine counts as incoming."""
+MOVES_PER_CLAIM_LIMIT = 50
+"""Most moves recorded by one transaction; half of what the platform accepts."""
 ORDER_WINDOW_SECONDS = 0.5
 """Longest time that the claim of a move may take; after a slower claim, the order for
 the move is not sent."""
@@ -121,34 +123,50 @@
         """
         key = make_key(TableName.BALANCE, PARTITION, LOAD_PREFIX + load.pool)
         written_at = self._store_clock.to_store_time(self._clock.monotonic())
-        await self._write(key, load.to_document() | {WRITTEN_AT: written_at})
+        await self._write({key: load.to_document() | {WRITTEN_AT: written_at}})
 
-    async def claim_move(
-        self, machine: MachineId, target: PoolId, holder: str
+    async def claim_moves(
+        self, targets: dict[MachineId, PoolId], holder: str
     ) -> FenceToken:
-        """Record a move; the order for the move may be sent only after the record.
+        """Record moves; the orders for the moves may be sent only after the record.
+
+        All moves are recorded by one transaction, because the store executes the
+        transactions of a partition one after the other.
+
+        Args:
+            targets: Pool to which each machine moves; MOVES_PER_CLAIM_LIMIT machines
+                at most.
+            holder: Instance that sends the orders.
 
         Returns:
-            Fencing token for the order.
+            Fencing token for the orders.
 
         Raises:
             StoreError: The write failed or its outcome is unknown, or the write took
                 longer than ORDER_WINDOW_SECONDS.
         """
-        key = make_key(TableName.BALANCE, PARTITION, MOVE_PREFIX + machine)
         started_at = self._clock.monotonic()
         at = self._store_clock.to_store_time(started_at)
-        value = {"target": target, "holder": holder, "at": at}
-        revision = await self._write(key, value)
+        revision = await self._write(
+            {
+                make_key(TableName.BALANCE, PARTITION, MOVE_PREFIX + machine): {
+                    "target": target,
+                    "holder": holder,
+                    "at": at,
+                }
+                for machine, target in targets.items()
+            }
+        )
         now = self._clock.monotonic()
-        self._moves[machine] = (revision, target, holder, now)
+        for machine, target in targets.items():
+            self._moves[machine] = (revision, target, holder, now)
         if now - started_at > ORDER_WINDOW_SECONDS:
             self._metrics.count("move_claimed_late")
-            raise StoreError("claim of a move took too long")
+            raise StoreError("claim of moves took too long")
         return FenceToken(revision)
 
-    async def _write(self, key: str, value: dict[str, Any]) -> int:
-        transaction = Transaction(writes={key: value}, nonce=uuid4().hex)
+    async def _write(self, values: dict[str, dict[str, Any]]) -> int:
+        transaction = Transaction(writes=values, nonce=uuid4().hex)
         try:
             result = await self._store.try_commit(transaction)
         except StoreError:
--- a/jujubebarrow/runtimes/move_controllers.py
+++ b/jujubebarrow/runtimes/move_controllers.py
@@ -1,6 +1,6 @@
 """Lends a pool's machines to pools that are short of them."""
 
-from asyncio import sleep
+from asyncio import gather, sleep
 from collections.abc import Callable
 
 from jujubebarrow.clocks.clocks import Clock
@@ -19,11 +19,11 @@
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.pools.pool_loads import PoolLoad
 from jujubebarrow.pools.surplus_planners import plan_moves
-from jujubebarrow.runtimes.load_registries import LoadRegistry
+from jujubebarrow.runtimes.load_registries import MOVES_PER_CLAIM_LIMIT, LoadRegistry
 from jujubebarrow.runtimes.owner_hooks import OwnerHooks
-from jujubebarrow.workloads.identifiers import MachineId, WorkerId
+from jujubebarrow.workloads.identifiers import FenceToken, MachineId, WorkerId
 
-PLAN_PERIOD_SECONDS = 0.25
+PLAN_PERIOD_SECONDS = 0.15
 """Time between two plans; short compared with a change of demand, which lasts several
 seconds."""
 MACHINE_LIST_AGE_SECONDS = 2.0
@@ -257,12 +257,12 @@
         ]
 
     async def _move_spare_machines(self, targets: list[PoolId]) -> None:
-        for target in targets:
-            if not self._spare_machines:
-                return
+        machines = []
+        while self._spare_machines and len(machines) < len(targets):
             machine = self._spare_machines.pop()
             if not self._is_under_maintenance(machine.machine):
-                await self._move(machine, target)
+                machines.append(machine)
+        await self._move(list(zip(machines, targets, strict=False)))
 
     async def _move_workers(self, targets: list[PoolId]) -> None:
         now = self._clock.monotonic()
@@ -270,35 +270,35 @@
         for target, _ in self._pending_moves.values():
             if target in requested:
                 requested.remove(target)
-        for target in requested:
-            movable = self._find_movable()
-            if not movable:
-                break
-            movable[0].is_cordoned = True
-            self._pending_moves[movable[0].worker] = (target, now)
-        for name in list(self._pending_moves):
-            await self._finish_pending_move(name, now)
-
-    async def _finish_pending_move(self, name: WorkerId, now: float) -> None:
-        target, planned_at = self._pending_moves[name]
-        worker = self._coordinator.state.workers.get(name)
-        if worker is None or worker.entry is None:
-            del self._pending_moves[name]
-            return
-        if worker.runs:
-            if now - planned_at > DRAIN_GRACE_SECONDS:
+        movable = self._find_movable()
+        for worker, target in zip(movable, requested, strict=False):
+            worker.is_cordoned = True
+            self._pending_moves[worker.worker] = (target, now)
+        if self._pending_moves:
+            await self._refresh_machines()
+        ready = self._list_ready_moves(now)
+        outcomes = await self._move([(machine, target) for _, machine, target in ready])
+        for worker, machine, _ in ready:
+            outcome = outcomes.get(machine.machine)
+            if outcome is MachineOrderOutcome.DONE:
+                self._pending_moves.pop(worker.worker, None)
+            elif outcome is not None:
                 self._cancel_move(worker)
-            return
-        await self._refresh_machines()
-        machine = self._machines_by_worker.get(name)
-        if machine is None or not self._is_movable(machine):
-            if now - planned_at > DRAIN_GRACE_SECONDS:
+
+    def _list_ready_moves(self, now: float) -> list[tuple[WorkerView, Machine, PoolId]]:
+        """Return the pending moves of drained workers; cancel overdue moves."""
+        ready = []
+        for name, (target, planned_at) in list(self._pending_moves.items()):
+            worker = self._coordinator.state.workers.get(name)
+            if worker is None or worker.entry is None:
+                del self._pending_moves[name]
+                continue
+            machine = self._machines_by_worker.get(name)
+            if not worker.runs and machine is not None and self._is_movable(machine):
+                ready.append((worker, machine, target))
+            elif now - planned_at > DRAIN_GRACE_SECONDS:
                 self._cancel_move(worker)
-            return
-        if await self._move(machine, target):
-            self._pending_moves.pop(name, None)
-        else:
-            self._cancel_move(worker)
+        return ready
 
     def _is_movable(self, machine: Machine) -> bool:
         return (
@@ -315,11 +315,44 @@
         self._metrics.count("move_given_up")
         self._hooks.on_change()
 
-    async def _move(self, machine: Machine, target: PoolId) -> bool:
-        token = await self._load_registry.claim_move(
-            machine.machine, target, self._instance
-        )
-        outcome = await self._machines.move(machine.machine, target, token)
+    async def _move(
+        self, moves: list[tuple[Machine, PoolId]]
+    ) -> dict[MachineId, MachineOrderOutcome]:
+        """Claim and order moves; return the outcomes of the answered orders.
+
+        The orders are sent at the same time, since a pool at its demand peak needs
+        dozens of machines within a second. A move whose order got no response may
+        have begun.
+
+        Raises:
+            StoreError: A claim failed; its orders and those after it were not sent.
+        """
+        outcomes: dict[MachineId, MachineOrderOutcome] = {}
+        for start in range(0, len(moves), MOVES_PER_CLAIM_LIMIT):
+            batch = moves[start : start + MOVES_PER_CLAIM_LIMIT]
+            token = await self._load_registry.claim_moves(
+                {machine.machine: target for machine, target in batch}, self._instance
+            )
+            results = await gather(
+                *(self._order_move(machine, target, token) for machine, target in batch)
+            )
+            for (machine, _), outcome in zip(batch, results, strict=True):
+                if outcome is not None:
+                    outcomes[machine.machine] = outcome
+        return outcomes
+
+    async def _order_move(
+        self, machine: Machine, target: PoolId, token: FenceToken
+    ) -> MachineOrderOutcome | None:
+        """Send the order for a move; return None if there was no response."""
+        try:
+            outcome = await self._machines.move(machine.machine, target, token)
+        except MachineControlError as error:
+            self._metrics.count("move_retry", type(error).__name__)
+            self._log.write(
+                "move_unanswered", machine=machine.machine, detail=str(error)
+            )
+            return None
         self._metrics.count("move", outcome.value)
         self._log.write(
             "machine_moved",
@@ -332,4 +365,4 @@
         )
         if outcome is MachineOrderOutcome.UNKNOWN_MACHINE:
             self._unmovable.add(machine.machine)
-        return outcome is MachineOrderOutcome.DONE
+        return outcome
--- a/jujubebarrow/standins/emulated_stores.py
+++ b/jujubebarrow/standins/emulated_stores.py
@@ -35,6 +35,8 @@
             late writes.
         is_down: Whether all calls time out.
         extra_delay_seconds: Additional delay of each call in seconds.
+        commit_seconds: Time in seconds that a partition takes for one transaction; the
+            transactions of a partition follow one another.
         response_loss_probability: Probability that a commit is applied and its response
             is lost.
         late_write_probability: Probability that a commit times out and is applied
@@ -51,11 +53,25 @@
         self.random = random
         self.is_down = False
         self.extra_delay_seconds = 0.0
+        self.commit_seconds = 0.0
         self.response_loss_probability = 0.0
         self.late_write_probability = 0.0
         self.response_loss_keys: set[str] = set()
         self.oldest_readable_revision = 0
         self.history_truncation_count = 0
+        self._busy_until: dict[str, float] = {}
+
+    async def wait_for_turn(self, transaction: Transaction) -> None:
+        """Wait until the partitions of a transaction have completed it."""
+        if not self.commit_seconds:
+            return
+        keys = {*transaction.writes, *transaction.conditions}
+        partitions = {RowKey.parse(key).partition for key in keys}
+        now = get_running_loop().time()
+        start = max([now, *(self._busy_until.get(name, now) for name in partitions)])
+        end = start + self.commit_seconds
+        self._busy_until.update(dict.fromkeys(partitions, end))
+        await sleep(end - now)
 
 
 class EmulatedStore(Store):
@@ -129,6 +145,7 @@
             await sleep(RESPONSE_TIMEOUT_SECONDS)
             raise StoreError("no answer", True)
         shared = self._shared
+        await shared.wait_for_turn(transaction)
         draw = shared.random.random()
         if draw < shared.late_write_probability:
             delay_seconds = shared.random.uniform(*LATE_WRITE_RANGE_SECONDS)
--- a/jujubebarrow/tests/fakes/job_clusters.py
+++ b/jujubebarrow/tests/fakes/job_clusters.py
@@ -47,6 +47,7 @@
 KEY_FRESHNESS_SECONDS = 4.0
 LINK_MBPS = 1000.0
 POOL = PoolId("labels")
+OTHER_POOL = PoolId("certificates")
 QUEUE = QueueId("print")
 ROUTE = QueueRoute(
     queue=QUEUE,
@@ -164,10 +165,24 @@
 
 
 class JobCluster:
-    """Entry instances, workers and machines that share one emulated store."""
+    """Entry instances, workers and machines that share one emulated store.
+
+    Args:
+        seed: Seed of the random generator.
+        instances: Number of entry instances.
+        workers: Number of workers in the pool of the only queue.
+        standby: Number of machines that are switched off.
+        others: Number of workers in a second pool, which has no queue; without any,
+            there is no second pool.
+    """
 
     def __init__(
-        self, seed: int = 1, instances: int = 3, workers: int = 3, standby: int = 0
+        self,
+        seed: int = 1,
+        instances: int = 3,
+        workers: int = 3,
+        standby: int = 0,
+        others: int = 0,
     ):
         self.random = Random(seed)
         self.store = SharedStore(self.random)
@@ -180,12 +195,16 @@
         self.route = ROUTE
         self.cancelled_at: dict[JobId, float] = {}
         self.accepted: set[JobId] = set()
+        self._pools = {
+            POOL: PoolSpec(pool=POOL),
+            STANDBY: PoolSpec(pool=STANDBY, is_standby=True),
+        }
         for number in range(workers):
-            name = WorkerId(f"w{number}")
-            self.workers[name] = EmulatedWorker(
-                name, POOL, CAPACITY, LEASE_SECONDS, self.behaviours, random=self.random
-            )
-            self.register_worker(name)
+            self._add_worker(WorkerId(f"w{number}"), POOL)
+        if others:
+            self._pools[OTHER_POOL] = PoolSpec(pool=OTHER_POOL)
+        for number in range(others):
+            self._add_worker(WorkerId(f"o{number}"), OTHER_POOL)
         for number in range(workers, workers + standby):
             name = WorkerId(f"w{number}")
             self.workers[name] = EmulatedWorker(
@@ -200,6 +219,12 @@
         self.write_fleet()
         self.instances = [Instance(self, f"n{number}") for number in range(instances)]
 
+    def _add_worker(self, name: WorkerId, pool: PoolId) -> None:
+        self.workers[name] = EmulatedWorker(
+            name, pool, CAPACITY, LEASE_SECONDS, self.behaviours, random=self.random
+        )
+        self.register_worker(name)
+
     def _write(self, key: str, value: Any) -> None:
         document = None
         if value is not None:
@@ -230,10 +255,7 @@
             version=version,
             routes=index_routes([self.route]),
             queues={QUEUE: self.route},
-            pools={
-                POOL: PoolSpec(pool=POOL),
-                STANDBY: PoolSpec(pool=STANDBY, is_standby=True),
-            },
+            pools=self._pools,
             teams={
                 team: TeamSpec(team=team, weight=weight, limit=limit)
                 for team, weight in weights.items()
@@ -249,9 +271,9 @@
             await instance.start()
         await self.wait_for(lambda: self.find_owner() is not None, 10.0)
 
-    def find_owner(self) -> Instance | None:
+    def find_owner(self, pool: PoolId = POOL) -> Instance | None:
         for instance in self.instances:
-            if instance.node is not None and instance.node.owns(POOL):
+            if instance.node is not None and instance.node.owns(pool):
                 return instance
         return None
 
--- a/jujubebarrow/tests/test_store_clocks.py
+++ b/jujubebarrow/tests/test_store_clocks.py
@@ -107,7 +107,7 @@
             clock = LoopClock(get_running_loop())
             first = make_load_registry(shared, clock)
             await first.refresh()
-            await first.claim_move(MACHINE, PoolId("labels"), "n0")
+            await first.claim_moves({MACHINE: PoolId("labels")}, "n0")
             await sleep(1.0)
             before_expiry = make_load_registry(shared, ShiftedClock(get_running_loop()))
             await before_expiry.refresh()
