Share the machines out by the demand of all pools

A pool keeps two fifths of an equal part now, a pool that has had no jobs lately only the last two machines, and lends what a load of 0.75 leaves over. While no pool is short, machines of a past peak are spread evenly, so that the next peak starts with more and depends on fewer lenders.

Three tests in test_overload.py fail before: a pool at the end of its peak lends 35 of 110 machines to one with four times its capacity asked for; an unused pool gives all but two; 90 machines of a past peak are spread.

--- a/jujubebarrow/pools/pool_loads.py
+++ b/jujubebarrow/pools/pool_loads.py
@@ -20,6 +20,7 @@
         movable: Number of these workers that can move to another pool at once; for a
             standby pool, whose other numbers are 0, the number of such machines.
         is_standby: Whether the pool's machines are switched off and cost nothing.
+        is_used: Whether the pool has had jobs lately; other pools only lend.
     """
 
     pool: PoolId
@@ -29,6 +30,7 @@
     movable: int
     backlog: int = 0
     is_standby: bool = False
+    is_used: bool = True
 
     @property
     def machine_size(self) -> float:
@@ -44,6 +46,7 @@
             "movable": self.movable,
             "backlog": self.backlog,
             "standby": self.is_standby,
+            "used": self.is_used,
         }
 
     @classmethod
@@ -57,6 +60,7 @@
             movable=document["movable"],
             backlog=document["backlog"],
             is_standby=document["standby"],
+            is_used=document.get("used", True),
         )
 
     def has_reportable_change(self, other: "PoolLoad") -> bool:
@@ -65,7 +69,11 @@
         Args:
             other: Load that was reported last.
         """
-        if self.machines != other.machines or self.movable != other.movable:
+        if (self.machines, self.movable, self.is_used) != (
+            other.machines,
+            other.movable,
+            other.is_used,
+        ):
             return True
         step = max(1, self.capacity // REPORT_STEP_COUNT)
         return (
--- a/jujubebarrow/pools/surplus_planners.py
+++ b/jujubebarrow/pools/surplus_planners.py
@@ -7,19 +7,23 @@
 
 from collections import Counter
 from dataclasses import replace
+from math import ceil
 
 from jujubebarrow.identifiers import PoolId
 from jujubebarrow.pools.pool_loads import PoolLoad
 
 SHORTAGE_LOAD_RATIO = 1.0
 """Ratio of a pool's demand to its capacity above which the pool needs machines."""
-LENDING_LOAD_RATIO = 0.5
+LENDING_LOAD_RATIO = 0.75
 """Ratio of demand to remaining capacity up to which a pool lends machines."""
 MIN_MACHINE_COUNT = 2
 """Machines that stay in each pool, so that one is left if another is lost."""
-RETAINED_SHARE = 0.75
-"""Share of the mean pool size that each pool retains, since the pool's own demand peak
-rises faster than machines can return."""
+RETAINED_SHARE = 0.4
+"""Share of an equal part of the machines that each used pool retains, since the
+pool's own demand peak rises faster than machines can return."""
+UNEVEN_LIMIT_COUNT = 2
+"""Machines that a pool may lack of an equal part before it gets them from others while
+no pool is short."""
 MAX_RECEIVED_SHARE = 0.5
 """Largest share of all machines that one pool may receive in one plan."""
 
@@ -30,8 +34,11 @@
     """Return the moves that balance the load, as pairs of source and target pool.
 
     Pools whose jobs can still finish in time come first. Pools with a backlog of late
-    jobs get only machines that no other pool needs. All pool owners derive the same
-    plan from the same loads; each executes the moves whose source is its own pool.
+    jobs get only machines that no other pool needs. While no pool is short, machines
+    that a past demand peak has left in one pool are spread evenly, so that the next
+    peak starts with more of them and depends on fewer lenders. All pool owners derive
+    the same plan from the same loads; each executes the moves whose source is its own
+    pool.
 
     Args:
         loads: Load by pool.
@@ -41,7 +48,8 @@
     mean_size = sum(sizes) / len(sizes) if sizes else 0.0
     if not mean_size:
         return []
-    retained_count = _count_retained(loads)
+    equal_part = _count_equal_part(loads)
+    retained_count = ceil(RETAINED_SHARE * equal_part)
     needs = _count_needs(loads, incoming, mean_size)
     surplus = {
         pool: _count_surplus(load, retained_count) for pool, load in loads.items()
@@ -60,7 +68,16 @@
         pool: max(0, _count_surplus(load, retained_count) - outgoing[pool])
         for pool, load in total_loads.items()
     }
-    return moves + _match_pools(loads, needs, surplus)
+    moves += _match_pools(loads, needs, surplus)
+    return moves or _match_pools(
+        loads,
+        _count_missing_parts(loads, incoming, int(equal_part)),
+        {
+            pool: _count_surplus(load, int(equal_part))
+            for pool, load in total_loads.items()
+            if not load.is_standby
+        },
+    )
 
 
 def _match_pools(
@@ -98,10 +115,25 @@
     return needs
 
 
-def _count_retained(loads: dict[PoolId, PoolLoad]) -> int:
-    """Return how many machines each pool must retain."""
-    serving = [load.machines for load in loads.values() if not load.is_standby]
-    return max(MIN_MACHINE_COUNT, int(RETAINED_SHARE * sum(serving) / len(serving)))
+def _count_equal_part(loads: dict[PoolId, PoolLoad]) -> float:
+    """Return the machines of each used pool if all had the same number."""
+    serving = [load for load in loads.values() if not load.is_standby]
+    sharing_count = sum(load.is_used for load in serving) or len(serving)
+    return sum(load.machines for load in serving) / sharing_count
+
+
+def _count_missing_parts(
+    loads: dict[PoolId, PoolLoad], incoming: dict[PoolId, int], equal_part: int
+) -> dict[PoolId, int]:
+    """Return how many machines used pools lack of an equal part."""
+    missing = {
+        pool: equal_part - load.machines - incoming.get(pool, 0)
+        for pool, load in loads.items()
+        if load.is_used and not load.is_standby
+    }
+    return {
+        pool: count for pool, count in missing.items() if count > UNEVEN_LIMIT_COUNT
+    }
 
 
 def _count_surplus(load: PoolLoad, retained_count: int) -> int:
@@ -113,7 +145,8 @@
     unneeded = (
         int((load.capacity - load.demand / LENDING_LOAD_RATIO) / size) if size else 0
     )
-    return max(0, min(load.movable, unneeded, load.machines - retained_count))
+    kept_count = max(MIN_MACHINE_COUNT, retained_count if load.is_used else 0)
+    return max(0, min(load.movable, unneeded, load.machines - kept_count))
 
 
 def _choose_source(loads: dict[PoolId, PoolLoad], surplus: dict[PoolId, int]) -> PoolId:
--- a/jujubebarrow/runtimes/move_controllers.py
+++ b/jujubebarrow/runtimes/move_controllers.py
@@ -215,6 +215,7 @@
             capacity=sum(worker.capacity.cpu for worker in workers),
             machines=len(workers),
             movable=len(self._find_movable()),
+            is_used=bool(self._coordinator.state.jobs),
         )
 
     def _list_workers(self) -> list[WorkerView]:
--- a/jujubebarrow/tests/test_overload.py
+++ b/jujubebarrow/tests/test_overload.py
@@ -223,6 +223,26 @@
         moves = self.plan(make_load("a", 300, 6, 0), make_load("b", 0, 2, 2))
         self.assertEqual(moves, [])
 
+    def test_pool_at_the_end_of_its_peak_lends_what_it_does_not_use(self) -> None:
+        ending = make_load("ending", 1700, 110, 60)
+        moves = self.plan(
+            ending, make_load("peak", 3270, 28, 0), make_load("c", 30, 16, 16)
+        )
+        self.assertGreaterEqual(moves.count(("ending", "peak")), 35)
+
+    def test_pool_without_jobs_retains_no_machines_for_a_peak(self) -> None:
+        unused = replace(make_load("unused", 0, 30, 30), is_used=False)
+        moves = self.plan(
+            unused, make_load("peak", 3270, 28, 0), make_load("c", 30, 25, 25)
+        )
+        self.assertEqual(moves.count(("unused", "peak")), 28)
+
+    def test_machines_of_a_past_peak_are_spread_before_the_next_one(self) -> None:
+        past = make_load("past", 50, 90, 90)
+        moves = self.plan(past, make_load("b", 20, 15, 15), make_load("c", 30, 15, 15))
+        self.assertEqual(Counter(target for _, target in moves), {"b": 25, "c": 25})
+        self.assertEqual({source for source, _ in moves}, {"past"})
+
     def test_no_machine_moves_while_every_pool_has_enough(self) -> None:
         moves = self.plan(make_load("a", 100, 6, 6), make_load("b", 10, 6, 4))
         self.assertEqual(moves, [])
