Scale the claim steps with the period of the polls of the owners

After a restart of all instances one pool stayed without an owner 0.8 to 1.0 s longer than the others: the instance first in the order of preference did not claim it, and the next one waited 0.8 s, two polls of a calm fleet, while the owners are polled each 0.12 s after a start. The step is two polls at any time now. Instances outside the first three still wait 2.4 s, so that small ones do not take pools before the large ones have started.

test_preferred_instance_that_does_not_claim_delays_no_restart_for_long fails before: no claim 0.3 s after the first one was possible. The other callers of the planner pass the period of a calm fleet and check what they checked.

--- a/jujubebarrow/ownerships/claim_planners.py
+++ b/jujubebarrow/ownerships/claim_planners.py
@@ -7,11 +7,14 @@
 from jujubebarrow.ownerships.ownership_rows import DutyId, DutyRow, InstanceRow
 from jujubebarrow.routes.rendezvous import rank
 
-CLAIM_STEP_SECONDS = 0.8
-"""Seconds for which an instance leaves an unowned duty to the instance before it in the
-order of preference; about two polls of the owners."""
-CLAIM_STEPS_LIMIT = 3
-"""Number of steps after which any instance claims an unowned duty."""
+CLAIM_STEP_POLLS_COUNT = 2
+"""Polls of the owners for which an instance leaves an unowned duty to the instance
+before it in the order of preference."""
+ORDERED_CLAIMANTS_COUNT = 3
+"""Number of instances in the order of preference that claim a duty before any other."""
+UNORDERED_CLAIM_SECONDS = 2.4
+"""Seconds after which any instance claims an unowned duty; longer than the instances
+need to start after a power failure."""
 CLAIMANT_SILENCE_SECONDS = 1.2
 """Seconds without a heartbeat after which an instance that still counts as alive is not
 preferred for a duty; about two heartbeats."""
@@ -57,7 +60,11 @@
         return any(row.instance != self._instance for row in self._list_claimants(now))
 
     def choose(
-        self, duties: list[DutyId], rows: dict[DutyId, DutyRow], now: float
+        self,
+        duties: list[DutyId],
+        rows: dict[DutyId, DutyRow],
+        poll_period: float,
+        now: float,
     ) -> list[DutyId]:
         """Return the duties that this instance should claim now.
 
@@ -67,6 +74,7 @@
         Args:
             duties: All duties that need an owner.
             rows: Row with the present owner of each duty.
+            poll_period: Seconds between two polls of the owners at present.
             now: Monotonic time in seconds.
         """
         if not self._observer.is_current(now):
@@ -83,15 +91,16 @@
             order = _rank_claimants(duty, claimants, load)
             if order:
                 load[order[0]] += 1
-            wait_seconds = self._count_steps(order) * CLAIM_STEP_SECONDS
+            wait_seconds = self._compute_wait(order, poll_period)
             if not self.is_abstaining(duty, now) and now - since >= wait_seconds:
                 chosen.append(duty)
         return chosen
 
-    def _count_steps(self, order: list[InstanceId]) -> int:
-        if self._instance not in order:
-            return CLAIM_STEPS_LIMIT
-        return min(order.index(self._instance), CLAIM_STEPS_LIMIT)
+    def _compute_wait(self, order: list[InstanceId], poll_period: float) -> float:
+        """Return how long this instance leaves an unowned duty to others in seconds."""
+        if self._instance not in order[:ORDERED_CLAIMANTS_COUNT]:
+            return UNORDERED_CLAIM_SECONDS
+        return order.index(self._instance) * CLAIM_STEP_POLLS_COUNT * poll_period
 
     def has_owner(self, row: DutyRow | None, now: float) -> bool:
         """Return whether a duty has an owner that may still act under its lease."""
--- a/jujubebarrow/runtimes/ownership_services.py
+++ b/jujubebarrow/runtimes/ownership_services.py
@@ -258,7 +258,10 @@
         await self._release_unserved(now, serviceable_seconds)
         if now < self._may_claim_from:
             return
-        for duty in self._planner.choose(self.duties, self._duty_rows, now):
+        poll_period = self._choose_poll_period()
+        for duty in self._planner.choose(
+            self.duties, self._duty_rows, poll_period, now
+        ):
             await self._claim(duty)
 
     async def _reclaim_unserved(self) -> None:
--- a/jujubebarrow/tests/test_ownership_gaps.py
+++ b/jujubebarrow/tests/test_ownership_gaps.py
@@ -13,6 +13,7 @@
 from jujubebarrow.ownerships.claim_planners import ClaimPlanner
 from jujubebarrow.ownerships.lease_observers import LeaseObserver
 from jujubebarrow.ownerships.ownership_rows import DutyId, DutyRow, InstanceRow
+from jujubebarrow.runtimes.ownership_services import OWNER_POLL_SECONDS
 from jujubebarrow.standins.emulated_stores import EmulatedStore
 from jujubebarrow.stores.commit_results import CommitResult
 from jujubebarrow.stores.row_keys import TableName
@@ -70,7 +71,8 @@
         observer.observe([former, own], 10.0)
         row = DutyRow(DutyId("p0"), InstanceId("n0"), IncarnationId("n0-2"), 9)
         planner = ClaimPlanner(InstanceId("n1"), observer)
-        self.assertEqual(planner.choose([row.duty], {row.duty: row}, 10.9), [])
+        claims = planner.choose([row.duty], {row.duty: row}, OWNER_POLL_SECONDS, 10.9)
+        self.assertEqual(claims, [])
 
 
 class OwnershipGapsTest(JobCase):
--- a/jujubebarrow/tests/test_ownership_sizes.py
+++ b/jujubebarrow/tests/test_ownership_sizes.py
@@ -17,6 +17,7 @@
     make_heartbeat_key,
     read_heartbeat,
 )
+from jujubebarrow.runtimes.ownership_services import OWNER_POLL_SECONDS
 from jujubebarrow.stores.row_keys import TableName
 from jujubebarrow.stores.rows import Row
 from jujubebarrow.tests.fakes.job_cases import JobCase
@@ -74,7 +75,8 @@
                 observer = LeaseObserver(LEASE_SECONDS)
                 observer.observe(instances, 10.0)
                 planner = ClaimPlanner(instance.instance, observer)
-                zones += [instance.zone for _ in planner.choose(duties, {}, 10.0)]
+                claims = planner.choose(duties, {}, OWNER_POLL_SECONDS, 10.0)
+                zones += [instance.zone for _ in claims]
             self.assertEqual(sorted(zones), ["a", "b", "c"], prefix)
 
 
--- a/jujubebarrow/tests/test_ownerships.py
+++ b/jujubebarrow/tests/test_ownerships.py
@@ -8,6 +8,10 @@
 from jujubebarrow.ownerships.claim_planners import ClaimPlanner
 from jujubebarrow.ownerships.lease_observers import LeaseObserver
 from jujubebarrow.ownerships.ownership_rows import DutyId, DutyRow, InstanceRow
+from jujubebarrow.runtimes.ownership_services import (
+    OWNER_POLL_SECONDS,
+    STARTUP_POLL_SECONDS,
+)
 from jujubebarrow.stores.row_keys import TableName
 from jujubebarrow.tests.fakes.job_cases import JobCase
 from jujubebarrow.tests.fakes.job_clusters import JobCluster
@@ -78,7 +82,9 @@
             observer = LeaseObserver(LEASE_SECONDS)
             observer.observe(instances, 10.0)
             planner = ClaimPlanner(instance.instance, observer)
-            for duty in planner.choose([DutyId(duty) for duty in duties], rows, 10.0):
+            for duty in planner.choose(
+                [DutyId(duty) for duty in duties], rows, OWNER_POLL_SECONDS, 10.0
+            ):
                 self.assertNotIn(duty, claims)
                 claims[duty] = instance.instance
         return claims
@@ -115,7 +121,22 @@
         observer.observe([overdue, _make_instance("n1")], 10.0)
         observer.observe([replace(_make_instance("n1"), revision=2)], 11.3)
         planner = ClaimPlanner(InstanceId("n1"), observer)
-        self.assertEqual(planner.choose([DutyId("p0")], {}, 11.3), ["p0"])
+        claims = planner.choose([DutyId("p0")], {}, OWNER_POLL_SECONDS, 11.3)
+        self.assertEqual(claims, ["p0"])
+
+    def test_preferred_instance_that_does_not_claim_delays_no_restart_for_long(
+        self,
+    ) -> None:
+        observer = LeaseObserver(LEASE_SECONDS)
+        preferred = _make_instance("n0", pool_capacity=8.0)
+        observer.observe([preferred, _make_instance("n1")], 10.0)
+        planner = ClaimPlanner(InstanceId("n1"), observer)
+        duty = DutyId("p0")
+        claims = [
+            planner.choose([duty], {}, STARTUP_POLL_SECONDS, now)
+            for now in (10.0, 10.3)
+        ]
+        self.assertEqual(claims, [[], [duty]])
 
 
 class BlindInstanceTest(JobCase):
