Advance all machines of a wave with one write a round

It is the cause of the late moves once more: an owner changed the row of the wave once for each machine and step, claimed one machine a round, sent one order after the other, and gave the round up when the owner of another pool had changed the row; all owners change that row.

A round now advances all machines of the pool, sends their orders at the same time and claims as many machines as the wave and the pool allow, with one write. After a conflict it begins anew at once. Begun maintenance that is not stored yet is remembered, so that its order is not repeated. Machines with long-running tasks are still claimed one in a round, since these tasks move one after the other and the cordoned machine is no use until then.

test_wave_of_idle_machines_is_done_in_time: 60 idle machines of two pools, 30 at once, 8 s.

--- a/jujubebarrow/runtimes/wave_controllers.py
+++ b/jujubebarrow/runtimes/wave_controllers.py
@@ -1,6 +1,6 @@
 """Maintains the machines of one pool for the active maintenance waves."""
 
-from asyncio import sleep
+from asyncio import gather, sleep
 
 from jujubebarrow.clocks.clocks import Clock
 from jujubebarrow.coordinators.evacuations import Evacuator
@@ -45,6 +45,9 @@
 DRAIN_GRACE_SECONDS = 4.0
 """Time that tasks, except long-running ones, have to finish by themselves on a machine
 that is drained for maintenance; those that still run are then stopped."""
+CONFLICT_ATTEMPTS = 5
+"""Attempts to change the row of a wave in a round, since the owners of all pools change
+it."""
 MACHINE_LIST_AGE_SECONDS = 0.6
 """Age up to which the cached list of machines is used."""
 
@@ -104,6 +107,8 @@
         self._tokens: dict[tuple[int, MachineId], FenceToken] = {}
         self._claimed_at: dict[tuple[int, MachineId], float] = {}
         self._first_seen_at: dict[tuple[int, MachineId], float] = {}
+        # Machines whose maintenance has begun or ended, which is not stored yet.
+        self._unstored: dict[tuple[int, MachineId], MachineMaintenanceState] = {}
         self._machines_under_maintenance: dict[int, set[MachineId]] = {}
         # Incarnation of each worker that this controller has cordoned.
         self._cordoned: dict[tuple[int, MachineId], WorkerIncarnation] = {}
@@ -118,13 +123,19 @@
             ]
             for wave in active:
                 try:
-                    await self._process_wave(wave)
+                    await self._process_with_retries(wave)
                 except (StoreError, MachineControlError) as error:
                     self._metrics.count("wave_retry", type(error).__name__)
-                except TransactionConflictError:
-                    self._metrics.count("retry", "wave")
             await sleep(ACTIVE_POLL_SECONDS if active else IDLE_POLL_SECONDS)
 
+    async def _process_with_retries(self, wave: WaveRequest) -> None:
+        """Process a wave anew if another pool's owner has changed its row meanwhile."""
+        for _ in range(CONFLICT_ATTEMPTS):
+            try:
+                return await self._process_wave(wave)
+            except TransactionConflictError:
+                self._metrics.count("retry", "wave")
+
     def is_under_maintenance(self, machine: MachineId) -> bool:
         """Return whether a machine is being maintained or drained for maintenance."""
         return any(
@@ -133,6 +144,13 @@
         )
 
     async def _process_wave(self, wave: WaveRequest) -> None:
+        """Advance the pool's machines and claim the next ones, with one write.
+
+        Raises:
+            TransactionConflictError: The owner of another pool has changed the row.
+            StoreError: A read failed, or whether the row was stored is unknown.
+            MachineControlError: The machines could not be listed.
+        """
         await self._refresh_list()
         stored = await self._store.read(wave)
         self._uncordon_finished(wave, stored.record)
@@ -155,12 +173,40 @@
             if name in machines_by_id
             and machines_by_id[name].pool == self._coordinator.state.pool
         }
-        await self._finish_vanished(wave, stored, set(machines_by_id))
-        for name, machine in pool_machines.items():
-            await self._advance_machine(
-                wave, stored, machine, stored.record.machines[name]
+        record = stored.record.copy()
+        self._finish_vanished(wave, record, set(machines_by_id))
+        await self._advance_machines(wave, record, pool_machines)
+        reclaimed = self._reclaim_machines(wave, record, pool_machines)
+        claimed = self._claim_machines(wave, stored, record, pool_machines)
+        if record.machines == stored.record.machines and not reclaimed:
+            return
+        await self._write(wave, stored, record, reclaimed + claimed)
+        for machine in claimed:
+            self._log.write(
+                "maintenance_claimed",
+                wave=wave.wave,
+                machine=machine,
+                busy=record.in_maintenance_count,
+                most=wave.max_concurrent,
             )
-        await self._claim_next_machine(wave, stored, pool_machines)
+
+    async def _write(
+        self,
+        wave: WaveRequest,
+        stored: StoredWave,
+        record: WaveRecord,
+        claimed: list[MachineId],
+    ) -> None:
+        # Added before the write, so that no machine is moved during the write.
+        machines = self._machines_under_maintenance.setdefault(wave.wave, set())
+        machines.update(claimed)
+        revision = await self._store.write(wave, stored, record)
+        now = self._clock.monotonic()
+        for machine in claimed:
+            self._tokens[wave.wave, machine] = FenceToken(revision)
+            self._claimed_at[wave.wave, machine] = now
+        for key in [key for key in self._unstored if key[0] == wave.wave]:
+            del self._unstored[key]
 
     async def _refresh_list(self) -> None:
         now = self._clock.monotonic()
@@ -168,135 +214,123 @@
             self._listed = await self._machines.list_machines()
             self._listed_at = now
 
-    async def _finish_vanished(
-        self, wave: WaveRequest, stored: StoredWave, present: set[MachineId]
+    def _finish_vanished(
+        self, wave: WaveRequest, record: WaveRecord, present: set[MachineId]
     ) -> None:
         """Mark the maintenance of machines that no longer exist as done."""
         vanished = [
             name
-            for name, maintenance in stored.record.machines.items()
+            for name, maintenance in record.machines.items()
             if name not in present
             and maintenance.state is not MachineMaintenanceState.DONE
         ]
         if not vanished or not present:
             return
-        record = stored.record.copy()
         for name in vanished:
             record.machines[name] = MachineMaintenance(MachineMaintenanceState.DONE)
         self._log.write("wave_machines_gone", wave=wave.wave, machines=vanished)
-        await self._store.write(wave, stored, record)
 
-    async def _advance_machine(
+    async def _advance_machines(
         self,
         wave: WaveRequest,
-        stored: StoredWave,
-        machine: Machine,
-        maintenance: MachineMaintenance,
+        record: WaveRecord,
+        pool_machines: dict[MachineId, Machine],
     ) -> None:
-        if maintenance.state is MachineMaintenanceState.DRAINING:
-            await self._drain(wave, stored, machine, maintenance)
-        elif (
-            maintenance.state is MachineMaintenanceState.DOWN
-            and machine.state is MachineState.UP
-        ):
-            await self._write_state(
-                wave, stored, machine.machine, MachineMaintenanceState.DONE
-            )
+        """Order the maintenance of drained machines and mark what has changed."""
+        drained = []
+        for name, machine in pool_machines.items():
+            state = record.machines[name].state
+            if (
+                state is MachineMaintenanceState.DOWN
+                and machine.state is MachineState.UP
+            ):
+                self._set_state(record, name, MachineMaintenanceState.DONE)
+            elif state is MachineMaintenanceState.DRAINING and self._drain(
+                wave, machine
+            ):
+                drained.append(machine)
+        await gather(*(self._order_maintenance(wave, machine) for machine in drained))
+        for name in pool_machines:
+            state = record.machines[name].state
+            unstored = self._unstored.get((wave.wave, name))
+            if unstored and state is MachineMaintenanceState.DRAINING:
+                self._set_state(record, name, unstored)
 
-    async def _drain(
-        self,
-        wave: WaveRequest,
-        stored: StoredWave,
-        machine: Machine,
-        maintenance: MachineMaintenance,
+    def _set_state(
+        self, record: WaveRecord, machine: MachineId, state: MachineMaintenanceState
     ) -> None:
+        record.machines[machine] = MachineMaintenance(state, self._instance)
+
+    def _drain(self, wave: WaveRequest, machine: Machine) -> bool:
+        """Drain a machine; return whether its maintenance can be ordered now."""
         key = (wave.wave, machine.machine)
-        if key not in self._tokens:
-            await self._reclaim_machine(wave, stored, machine, maintenance)
-            return
+        if key not in self._tokens or key in self._unstored:
+            return False
         self._cordon(key, machine.worker)
-        now = self._clock.monotonic()
-        waited_seconds = now - self._claimed_at[key]
-        if not self._evacuator.evacuate(
+        waited_seconds = self._clock.monotonic() - self._claimed_at[key]
+        if self._evacuator.evacuate(
             machine.worker, waited_seconds > DRAIN_GRACE_SECONDS
         ):
-            self._hooks.on_change()
+            return True
+        self._hooks.on_change()
+        return False
+
+    async def _order_maintenance(self, wave: WaveRequest, machine: Machine) -> None:
+        key = (wave.wave, machine.machine)
+        token = self._tokens[key]
+        try:
+            outcome = await self._machines.maintain(machine.machine, wave.wave, token)
+        except MachineControlError as error:
+            # The order is repeated in the next round, which is harmless.
+            self._metrics.count("wave_retry", type(error).__name__)
             return
-        outcome = await self._machines.maintain(
-            machine.machine, wave.wave, self._tokens[key]
-        )
         self._log.write(
             "maintenance_ordered",
             wave=wave.wave,
             machine=machine.machine,
             worker=machine.worker,
-            token=self._tokens[key],
+            token=token,
             answer=outcome.value,
-            waited=round(waited_seconds, 2),
+            waited=round(self._clock.monotonic() - self._claimed_at[key], 2),
         )
         self._metrics.count("maintenance_order", outcome.value)
         self._listed_at = float("-inf")
         if outcome is MachineOrderOutcome.DONE:
-            await self._write_state(
-                wave, stored, machine.machine, MachineMaintenanceState.DOWN
-            )
+            self._unstored[key] = MachineMaintenanceState.DOWN
         elif outcome is MachineOrderOutcome.FENCED:
             del self._tokens[key]
         elif outcome in (
             MachineOrderOutcome.UNKNOWN_MACHINE,
             MachineOrderOutcome.NOT_IN_WAVE,
         ):
-            await self._write_state(
-                wave, stored, machine.machine, MachineMaintenanceState.DONE
-            )
-
-    async def _reclaim_machine(
-        self,
-        wave: WaveRequest,
-        stored: StoredWave,
-        machine: Machine,
-        maintenance: MachineMaintenance,
-    ) -> None:
-        """Claim a draining machine for which this instance has no fencing token."""
-        key = (wave.wave, machine.machine)
-        now = self._clock.monotonic()
-        seen_at = self._first_seen_at.setdefault(key, now)
-        # The former holder may have sent an order just before this instance first saw
-        # the claim, and orders of two holders for one machine must be at least
-        # machine_lease apart.
-        if maintenance.holder != self._instance and now - seen_at < self._machine_lease:
-            return
-        record = stored.record.copy()
-        record.machines[machine.machine] = MachineMaintenance(
-            MachineMaintenanceState.DRAINING, self._instance
-        )
-        await self._write_claim(wave, stored, machine.machine, record)
+            self._unstored[key] = MachineMaintenanceState.DONE
 
-    async def _write_claim(
+    def _reclaim_machines(
         self,
         wave: WaveRequest,
-        stored: StoredWave,
-        machine: MachineId,
         record: WaveRecord,
-    ) -> None:
-        # Added before the write, so that the machine is not moved during the write.
-        machines = self._machines_under_maintenance.setdefault(wave.wave, set())
-        machines.add(machine)
-        revision = await self._store.write(wave, stored, record)
-        key = (wave.wave, machine)
-        self._tokens[key] = FenceToken(revision)
-        self._claimed_at[key] = self._clock.monotonic()
-
-    async def _write_state(
-        self,
-        wave: WaveRequest,
-        stored: StoredWave,
-        machine: MachineId,
-        state: MachineMaintenanceState,
-    ) -> None:
-        record = stored.record.copy()
-        record.machines[machine] = MachineMaintenance(state, self._instance)
-        await self._store.write(wave, stored, record)
+        pool_machines: dict[MachineId, Machine],
+    ) -> list[MachineId]:
+        """Claim draining machines for which this instance has no fencing token."""
+        now = self._clock.monotonic()
+        reclaimed = []
+        for name in pool_machines:
+            key = (wave.wave, name)
+            maintenance = record.machines[name]
+            if (
+                maintenance.state is not MachineMaintenanceState.DRAINING
+                or key in self._tokens
+            ):
+                continue
+            seen_at = self._first_seen_at.setdefault(key, now)
+            # The former holder may have sent an order just before this instance first
+            # saw the claim, and orders of two holders for one machine must be at least
+            # machine_lease apart.
+            is_own = maintenance.holder == self._instance
+            if is_own or now - seen_at >= self._machine_lease:
+                self._set_state(record, name, MachineMaintenanceState.DRAINING)
+                reclaimed.append(name)
+        return reclaimed
 
     def _is_cordoned(self, machine: Machine) -> bool:
         worker = self._coordinator.state.workers.get(machine.worker)
@@ -326,23 +360,22 @@
                 worker.is_cordoned = False
                 self._hooks.on_change()
 
-    async def _claim_next_machine(
+    def _claim_machines(
         self,
         wave: WaveRequest,
         stored: StoredWave,
+        record: WaveRecord,
         pool_machines: dict[MachineId, Machine],
-    ) -> None:
-        record = stored.record
-        if record.in_maintenance_count >= wave.max_concurrent:
-            return
+    ) -> list[MachineId]:
+        """Mark the machines to drain next, as many as the wave and the pool allow."""
         waiting = set(record.waiting)
-        candidates = [
-            self._measure_load(machine)
+        loads = {
+            name: self._measure_load(machine)
             for name, machine in pool_machines.items()
             if name in waiting
             and machine.state is MachineState.UP
             and not self._is_cordoned(machine)
-        ]
+        }
         draining_count = sum(
             record.machines[name].state
             in (MachineMaintenanceState.DRAINING, MachineMaintenanceState.DOWN)
@@ -350,35 +383,30 @@
         )
         workers = list(self._coordinator.state.workers.values())
         registered = [worker for worker in workers if worker.entry is not None]
-        is_urgent = is_wave_urgent(
-            len(waiting),
-            wave.max_concurrent,
-            stored.deadline - self._clock.monotonic(),
-            self._downtime,
-        )
-        chosen = choose_machine(
-            candidates,
-            _compute_cpu_usage_ratio(registered),
-            draining_count,
-            len(registered),
-            is_urgent,
-        )
-        if chosen is None:
-            return
-        changed = record.copy()
-        changed.machines[chosen] = MachineMaintenance(
-            MachineMaintenanceState.DRAINING, self._instance
-        )
-        await self._write_claim(wave, stored, chosen, changed)
-        self._log.write(
-            "maintenance_claimed",
-            wave=wave.wave,
-            machine=chosen,
-            pool_used=round(_compute_cpu_usage_ratio(registered), 2),
-            busy=record.in_maintenance_count,
-            most=wave.max_concurrent,
-            hurry=is_urgent,
-        )
+        usage_ratio = _compute_cpu_usage_ratio(registered)
+        claimed: list[MachineId] = []
+        while record.in_maintenance_count < wave.max_concurrent:
+            is_urgent = is_wave_urgent(
+                len(waiting) - len(claimed),
+                wave.max_concurrent,
+                stored.deadline - self._clock.monotonic(),
+                self._downtime,
+            )
+            chosen = choose_machine(
+                list(loads.values()),
+                usage_ratio,
+                draining_count + len(claimed),
+                len(registered),
+                is_urgent,
+            )
+            if chosen is None:
+                break
+            self._set_state(record, chosen, MachineMaintenanceState.DRAINING)
+            claimed.append(chosen)
+            if loads.pop(chosen).long_running_count:
+                # Their tasks move one after the other, while the machine is no use.
+                break
+        return claimed
 
     def _measure_load(self, machine: Machine) -> MachineLoad:
         worker = self._coordinator.state.workers.get(machine.worker)
--- a/jujubebarrow/tests/test_maintained_machines.py
+++ b/jujubebarrow/tests/test_maintained_machines.py
@@ -1,6 +1,7 @@
 """Machines whose maintenance is done.
 
-The tests guard against machines that are withheld after their wave.
+The tests guard against machines that are withheld after their wave, and against waves
+that are late although their machines are idle.
 """
 
 from asyncio import sleep
@@ -11,10 +12,14 @@
 from jujubebarrow.standins.emulated_workers import TaskBehaviour
 from jujubebarrow.tests.fakes.fake_machines import FakeMachines
 from jujubebarrow.tests.fakes.job_cases import JobCase
-from jujubebarrow.tests.fakes.job_clusters import JobCluster
+from jujubebarrow.tests.fakes.job_clusters import OTHER_POOL, JobCluster
 from jujubebarrow.workloads.identifiers import MachineId
 
 WAVE_SECONDS = 20.0
+SHORT_WAVE_SECONDS = 8.0
+"""Longer than two rounds of machines that are down for two seconds."""
+COMMIT_SECONDS = 0.008
+"""Time of the platform's store for one transaction of a partition."""
 
 
 class MaintainedMachineTest(JobCase):
@@ -54,3 +59,27 @@
             self.assertEqual(len(cluster.machines.moves), 2)
 
         self.run_scenario(scenario, workers=2, standby=2)
+
+    def test_wave_of_idle_machines_is_done_in_time(self) -> None:
+        for seed in range(1, 4):
+            self._run_large_wave(seed)
+
+    def _run_large_wave(self, seed: int) -> None:
+        async def scenario(cluster: JobCluster) -> None:
+            cluster.store.commit_seconds = COMMIT_SECONDS
+            await cluster.wait_for(lambda: cluster.find_owner(OTHER_POOL), 10.0)
+            await sleep(2.0)
+            wave = WaveRequest(
+                wave=7,
+                machines=tuple(MachineId(f"m-{name}") for name in cluster.workers),
+                duration=SHORT_WAVE_SECONDS,
+                max_concurrent=len(cluster.workers) // 2,
+            )
+            cluster.write_wave(wave)
+            await sleep(SHORT_WAVE_SECONDS)
+            self.assertEqual(
+                len(cluster.machines.maintenance_orders), len(cluster.workers), seed
+            )
+            self.assertLessEqual(cluster.machines.max_down_count, wave.max_concurrent)
+
+        self.run_scenario(scenario, seed=seed, workers=30, others=30)
