--- a/jujubebarrow/tests/test_overload.py
+++ b/jujubebarrow/tests/test_overload.py
@@ -336,6 +336,39 @@
         chosen = choose_worker(step, [pinned, empty], Counter(), pinned.worker)
         self.assertIs(chosen, empty)
 
+    def test_lost_worker_does_not_delay_most_jobs(self) -> None:
+        workers = []
+        for number in range(20):
+            worker = WorkerView(WorkerId(f"w{number}"), 0.0)
+            worker.entry = WorkerEntry(
+                worker=worker.worker,
+                started_at_ms=1,
+                pool=PoolId("p"),
+                address="",
+                zone=ZoneId("z"),
+                state=WorkerState.READY,
+                capacity=Resources(32000, 65536),
+            )
+            workers.append(worker)
+        step = StepSpec(count=8, needs=Resources(3100, 1000))
+        hit_count = 0
+        for number in range(10):
+            run_counts: Counter[WorkerId] = Counter()
+            for index in range(step.count):
+                chosen = choose_worker(step, workers, run_counts, None)
+                assert chosen is not None
+                run_counts[chosen.worker] += 1
+                run = ActiveRun(
+                    task=TaskKey(JobId(f"{number:016x}"), 0, 0, index),
+                    run=RunNumber(1),
+                    incarnation=chosen.incarnation,
+                    reserved=step.needs,
+                    usage=step.needs,
+                )
+                chosen.add_run(run)
+            hit_count += run_counts[WorkerId("w0")] > 0
+        self.assertLessEqual(hit_count, 2)
+
 
 if __name__ == "__main__":
     unittest.main()
