Claim machines against the row last read, and forget refused moves

Found by a review of the design. Two instances could both claim a machine for a move, as the claim had no condition; a wave could take a machine that another instance had just moved, within the time that has to lie between the orders of two holders; a refused order counted as a machine on its way for up to 3 s, so that a pool that lacked one machine waited 2.65 s for the next; and after a failed read, the next pool of the instance planned with loads of any age.

Claims are conditional on the revision of the machine's row as last read. Waves leave out machines that this instance may not order. The machine of a refused order no longer counts as incoming. Loads are dropped before they are read again.

test_machine_orders.py: four of its six tests failed before and pass now.

--- a/jujubebarrow/runtimes/entry_nodes.py
+++ b/jujubebarrow/runtimes/entry_nodes.py
@@ -39,7 +39,7 @@
 from jujubebarrow.runtimes.worker_sources import WorkerSource
 from jujubebarrow.stores.stores import Store
 from jujubebarrow.stores.transactions import ABSENT_REVISION
-from jujubebarrow.workloads.identifiers import FenceToken
+from jujubebarrow.workloads.identifiers import FenceToken, MachineId
 from jujubebarrow.workloads.job_phases import JobPhase
 
 
@@ -262,11 +262,17 @@
             hooks,
             self._options.downtime,
             self._options.machine_lease,
+            self._can_order,
             self._clock,
             self._log,
             self._metrics,
         )
 
+    def _can_order(self, machine: MachineId) -> bool:
+        return self._load_registry.can_order(
+            machine, self._options.instance, self._options.machine_lease
+        )
+
     def _make_move_controller(
         self,
         coordinator: PoolCoordinator,
--- a/jujubebarrow/runtimes/load_registries.py
+++ b/jujubebarrow/runtimes/load_registries.py
@@ -12,7 +12,7 @@
 from jujubebarrow.stores.rows import Row
 from jujubebarrow.stores.store_clocks import StoreClock
 from jujubebarrow.stores.stores import Store
-from jujubebarrow.stores.transactions import Transaction
+from jujubebarrow.stores.transactions import ABSENT_REVISION, Transaction
 from jujubebarrow.workloads.identifiers import FenceToken, MachineId
 
 LOAD_PREFIX = "load/"
@@ -69,9 +69,10 @@
         if now - self._read_at < CACHE_AGE_SECONDS:
             return
         self._read_at = now
+        # Without an answer, no plan may rest on loads of unknown age.
+        self.loads = {}
         found = await self._store.read(make_key(TableName.BALANCE, PARTITION, ""))
         self._store_clock.record_store_time(now, found.clock)
-        self.loads = {}
         for row in found.rows:
             self._apply_row(row, found.clock)
 
@@ -123,7 +124,7 @@
         """
         key = make_key(TableName.BALANCE, PARTITION, LOAD_PREFIX + load.pool)
         written_at = self._store_clock.to_store_time(self._clock.monotonic())
-        await self._write({key: load.to_document() | {WRITTEN_AT: written_at}})
+        await self._write({key: load.to_document() | {WRITTEN_AT: written_at}}, {})
 
     async def claim_moves(
         self, targets: dict[MachineId, PoolId], holder: str
@@ -142,20 +143,22 @@
             Fencing token for the orders.
 
         Raises:
-            StoreError: The write failed or its outcome is unknown, or the write took
-                longer than ORDER_WINDOW_SECONDS.
+            StoreError: The write failed or its outcome is unknown, another holder has
+                claimed one of the machines, or the write took longer than
+                ORDER_WINDOW_SECONDS.
         """
         started_at = self._clock.monotonic()
         at = self._store_clock.to_store_time(started_at)
+        keys = {
+            machine: make_key(TableName.BALANCE, PARTITION, MOVE_PREFIX + machine)
+            for machine in targets
+        }
         revision = await self._write(
             {
-                make_key(TableName.BALANCE, PARTITION, MOVE_PREFIX + machine): {
-                    "target": target,
-                    "holder": holder,
-                    "at": at,
-                }
+                keys[machine]: {"target": target, "holder": holder, "at": at}
                 for machine, target in targets.items()
-            }
+            },
+            {keys[machine]: self._find_revision(machine) for machine in targets},
         )
         now = self._clock.monotonic()
         for machine, target in targets.items():
@@ -165,11 +168,29 @@
             raise StoreError("claim of moves took too long")
         return FenceToken(revision)
 
-    async def _write(self, values: dict[str, dict[str, Any]]) -> int:
-        transaction = Transaction(writes=values, nonce=uuid4().hex)
+    def _find_revision(self, machine: MachineId) -> int:
+        recorded = self._moves.get(machine)
+        return recorded[0] if recorded else ABSENT_REVISION
+
+    def record_refusal(self, machine: MachineId) -> None:
+        """Stop to count a machine as incoming, since its order was refused."""
+        recorded = self._moves.get(machine)
+        if recorded is not None:
+            revision, target, holder, _ = recorded
+            self._moves[machine] = (revision, target, holder, float("-inf"))
+
+    async def _write(
+        self, values: dict[str, dict[str, Any]], conditions: dict[str, int]
+    ) -> int:
+        transaction = Transaction(
+            conditions=conditions, writes=values, nonce=uuid4().hex
+        )
         try:
             result = await self._store.try_commit(transaction)
         except StoreError:
             self._metrics.count("balance_unwritten")
             raise
+        if result.nonces:
+            self._metrics.count("move_conflict")
+            raise StoreError("another instance has claimed a machine")
         return result.revision
--- a/jujubebarrow/runtimes/move_controllers.py
+++ b/jujubebarrow/runtimes/move_controllers.py
@@ -364,6 +364,8 @@
             token=token,
             answer=outcome.value,
         )
+        if outcome is not MachineOrderOutcome.DONE:
+            self._load_registry.record_refusal(machine.machine)
         if outcome is MachineOrderOutcome.UNKNOWN_MACHINE:
             self._unmovable.add(machine.machine)
         return outcome
--- a/jujubebarrow/runtimes/wave_controllers.py
+++ b/jujubebarrow/runtimes/wave_controllers.py
@@ -1,6 +1,7 @@
 """Maintains the machines of one pool for the active maintenance waves."""
 
 from asyncio import gather, sleep
+from collections.abc import Callable
 
 from jujubebarrow.clocks.clocks import Clock
 from jujubebarrow.coordinators.evacuations import Evacuator
@@ -70,6 +71,8 @@
         downtime: Usual duration of a machine's maintenance in seconds.
         machine_lease: Time in seconds after an instance's order for a machine during
             which no other instance may send an order for that machine.
+        can_order: Returns whether that time has passed since the last move of a
+            machine, or whether the move was ordered by this instance.
         clock: Time source.
         log: Decision log.
         metrics: Registry of the counters.
@@ -85,6 +88,7 @@
         hooks: OwnerHooks,
         downtime: float,
         machine_lease: float,
+        can_order: Callable[[MachineId], bool],
         clock: Clock,
         log: DecisionLog,
         metrics: MetricsRegistry,
@@ -98,6 +102,7 @@
         self._hooks = hooks
         self._downtime = downtime
         self._machine_lease = machine_lease
+        self._can_order = can_order
         self._clock = clock
         self._log = log
         self._metrics = metrics
@@ -375,6 +380,7 @@
             if name in waiting
             and machine.state is MachineState.UP
             and not self._is_cordoned(machine)
+            and self._can_order(name)
         }
         draining_count = sum(
             record.machines[name].state
