--- a/jujubebarrow/tests/test_overload.py
+++ b/jujubebarrow/tests/test_overload.py
@@ -263,6 +263,22 @@
             self.assertLess(now, 1.0, seed)
             self.assertEqual(rate.compute_required_cores(now + 2.0), 0.0)
 
+    def test_rise_is_expected_to_go_on_while_machines_are_on_their_way(self) -> None:
+        # The rate grows by 10 jobs a second each second; a job has one core-second.
+        rate = ArrivalRate()
+        now, number = 0.0, 0
+        while now < 2.0:
+            number += 1
+            now = (number / 5) ** 0.5
+            rate.add_work(1.0, now)
+        self.assertGreaterEqual(rate.compute_required_cores(now), 10 * (now + 1.0))
+
+    def test_steady_rate_is_expected_to_stay(self) -> None:
+        rate = ArrivalRate()
+        for number in range(40):
+            rate.add_work(1.0, number / 20)
+        self.assertLessEqual(rate.compute_required_cores(39 / 20), 24.0)
+
 
 class JobDemandTest(unittest.TestCase):
     """Guards against a late backlog that keeps machines from a pool at its peak.
