Test that an arrived machine no longer counts as incoming

Cause: LoadRegistry counts a machine as incoming for 2.5 s after its order (3.0 s for other instances), while a move takes 1.5 s and the worker answers soon after. In between the machine counts in the capacity and as incoming, so that a pool whose demand still rises asks for too few machines. Result: the test is red until an arrived machine ends its move.

--- a/jujubebarrow/tests/test_job_machines.py
+++ b/jujubebarrow/tests/test_job_machines.py
@@ -108,6 +108,28 @@
 
         self.run_scenario(scenario, workers=2, standby=2)
 
+    def test_arrived_machine_does_not_count_as_incoming(self) -> None:
+        # A machine that counts twice hides a rise of the demand from the next plans.
+        for seed in range(1, 9):
+
+            async def scenario(cluster: JobCluster, seed: int = seed) -> None:
+                await sleep(5.0 + seed / 8)
+                for number in range(20):
+                    await cluster.submit(number, behaviour=TaskBehaviour(seconds=60.0))
+                await sleep(8.0)
+                machine_count = 2 + len(cluster.machines.moves)
+                loads = [
+                    (line["machines"], line["incoming"])
+                    for log in cluster.logs
+                    for line in log.lines
+                    if line["event"] == "pool_load" and line["pool"] == POOL
+                ]
+                self.assertEqual(loads[-1], (machine_count, 0))
+                counts = [machines + incoming for machines, incoming in loads]
+                self.assertLessEqual(max(counts), machine_count, (seed, loads))
+
+            self.run_scenario(scenario, seed=seed, workers=2, standby=6)
+
     def test_machine_under_maintenance_is_not_moved(self) -> None:
         # The wave and the load that causes moves start at different offsets, so that
         # the orders for the same machine meet at different stages.
