--- a/jujubebarrow/benches/day_logs.py
+++ b/jujubebarrow/benches/day_logs.py
@@ -12,7 +12,7 @@
 
 from msgspec import DecodeError, json
 
-LINE_PATTERN = re.compile(r"^\s*(\d+\.\d+)\s+(\S+)\s+(\{.*\})\s*$")
+LINE_PATTERN = re.compile(r"^\s*(-?\d+\.\d+)\s+(\S+)\s+(\{.*\})\s*$")
 UNKNOWN_INSTANCE = ""
 
 
--- a/jujubebarrow/benches/service_losses.py
+++ b/jujubebarrow/benches/service_losses.py
@@ -28,9 +28,12 @@
     """Cause of work that a pool did not do; the values are column names."""
 
     NO_OWNER = "no_owner"
+    NO_REPORT = "no_report"
+    CAPACITY_WITHOUT_OWNER = "unowned_cap"
     MACHINES_MOVING = "moving"
     MACHINES_LATE = "late"
     GIVER_WITHOUT_OWNER = "giver_absent"
+    LATE_WORK = "late_work"
     OVERLOAD = "overload"
     FREE_CAPACITY = "free_unused"
 
@@ -54,6 +57,7 @@
         moved_in: Orders for moves into the pool during this second.
         moved_out: Orders for moves out of the pool during this second.
         moving: Capacity of the machines that are moving to the pool.
+        is_reported: Whether the load is recent, or the pool has no work to report.
     """
 
     pool: str
@@ -70,6 +74,7 @@
     moved_in: int = 0
     moved_out: int = 0
     moving: float = 0.0
+    is_reported: bool = True
 
     @property
     def missing(self) -> float:
@@ -78,8 +83,13 @@
 
     @property
     def free(self) -> float:
-        """Capacity that no run has reserved."""
-        return max(0.0, self.capacity - self.reserved)
+        """Capacity that no run has reserved; taken as 0 without a report."""
+        return max(0.0, self.capacity - self.reserved) if self.is_reported else 0.0
+
+    @property
+    def held(self) -> float:
+        """Capacity reserved by runs beyond the demand, which are late."""
+        return max(0.0, min(self.reserved, self.capacity) - self.demand)
 
 
 class LossTable:
@@ -102,11 +112,16 @@
         ]
         return sum(sizes) / len(sizes) if sizes else 0.0
 
-    def list_seconds(self) -> list[list[PoolSecond]]:
-        """Return the pools' situations of each second of the day."""
+    def list_seconds(self, until: float = float("inf")) -> list[list[PoolSecond]]:
+        """Return the pools' situations of each second of the day.
+
+        Args:
+            until: Time in seconds after which the day is left out.
+        """
+        end = min(self._day.end + 1.0, until)
         return [
             [self._measure(pool, second) for pool in self._day.pools]
-            for second in range(int(self._day.end) + 1)
+            for second in range(int(end))
         ]
 
     def _measure(self, pool: str, second: int) -> PoolSecond:
@@ -143,6 +158,7 @@
         if end - line.at > LOAD_AGE_LIMIT_SECONDS and result.owner:
             # An owner reports no load while its pool has no work.
             self._add_moves_since(result, line, end)
+            result.is_reported = not result.waiting
             return
         result.demand = fields["demand"] / MILLICORES
         result.backlog = fields["backlog"] / MILLICORES
@@ -164,8 +180,10 @@
     """Return the losses of one second by pool and cause.
 
     Time without an owner is in pool-seconds and counts only if jobs wait; the other
-    losses are in core-seconds. Free cores of the other pools are divided among the
-    pools in need in proportion to what they miss.
+    losses are in core-seconds. The capacity without an owner is an upper limit, since
+    started tasks go on, and its load is the last one reported. What other pools have
+    free, or hold for late work, is divided among the pools in need in proportion to
+    what they miss.
     """
     needs = {pool.pool: max(0.0, pool.missing - pool.moving) for pool in pools}
     total_need = sum(needs.values())
@@ -174,18 +192,26 @@
     free_absent = sum(pool.free for pool in givers if not pool.owner)
     late = min(total_need, free_owned)
     absent = min(total_need - late, free_absent)
+    rest = total_need - late - absent
+    held = min(rest, sum(pool.held for pool in givers))
     losses = {}
     for pool in pools:
         part = needs[pool.pool] / total_need if total_need else 0.0
         loss = losses[pool.pool] = Counter()
         if pool.waiting or pool.backlog:
-            loss[LossCause.NO_OWNER] += 1.0 - pool.owned_share
+            unowned_share = 1.0 - pool.owned_share
+            loss[LossCause.NO_REPORT] += pool.owned_share * (not pool.is_reported)
+            loss[LossCause.NO_OWNER] += unowned_share
+            loss[LossCause.CAPACITY_WITHOUT_OWNER] += unowned_share * min(
+                pool.capacity, pool.backlog
+            )
         loss[LossCause.MACHINES_MOVING] += min(pool.missing, pool.moving)
         loss[LossCause.MACHINES_LATE] += part * late
         loss[LossCause.GIVER_WITHOUT_OWNER] += part * absent
-        loss[LossCause.OVERLOAD] += part * (total_need - late - absent)
+        loss[LossCause.LATE_WORK] += part * held
+        loss[LossCause.OVERLOAD] += part * (rest - held)
         unserved = max(0.0, pool.backlog - pool.reserved)
-        loss[LossCause.FREE_CAPACITY] += min(pool.free, unserved)
+        loss[LossCause.FREE_CAPACITY] += pool.owned_share * min(pool.free, unserved)
     return losses
 
 
@@ -204,9 +230,14 @@
     )
 
 
-def format_report(day: DayLog) -> Iterable[str]:
-    """Yield the lines of the report of one day."""
-    seconds = LossTable(day).list_seconds()
+def format_report(day: DayLog, until: float = float("inf")) -> Iterable[str]:
+    """Yield the lines of the report of one day.
+
+    Args:
+        day: Log of the day.
+        until: Time in seconds after which the day is left out.
+    """
+    seconds = LossTable(day).list_seconds(until)
     totals = {pool: Counter[LossCause]() for pool in day.pools}
     yield (
         " sec pool         owner    owned waiting  demand backlog capacity reserved "
@@ -233,11 +264,10 @@
 def _format_ownerships(day: DayLog) -> Iterable[str]:
     for pool in day.pools:
         for ownership in day.ownerships[pool]:
-            if ownership.reason:
-                yield (
-                    f"{pool} served by {ownership.instance} from "
-                    f"{ownership.start:.2f} to {ownership.end:.2f} ({ownership.reason})"
-                )
+            yield (
+                f"{pool} served by {ownership.instance} from {ownership.start:.2f} "
+                f"to {ownership.end:.2f} ({ownership.reason or 'still there'})"
+            )
         for line in day.claims[pool]:
             yield (
                 f"{pool} claimed by {line.instance} at {line.at:.2f}, "
@@ -255,10 +285,16 @@
     parser.add_argument(
         "log", type=Path, metavar="LOGFILE", help="log of all instances"
     )
+    parser.add_argument(
+        "--until",
+        type=float,
+        default=float("inf"),
+        help="end of the traffic in seconds",
+    )
     options = parser.parse_args()
     with options.log.open(errors="replace") as lines:
         day = DayLogReader().read(lines)
-    for line in format_report(day):
+    for line in format_report(day, options.until):
         print(line)
 
 
--- a/jujubebarrow/tests/test_service_losses.py
+++ b/jujubebarrow/tests/test_service_losses.py
@@ -45,7 +45,7 @@
     ) -> None:
         lines = [
             "  not a line of the log",
-            take_over(0.0, "a-1", "p"),
+            take_over(-9.5, "a-1", "p"),
             take_over(0.0, "a-2", "q"),
             make_load(0.5, "a-1", "p", demand=50000, capacity=20000, machines=2),
             make_load(0.5, "a-2", "q", demand=0, capacity=20000, machines=2),
@@ -80,6 +80,31 @@
         self.assertAlmostEqual(losses[LossCause.GIVER_WITHOUT_OWNER], 30.0)
         self.assertEqual(losses[LossCause.MACHINES_LATE], 0.0)
 
+    def test_machines_that_work_on_late_jobs_elsewhere_do_not_count_as_overload(
+        self,
+    ) -> None:
+        late = {"demand": 5000, "backlog": 60000, "reserved": 20000}
+        lines = [
+            take_over(0.0, "a-1", "p"),
+            take_over(0.0, "a-2", "q"),
+            make_load(0.5, "a-1", "p", demand=50000, capacity=20000, machines=2),
+            make_load(0.5, "a-2", "q", capacity=20000, machines=2, **late),
+        ]
+        losses = sum_losses(lines, "p")
+        self.assertAlmostEqual(losses[LossCause.LATE_WORK], 15.0)
+        self.assertAlmostEqual(losses[LossCause.OVERLOAD], 15.0)
+
+    def test_owner_that_reports_no_load_of_waiting_jobs_does_not_pass_for_idle(
+        self,
+    ) -> None:
+        lines = [
+            take_over(0.0, "a-1", "p"),
+            make_load(0.1, "a-1", "p", demand=0, capacity=20000, machines=2),
+            make_line(0.9, "a-1", "job_accepted", job="j", pool="p"),
+            make_line(3.9, "a-1", "runs_recorded", job="j", age=3.0, runs=[]),
+        ]
+        self.assertAlmostEqual(sum_losses(lines, "p")[LossCause.NO_REPORT], 2.0)
+
     def test_pool_is_without_owner_from_the_end_of_a_process_to_the_next_load(
         self,
     ) -> None:
