Show that a team beyond its limit delays the jobs of another one

Jobs that can still be in time are concerned as well if the other team's backlog needs more than the pool's free capacity and is ranked first, as its jobs are smaller.

Change: one test, a stream of 40 small jobs a second of a team whose limit admits 4, and one job a second of a team with room in its limit, on workers that are mostly idle.

--- a/jujubebarrow/tests/test_limited_backlogs.py
+++ b/jujubebarrow/tests/test_limited_backlogs.py
@@ -4,9 +4,11 @@
 tasks from requesting a grant.
 """
 
-from asyncio import get_running_loop, sleep
+from asyncio import Task, create_task, get_running_loop, sleep
 from collections.abc import Sequence
 from dataclasses import replace
+from itertools import count
+from random import Random
 
 from jujubebarrow.fleets.fleet_maps import FleetMap, index_routes
 from jujubebarrow.fleets.pool_specs import PoolSpec
@@ -25,6 +27,12 @@
 """Seconds that a task may wait although its team's limit and a worker have room."""
 NEEDS = Resources(1000, 500)
 SHORT_STEP = StepSpec(count=2, needs=NEEDS, estimate=1.0)
+STREAM_SECONDS = 15.0
+HOT_JOBS_PER_SECOND = 40.0
+RUN_SECONDS = 0.5
+LATE_SECONDS = 1.0
+"""Wait after which a job has missed the objective of its queue."""
+TICK_SECONDS = 0.02
 LASTING = TaskBehaviour(is_long_running=True)
 
 
@@ -109,3 +117,44 @@
 
     def test_late_jobs_at_their_limit_keep_no_other_team_waiting(self) -> None:
         self._check_wait([replace(SHORT_STEP, count=1)] * 40, restart_seconds=8.0)
+
+    def test_stream_beyond_its_limit_delays_no_other_team(self) -> None:
+        for seed in (1, 2):
+            self._check_stream(Random(seed))
+
+    def _check_stream(self, random: Random) -> None:
+        """Send ten times what one team's limit admits, and few jobs of another team."""
+        short = replace(SHORT_STEP, estimate=RUN_SECONDS)
+
+        async def scenario(cluster: JobCluster) -> None:
+            _limit_teams(cluster)
+            await sleep(2.0)
+            numbers, tasks = count(), list[Task[JobId]]()
+            submitted_at: dict[JobId, float] = {}
+
+            async def submit(team: TeamId, step: StepSpec) -> JobId:
+                number, now = next(numbers), get_running_loop().time()
+                cluster.behaviours[f"job-{number}"] = TaskBehaviour(seconds=RUN_SECONDS)
+                job = await _submit(cluster, number, team, step)
+                if team == OTHER_TEAM:
+                    submitted_at[job] = now
+                return job
+
+            for _ in range(round(STREAM_SECONDS / TICK_SECONDS)):
+                await sleep(TICK_SECONDS)
+                if random.random() < HOT_JOBS_PER_SECOND * TICK_SECONDS:
+                    tasks.append(create_task(submit(TEAM, replace(short, count=1))))
+                if random.random() < TICK_SECONDS:
+                    step = replace(short, count=4)
+                    tasks.append(create_task(submit(OTHER_TEAM, step)))
+            await sleep(WAIT_LIMIT_SECONDS)
+            started_at: dict[JobId, float] = {}
+            for run in sorted(cluster.list_runs(), key=lambda run: run.started_at):
+                started_at.setdefault(run.task.job, run.started_at)
+            waits = {
+                job: started_at.get(job, float("inf")) - submitted
+                for job, submitted in submitted_at.items()
+            }
+            self.assertLess(max(waits.values()), LATE_SECONDS, sorted(waits.values()))
+
+        self.run_scenario(scenario, workers=3)
