Deduct only what a team's limit admits from the capacity for other teams

While a plan looks for tasks to request a grant for, each step that waits for a grant took its tasks off the spare capacity, also tasks that its team's upper limit can never admit. Later steps found no capacity, requested nothing, and their team's grant was never raised. No line shows it, as nothing is requested.

A step now deducts at most the tasks that its team's limit still admits beside the runs and requests of the team in this pool. Full pools reserve no limit for their backlog, as before.

--- a/jujubebarrow/coordinators/planners.py
+++ b/jujubebarrow/coordinators/planners.py
@@ -218,6 +218,7 @@
         if not step.spec.long_running:
             count = step.spec.reserved.count_fitting(self._spare, count)
         grants, team = self._state.grants, job.record.team
+        count = grants.count_admissible(team, step.spec.needs, count)
         if grants.request_start(team, step.spec.needs, count):
             return True
         self._spare = self._spare.minus(step.spec.reserved.times(count))
@@ -274,8 +275,10 @@
             return []
         total = step.spec.needs.times(len(indexes))
         reserved = step.spec.reserved.times(len(indexes))
+        grants, team = self._state.grants, job.record.team
         count = reserved.count_fitting(self._spare, 1)
-        if not self._state.grants.request_start(job.record.team, total, count):
+        count = grants.count_admissible(team, total, count)
+        if not grants.request_start(team, total, count):
             self._spare = self._spare.minus(reserved.times(count))
             return []
         number = RunNumber(max(task.last_run for task in step.tasks) + 1)
--- a/jujubebarrow/limits/grant_registries.py
+++ b/jujubebarrow/limits/grant_registries.py
@@ -101,6 +101,28 @@
         """Return whether a team's runs use less than the grant."""
         return not self.granted(team).fits(self.used(team))
 
+    def count_admissible(self, team: TeamId, amount: Resources, count: int) -> int:
+        """Return how many further runs a team's upper limit admits in this pool.
+
+        Args:
+            team: Team of the runs.
+            amount: Resources of one run.
+            count: Number of waiting runs.
+        """
+        taken = self.used(team)
+        for request in self.requests(team):
+            taken = taken.plus(request.needs.times(request.count))
+        # A limit of 0 is none.
+        left = Resources(
+            *(
+                limit - used if limit else needed * count
+                for limit, used, needed in zip(
+                    self.limit(team), taken, amount, strict=True
+                )
+            )
+        )
+        return amount.count_fitting(left, count)
+
     def limited_teams(self) -> list[TeamId]:
         """Return the teams with an upper limit."""
         return [team for team in self._limits if self.is_limited(team)]
