Count the jobs of a former pool that has never reported

Seen by callers: the count of waiting jobs was too low (1 instead of 10 in the test), for as long as nobody loaded a pool that had been the queue's for a moment.

Cause: PendingCounter expected a report from the pool that the route names and from each pool with a load row. A pool that no owner has loaded since it received jobs of the queue has no load row, so that its jobs were in no report and no direct count was made. Its mark of use is in a table that the counter does not read.

Change: the transaction that stores an instance's first job of a queue and pool, and the mark fences/QUEUE/POOL/used, also stores loads/QUEUE/POOL/used. The counter's read of the reports returns these marks; a marked pool without a recent report leads to a direct count. No store call is added and nothing is cached: a mark is visible with its job. The mark is a row of its own, since one in the place of the report would replace the report each time that an instance accepts its first job.

test_count_has_jobs_of_a_former_pool_that_has_never_reported failed before (1 instead of 10) and passes now; it now asks all three instances.

Cost: a former pool without open jobs leads to direct counts for ever, as one that has reported once did before.

--- a/jujubebarrow/runtimes/job_intakes.py
+++ b/jujubebarrow/runtimes/job_intakes.py
@@ -21,6 +21,7 @@
 from jujubebarrow.runtimes.job_row_keys import (
     make_cancellation_key,
     make_job_key,
+    make_load_use_key,
     make_progress_key,
     make_use_key,
 )
@@ -101,6 +102,7 @@
         use_key = make_use_key(route.queue, route.pool)
         if use_key not in self._marked_uses:
             writes[use_key] = {}
+            writes[make_load_use_key(route.queue, route.pool)] = {}
         transaction = Transaction(
             conditions={make_job_key(route.queue, job): ABSENT_REVISION},
             writes=writes,
--- a/jujubebarrow/runtimes/job_row_keys.py
+++ b/jujubebarrow/runtimes/job_row_keys.py
@@ -8,7 +8,7 @@
 row, so that one change feed delivers both rows in order."""
 
 USED_SUFFIX = "/used"
-"""Suffix of the key of the row that marks a pool as having had a job of a queue."""
+"""Suffix of the keys of the rows that mark a pool as having had a job of a queue."""
 
 
 def make_job_key(queue: QueueId, job: JobId) -> str:
@@ -46,3 +46,12 @@
 def make_load_key(queue: QueueId, pool: PoolId) -> str:
     """Return the key of the row with the number of a queue's pending jobs in a pool."""
     return make_key(TableName.LOADS, queue, pool)
+
+
+def make_load_use_key(queue: QueueId, pool: PoolId) -> str:
+    """Return the key of the row that marks a report of a pool's load as expected.
+
+    The row is stored with that of ``make_use_key``, in the same table and partition as
+    the reports, so that one read returns both.
+    """
+    return make_key(TableName.LOADS, queue, pool + USED_SUFFIX)
--- a/jujubebarrow/runtimes/pending_counters.py
+++ b/jujubebarrow/runtimes/pending_counters.py
@@ -11,7 +11,7 @@
 from jujubebarrow.logs.decision_logs import DecisionLog
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.runtimes.direct_counts import DirectCount
-from jujubebarrow.runtimes.job_row_keys import CANCELLED_SUFFIX
+from jujubebarrow.runtimes.job_row_keys import CANCELLED_SUFFIX, USED_SUFFIX
 from jujubebarrow.runtimes.load_reports import AT, PENDING
 from jujubebarrow.stores.row_keys import RowKey, TableName, make_key
 from jujubebarrow.stores.rows import Row, RowSet
@@ -60,7 +60,9 @@
         ages = _find_outdated_reports(found, route.pool)
         if not ages:
             self._logged_queues.discard(queue)
-            return sum((row.value or {})[PENDING] for row in found.rows)
+            return sum(
+                (row.value or {})[PENDING] for row in found.rows if not _is_mark(row)
+            )
         pending = await self._count_directly(queue)
         self._metrics.count("pending_counted", queue)
         if queue not in self._logged_queues:
@@ -120,17 +122,26 @@
     return phase.is_final or document.get(BEGUN_KEY, False)
 
 
+def _is_mark(row: Row) -> bool:
+    """Return whether a row of the loads marks a pool's report as expected."""
+    return row.key.endswith(USED_SUFFIX)
+
+
 def _find_outdated_reports(found: RowSet, pool: PoolId) -> dict[str, float | None]:
     """Return the age in seconds of each report that is missing or not recent.
 
     Args:
-        found: Reports of all pools that have run jobs of the queue.
+        found: Reports of the pools that have run jobs of the queue, and marks of the
+            pools that have had jobs of the queue and may not have reported yet.
         pool: Pool that runs new jobs of the queue.
     """
     ages: dict[str, float | None] = {pool: None}
     for row in found.rows:
         document = row.value or {}
         name = RowKey.parse(row.key).name
+        if _is_mark(row):
+            ages.setdefault(name.removesuffix(USED_SUFFIX), None)
+            continue
         ages[name] = found.clock - document[AT] if AT in document else None
     return {
         name: age
--- a/jujubebarrow/tests/test_job_counts.py
+++ b/jujubebarrow/tests/test_job_counts.py
@@ -8,6 +8,7 @@
 from asyncio import Task, gather, get_running_loop, sleep
 from collections.abc import Callable
 from contextlib import contextmanager
+from dataclasses import replace
 from random import Random
 from typing import Any
 from unittest.mock import patch
@@ -15,7 +16,7 @@
 from jujubebarrow.coordinators.job_progresses import BEGUN_KEY
 from jujubebarrow.errors.exceptions import RefusalError, StoreError
 from jujubebarrow.errors.kinds import ErrorKind
-from jujubebarrow.identifiers import IncarnationId, InstanceId, JobId
+from jujubebarrow.identifiers import IncarnationId, InstanceId, JobId, PoolId
 from jujubebarrow.ownerships.ownership_rows import InstanceRow
 from jujubebarrow.runtimes.heartbeat_watchers import make_heartbeat, make_heartbeat_key
 from jujubebarrow.runtimes.job_row_keys import make_load_key
@@ -23,6 +24,7 @@
 from jujubebarrow.standins.emulated_workers import TaskBehaviour
 from jujubebarrow.stores.rows import RowSet
 from jujubebarrow.stores.transactions import Transaction
+from jujubebarrow.tests.fakes.fake_machines import STANDBY
 from jujubebarrow.tests.fakes.job_cases import JobCase
 from jujubebarrow.tests.fakes.job_clusters import (
     POOL,
@@ -63,14 +65,14 @@
         await sleep(0.3)
 
 
-def give_pool_to_ghost(cluster: JobCluster) -> Task[None]:
-    """Give the pool to an instance that is alive and never loads the pool's jobs.
+def give_pool_to_ghost(cluster: JobCluster, pool: PoolId = POOL) -> Task[None]:
+    """Give a pool to an instance that is alive and never loads the pool's jobs.
 
     Returns:
         Task that sends the heartbeats of that instance.
     """
     duty = {"holder": GHOST, "incarnation": "ghost-1"}
-    commit(cluster, {f"control//duty/{POOL}": duty})
+    commit(cluster, {f"control//duty/{pool}": duty})
     return get_running_loop().create_task(send_ghost_heartbeats(cluster))
 
 
@@ -162,6 +164,56 @@
 
         self.run_scenario(scenario)
 
+    def test_count_has_jobs_of_a_former_pool_that_has_never_reported(self) -> None:
+        # The queue was routed to the other pool for a moment while nobody served it.
+        async def scenario(cluster: JobCluster) -> None:
+            give_pool_to_ghost(cluster, STANDBY)
+            for instance in cluster.instances:
+                if instance.node is not None and instance.node.owns(STANDBY):
+                    await instance.kill()
+                    await instance.start()
+            await cluster.wait_for(lambda: cluster.find_owner() is not None, 15.0)
+            await cluster.submit(99)
+            node = cluster.instances[0].node
+            assert node is not None
+            route = replace(ROUTE, pool=STANDBY)
+            submission = JobSubmission(payload="job", steps=(StepSpec(count=1),))
+            for number in range(9):
+                await node.intake.submit(
+                    route, TEAM, JobId(f"{number:016x}"), submission, 3.0
+                )
+            for _ in range(5):
+                await sleep(VISIBLE_AFTER_SECONDS)
+                for instance in range(3):
+                    self.assertEqual(await count_pending(cluster, instance), 10)
+
+        self.run_scenario(scenario, workers=0)
+
+    def test_marks_of_used_pools_take_no_calls_and_replace_no_report(self) -> None:
+        async def scenario(cluster: JobCluster) -> None:
+            await cluster.submit(99)
+            await sleep(3.0)
+            job_prefix = f"jobs/{QUEUE}/"
+            with (
+                counted_reads(job_prefix) as job_reads,
+                counted_reads(f"fences/{QUEUE}/") as fence_reads,
+                counted_reads(f"loads/{QUEUE}/") as load_reads,
+                counted_commits(
+                    lambda sent: any(key.startswith(job_prefix) for key in sent.writes)
+                ) as commits,
+            ):
+                for instance in range(3):
+                    await cluster.submit(instance, instance=instance)
+                    for _ in range(10):
+                        self.assertGreater(await count_pending(cluster, instance), 0)
+                        await sleep(0.05)
+            self.assertEqual((job_reads, fence_reads), ([], []))
+            self.assertEqual((len(load_reads), len(commits)), (30, 3))
+            marks = cluster.store.table.read(f"{LOAD_KEY}/used").rows
+            self.assertEqual(len(marks), 1)
+
+        self.run_scenario(scenario, workers=0)
+
     def test_count_is_not_the_figure_of_an_owner_that_receives_no_jobs(self) -> None:
         read_changes = EmulatedStore.read_changes
 
