Ask for a machine in place of an unresponsive worker

A long-running task waited for 40 s and more although another pool had idle machines: a worker that is registered and does not respond counted as one to spread the tasks of a step on, so that the pool asked for no machine. Such workers no longer count there.

test_unresponsive_worker_is_replaced_by_a_machine_of_another_pool failed before and passes now.

--- a/jujubebarrow/coordinators/job_demands.py
+++ b/jujubebarrow/coordinators/job_demands.py
@@ -77,7 +77,11 @@
         Returns:
             Thousandths of a core; 0 if the pool has enough workers or none.
         """
-        workers = [w for w in self._state.workers.values() if w.entry is not None]
+        workers = [
+            worker
+            for worker in self._state.workers.values()
+            if worker.entry is not None and not worker.unresponsive_since
+        ]
         needed_workers = 0
         for job in self._state.jobs.values():
             for _, _, step in job.startable_steps():
--- a/jujubebarrow/tests/test_grants.py
+++ b/jujubebarrow/tests/test_grants.py
@@ -97,6 +97,14 @@
 
         self.run_scenario(scenario)
 
+    def test_grant_of_a_pool_that_left_the_configuration_is_released(self) -> None:
+        async def scenario(cluster: JobCluster) -> None:
+            await _restart_all(cluster, {"removed": [FORMER_TOKEN, *LIMIT]})
+            job = await cluster.submit(1)
+            self.assertTrue(await cluster.wait_for_phase(job, "completed", 30.0))
+
+        self.run_scenario(scenario)
+
     def test_grant_whose_write_had_no_response_is_released(self) -> None:
         async def scenario(cluster: JobCluster) -> None:
             await _restart_all(cluster, {})
--- a/jujubebarrow/tests/test_long_running_waits.py
+++ b/jujubebarrow/tests/test_long_running_waits.py
@@ -16,6 +16,7 @@
 from jujubebarrow.tests.fakes.job_clusters import POOL, QUEUE, JobCluster
 from jujubebarrow.tests.fakes.long_running_faults import LongRunningFaults
 from jujubebarrow.tests.fakes.virtual_loops import run_virtual
+from jujubebarrow.workloads.identifiers import WorkerId
 from jujubebarrow.workloads.resources import Resources
 from jujubebarrow.workloads.step_specs import StepSpec
 
@@ -144,3 +145,18 @@
             self.assertTrue(await cluster.wait_for(runs_on_spare, 9.0))
 
         self.run_scenario(scenario, workers=3)
+
+    def test_unresponsive_worker_is_replaced_by_a_machine_of_another_pool(self) -> None:
+        async def scenario(cluster: JobCluster) -> None:
+            lasting = TaskBehaviour(is_long_running=True)
+            await cluster.submit(1, (LONG_RUNNING,), behaviour=lasting)
+            await sleep(1.0)
+            for instance in cluster.instances:
+                instance.gateway.unreachable.add(WorkerId("w0"))
+
+            def is_replaced() -> bool:
+                return bool(cluster.workers[WorkerId("w2")].running)
+
+            self.assertTrue(await cluster.wait_for(is_replaced, 25.0))
+
+        self.run_scenario(scenario, workers=2, standby=1)
