--- a/jujubebarrow/tests/test_changed_limits.py
+++ b/jujubebarrow/tests/test_changed_limits.py
@@ -82,6 +82,11 @@
             with self.subTest(seed=seed):
                 run_virtual(self._change_limits(Random(seed)))
 
+    def test_raised_limits_and_lost_writes_let_no_start_exceed_the_recent_limits(
+        self,
+    ) -> None:
+        run_virtual(self._change_limits(Random(3027)))
+
     async def _change_limits(self, random: Random) -> None:
         store = SharedStore(random)
         pools = [GrantPool(f"p{number}", TEAM, LIMIT, store) for number in range(4)]
--- a/jujubebarrow/tests/test_long_running_waits.py
+++ b/jujubebarrow/tests/test_long_running_waits.py
@@ -57,6 +57,9 @@
             with self.subTest(seed=seed):
                 self.assertEqual(simulate(seed)[0], [])
 
+    def test_task_whose_start_got_no_response_runs_again_soon(self) -> None:
+        self.assertEqual(simulate(3001)[0], [])
+
 
 def find_pool_owner(cluster: JobCluster) -> PoolOwner:
     instance = cluster.find_owner()
