--- a/jujubebarrow/runtimes/load_registries.py
+++ b/jujubebarrow/runtimes/load_registries.py
@@ -173,7 +173,7 @@
         return recorded[0] if recorded else ABSENT_REVISION
 
     def record_refusal(self, machine: MachineId) -> None:
-        """Stop to count a machine as incoming, since its order was refused."""
+        """Stop counting a machine as incoming, since its order was refused."""
         recorded = self._moves.get(machine)
         if recorded is not None:
             revision, target, holder, _ = recorded
