Measure the traffic on an instance's link by kind

Logs and metrics could not tell what fills an owner's network link, so that the hypotheses (starts, repetitions, polls, change feeds) could not be told apart.

No logic has changed.

--- /dev/null
+++ b/jujubebarrow/links/traffic_kinds.py
@@ -0,0 +1,31 @@
+"""Kinds of calls that share an instance's network link."""
+
+from enum import Enum
+
+
+class TrafficKind(Enum):
+    """Purpose of a call.
+
+    Attributes:
+        START: Order to a worker to start a run.
+        ORDER: Any other order to a worker.
+        RENEWAL: Lease renewal, to which a worker responds with its report.
+        STORE_READ: Read of rows.
+        STORE_CHANGES: Request for changed rows.
+        STORE_WRITE: Transaction.
+        RELAY: Call that another instance executes for this one.
+        PEER: Call that this instance executes for another one.
+        CALLER: Call of a caller.
+        OTHER: Any other call.
+    """
+
+    START = "start"
+    ORDER = "order"
+    RENEWAL = "renewal"
+    STORE_READ = "store-read"
+    STORE_CHANGES = "store-changes"
+    STORE_WRITE = "store-write"
+    RELAY = "relay"
+    PEER = "peer"
+    CALLER = "caller"
+    OTHER = "other"
--- a/jujubebarrow/platform/main.py
+++ b/jujubebarrow/platform/main.py
@@ -14,6 +14,8 @@
 from jujubebarrow.coordinators.coordinator_options import CoordinatorOptions
 from jujubebarrow.errors.exceptions import SettingsError
 from jujubebarrow.identifiers import IncarnationId
+from jujubebarrow.links.link_meters import LinkMeter
+from jujubebarrow.links.traffic_kinds import TrafficKind
 from jujubebarrow.logs.event_logs import EventLog, set_up_event_log
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.ownerships.pool_capacities import compute_pool_capacity
@@ -84,10 +86,15 @@
         loop.add_signal_handler(signal.SIGHUP, self._log_ignored_reload)
         settings = self._settings
         async with AsyncExitStack() as stack:
+            meter = LinkMeter(settings.link_mbps, self._log, self._metrics)
+            meter.open()
+            stack.push_async_callback(meter.close)
             throttle = ReadThrottle(settings.link_mbps, self._metrics)
-            direct = PlatformStore(settings.store_address, throttle, self._metrics)
+            direct = PlatformStore(
+                settings.store_address, throttle, meter, self._metrics
+            )
             stack.callback(direct.close)
-            relay = HttpRelayClient()
+            relay = HttpRelayClient(meter)
             stack.callback(relay.close)
             store = RelayedStore(
                 direct,
@@ -99,7 +106,7 @@
                 self._metrics,
             )
             stack.callback(store.close)
-            workers = PlatformWorkers(self._metrics)
+            workers = PlatformWorkers(meter, self._metrics)
             stack.callback(workers.close)
             machines = PlatformMachines(
                 settings.machine_address, settings.instance, self._metrics
@@ -131,7 +138,7 @@
                 store.set_peer_addresses,
             )
             await node.open(stack)
-            caller_listener = self._listen(stack, node, store.peer_call_store)
+            caller_listener = self._listen(stack, node, store.peer_call_store, meter)
             self._log.write(
                 "started", instance=settings.instance, incarnation=incarnation
             )
@@ -143,21 +150,32 @@
         self._log.write("stopped", instance=settings.instance)
 
     def _listen(
-        self, stack: AsyncExitStack, node: EntryNode, store: Store
+        self, stack: AsyncExitStack, node: EntryNode, store: Store, meter: LinkMeter
     ) -> HttpListener:
         settings, metrics = self._settings, self._metrics
         host = settings.readiness_address.rsplit(":", 1)[0]
-        addresses: list[tuple[str, HttpRequestHandler]] = [
-            (settings.peer_address, RelayHandler(store, metrics)),
-            (settings.readiness_address, ReadinessHandler(node)),
-            (f"{host}:{settings.metrics_port}", PlatformMetricsHandler(metrics)),
+        addresses: list[tuple[str, HttpRequestHandler, TrafficKind]] = [
+            (settings.peer_address, RelayHandler(store, metrics), TrafficKind.PEER),
+            (settings.readiness_address, ReadinessHandler(node), TrafficKind.OTHER),
+            (
+                f"{host}:{settings.metrics_port}",
+                PlatformMetricsHandler(metrics),
+                TrafficKind.OTHER,
+            ),
         ]
-        for address, handler in addresses:
-            listener = HttpListener(address, handler, metrics, BODY_LIMIT_BYTES)
+        for address, handler, kind in addresses:
+            listener = HttpListener(
+                address, handler, metrics, BODY_LIMIT_BYTES, meter, kind
+            )
             stack.push_async_callback(listener.close)
         handler = CallerHandler(node, self._clock, self._log, metrics)
         caller_listener = HttpListener(
-            settings.caller_address, handler, metrics, BODY_LIMIT_BYTES
+            settings.caller_address,
+            handler,
+            metrics,
+            BODY_LIMIT_BYTES,
+            meter,
+            TrafficKind.CALLER,
         )
         stack.push_async_callback(caller_listener.close)
         return caller_listener
--- a/jujubebarrow/platform/stores.py
+++ b/jujubebarrow/platform/stores.py
@@ -13,6 +13,8 @@
     SlowResponseError,
     StoreError,
 )
+from jujubebarrow.links.link_meters import LinkMeter
+from jujubebarrow.links.traffic_kinds import TrafficKind
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.stores.commit_results import CommitResult
 from jujubebarrow.stores.instance_lists import InstanceList
@@ -36,6 +38,12 @@
 500 ms)."""
 DOCUMENT_TABLES = frozenset({"op", "servers", "status"})
 """Tables with JSON values, since the operator or the workers also use these tables."""
+COMMIT_PATH = "/-/rows-tx"
+CHANGES_PATH = "/-/rows-feed"
+TRAFFIC_KINDS = {
+    COMMIT_PATH: TrafficKind.STORE_WRITE,
+    CHANGES_PATH: TrafficKind.STORE_CHANGES,
+}
 MALFORMED_VALUE: dict[str, Any] = {}
 """Replaces an undecodable value; a valid document is never empty."""
 VALUE_FIELD = "v"
@@ -52,6 +60,7 @@
     Args:
         address: IP and port of the store.
         throttle: Limits what reads put on this instance's network link.
+        meter: Records the traffic of the calls.
         metrics: Registry of the counters.
     """
 
@@ -59,14 +68,20 @@
     # up, which takes two attempts. Pool owners retry a failed transaction themselves.
     commit_attempts = 2
 
-    def __init__(self, address: str, throttle: ReadThrottle, metrics: MetricsRegistry):
+    def __init__(
+        self,
+        address: str,
+        throttle: ReadThrottle,
+        meter: LinkMeter,
+        metrics: MetricsRegistry,
+    ):
         super().__init__(metrics)
         self._throttle = throttle
         self._reader = PagedReader(
             lambda prefix, start: self.read_page(prefix, start, 0), metrics
         )
         self._url = f"http://{address}"
-        self._client = HttpClient(CONNECTION_LIMIT)
+        self._client = HttpClient(CONNECTION_LIMIT, meter)
 
     def close(self) -> None:
         """Close all connections."""
@@ -75,7 +90,7 @@
     async def try_commit(self, transaction: Transaction) -> CommitResult:
         """Send a transaction once and return the result."""
         body = json.encode(_encode_transaction(transaction))
-        response = await self._call("POST", "/-/rows-tx", TIMEOUT_SECONDS, body)
+        response = await self._call("POST", COMMIT_PATH, TIMEOUT_SECONDS, body)
         if response.status == 200:
             return CommitResult(revision=json.decode(response.body)["Ver"])
         if response.status != 412:
@@ -125,7 +140,7 @@
             "After": str(since),
             "WaitMs": str(round(wait * 1000)),
         }
-        page = await self._read_page("/-/rows-feed", query, TIMEOUT_SECONDS + wait)
+        page = await self._read_page(CHANGES_PATH, query, TIMEOUT_SECONDS + wait)
         return RowSet(revision=page.revision, rows=page.rows, clock=page.clock)
 
     async def list_partitions(self, table: str) -> list[str]:
@@ -189,9 +204,13 @@
         timeout: float = TIMEOUT_SECONDS,
         body: bytes | None = None,
     ) -> ClientResponse:
-        self._metrics.count("store_call", path.split("?", 1)[0])
+        endpoint = path.split("?", 1)[0]
+        self._metrics.count("store_call", endpoint)
+        kind = TRAFFIC_KINDS.get(endpoint, TrafficKind.STORE_READ)
         try:
-            response = await self._client.call(method, self._url + path, timeout, body)
+            response = await self._client.call(
+                method, self._url + path, timeout, body, kind=kind
+            )
         except HttpCallError as error:
             if error.is_response_incomplete:
                 self._metrics.count("store_failure", "incomplete")
--- a/jujubebarrow/platform/workers.py
+++ b/jujubebarrow/platform/workers.py
@@ -17,6 +17,8 @@
     WorkerSilentError,
 )
 from jujubebarrow.identifiers import JobId
+from jujubebarrow.links.link_meters import LinkMeter
+from jujubebarrow.links.traffic_kinds import TrafficKind
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.transports.http_clients import (
     ClientResponse,
@@ -37,6 +39,9 @@
 RENEWAL_MARGIN_SECONDS = 0.4
 """Time for the response to a lease renewal in addition to the requested wait."""
 
+START_PATH = "/-/run-start"
+RENEWAL_PATH = "/-/hold"
+TRAFFIC_KINDS = {START_PATH: TrafficKind.START, RENEWAL_PATH: TrafficKind.RENEWAL}
 REFUSAL_OUTCOMES = {
     "fence": OrderOutcome.FENCED,
     "old": OrderOutcome.OUTDATED,
@@ -74,12 +79,13 @@
     """HTTP client of the workers' interface.
 
     Args:
+        meter: Records the traffic of the calls.
         metrics: Registry of the counters.
     """
 
-    def __init__(self, metrics: MetricsRegistry):
+    def __init__(self, meter: LinkMeter, metrics: MetricsRegistry):
         self._metrics = metrics
-        self._client = HttpClient(CONNECTION_LIMIT)
+        self._client = HttpClient(CONNECTION_LIMIT, meter)
 
     def close(self) -> None:
         """Close all connections."""
@@ -98,7 +104,7 @@
             document["Checkpoint"] = order.checkpoint
         if order.ticket:
             document["Ticket"] = order.ticket
-        return await self._send_order(order, "/-/run-start", document)
+        return await self._send_order(order, START_PATH, document)
 
     async def stop(self, order: StopOrder) -> OrderResult:
         """Send an order to stop a run."""
@@ -148,7 +154,7 @@
         timeout = RENEWAL_MARGIN_SECONDS + order.wait
         try:
             response = await self._post(
-                order.worker, order.address, "/-/hold", document, timeout
+                order.worker, order.address, RENEWAL_PATH, document, timeout
             )
         except HttpCallError as error:
             raise WorkerSilentError(str(error)) from error
@@ -177,6 +183,7 @@
             timeout,
             json.encode(document),
             {"X-Target-Instance": worker},
+            TRAFFIC_KINDS.get(path, TrafficKind.ORDER),
         )
 
     def _decode_renewal_report(self, body: bytes) -> RenewalReport:
--- a/jujubebarrow/tests/test_slow_links.py
+++ b/jujubebarrow/tests/test_slow_links.py
@@ -22,6 +22,7 @@
 
 from jujubebarrow.clocks.system_clocks import SystemClock
 from jujubebarrow.errors.exceptions import SettingsError, StoreError
+from jujubebarrow.links.link_meters import LinkMeter
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.platform.settings_files import load_platform_settings
 from jujubebarrow.platform.stores import PlatformStore
@@ -69,12 +70,13 @@
         await self.standin.open(self.stack)
         self.metrics = MetricsRegistry()
         self.log = ListLog("n1")
+        self.meter = LinkMeter(self.link_mbps, self.log, self.metrics)
         self.relay = CountingRelay()
         self.store = self.make_store(self.relay)
 
     def make_store(self, relay: RelayClient) -> RelayedStore:
         throttle = ReadThrottle(self.link_mbps, self.metrics)
-        direct = PlatformStore(self.standin.address, throttle, self.metrics)
+        direct = PlatformStore(self.standin.address, throttle, self.meter, self.metrics)
         self.stack.callback(direct.close)
         store = RelayedStore(
             direct,
@@ -237,7 +239,9 @@
     async def test_large_read_through_a_relay_ends(self) -> None:
         self.fill("q", 360)
         throttle = ReadThrottle(self.link_mbps, self.metrics)
-        other_direct = PlatformStore(self.standin.address, throttle, self.metrics)
+        other_direct = PlatformStore(
+            self.standin.address, throttle, self.meter, self.metrics
+        )
         self.stack.callback(other_direct.close)
         port, closed_port = find_ports(2)
         listener = HttpListener(
@@ -247,7 +251,7 @@
             BODY_LIMIT_BYTES,
         )
         self.stack.push_async_callback(listener.close)
-        relay = HttpRelayClient()
+        relay = HttpRelayClient(self.meter)
         self.stack.callback(relay.close)
         self.standin.address = f"{LOOPBACK}:{closed_port}"
         store = self.make_store(relay)
--- a/jujubebarrow/transports/http_clients.py
+++ b/jujubebarrow/transports/http_clients.py
@@ -20,6 +20,8 @@
 from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
 
 from jujubebarrow.errors.exceptions import JujubebarrowError
+from jujubebarrow.links.link_meters import LinkMeter
+from jujubebarrow.links.traffic_kinds import TrafficKind
 
 CONNECT_TIMEOUT_TEXT = "Connection timed out"
 """Part of curl's error message for a timeout before the connection was established."""
@@ -27,6 +29,10 @@
 BODY_LIMIT_BYTES = 100 * 1024 * 1024
 """Largest response body; a larger one fails the call."""
 
+CONNECT_THRESHOLD_SECONDS = 0.0001
+"""Time to connect from which on a call counts as having opened a connection; it is
+next to nothing on a kept connection."""
+
 _logger = getLogger(__name__)
 
 
@@ -128,9 +134,11 @@
 
     Args:
         connection_limit: Limit on parallel calls and idle connections.
+        meter: Records the traffic of the calls; None if it is not recorded.
     """
 
-    def __init__(self, connection_limit: int):
+    def __init__(self, connection_limit: int, meter: LinkMeter | None = None):
+        self._meter = meter
         self._client = CurlAsyncHTTPClient(
             force_instance=True, max_clients=connection_limit
         )
@@ -153,6 +161,7 @@
         timeout: float,
         body: bytes | None = None,
         headers: dict[str, str] | None = None,
+        kind: TrafficKind = TrafficKind.OTHER,
     ) -> ClientResponse:
         """Send a request once, without retries.
 
@@ -162,6 +171,7 @@
             timeout: Timeout of the whole call in seconds.
             body: Request body, or None for a request without body.
             headers: Additional request headers.
+            kind: Purpose of the call.
 
         Raises:
             HttpCallError: The call got no response.
@@ -190,13 +200,22 @@
             prepare_curl_callback=attach,
             **options,
         )
+        is_new_connection = False
         try:
             response = await self._fetch(request)
+            times = response.time_info
+            connect_seconds = times.get("connect", 0.0) - times.get("namelookup", 0.0)
+            is_new_connection = connect_seconds > CONNECT_THRESHOLD_SECONDS
         except (HTTPClientError, OSError) as error:
             raise _make_call_error(error, sent, received) from error
+        finally:
+            if self._meter is not None:
+                size = len(body) if body is not None else 0
+                self._meter.record_call(
+                    kind, size, received.size_bytes, is_new_connection
+                )
         if response.code == 599:
             raise _make_call_error(response.error, sent, received)
-        times = response.time_info
         return ClientResponse(
             response.code,
             received.to_bytes(),
--- a/jujubebarrow/transports/http_relays.py
+++ b/jujubebarrow/transports/http_relays.py
@@ -5,6 +5,8 @@
 from tornado.httputil import HTTPServerRequest
 
 from jujubebarrow.errors.exceptions import SlowResponseError, StoreError
+from jujubebarrow.links.link_meters import LinkMeter
+from jujubebarrow.links.traffic_kinds import TrafficKind
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.stores.relay_messages import (
     MEDIA_TYPE,
@@ -25,10 +27,14 @@
 
 
 class HttpRelayClient(RelayClient):
-    """Sends store calls to other instances over HTTP."""
+    """Sends store calls to other instances over HTTP.
 
-    def __init__(self) -> None:
-        self._client = HttpClient(CONNECTION_LIMIT)
+    Args:
+        meter: Records the traffic of the calls.
+    """
+
+    def __init__(self, meter: LinkMeter) -> None:
+        self._client = HttpClient(CONNECTION_LIMIT, meter)
 
     def close(self) -> None:
         """Close all connections."""
@@ -43,6 +49,7 @@
                 TIMEOUT_SECONDS + wait,
                 body,
                 {"Content-Type": MEDIA_TYPE},
+                TrafficKind.RELAY,
             )
         except HttpCallError as error:
             if error.is_response_incomplete:
--- a/jujubebarrow/transports/http_servers.py
+++ b/jujubebarrow/transports/http_servers.py
@@ -9,6 +9,8 @@
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
 from tornado.iostream import StreamClosedError
 
+from jujubebarrow.links.link_meters import LinkMeter
+from jujubebarrow.links.traffic_kinds import TrafficKind
 from jujubebarrow.metrics.registries import MetricsRegistry
 
 
@@ -48,6 +50,8 @@
         handler: Handles the requests.
         metrics: Registry of the counters.
         body_limit: Largest request body in bytes.
+        meter: Records the traffic of the requests; None if it is not recorded.
+        kind: Purpose of the requests.
 
     Attributes:
         active_request_count: Number of requests in progress.
@@ -59,8 +63,12 @@
         handler: HttpRequestHandler,
         metrics: MetricsRegistry,
         body_limit: int,
+        meter: LinkMeter | None = None,
+        kind: TrafficKind = TrafficKind.OTHER,
     ):
         self._handler = handler
+        self._meter = meter
+        self._kind = kind
         self._metrics = metrics
         self.active_request_count = 0
         self._server = HTTPServer(
@@ -79,6 +87,9 @@
     async def _serve(self, request: HTTPServerRequest) -> None:
         try:
             response = await self._handler.handle(request)
+            if self._meter is not None:
+                sizes = (len(response.body), len(request.body))
+                self._meter.record_call(self._kind, *sizes)
             self._send(request, response)
         except StreamClosedError:
             self._metrics.count("caller_left")
