--- a/jujubebarrow/standins/emulated_gateways.py
+++ b/jujubebarrow/standins/emulated_gateways.py
@@ -23,6 +23,11 @@
 ONE_WAY_DELAY_SECONDS = 0.002
 RESPONSE_TIMEOUT_SECONDS = 0.6
 """Time without a response after which an order is unacknowledged or a renewal fails."""
+LINK_TIMEOUT_SECONDS = 0.25
+"""Time on the instance's link after which an order is unacknowledged; it still arrives.
+"""
+MESSAGE_BYTES = 330
+"""Size of an order without its payload."""
 LATE_EXECUTION_RANGE_SECONDS = (2.0, 12.0)
 """Range of the delay after which a worker executes a late order."""
 
@@ -40,6 +45,9 @@
         pending_renewal_loss_count: Number of upcoming renewals whose response will be
             lost.
         extra_delay_seconds: Additional delay of each lease renewal in seconds.
+        link_bytes_per_second: Rate at which the instance's link carries orders and
+            renewals, one after the other.
+        sent_start_count: Number of start orders sent.
     """
 
     def __init__(self, workers: dict[WorkerId, EmulatedWorker], random: Random):
@@ -49,15 +57,33 @@
         self.is_disconnected = False
         self.pending_renewal_loss_count = 0
         self.extra_delay_seconds = 0.0
+        self.link_bytes_per_second = float("inf")
+        self.sent_start_count = 0
+        self._link_free_at = 0.0
+
+    def _put_on_link(self, size_bytes: int) -> float:
+        """Return the seconds until a message has passed the link."""
+        now = get_running_loop().time()
+        self._link_free_at = max(now, self._link_free_at)
+        self._link_free_at += size_bytes / self.link_bytes_per_second
+        return self._link_free_at - now
 
     def _is_reachable(self, worker: EmulatedWorker) -> bool:
         is_disconnected = self.is_disconnected or worker.worker in self.unreachable
         return worker.is_up and not is_disconnected
 
     async def _send_order(
-        self, worker: EmulatedWorker, execute: Callable[[], OrderResult]
+        self,
+        worker: EmulatedWorker,
+        execute: Callable[[], OrderResult],
+        payload_bytes: int = 0,
     ) -> OrderResult:
-        await sleep(ONE_WAY_DELAY_SECONDS)
+        link_seconds = self._put_on_link(MESSAGE_BYTES + payload_bytes)
+        if link_seconds > LINK_TIMEOUT_SECONDS:
+            get_running_loop().call_later(link_seconds, _execute_if_up, worker, execute)
+            await sleep(LINK_TIMEOUT_SECONDS)
+            return OrderResult(OrderOutcome.UNACKNOWLEDGED, None, "timeout")
+        await sleep(ONE_WAY_DELAY_SECONDS + link_seconds)
         if not self._is_reachable(worker):
             await sleep(RESPONSE_TIMEOUT_SECONDS)
             return OrderResult(OrderOutcome.UNACKNOWLEDGED)
@@ -79,7 +105,10 @@
     async def start(self, order: StartOrder) -> OrderResult:
         """Order a worker to start a run."""
         worker = self._workers[order.worker]
-        return await self._send_order(worker, lambda: worker.start(order))
+        self.sent_start_count += 1
+        return await self._send_order(
+            worker, lambda: worker.start(order), len(order.payload)
+        )
 
     async def stop(self, order: StopOrder) -> OrderResult:
         """Order a worker to stop a run."""
@@ -100,7 +129,11 @@
         """
         worker = self._workers[order.worker]
         timeout_at = get_running_loop().time() + order.wait + RESPONSE_TIMEOUT_SECONDS
-        await sleep(ONE_WAY_DELAY_SECONDS + self.extra_delay_seconds)
+        link_seconds = self._put_on_link(MESSAGE_BYTES)
+        if link_seconds > order.wait + RESPONSE_TIMEOUT_SECONDS:
+            await sleep(order.wait + RESPONSE_TIMEOUT_SECONDS)
+            raise WorkerSilentError(f"renewal for worker {order.worker} timed out")
+        await sleep(ONE_WAY_DELAY_SECONDS + self.extra_delay_seconds + link_seconds)
         if not self._is_reachable(worker):
             await sleep(RESPONSE_TIMEOUT_SECONDS)
             raise WorkerSilentError(f"worker {order.worker} is unreachable")
--- a/jujubebarrow/tests/fakes/job_clusters.py
+++ b/jujubebarrow/tests/fakes/job_clusters.py
@@ -293,9 +293,10 @@
         behaviour: TaskBehaviour | None = None,
         timeout: float = 3.0,
         team: TeamId = TEAM,
+        payload_bytes: int = 0,
     ) -> JobId:
         job = JobId(f"{number:016x}")
-        payload = f"job-{number}"
+        payload = f"job-{number}".ljust(payload_bytes, ".")
         if behaviour is not None:
             self.behaviours[payload] = behaviour
         steps = steps or (StepSpec(count=2, needs=Resources(1000, 500)),)
