Read only the changes of the pools' loads and moves

Callers saw jobs late while the owner's link was full.

LoadRegistry keeps the reports and reads the changes since its last read; all rows at first, after a pause of 5 s and if the store has lost the history. Reports still count by their age on the store's clock, and a failed read still leaves no loads.

--- a/jujubebarrow/runtimes/load_registries.py
+++ b/jujubebarrow/runtimes/load_registries.py
@@ -4,12 +4,12 @@
 from uuid import uuid4
 
 from jujubebarrow.clocks.clocks import Clock
-from jujubebarrow.errors.exceptions import StoreError
+from jujubebarrow.errors.exceptions import HistoryLostError, StoreError
 from jujubebarrow.identifiers import PoolId
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.pools.pool_loads import PoolLoad
 from jujubebarrow.stores.row_keys import RowKey, TableName, make_key
-from jujubebarrow.stores.rows import Row
+from jujubebarrow.stores.rows import Row, RowSet
 from jujubebarrow.stores.store_clocks import StoreClock
 from jujubebarrow.stores.stores import Store
 from jujubebarrow.stores.transactions import ABSENT_REVISION, Transaction
@@ -26,6 +26,9 @@
 WRITTEN_AT = "at"
 CACHE_AGE_SECONDS = 0.1
 """Age up to which rows read for one pool are reused for this instance's other pools."""
+CHANGES_AGE_LIMIT_SECONDS = 5.0
+"""Time since the last read after which all rows are read again, since there may be more
+changes than rows."""
 TRANSIT_SECONDS = 2.5
 """Time after the order for a move during which the machine counts as incoming."""
 MOVES_PER_CLAIM_LIMIT = 50
@@ -54,13 +57,17 @@
         self._metrics = metrics
         self._store_clock = StoreClock(clock)
         self._read_at = float("-inf")
+        # Revision up to which all changes are known; None before the first read.
+        self._revision: int | None = None
+        # Last report of each pool, and the store's time at which it was written.
+        self._reports: dict[PoolId, tuple[PoolLoad, float]] = {}
         # Revision, target pool, holder and time of the order; for a move read from the
         # store, the latest time at which its order may have been sent.
         self._moves: dict[MachineId, tuple[int, PoolId, str, float]] = {}
         self.loads: dict[PoolId, PoolLoad] = {}
 
     async def refresh(self) -> None:
-        """Read all rows, unless the cached rows are recent enough.
+        """Read the changed rows, unless the last read is recent enough.
 
         Raises:
             StoreError: The store does not answer.
@@ -68,22 +75,41 @@
         now = self._clock.monotonic()
         if now - self._read_at < CACHE_AGE_SECONDS:
             return
-        self._read_at = now
         # Without an answer, no plan may rest on loads of unknown age.
         self.loads = {}
-        found = await self._store.read(make_key(TableName.BALANCE, PARTITION, ""))
+        if now - self._read_at > CHANGES_AGE_LIMIT_SECONDS:
+            self._revision = None
+        self._read_at = now
+        found = await self._read_rows()
+        self._revision = found.revision
         self._store_clock.record_store_time(now, found.clock)
         for row in found.rows:
-            self._apply_row(row, found.clock)
+            self._apply_row(row)
+        self.loads = {
+            pool: load
+            for pool, (load, written_at) in self._reports.items()
+            if found.clock - written_at <= LOAD_AGE_LIMIT_SECONDS
+        }
 
-    def _apply_row(self, row: Row, store_time: float) -> None:
-        name = RowKey.parse(row.key).name
-        value = row.value or {}
+    async def _read_rows(self) -> RowSet:
+        """Return the rows that have changed since the last read, at first all rows."""
+        if self._revision is not None:
+            try:
+                prefix = f"{TableName.BALANCE.value}/"
+                return await self._store.read_changes(prefix, self._revision, 0.0)
+            except HistoryLostError:
+                self._metrics.count("feed_history_lost", TableName.BALANCE.value)
+        self._reports.clear()
+        return await self._store.read(make_key(TableName.BALANCE, PARTITION, ""))
+
+    def _apply_row(self, row: Row) -> None:
+        if row.value is None:
+            return
+        name, value = RowKey.parse(row.key).name, row.value
         if name.startswith(LOAD_PREFIX):
             pool = PoolId(name.removeprefix(LOAD_PREFIX))
             written_at = value.get(WRITTEN_AT, float("-inf"))
-            if store_time - written_at <= LOAD_AGE_LIMIT_SECONDS:
-                self.loads[pool] = PoolLoad.from_document(pool, value)
+            self._reports[pool] = (PoolLoad.from_document(pool, value), written_at)
         elif name.startswith(MOVE_PREFIX):
             machine = MachineId(name.removeprefix(MOVE_PREFIX))
             recorded = self._moves.get(machine)
