Keep machines in a pool during a short dip of its demand

Callers saw jobs of a demand peak seconds late although the pool had had enough machines when the peak began.

Cause: machines are spread evenly while no pool is short, and "short" is one measurement. Spreading is not urgent, so that it can wait until a peak is certainly over: it now counts the greatest demand of the last 2 s. Loans to a pool that is short count the demand of the moment, as before.

--- a/jujubebarrow/pools/pool_loads.py
+++ b/jujubebarrow/pools/pool_loads.py
@@ -15,6 +15,8 @@
         demand: Processor demand of the startable and running tasks, each job
             weighted by its remaining value.
         backlog: Processor demand of the same tasks, with late jobs counted in full.
+        recent_demand: Greatest demand of the last seconds; at a demand peak, the demand
+            of a moment may be small by chance.
         capacity: Processor capacity of the pool's workers.
         machines: Number of workers that accept tasks.
         movable: Number of these workers that can move to another pool at once; for a
@@ -29,6 +31,7 @@
     machines: int
     movable: int
     backlog: int = 0
+    recent_demand: int = 0
     is_standby: bool = False
     is_used: bool = True
 
@@ -45,6 +48,7 @@
             "machines": self.machines,
             "movable": self.movable,
             "backlog": self.backlog,
+            "recent": self.recent_demand,
             "standby": self.is_standby,
             "used": self.is_used,
         }
@@ -59,6 +63,7 @@
             machines=document["machines"],
             movable=document["movable"],
             backlog=document["backlog"],
+            recent_demand=document.get("recent", 0),
             is_standby=document["standby"],
             is_used=document.get("used", True),
         )
--- a/jujubebarrow/pools/surplus_planners.py
+++ b/jujubebarrow/pools/surplus_planners.py
@@ -61,12 +61,18 @@
         pool: replace(load, demand=max(load.demand, load.backlog))
         for pool, load in loads.items()
     }
+    # Machines of a past peak are not needed at once elsewhere. A pool keeps them until
+    # its peak is certainly over, or they would have to return.
+    recent_loads = {
+        pool: replace(load, demand=max(load.demand, load.recent_demand))
+        for pool, load in total_loads.items()
+    }
     all_incoming = Counter(incoming) + Counter(target for _, target in moves)
     outgoing = Counter(source for source, _ in moves)
     needs = _count_needs(total_loads, all_incoming, mean_size)
     surplus = {
         pool: max(0, _count_surplus(load, retained_count) - outgoing[pool])
-        for pool, load in total_loads.items()
+        for pool, load in recent_loads.items()
     }
     moves += _match_pools(loads, needs, surplus)
     return moves or _match_pools(
@@ -74,7 +80,7 @@
         _count_missing_parts(loads, incoming, int(equal_part)),
         {
             pool: _count_surplus(load, int(equal_part))
-            for pool, load in total_loads.items()
+            for pool, load in recent_loads.items()
             if not load.is_standby
         },
     )
--- a/jujubebarrow/runtimes/move_controllers.py
+++ b/jujubebarrow/runtimes/move_controllers.py
@@ -1,6 +1,7 @@
 """Lends a pool's machines to pools that are short of them."""
 
 from asyncio import gather, sleep
+from collections import deque
 from collections.abc import Callable
 
 from jujubebarrow.clocks.clocks import Clock
@@ -24,6 +25,9 @@
 from jujubebarrow.workloads.identifiers import FenceToken, MachineId, WorkerId
 
 PLAN_PERIOD_SECONDS = 0.15
+RECENT_SECONDS = 2.0
+"""Time for which a greatest demand counts; longer than the gaps between the jobs of a
+demand peak, and about as long as a move."""
 """Time between two plans; short compared with a change of demand, which lasts several
 seconds."""
 MACHINE_LIST_AGE_SECONDS = 2.0
@@ -89,6 +93,8 @@
         self._metrics = metrics
         self._written_load: PoolLoad | None = None
         self._load_written_at = float("-inf")
+        # Times of measurement and demands of the last seconds.
+        self._recent_demands: deque[tuple[float, int]] = deque()
         self._shortage_logged_at = float("-inf")
         self._load_logged_at = float("-inf")
         self._machines_by_worker: dict[WorkerId, Machine] = {}
@@ -208,10 +214,16 @@
                 is_standby=True,
             )
         workers = [worker for worker in self._list_workers() if not worker.is_cordoned]
+        now = self._clock.monotonic()
+        demand = self._coordinator.demand.count_demand(now)
+        self._recent_demands.append((now, demand))
+        while now - self._recent_demands[0][0] > RECENT_SECONDS:
+            self._recent_demands.popleft()
         return PoolLoad(
             pool=self._pool,
             backlog=self._coordinator.demand.count_backlog(),
-            demand=self._coordinator.demand.count_demand(self._clock.monotonic()),
+            demand=demand,
+            recent_demand=max(demand for _, demand in self._recent_demands),
             capacity=sum(worker.capacity.cpu for worker in workers),
             machines=len(workers),
             movable=len(self._find_movable()),
--- a/jujubebarrow/tests/test_overload.py
+++ b/jujubebarrow/tests/test_overload.py
@@ -243,6 +243,15 @@
         self.assertEqual(Counter(target for _, target in moves), {"b": 25, "c": 25})
         self.assertEqual({source for source, _ in moves}, {"past"})
 
+    def test_pool_at_its_peak_gives_nothing_away_for_a_short_dip_of_its_demand(
+        self,
+    ) -> None:
+        dip = replace(make_load("peak", 220, 15, 11), recent_demand=860_000)
+        self.assertEqual(self.plan(dip, make_load("b", 32, 4, 0)), [])
+        # A pool that is short of machines itself still gets what is free.
+        short = make_load("b", 500, 4, 0)
+        self.assertGreaterEqual(self.plan(dip, short).count(("peak", "b")), 3)
+
     def test_no_machine_moves_while_every_pool_has_enough(self) -> None:
         moves = self.plan(make_load("a", 100, 6, 6), make_load("b", 10, 6, 4))
         self.assertEqual(moves, [])
