Do not count silences anew after an outage of the store

Callers saw a pool unserved for over 4 s if its owner was lost during an outage of the store of 1.0 s. After a gap in the reads all silences began anew, and an instance whose own lease had lapsed waited for a whole lease more.

What a gap hides is only that live instances could not write: they do so within a timeout of 0.9 s and a repetition of 0.1 s after it. So silences go on counting, and each instance has 1.0 s left after a gap; an instance whose lease had lapsed claims again after that time and a read of the heartbeats. Needless claims would still break nothing, as fences decide.

--- a/jujubebarrow/ownerships/lease_observers.py
+++ b/jujubebarrow/ownerships/lease_observers.py
@@ -4,8 +4,11 @@
 from jujubebarrow.ownerships.ownership_rows import InstanceRow
 
 READ_GAP_SECONDS = 1.5
-"""Seconds without a read of the store after which all leases count anew from the next
-read, because heartbeats may have been written meanwhile."""
+"""Seconds without a read of the store that count as a gap, after which live instances
+may still have to write the heartbeats that they could not write meanwhile."""
+GAP_GRACE_SECONDS = 1.0
+"""Least time from the end of a gap until a lease counts as expired: the timeout of a
+heartbeat that was sent during the gap, and the delay of its repetition."""
 EXPIRY_MARGIN_SECONDS = 0.2
 """Seconds added to a lease before it counts as expired, to allow for rounding and for
 timer inaccuracy."""
@@ -36,7 +39,11 @@
             now: Monotonic time in seconds.
         """
         if self._read_at is None or now - self._read_at > READ_GAP_SECONDS:
-            self._seen = {name: (seen[0], now) for name, seen in self._seen.items()}
+            earliest = now - self._lease - EXPIRY_MARGIN_SECONDS + GAP_GRACE_SECONDS
+            self._seen = {
+                name: (row, max(seen_at, earliest))
+                for name, (row, seen_at) in self._seen.items()
+            }
         self._read_at = now
         for row in rows:
             previous = self._seen.get(row.instance)
@@ -60,8 +67,9 @@
     def seconds_since_heartbeat(self, instance: InstanceId, now: float) -> float:
         """Return the seconds between an instance's latest heartbeat and the last read.
 
-        Returns infinity if no heartbeat of the instance was seen. After a gap between
-        two reads of the store, the time counts from the read that ended the gap.
+        Returns infinity if no heartbeat of the instance was seen. A gap between two
+        reads of the store counts only as far as the instance has GAP_GRACE_SECONDS left
+        after the gap.
         """
         seen = self._seen.get(instance)
         if seen is None or self._read_at is None:
--- a/jujubebarrow/runtimes/ownership_services.py
+++ b/jujubebarrow/runtimes/ownership_services.py
@@ -13,12 +13,13 @@
 from jujubebarrow.logs.decision_logs import DecisionLog
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.ownerships.claim_planners import ClaimPlanner
-from jujubebarrow.ownerships.lease_observers import LeaseObserver
+from jujubebarrow.ownerships.lease_observers import GAP_GRACE_SECONDS, LeaseObserver
 from jujubebarrow.ownerships.ownership_rows import DutyId, DutyRow, InstanceRow
 from jujubebarrow.ownerships.peer_progresses import PeerProgress
 from jujubebarrow.ownerships.service_gaps import ServiceGaps
 from jujubebarrow.runtimes.duty_listeners import DutyListener
 from jujubebarrow.runtimes.heartbeat_watchers import (
+    FEED_SPACING_SECONDS,
     HeartbeatWatcher,
     make_heartbeat,
     make_heartbeat_key,
@@ -47,9 +48,10 @@
 pool has an owner after a power failure."""
 STARTUP_POLL_SECONDS = 0.12
 """Seconds between two polls of the owners during startup."""
-RECOVERY_SECONDS = LEASE_SECONDS + 0.2
+RECOVERY_SECONDS = GAP_GRACE_SECONDS + FEED_SPACING_SECONDS
 """Seconds after the renewal of a lapsed lease in which the instance claims no duty, as
-other instances may have had the same difficulty and renew their leases."""
+other instances may have had the same difficulty: the time in which they renew their
+leases, and until their heartbeats are read."""
 DUTY_PREFIX = "duty/"
 
 
--- a/jujubebarrow/tests/test_takeover_times.py
+++ b/jujubebarrow/tests/test_takeover_times.py
@@ -20,6 +20,7 @@
 )
 """A lease, the longest age of the last read, and a poll of the owners."""
 OUTAGE_SECONDS = 1.0
+OUTAGES_SECONDS = (0.6, 1.2, 1.6, 1.9, 2.3, 3.1, 4.5)
 RESTART_SECONDS = 0.6
 RESTART_LIMIT_SECONDS = 1.0
 """Objective of a short job."""
@@ -35,6 +36,11 @@
     return get_running_loop().time() - began_at
 
 
+def _count_claims(cluster: JobCluster) -> int:
+    lines = [line for log in cluster.logs for line in log.lines]
+    return sum(line["event"] == "duty_claimed" for line in lines)
+
+
 class TakeoverTimeTest(JobCase):
     def test_short_outage_of_the_store_does_not_restart_the_wait_for_a_lost_owner(
         self,
@@ -54,6 +60,20 @@
         for seed in SEEDS:
             self.run_scenario(scenario, seed=seed, instances=INSTANCE_COUNT)
 
+    def test_outage_of_the_store_moves_no_pool_of_a_live_owner(self) -> None:
+        async def scenario(cluster: JobCluster) -> None:
+            await sleep(5.0)
+            claim_count = _count_claims(cluster)
+            for seconds in OUTAGES_SECONDS:
+                cluster.store.is_down = True
+                await sleep(seconds)
+                cluster.store.is_down = False
+                await sleep(6.0)
+            self.assertEqual(_count_claims(cluster), claim_count)
+
+        for seed in SEEDS:
+            self.run_scenario(scenario, seed=seed, instances=INSTANCE_COUNT)
+
     def test_old_heartbeats_do_not_delay_the_claim_after_a_restart_of_all(self) -> None:
         # Three instances do not come back, the former owner among them.
         async def scenario(cluster: JobCluster) -> None:
