Let changes of a job share transactions while the link is busy

While messages wait on the link, the next transaction of a queue is up to 0.12 s later, so that several ends share it; without a wait nothing changes. Starts go through other instances from 0.03 s of waiting starts on instead of 0.08 s, since a start of its own takes five times as much of the link.

--- a/jujubebarrow/runtimes/order_senders.py
+++ b/jujubebarrow/runtimes/order_senders.py
@@ -40,7 +40,7 @@
 the timeout of an order."""
 LINK_POLL_SECONDS = 0.005
 """Least time between two checks whether the link has room."""
-RELAY_WAIT_SECONDS = 0.08
+RELAY_WAIT_SECONDS = 0.03
 """Time that the link needs for the waiting starts from which on those of the same job
 go through another instance."""
 PLANNED_WAIT_SECONDS = 0.3
--- a/jujubebarrow/runtimes/pool_owners.py
+++ b/jujubebarrow/runtimes/pool_owners.py
@@ -139,6 +139,7 @@
             self.coordinator,
             reports,
             store,
+            backlog,
             self._tasks,
             self.on_change,
             self.on_superseded,
--- a/jujubebarrow/runtimes/progress_writers.py
+++ b/jujubebarrow/runtimes/progress_writers.py
@@ -11,6 +11,7 @@
 from jujubebarrow.coordinators.pool_coordinators import PoolCoordinator
 from jujubebarrow.errors.exceptions import StoreError, TransactionConflictError
 from jujubebarrow.identifiers import PoolId, QueueId
+from jujubebarrow.links.link_backlogs import LinkBacklog
 from jujubebarrow.logs.decision_logs import DecisionLog
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.runtimes.job_row_keys import (
@@ -33,6 +34,11 @@
 RETRY_SECONDS = 0.1
 """Seconds before a transaction with unknown outcome is repeated."""
 
+SPACING_LIMIT_SECONDS = 0.12
+"""Longest time between two transactions of a queue while the link is busy; short
+compared with the duration of a task."""
+SPACING_FACTOR = 3.0
+"""Time between two transactions in relation to the wait on the link."""
 TRANSACTION_POLL_SECONDS = 0.01
 """Seconds between two checks whether another transaction of the queue has ended."""
 
@@ -54,6 +60,7 @@
         coordinator: Makes the scheduling decisions of the pool.
         reports: Creates the reports of pending jobs, which transactions renew.
         store: Store shared by all instances.
+        backlog: Estimates what waits on this instance's link.
         tasks: Runs background tasks until the owner closes.
         on_outcome: Called after each transaction with changed jobs, whether the store
             applied or refused the transaction.
@@ -70,6 +77,7 @@
         coordinator: PoolCoordinator,
         reports: LoadReports,
         store: Store,
+        backlog: LinkBacklog,
         tasks: OwnedTasks,
         on_outcome: Callable[[], None],
         on_superseded: Callable[[], None],
@@ -82,6 +90,7 @@
         self._coordinator = coordinator
         self._reports = reports
         self._store = store
+        self._backlog = backlog
         self._tasks = tasks
         self._on_outcome = on_outcome
         self._on_superseded = on_superseded
@@ -144,11 +153,22 @@
             state = self._coordinator.state
             while changes := state.pop_changes(queue, JOBS_PER_TRANSACTION_LIMIT):
                 await self._write(queue, changes)
+                if spacing := self._compute_spacing():
+                    await sleep(spacing)
         except DisplacedError:
             self._on_superseded()
         finally:
             self._queues_in_transaction.discard(queue)
 
+    def _compute_spacing(self) -> float:
+        """Return the seconds until the next transaction, longer on a busy link.
+
+        A transaction contains the whole progress of each changed job, so that changes
+        of the same job that share a transaction take less room on the link.
+        """
+        wait = self._backlog.wait_seconds
+        return min(SPACING_LIMIT_SECONDS, SPACING_FACTOR * wait)
+
     async def _write(self, queue: QueueId, changes: list[JobChange]) -> None:
         writes: dict[str, dict[str, Any] | None] = {}
         absent_rows = {}
