Let a pool in need take standby machines whose owner is away

Callers saw a demand peak wait 4.1 s for its first machine if the owner of the standby pool was lost as the peak began: only that owner could give its machines away.

Nothing runs on a standby machine, and a claim in the store keeps two holders from moving the same one. So a pool whose planned machines are not on their way after 0.5 s claims and moves them itself. A new owner of a standby pool reports its machines before it waits for workers, so that they can be taken meanwhile.

An absent owner of a pool with workers still gives nothing (open).

--- a/jujubebarrow/runtimes/move_controllers.py
+++ b/jujubebarrow/runtimes/move_controllers.py
@@ -25,6 +25,9 @@
 from jujubebarrow.workloads.identifiers import FenceToken, MachineId, WorkerId
 
 PLAN_PERIOD_SECONDS = 0.15
+GIVER_WAIT_SECONDS = 0.5
+"""Time after which a pool in need moves standby machines itself; three plans and the
+claim of the moves by the owner of their pool."""
 RECENT_SECONDS = 2.0
 """Time for which a greatest demand counts; longer than the gaps between the jobs of a
 demand peak, and about as long as a move."""
@@ -98,13 +101,18 @@
         self._shortage_logged_at = float("-inf")
         self._load_logged_at = float("-inf")
         self._machines_by_worker: dict[WorkerId, Machine] = {}
+        self._listed_machines: list[Machine] = []
         self._spare_machines: list[Machine] = []
+        # Time since which planned moves from standby pools to this one are not ordered.
+        self._unserved_since: float | None = None
         self._listed_at = float("-inf")
         self._pending_moves: dict[WorkerId, tuple[PoolId, float]] = {}
         self._unmovable: set[MachineId] = set()
 
     async def run(self) -> None:
         """Plan and execute moves until cancelled."""
+        if self._is_standby:
+            await self._report_spare_machines()
         await self._wait_for_workers()
         while self._machines.is_available:
             try:
@@ -113,6 +121,14 @@
                 self._metrics.count("move_retry", type(error).__name__)
             await sleep(PLAN_PERIOD_SECONDS)
 
+    async def _report_spare_machines(self) -> None:
+        """Report the machines of a standby pool, which pools in need may take."""
+        try:
+            await self._refresh_machines()
+            await self._write_load(self._measure_load())
+        except (StoreError, MachineControlError) as error:
+            self._metrics.count("move_retry", type(error).__name__)
+
     async def _wait_for_workers(self) -> None:
         """Wait until the pool's workers have answered the new owner.
 
@@ -138,9 +154,7 @@
         load = self._measure_load()
         await self._load_registry.refresh()
         if self._is_report_due(load):
-            self._load_written_at = self._clock.monotonic()
-            await self._load_registry.write_load(load)
-            self._written_load = load
+            await self._write_load(load)
         loads = dict(self._load_registry.loads)
         loads[self._pool] = load
         incoming = self._load_registry.count_incoming()
@@ -150,8 +164,15 @@
         self._log_shortage(load, moves, incoming.get(self._pool, 0))
         if self._is_standby:
             await self._move_spare_machines(targets)
-        else:
-            await self._move_workers(targets)
+            return
+        await self._move_workers(targets)
+        sources = [source for source, target in moves if target == self._pool]
+        await self._take_spare_machines([s for s in sources if loads[s].is_standby])
+
+    async def _write_load(self, load: PoolLoad) -> None:
+        self._load_written_at = self._clock.monotonic()
+        await self._load_registry.write_load(load)
+        self._written_load = load
 
     def _is_report_due(self, load: PoolLoad) -> bool:
         return (
@@ -254,21 +275,51 @@
             return
         listed = await self._machines.list_machines()
         self._listed_at = now
+        self._listed_machines = listed
         self._machines_by_worker = {
             machine.worker: machine for machine in listed if machine.worker
         }
-        self._spare_machines = [
+        self._spare_machines = self._find_spare_machines({self._pool})
+
+    def _find_spare_machines(self, pools: set[PoolId]) -> list[Machine]:
+        """Return the machines of standby pools that this instance may move."""
+        return [
             machine
-            for machine in listed
-            if machine.pool == self._pool
+            for machine in self._listed_machines
+            if machine.pool in pools
             and machine.state is MachineState.UP
-            and machine.machine not in self._unmovable
-            and not self._is_under_maintenance(machine.machine)
-            and self._load_registry.can_order(
-                machine.machine, self._instance, self._machine_lease
-            )
+            and self._is_movable(machine)
         ]
 
+    async def _take_spare_machines(self, sources: list[PoolId]) -> None:
+        """Move standby machines to this pool that their pool's owner does not move.
+
+        That owner may be gone, while its last report is still recent. Nothing runs on a
+        standby machine, and a claim keeps two holders from moving the same one.
+
+        Args:
+            sources: Standby pool of each machine that is planned to move to this pool.
+        """
+        now = self._clock.monotonic()
+        if not sources:
+            self._unserved_since = None
+            return
+        if self._unserved_since is None:
+            self._unserved_since = now
+        if now - self._unserved_since < GIVER_WAIT_SECONDS:
+            return
+        self._unserved_since = None
+        await self._refresh_machines()
+        machines = self._find_spare_machines(set(sources))[: len(sources)]
+        self._log.write(
+            "machines_taken",
+            pool=self._pool,
+            sources=sorted(set(sources)),
+            wanted=len(sources),
+            machines=len(machines),
+        )
+        await self._move([(machine, self._pool) for machine in machines])
+
     async def _move_spare_machines(self, targets: list[PoolId]) -> None:
         machines = []
         while self._spare_machines and len(machines) < len(targets):
@@ -371,7 +422,7 @@
             "machine_moved",
             machine=machine.machine,
             worker=machine.worker,
-            source=self._pool,
+            source=machine.pool,
             target=target,
             token=token,
             answer=outcome.value,
