Date heartbeats by the store's clock

Callers saw a pool unserved for 2.65 s after a restart of all instances if its former owner did not come back: a heartbeat of before the restart counted as a new one, for a whole lease from its first read.

Heartbeats contain the store's time of their sending, converted so that it is never too early. Silences count from then on, so that a takeover also gains the delay of the feed. An instance that starts has seen nobody renew a lease; a dated heartbeat that it does not see renewed counts as the last one after 1.2 s, more than two periods, and two seconds more for each second that its read took, as a slow store delays heartbeats. A claim that was not needed costs a takeover and breaks nothing.

Heartbeats without a date count as before.

--- a/jujubebarrow/ownerships/lease_observers.py
+++ b/jujubebarrow/ownerships/lease_observers.py
@@ -1,5 +1,7 @@
 """Determines which instances are alive from the heartbeats in the store."""
 
+from dataclasses import dataclass, replace
+
 from jujubebarrow.identifiers import InstanceId
 from jujubebarrow.ownerships.ownership_rows import InstanceRow
 
@@ -12,53 +14,102 @@
 EXPIRY_MARGIN_SECONDS = 0.2
 """Seconds added to a lease before it counts as expired, to allow for rounding and for
 timer inaccuracy."""
+UNRENEWED_SECONDS = 1.2
+"""Age from which on a heartbeat that this observer has not seen renewed, since it was
+written before this instance started, counts as the last one; more than two periods."""
+READ_FACTOR = 2.0
+"""Seconds that are added to that age for each second that the read took: a slow store
+also delays the heartbeats."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Sighting:
+    """Latest heartbeat of an instance.
+
+    Attributes:
+        row: Heartbeat.
+        at: Local time in seconds from which the silence counts: when the heartbeat was
+            sent if that is known, else when it was first read.
+        longest_silence: Silence in seconds up to which the lease may be valid.
+    """
+
+    row: InstanceRow
+    at: float
+    longest_silence: float
 
 
 class LeaseObserver:
-    """Records the time at which each heartbeat was first seen.
+    """Tracks for how long each instance has been silent.
+
+    The silence counts from a time at or after the sending of the heartbeat, and the
+    holder counts its lease from the sending, so that the holder stops first. Only time
+    up to the latest read counts, since heartbeats may have been written after it.
 
-    The observer counts a lease from the time at which the heartbeat was first seen. The
-    holder counts the same lease from an earlier time and therefore stops first. Only
-    time up to the latest read counts, since heartbeats may have been written after it.
+    An instance whose heartbeats this observer has never seen renewed was perhaps lost
+    before the observer started, for instance when all instances are restarted. Its
+    lease counts as expired sooner; if that is wrong, a takeover was not needed.
 
     Args:
         lease: Length of a lease in seconds.
     """
 
     def __init__(self, lease: float):
-        self._lease = lease
-        self._seen: dict[InstanceId, tuple[InstanceRow, float]] = {}
+        self._longest_silence = lease + EXPIRY_MARGIN_SECONDS
+        self._seen: dict[InstanceId, _Sighting] = {}
         self._read_at: float | None = None
 
-    def observe(self, rows: list[InstanceRow], now: float) -> None:
+    def observe(
+        self,
+        rows: list[InstanceRow],
+        now: float,
+        sent_times: dict[InstanceId, float] | None = None,
+        read_seconds: float = 0.0,
+    ) -> None:
         """Record a read of the store.
 
         Args:
             rows: Heartbeats that the read returned; may be empty or contain heartbeats
                 that were seen before.
             now: Monotonic time in seconds.
+            sent_times: Monotonic time in seconds at which the heartbeats were sent,
+                never too early, as far as known.
+            read_seconds: Duration of the read.
         """
         if self._read_at is None or now - self._read_at > READ_GAP_SECONDS:
-            earliest = now - self._lease - EXPIRY_MARGIN_SECONDS + GAP_GRACE_SECONDS
             self._seen = {
-                name: (row, max(seen_at, earliest))
-                for name, (row, seen_at) in self._seen.items()
+                name: self._add_grace(sighting, now)
+                for name, sighting in self._seen.items()
             }
         self._read_at = now
         for row in rows:
             previous = self._seen.get(row.instance)
-            if previous is None or previous[0].revision < row.revision:
-                self._seen[row.instance] = (row, now)
+            if previous is not None and previous.row.revision >= row.revision:
+                continue
+            sent_at = (sent_times or {}).get(row.instance)
+            longest_silence = self._longest_silence
+            if previous is None and sent_at is not None:
+                unrenewed = UNRENEWED_SECONDS + READ_FACTOR * read_seconds
+                longest_silence = min(longest_silence, unrenewed)
+            at = now if sent_at is None else min(now, sent_at)
+            self._seen[row.instance] = _Sighting(row, at, longest_silence)
+
+    def _add_grace(self, sighting: _Sighting, now: float) -> _Sighting:
+        """Return a sighting whose lease is valid for the grace after a gap."""
+        earliest = now - sighting.longest_silence + GAP_GRACE_SECONDS
+        return replace(sighting, at=max(sighting.at, earliest))
 
     def find(self, instance: InstanceId) -> InstanceRow | None:
         """Return an instance's latest heartbeat."""
         seen = self._seen.get(instance)
-        return seen[0] if seen else None
+        return seen.row if seen else None
 
     def is_alive(self, instance: InstanceId, now: float) -> bool:
         """Return whether an instance's lease may still be valid."""
+        seen = self._seen.get(instance)
+        if seen is None:
+            return False
         silence = self.seconds_since_heartbeat(instance, now)
-        return silence <= self._lease + EXPIRY_MARGIN_SECONDS
+        return silence <= seen.longest_silence
 
     def is_current(self, now: float) -> bool:
         """Return whether the heartbeats were read recently enough to claim duties."""
@@ -74,10 +125,10 @@
         seen = self._seen.get(instance)
         if seen is None or self._read_at is None:
             return float("inf")
-        return min(now, self._read_at) - seen[1]
+        return min(now, self._read_at) - seen.at
 
     def list_alive(self, now: float) -> list[InstanceRow]:
         """Return the live instances, sorted by id."""
-        rows = [seen[0] for seen in self._seen.values()]
+        rows = [seen.row for seen in self._seen.values()]
         rows = [row for row in rows if self.is_alive(row.instance, now)]
         return sorted(rows, key=lambda row: row.instance)
--- a/jujubebarrow/ownerships/ownership_rows.py
+++ b/jujubebarrow/ownerships/ownership_rows.py
@@ -26,6 +26,8 @@
         pool_capacity: Number of busy pools that the instance can own at a time; may be
             a fraction.
         renewal_count: Number of renewals of the lease by this run of the process.
+        sent_at: Time of the store's clock in seconds at which the heartbeat was sent,
+            never too early; None if the instance did not know it.
     """
 
     instance: InstanceId
@@ -36,6 +38,7 @@
     zone: ZoneId = UNKNOWN_ZONE
     pool_capacity: float = DEFAULT_POOL_CAPACITY
     renewal_count: int = 0
+    sent_at: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/jujubebarrow/runtimes/heartbeat_watchers.py
+++ b/jujubebarrow/runtimes/heartbeat_watchers.py
@@ -48,6 +48,7 @@
         "zone": row.zone,
         "pools": row.pool_capacity,
         "renewals": row.renewal_count,
+        "sent": row.sent_at,
     }
 
 
@@ -63,6 +64,7 @@
         ZoneId(value.get("zone", UNKNOWN_ZONE)),
         value.get("pools", DEFAULT_POOL_CAPACITY),
         value.get("renewals", 0),
+        value.get("sent"),
     )
 
 
@@ -103,7 +105,9 @@
         """Read all heartbeats."""
         # The change feed continues from the revision read before the heartbeats, and
         # therefore delivers changes again that happen while the heartbeats are read.
+        sent_at = self._clock.monotonic()
         control = await self._store.read(make_key(TableName.CONTROL, "", ""))
+        self.record_store_time(sent_at, control.clock)
         rows: list[Row] = []
         for name in await self._store.list_partitions(TableName.HEARTBEATS.value):
             found = await self._store.read(make_heartbeat_key(InstanceId(name)))
@@ -113,4 +117,10 @@
     async def apply(self, rows: list[Row], sent_at: float) -> None:
         """Pass changed heartbeats to the observer."""
         heartbeats = [read_heartbeat(row) for row in rows if row.value is not None]
-        self._observer.observe(heartbeats, self._clock.monotonic())
+        now = self._clock.monotonic()
+        sent_times = {
+            row.instance: self.to_local_time(row.sent_at)
+            for row in heartbeats
+            if row.sent_at is not None
+        }
+        self._observer.observe(heartbeats, now, sent_times, now - sent_at)
--- a/jujubebarrow/runtimes/ownership_services.py
+++ b/jujubebarrow/runtimes/ownership_services.py
@@ -101,9 +101,11 @@
         self._lease_valid_until = float("-inf")
         self._is_stopping = False
         self._started_at = clock.monotonic()
-        heartbeat_watcher = HeartbeatWatcher(store, self._observer, clock, log, metrics)
+        self._heartbeat_watcher = HeartbeatWatcher(
+            store, self._observer, clock, log, metrics
+        )
         self._loops: list[BackgroundLoop] = [
-            heartbeat_watcher,
+            self._heartbeat_watcher,
             _PeriodicLoop(self._renew, self._choose_renew_period),
             _PeriodicLoop(self._poll_owners, self._choose_poll_period),
         ]
@@ -186,11 +188,13 @@
         return make_heartbeat_key(self._instance)
 
     def _make_heartbeat(self) -> dict[str, Any]:
+        now = self._clock.monotonic()
         return make_heartbeat(
             replace(
                 self._identity,
                 is_stopping=self._is_stopping,
                 renewal_count=self._renewal_count,
+                sent_at=self._heartbeat_watcher.to_store_time(now),
             )
         )
 
--- a/jujubebarrow/runtimes/table_watchers.py
+++ b/jujubebarrow/runtimes/table_watchers.py
@@ -111,6 +111,19 @@
         self._store_clock.record_store_time(sent_at, store_time)
         self._complete_at = self._clock.monotonic()
 
+    def to_store_time(self, local_time: float) -> float | None:
+        """Convert a local time to the store's clock; None before the first response.
+
+        The result is never too early.
+        """
+        if self._complete_at == float("-inf"):
+            return None
+        return self._store_clock.to_store_time(local_time)
+
+    def to_local_time(self, store_time: float) -> float:
+        """Convert a time of the store's clock to local time, never too early."""
+        return self._store_clock.to_local_time(store_time)
+
     async def wait_until_loaded(self) -> None:
         """Wait until the revision to watch from is known.
 
