--- a/jujubebarrow/tests/fakes/job_clusters.py
+++ b/jujubebarrow/tests/fakes/job_clusters.py
@@ -31,7 +31,7 @@
     QueueId,
     TeamId,
 )
-from jujubebarrow.links.link_backlogs import LinkBacklog
+from jujubebarrow.links.link_backlogs import BYTES_PER_MEGABIT, LinkBacklog
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.runtimes.entry_nodes import EntryNode, EntryOptions
 from jujubebarrow.runtimes.fleet_watchers import FleetWatcher
@@ -143,6 +143,9 @@
         clock = self.clock = LoopClock(get_running_loop())
         self.backlog = LinkBacklog(cluster.link_mbps, clock)
         self.gateway = EmulatedGateway(cluster.workers, cluster.random, self.backlog)
+        if cluster.link_mbps < LINK_MBPS:
+            rate = cluster.link_mbps * BYTES_PER_MEGABIT
+            self.gateway.link_bytes_per_second = rate
         relayed = self.relayed = RelayedStore(
             self.store,
             FakeRelay(cluster, self),
--- a/jujubebarrow/tests/proof_job_core.py
+++ b/jujubebarrow/tests/proof_job_core.py
@@ -8,7 +8,7 @@
 from random import Random
 
 from jujubebarrow.tests.fakes.fault_injectors import FaultInjector
-from jujubebarrow.tests.fakes.job_clusters import JobCluster
+from jujubebarrow.tests.fakes.job_clusters import LINK_MBPS, JobCluster
 from jujubebarrow.tests.fakes.virtual_loops import run_virtual
 
 CI_SEEDS = range(1, 21)
@@ -36,10 +36,16 @@
 )
 
 
-def simulate(seed: int) -> list[str]:
+SMALL_LINK_MBPS = 0.064
+"""Carries about 20 starts a second, without the lease renewals."""
+
+
+def simulate(seed: int, link_mbps: float = LINK_MBPS) -> list[str]:
     async def main() -> list[str]:
         random = Random(seed)
-        cluster = JobCluster(seed=seed, instances=3, workers=3, standby=1)
+        cluster = JobCluster(
+            seed=seed, instances=3, workers=3, standby=1, link_mbps=link_mbps
+        )
         injector = FaultInjector(cluster, random)
         try:
             await cluster.start()
@@ -65,3 +71,8 @@
         for seed in sorted({*CI_SEEDS, *REGRESSION_SEEDS}):
             with self.subTest(seed=seed):
                 self.assertEqual(simulate(seed), [])
+
+    def test_random_faults_with_small_links(self) -> None:
+        for seed in CI_SEEDS:
+            with self.subTest(seed=seed):
+                self.assertEqual(simulate(seed, SMALL_LINK_MBPS), [])
--- a/jujubebarrow/tests/test_congested_owners.py
+++ b/jujubebarrow/tests/test_congested_owners.py
@@ -43,8 +43,6 @@
 
         async def scenario(cluster: JobCluster) -> None:
             await sleep(1.0)
-            for instance in cluster.instances:
-                instance.gateway.link_bytes_per_second = SMALL_LINK_BYTES_PER_SECOND
             started_at = get_running_loop().time()
             tasks = []
             for number in range(int(PEAK_SECONDS * JOBS_PER_SECOND)):
