Split the queue of waiting starts from the sending of orders

StartQueue decides, without input or output, when starts are sent and which of them go through another instance together; OrderSender sends and repeats.

--- a/jujubebarrow/gateways/start_executors.py
+++ b/jujubebarrow/gateways/start_executors.py
@@ -5,6 +5,10 @@
 
 from jujubebarrow.coordinators.order_results import OrderResult
 from jujubebarrow.coordinators.orders import StartOrder
+from jujubebarrow.coordinators.start_queues import (
+    LINK_POLL_SECONDS,
+    LINK_WAIT_SECONDS,
+)
 from jujubebarrow.gateways.start_relays import StartsNotRelayedError
 from jujubebarrow.gateways.worker_gateways import WorkerGateway
 from jujubebarrow.links.link_backlogs import LinkBacklog
@@ -13,10 +17,6 @@
 
 OCCUPIED_WAIT_SECONDS = 0.1
 """Wait on this instance's link from which on orders of others are rejected."""
-LINK_WAIT_SECONDS = 0.04
-"""Wait on this instance's link from which on an order stays in this process."""
-LINK_POLL_SECONDS = 0.005
-"""Least time between two checks whether the link has room."""
 
 
 class StartExecutor:
--- a/jujubebarrow/runtimes/order_senders.py
+++ b/jujubebarrow/runtimes/order_senders.py
@@ -1,7 +1,6 @@
 """Sends orders to workers; repeats starts and stops until the outcome is known."""
 
 from asyncio import sleep
-from collections import deque
 from collections.abc import Callable, Iterable
 
 from jujubebarrow.clocks.clocks import Clock
@@ -9,15 +8,10 @@
 from jujubebarrow.coordinators.order_results import OrderOutcome, OrderResult
 from jujubebarrow.coordinators.orders import StartOrder, StopOrder
 from jujubebarrow.coordinators.pool_coordinators import PoolCoordinator
+from jujubebarrow.coordinators.start_queues import StartQueue
 from jujubebarrow.gateways.start_relays import StartRelay, StartsNotRelayedError
 from jujubebarrow.gateways.worker_gateways import WorkerGateway
 from jujubebarrow.links.link_backlogs import LinkBacklog
-from jujubebarrow.links.message_sizes import (
-    RELAYED_START_BYTES,
-    START_BYTES,
-    estimate_batch_bytes,
-    estimate_start_bytes,
-)
 from jujubebarrow.logs.decision_logs import DecisionLog
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.runtimes.owned_tasks import OwnedTasks
@@ -35,26 +29,6 @@
 """Seconds before the next attempt to send a start that can't be sent yet, and between
 two stop orders against a delayed start."""
 
-LINK_WAIT_SECONDS = 0.04
-"""Wait on this instance's link from which on starts stay in this process; a sixth of
-the timeout of an order."""
-LINK_POLL_SECONDS = 0.005
-"""Least time between two checks whether the link has room."""
-RELAY_WAIT_SECONDS = 0.03
-"""Time that the link needs for the waiting starts from which on those of the same job
-go through another instance."""
-PLANNED_WAIT_SECONDS = 0.3
-"""Longest time for which runs are planned before their starts can be sent; less than
-half of a short task."""
-RELAYED_SECONDS = 0.2
-"""Longest time that a link like that of this instance takes for the starts of a relayed
-batch."""
-MEAN_GROUP_SIZE = 4
-"""Assumed number of starts in a relayed batch."""
-INITIAL_PAYLOAD_BYTES = 1000.0
-PAYLOAD_WEIGHT = 0.05
-"""Weight of a start in the mean size of the payloads."""
-
 
 class OrderSender:
     """Sends the orders that the coordinator has released.
@@ -98,10 +72,8 @@
         self._clock = clock
         self._log = log
         self._metrics = metrics
-        # Recorded runs whose start is not sent yet, and whether it may be relayed.
-        self._waiting: deque[tuple[ActiveRun, bool]] = deque()
+        self._queue = StartQueue(coordinator.state, backlog)
         self._is_waiting_for_link = False
-        self._mean_payload_bytes = INITIAL_PAYLOAD_BYTES
 
     def send_released(self) -> None:
         """Start sending all released orders."""
@@ -144,84 +116,31 @@
                 percent=run.speed_percent,
             )
 
-    @property
-    def waiting_start_count(self) -> int:
-        """Number of starts that wait until this instance's link has room."""
-        return len(self._waiting)
-
     def count_sendable_starts(self) -> float:
-        """Return how many more starts the link carries soon; may be infinite.
-
-        Runs that are planned beyond this number would occupy workers while their starts
-        wait, and would be sent in an order that is decided too early.
-        """
-        seconds = PLANNED_WAIT_SECONDS - self._backlog.wait_seconds
-        size = START_BYTES + self._mean_payload_bytes
-        if self._relay.is_available:
-            size = RELAYED_START_BYTES + self._mean_payload_bytes / MEAN_GROUP_SIZE
-        count = self._backlog.count_transfers(max(0.0, seconds), size)
-        return max(0.0, count - len(self._waiting))
+        """Return how many more starts can be sent soon; may be infinite."""
+        return self._queue.count_sendable(self._relay.is_available)
 
     def _enqueue(self, runs: Iterable[ActiveRun], may_relay: bool) -> None:
-        self._waiting.extend((run, may_relay) for run in runs)
+        self._queue.add(runs, may_relay)
         self._send_waiting()
-        if self._waiting and not self._is_waiting_for_link:
+        if self._queue and not self._is_waiting_for_link:
             self._is_waiting_for_link = True
             self._tasks.start(self._send_when_possible())
 
     async def _send_when_possible(self) -> None:
         try:
-            while self._waiting:
-                excess = self._backlog.wait_seconds - LINK_WAIT_SECONDS
-                await sleep(max(LINK_POLL_SECONDS, excess))
+            while self._queue:
+                await sleep(self._queue.seconds_to_next)
                 self._send_waiting()
         finally:
             self._is_waiting_for_link = False
 
     def _send_waiting(self) -> None:
-        """Send starts until the next one would wait too long on the link.
-
-        Messages that keep leases then never wait long behind starts.
-        """
-        while self._waiting and self._backlog.wait_seconds <= LINK_WAIT_SECONDS:
-            run, may_relay = self._waiting.popleft()
-            job = self._coordinator.state.jobs.get(run.task.job)
-            payload = job.record.payload if job is not None else ""
-            self._mean_payload_bytes += PAYLOAD_WEIGHT * (
-                len(payload) - self._mean_payload_bytes
-            )
-            group = self._pop_group(run) if may_relay else []
-            if group:
-                runs = [run, *group]
-                self._backlog.add(estimate_batch_bytes(payload, len(runs)))
+        while runs := self._queue.pop_next(self._relay.is_available):
+            if len(runs) > 1:
                 self._tasks.start(self._send_group(runs))
             else:
-                self._backlog.add(estimate_start_bytes(payload))
-                self._tasks.start(self._send_start(run))
-
-    def _pop_group(self, run: ActiveRun) -> list[ActiveRun]:
-        """Remove and return the waiting starts that are relayed along with a run.
-
-        There are none while the link carries all waiting starts soon by itself.
-        """
-        size = START_BYTES + self._mean_payload_bytes
-        seconds = self._backlog.compute_transfer_seconds(size * len(self._waiting))
-        if seconds + self._backlog.wait_seconds < RELAY_WAIT_SECONDS:
-            return []
-        if not self._relay.is_available:
-            return []
-        limit = self._backlog.count_transfers(RELAYED_SECONDS, size)
-        group: list[ActiveRun] = []
-        others: deque[tuple[ActiveRun, bool]] = deque()
-        for other, may_relay in self._waiting:
-            is_in_group = may_relay and other.task.job == run.task.job
-            if is_in_group and len(group) < limit - 1:
-                group.append(other)
-            else:
-                others.append((other, may_relay))
-        if group:
-            self._waiting = others
-        return group
+                self._tasks.start(self._send_start(runs[0]))
 
     async def _send_start(self, run: ActiveRun) -> None:
         sent_at = self._clock.monotonic()
@@ -255,7 +174,7 @@
             job=sent[0][0].task.job,
             tasks=[f"{run.task.step}.{run.task.index}#{run.run}" for run, _ in sent],
             accepted=sum(item.outcome is OrderOutcome.ACCEPTED for item in results),
-            waiting=len(self._waiting),
+            waiting=len(self._queue),
             link_wait=round(self._backlog.wait_seconds, 3),
             detail=detail,
         )
