Bound the wait on the link that is assumed

Calls to an address that can't be reached are counted as sent. No message waits for longer than its timeout, so that no wait beyond 1.0 s is assumed.

--- a/jujubebarrow/links/link_backlogs.py
+++ b/jujubebarrow/links/link_backlogs.py
@@ -3,6 +3,9 @@
 from jujubebarrow.clocks.clocks import Clock
 
 BYTES_PER_MEGABIT = 125_000
+LONGEST_WAIT_SECONDS = 1.0
+"""Longest wait on the link that is assumed: the timeout of nearly all calls, after
+which a message that still waits is dropped with its connection."""
 USABLE_SHARE = 0.9
 """Share of the nominal rate that messages get; packet headers take the rest."""
 
@@ -38,5 +41,6 @@
 
     def add(self, size_bytes: float) -> None:
         """Record a message that is sent now."""
-        start = max(self._is_free_at, self._clock.monotonic())
-        self._is_free_at = start + size_bytes / self._rate
+        now = self._clock.monotonic()
+        is_free_at = max(self._is_free_at, now) + size_bytes / self._rate
+        self._is_free_at = min(is_free_at, now + LONGEST_WAIT_SECONDS)
--- a/jujubebarrow/tests/test_start_queues.py
+++ b/jujubebarrow/tests/test_start_queues.py
@@ -12,7 +12,7 @@
 from jujubebarrow.coordinators.pool_states import PoolState
 from jujubebarrow.coordinators.start_queues import LINK_WAIT_SECONDS, StartQueue
 from jujubebarrow.identifiers import JobId
-from jujubebarrow.links.link_backlogs import LinkBacklog
+from jujubebarrow.links.link_backlogs import LONGEST_WAIT_SECONDS, LinkBacklog
 from jujubebarrow.tests.fakes.job_clusters import POOL
 from jujubebarrow.tests.fakes.virtual_loops import LoopClock, run_virtual
 from jujubebarrow.workloads.identifiers import (
@@ -108,6 +108,20 @@
 
         run_virtual(scenario())
 
+    def test_messages_that_never_left_delay_no_start_for_long(self) -> None:
+        async def scenario() -> None:
+            queue, backlog = make_queue(SMALL_LINK_MBPS)
+            for _ in range(100):
+                # Calls to an unreachable address are counted, too.
+                backlog.add(2000)
+            queue.add([make_run("a", 0)], may_relay=True)
+            began_at = get_running_loop().time()
+            await pop_all(queue, is_relay_available=True)
+            seconds = get_running_loop().time() - began_at
+            self.assertLess(seconds, LONGEST_WAIT_SECONDS)
+
+        run_virtual(scenario())
+
     def test_waiting_starts_leave_fewer_to_be_planned(self) -> None:
         async def scenario() -> None:
             queue, _ = make_queue(SMALL_LINK_MBPS)
