--- a/jujubebarrow/runtimes/move_controllers.py
+++ b/jujubebarrow/runtimes/move_controllers.py
@@ -25,14 +25,14 @@
 from jujubebarrow.workloads.identifiers import FenceToken, MachineId, WorkerId
 
 PLAN_PERIOD_SECONDS = 0.15
+"""Time between two plans; short compared with a change of demand, which lasts several
+seconds."""
 GIVER_WAIT_SECONDS = 0.5
 """Time after which a pool in need moves standby machines itself; three plans and the
 claim of the moves by the owner of their pool."""
 RECENT_SECONDS = 2.0
 """Time for which a greatest demand counts; longer than the gaps between the jobs of a
 demand peak, and about as long as a move."""
-"""Time between two plans; short compared with a change of demand, which lasts several
-seconds."""
 MACHINE_LIST_AGE_SECONDS = 2.0
 """Age up to which a cached list of machines is used."""
 DRAIN_GRACE_SECONDS = 2.0
@@ -111,7 +111,7 @@
 
     async def run(self) -> None:
         """Plan and execute moves until cancelled."""
-        if self._is_standby:
+        if self._is_standby and self._machines.is_available:
             await self._report_spare_machines()
         await self._wait_for_workers()
         while self._machines.is_available:
