Let only claimants renew leases, and never let two owners act

Cause of cost: each instance wrote a heartbeat each 0.5 s and read all of them 0.3 s apart: rows read a second grew with the square of the instances, and a start read them one after the other.

Change: a decision of its own (ClaimantPolicy) keeps as many claimants as there are pools and four more, at least one a zone. Only they renew leases, read heartbeats 0.3 s apart and poll the owners. Any other instance reads the claimants' heartbeats once a second and lists its address for relayed calls each 5 s in a directory of 8 partitions, of which it reads one. Heartbeats are read 16 at a time after a start. Watchers that nobody needs sleep instead of looking 50 times a second each.

Found by the random runs of test_fleet_sizes, each also on the former code: - An instance that started took a pool over 1.2 s after a heartbeat that it had not seen renewed, while the owner's lease was valid for 0.8 s more and, with a slow store, longer: both acted. The shorter time is gone. - An owner whose lease had lapsed acted again as soon as its heartbeat was stored, up to 0.4 s before it read that its pool had another owner, or while another instance claimed it on an older reading. It now confirms each duty by a conditional write of its row before it acts. A claim that was answered after a lapse is confirmed the same way. An instance whose renewal was late, not only lapsed, or that joined after a loss, claims nothing for 1.3 s, so that outages move no pool of a live owner.

--- a/jujubebarrow/daemons/job_nodes.py
+++ b/jujubebarrow/daemons/job_nodes.py
@@ -2,6 +2,7 @@
 
 from contextlib import AsyncExitStack
 from math import inf
+from random import SystemRandom
 
 from jujubebarrow.clocks.boot_clocks import BootClock
 from jujubebarrow.coordinators.coordinator_options import CoordinatorOptions
@@ -85,6 +86,7 @@
             clock,
             log,
             metrics,
+            SystemRandom(),
         )
         browser = JobBrowser(store, metrics)
         self.job_access = JobAccess(self._entry.intake, browser, fleet)
--- a/jujubebarrow/ownerships/claim_planners.py
+++ b/jujubebarrow/ownerships/claim_planners.py
@@ -114,7 +114,10 @@
             # The instance has stopped its owners, although the release of their duties
             # may not be stored.
             return False
-        return self._observer.is_alive(row.holder, now)
+        if self._observer.is_alive(row.holder, now):
+            return True
+        # The holder has confirmed the duty after the heartbeat that was last read.
+        return holder.revision < row.revision and self._is_new(row, now)
 
     def _is_new(self, row: DutyRow, now: float) -> bool:
         """Return whether a row may be newer than the last read of the heartbeats."""
--- a/jujubebarrow/ownerships/lease_observers.py
+++ b/jujubebarrow/ownerships/lease_observers.py
@@ -14,12 +14,6 @@
 EXPIRY_MARGIN_SECONDS = 0.2
 """Seconds added to a lease before it counts as expired, to allow for rounding and for
 timer inaccuracy."""
-UNRENEWED_SECONDS = 1.2
-"""Age from which on a heartbeat that this observer has not seen renewed, since it was
-written before this instance started, counts as the last one; more than two periods."""
-READ_FACTOR = 2.0
-"""Seconds that are added to that age for each second that the read took: a slow store
-also delays the heartbeats."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,12 +24,10 @@
         row: Heartbeat.
         at: Local time in seconds from which the silence counts: when the heartbeat was
             sent if that is known, else when it was first read.
-        longest_silence: Silence in seconds up to which the lease may be valid.
     """
 
     row: InstanceRow
     at: float
-    longest_silence: float
 
 
 class LeaseObserver:
@@ -45,10 +37,6 @@
     holder counts its lease from the sending, so that the holder stops first. Only time
     up to the latest read counts, since heartbeats may have been written after it.
 
-    An instance whose heartbeats this observer has never seen renewed was perhaps lost
-    before the observer started, for instance when all instances are restarted. Its
-    lease counts as expired sooner; if that is wrong, a takeover was not needed.
-
     Args:
         lease: Length of a lease in seconds.
     """
@@ -63,7 +51,6 @@
         rows: list[InstanceRow],
         now: float,
         sent_times: dict[InstanceId, float] | None = None,
-        read_seconds: float = 0.0,
     ) -> None:
         """Record a read of the store.
 
@@ -73,7 +60,6 @@
             now: Monotonic time in seconds.
             sent_times: Monotonic time in seconds at which the heartbeats were sent,
                 never too early, as far as known.
-            read_seconds: Duration of the read.
         """
         if self._read_at is None or now - self._read_at > READ_GAP_SECONDS:
             self._seen = {
@@ -86,16 +72,23 @@
             if previous is not None and previous.row.revision >= row.revision:
                 continue
             sent_at = (sent_times or {}).get(row.instance)
-            longest_silence = self._longest_silence
-            if previous is None and sent_at is not None:
-                unrenewed = UNRENEWED_SECONDS + READ_FACTOR * read_seconds
-                longest_silence = min(longest_silence, unrenewed)
             at = now if sent_at is None else min(now, sent_at)
-            self._seen[row.instance] = _Sighting(row, at, longest_silence)
+            self._seen[row.instance] = _Sighting(row, at)
+
+    def forget(self, instance: InstanceId, revision: int) -> None:
+        """Record that an instance has deleted its heartbeat.
+
+        Args:
+            instance: Instance that owns no duty and renews no lease any more.
+            revision: Revision of the deletion.
+        """
+        seen = self._seen.get(instance)
+        if seen is not None and seen.row.revision < revision:
+            del self._seen[instance]
 
     def _add_grace(self, sighting: _Sighting, now: float) -> _Sighting:
         """Return a sighting whose lease is valid for the grace after a gap."""
-        earliest = now - sighting.longest_silence + GAP_GRACE_SECONDS
+        earliest = now - self._longest_silence + GAP_GRACE_SECONDS
         return replace(sighting, at=max(sighting.at, earliest))
 
     def find(self, instance: InstanceId) -> InstanceRow | None:
@@ -109,7 +102,7 @@
         if seen is None:
             return False
         silence = self.seconds_since_heartbeat(instance, now)
-        return silence <= seen.longest_silence
+        return silence <= self._longest_silence
 
     def is_current(self, now: float) -> bool:
         """Return whether the heartbeats were read recently enough to claim duties."""
@@ -127,6 +120,14 @@
             return float("inf")
         return min(now, self._read_at) - seen.at
 
+    def list_silent(self, seconds: float, now: float) -> list[InstanceRow]:
+        """Return the instances that have been silent for longer than a time."""
+        return [
+            seen.row
+            for name, seen in self._seen.items()
+            if self.seconds_since_heartbeat(name, now) > seconds
+        ]
+
     def list_alive(self, now: float) -> list[InstanceRow]:
         """Return the live instances, sorted by id."""
         rows = [seen.row for seen in self._seen.values()]
--- a/jujubebarrow/ownerships/ownership_rows.py
+++ b/jujubebarrow/ownerships/ownership_rows.py
@@ -28,6 +28,7 @@
         renewal_count: Number of renewals of the lease by this run of the process.
         sent_at: Time of the store's clock in seconds at which the heartbeat was sent,
             never too early; None if the instance did not know it.
+        owns_duties: Whether the instance owned duties when it sent the heartbeat.
     """
 
     instance: InstanceId
@@ -39,6 +40,7 @@
     pool_capacity: float = DEFAULT_POOL_CAPACITY
     renewal_count: int = 0
     sent_at: float | None = None
+    owns_duties: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,10 +51,18 @@
         duty: Id of the owned duty.
         holder: Id of the owning instance; empty if the duty was released.
         incarnation: Id of the run of the holder's process.
-        revision: Revision of the row; the fencing token of the holder.
+        revision: Revision of the row; increases with each claim and confirmation.
+        claim_revision: Revision of the claim, if the row was confirmed since; None if
+            the row was last changed by the claim.
     """
 
     duty: DutyId
     holder: InstanceId
     incarnation: IncarnationId
     revision: int
+    claim_revision: int | None = None
+
+    @property
+    def token(self) -> int:
+        """Fencing token of the holder."""
+        return self.revision if self.claim_revision is None else self.claim_revision
--- a/jujubebarrow/platform/main.py
+++ b/jujubebarrow/platform/main.py
@@ -159,6 +159,7 @@
                 self._clock,
                 self._log,
                 self._metrics,
+                SystemRandom(),
                 set_peers,
             )
             await node.open(stack)
--- a/jujubebarrow/runtimes/entry_nodes.py
+++ b/jujubebarrow/runtimes/entry_nodes.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
+from random import Random
 
 from jujubebarrow.clocks.clocks import Clock
 from jujubebarrow.coordinators.coordinator_options import CoordinatorOptions
@@ -91,8 +92,9 @@
         clock: Time source; must keep running while a machine is suspended.
         log: Decision log.
         metrics: Registry of the counters and latencies.
-        on_peers: Called with the addresses of the other live instances after each
-            read of the owners.
+        random: Random generator of this instance's delays.
+        on_peers: Called with the addresses of the other live instances when they have
+            changed.
 
     Attributes:
         fleet_source: Source of the fleet's configuration.
@@ -115,6 +117,7 @@
         clock: Clock,
         log: DecisionLog,
         metrics: MetricsRegistry,
+        random: Random,
         on_peers: Callable[[list[str]], None] = lambda addresses: None,
     ):
         self._options = options
@@ -149,6 +152,7 @@
             ),
             store,
             self,
+            random,
             clock,
             log,
             metrics,
--- a/jujubebarrow/runtimes/grant_watchers.py
+++ b/jujubebarrow/runtimes/grant_watchers.py
@@ -50,6 +50,7 @@
     def add_listener(self, listener: GrantListener) -> None:
         """Register a listener for the changes from now on."""
         self._listeners.append(listener)
+        self.wake()
 
     def remove_listener(self, listener: GrantListener) -> None:
         """Stop notifying a listener."""
--- a/jujubebarrow/runtimes/heartbeat_watchers.py
+++ b/jujubebarrow/runtimes/heartbeat_watchers.py
@@ -1,5 +1,7 @@
 """Watches the heartbeats of all instances."""
 
+from asyncio import gather
+from collections.abc import Callable
 from typing import Any
 
 from msgspec import Struct, ValidationError, convert
@@ -29,6 +31,14 @@
 detect instances that start together."""
 STARTUP_SPACING_SECONDS = 0.03
 """Minimum time between two requests during startup."""
+STARTUP_WAIT_SECONDS = 0.1
+"""Longest time that the store may delay a response during startup, since only time up
+to the last read counts as silence of an instance that was lost before."""
+OBSERVER_SPACING_SECONDS = 1.0
+"""Time between two requests of an instance that claims no duties; less than the time
+without a read that counts as a gap."""
+CONCURRENT_READS_LIMIT = 16
+"""Most heartbeats read concurrently; a part of the connections to the store."""
 ROW_NAME = "heartbeat"
 
 
@@ -40,6 +50,7 @@
     pools: float = DEFAULT_POOL_CAPACITY
     renewals: int = 0
     sent: float | None = None
+    owner: bool = False
 
 
 def make_heartbeat_key(instance: InstanceId) -> str:
@@ -61,6 +72,7 @@
         "pools": row.pool_capacity,
         "renewals": row.renewal_count,
         "sent": row.sent_at,
+        "owner": row.owns_duties,
     }
 
 
@@ -81,6 +93,7 @@
         heartbeat.pools,
         heartbeat.renewals,
         heartbeat.sent,
+        heartbeat.owner,
     )
 
 
@@ -90,6 +103,7 @@
     Args:
         store: Store that holds the heartbeats.
         observer: Observer that tracks which instances are alive.
+        is_claimant: Returns whether this instance may claim duties.
         clock: Time source.
         log: Decision log.
         metrics: Registry of the counters.
@@ -99,6 +113,7 @@
         self,
         store: Store,
         observer: LeaseObserver,
+        is_claimant: Callable[[], bool],
         clock: Clock,
         log: DecisionLog,
         metrics: MetricsRegistry,
@@ -108,14 +123,26 @@
             store, table, FEED_WAIT_SECONDS, FEED_SPACING_SECONDS, clock, log, metrics
         )
         self._observer = observer
+        self._is_claimant = is_claimant
         self._created_at = clock.monotonic()
 
     @property
     def spacing(self) -> float:
         """Minimum time in seconds between two requests."""
-        if self._clock.monotonic() < self._created_at + STARTUP_SECONDS:
-            return STARTUP_SPACING_SECONDS
-        return FEED_SPACING_SECONDS
+        if not self._is_claimant():
+            return OBSERVER_SPACING_SECONDS
+        return STARTUP_SPACING_SECONDS if self._is_starting else FEED_SPACING_SECONDS
+
+    @property
+    def wait(self) -> float:
+        """Longest time in seconds that the store may delay a response."""
+        if not self._is_claimant():
+            return 0.0
+        return STARTUP_WAIT_SECONDS if self._is_starting else FEED_WAIT_SECONDS
+
+    @property
+    def _is_starting(self) -> bool:
+        return self._clock.monotonic() < self._created_at + STARTUP_SECONDS
 
     async def reload(self) -> tuple[int, list[Row]]:
         """Read all heartbeats."""
@@ -124,17 +151,27 @@
         sent_at = self._clock.monotonic()
         control = await self._store.read(make_key(TableName.CONTROL, "", ""))
         self.record_store_time(sent_at, control.clock)
+        names = await self._store.list_partitions(TableName.HEARTBEATS.value)
         rows: list[Row] = []
-        for name in await self._store.list_partitions(TableName.HEARTBEATS.value):
-            found = await self._store.read(make_heartbeat_key(InstanceId(name)))
-            rows.extend(found.rows)
+        for start in range(0, len(names), CONCURRENT_READS_LIMIT):
+            found = await gather(
+                *(
+                    self._store.read(make_heartbeat_key(InstanceId(name)))
+                    for name in names[start : start + CONCURRENT_READS_LIMIT]
+                )
+            )
+            rows.extend(row for row_set in found for row in row_set.rows)
         return control.revision, rows
 
     async def apply(self, rows: list[Row], sent_at: float) -> None:
         """Pass changed heartbeats to the observer."""
         heartbeats = []
         for row in rows:
-            if row.value is None or RowKey.parse(row.key).name != ROW_NAME:
+            key = RowKey.parse(row.key)
+            if key.name != ROW_NAME:
+                continue
+            if row.value is None:
+                self._observer.forget(InstanceId(key.partition), row.revision)
                 continue
             try:
                 heartbeats.append(read_heartbeat(row))
@@ -146,4 +183,4 @@
             for row in heartbeats
             if row.sent_at is not None
         }
-        self._observer.observe(heartbeats, now, sent_times, now - sent_at)
+        self._observer.observe(heartbeats, now, sent_times)
--- a/jujubebarrow/runtimes/job_watchers.py
+++ b/jujubebarrow/runtimes/job_watchers.py
@@ -64,6 +64,7 @@
     def add_listener(self, listener: JobListener) -> None:
         """Register a listener for the jobs accepted or cancelled from now on."""
         self._listeners.append(listener)
+        self.wake()
 
     def remove_listener(self, listener: JobListener) -> None:
         """Stop notifying a listener."""
--- a/jujubebarrow/runtimes/ownership_services.py
+++ b/jujubebarrow/runtimes/ownership_services.py
@@ -1,9 +1,9 @@
-"""Writes this instance's heartbeat to the store and claims duties there."""
+"""Claims duties in the store while this instance is a claimant."""
 
-from asyncio import gather, sleep
+from asyncio import gather
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
-from typing import Any
+from random import Random
 from uuid import uuid4
 
 from msgspec import Struct, ValidationError, convert
@@ -15,30 +15,29 @@
 from jujubebarrow.logs.decision_logs import DecisionLog
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.ownerships.claim_planners import ClaimPlanner
-from jujubebarrow.ownerships.lease_observers import GAP_GRACE_SECONDS, LeaseObserver
+from jujubebarrow.ownerships.claimant_policies import ClaimantPolicy
+from jujubebarrow.ownerships.lease_observers import LeaseObserver
 from jujubebarrow.ownerships.ownership_rows import DutyId, DutyRow, InstanceRow
 from jujubebarrow.ownerships.peer_progresses import PeerProgress
 from jujubebarrow.ownerships.service_gaps import ServiceGaps
+from jujubebarrow.pauses import Pause
 from jujubebarrow.runtimes.duty_listeners import DutyListener
 from jujubebarrow.runtimes.heartbeat_watchers import (
-    FEED_SPACING_SECONDS,
     HeartbeatWatcher,
-    make_heartbeat,
     make_heartbeat_key,
 )
+from jujubebarrow.runtimes.instance_directories import InstanceDirectory
+from jujubebarrow.runtimes.lease_renewers import (
+    LEASE_SECONDS,
+    RENEW_PERIOD_SECONDS,
+    LeaseRenewer,
+)
 from jujubebarrow.stores.row_keys import RowKey, TableName, make_key
 from jujubebarrow.stores.rows import Row
 from jujubebarrow.stores.stores import Store
 from jujubebarrow.stores.transactions import ABSENT_REVISION, Transaction
 from jujubebarrow.workloads.identifiers import FenceToken
 
-LEASE_SECONDS = 2.0
-"""Seconds for which a heartbeat lets an instance keep its duties; short enough that the
-leases of runs outlast a takeover of their pool."""
-RENEW_PERIOD_SECONDS = 0.5
-"""Seconds between heartbeats; a lease leaves time for three attempts to renew it."""
-RENEW_RETRY_SECONDS = 0.1
-"""Seconds between a failed heartbeat and the next one."""
 OWNER_POLL_SECONDS = 0.4
 """Seconds between two polls of the owners of all duties."""
 SETTLE_SECONDS = 0.3
@@ -50,25 +49,40 @@
 pool has an owner after a power failure."""
 STARTUP_POLL_SECONDS = 0.12
 """Seconds between two polls of the owners during startup."""
-RECOVERY_SECONDS = GAP_GRACE_SECONDS + FEED_SPACING_SECONDS
-"""Seconds after the renewal of a lapsed lease in which the instance claims no duty, as
-other instances may have had the same difficulty: the time in which they renew their
-leases, and until their heartbeats are read."""
+JOIN_CHECK_SECONDS = 0.5
+"""Seconds between two checks whether this instance should become a claimant."""
+START_CHECK_SECONDS = 0.02
+"""Seconds between two such checks until the heartbeats have been read, and the shortest
+time between any two."""
+LEAVE_SECONDS = (4.0, 10.0)
+"""Range of the time for which too many claimants are preferred to this one before it
+leaves; different for each, so that not too many leave at once."""
+SILENT_HEARTBEAT_SECONDS = 60.0
+"""Silence after which the heartbeat of a lost instance is deleted."""
+PURGE_PERIOD_SECONDS = 20.0
+"""Seconds between two deletions of such heartbeats by an owner of duties."""
 DUTY_PREFIX = "duty/"
 
 
 class _Holder(Struct):
     holder: str
     incarnation: str
+    # Revision of the claim; None in the row that the claim has written.
+    claimed: int | None = None
 
 
 class OwnershipService:
-    """Renews this instance's lease and claims duties.
+    """Makes this instance a claimant if there are too few, and claims duties.
+
+    A claimant renews a lease, reads the leases of the others and polls the owners of
+    the duties. Any other instance only reads now and then whether there are enough
+    claimants.
 
     Args:
         identity: This instance as its heartbeats show it to the others.
         store: Store shared by all instances.
         listener: Receives claimed and lost duties.
+        random: Random generator of the times at which instances become claimants.
         clock: Time source; must keep running while a machine is suspended.
         log: Decision log.
         metrics: Registry of the counters.
@@ -82,6 +96,7 @@
         identity: InstanceRow,
         store: Store,
         listener: DutyListener,
+        random: Random,
         clock: Clock,
         log: DecisionLog,
         metrics: MetricsRegistry,
@@ -102,26 +117,61 @@
         self._peer_progress = PeerProgress(
             identity.instance, self._observer, RENEW_PERIOD_SECONDS
         )
-        self._renewal_count = 0
-        self._may_claim_from = float("-inf")
-        self._heartbeat_revision: int | None = None
-        self._lease_valid_until = float("-inf")
-        self._is_stopping = False
         self._started_at = clock.monotonic()
+        self._random = random
+        self._policy = ClaimantPolicy(identity, self._observer, random)
+        self._pause = Pause()
+        self._has_decided = False
+        self._join_at: float | None = None
+        self._surplus_until: float | None = None
+        self._purged_at = self._started_at
+        self._peers: frozenset[str] = frozenset()
         self._heartbeat_watcher = HeartbeatWatcher(
-            store, self._observer, clock, log, metrics
+            store,
+            self._observer,
+            lambda: self._renewer.is_claimant,
+            clock,
+            log,
+            metrics,
+        )
+        self._renewer = LeaseRenewer(
+            identity,
+            store,
+            self._heartbeat_watcher.to_store_time,
+            lambda: bool(self._owned_duties),
+            self._heartbeat_watcher.wake,
+            self._check_soon,
+            clock,
+            log,
+            metrics,
+        )
+        self._directory = InstanceDirectory(
+            identity.instance,
+            identity.address,
+            store,
+            lambda: not self._renewer.is_claimant and not self._renewer.is_stopping,
+            lambda: bool(self._owned_duties),
+            random,
+            clock,
+            metrics,
         )
         self._loops: list[BackgroundLoop] = [
             self._heartbeat_watcher,
-            _PeriodicLoop(self._renew, self._choose_renew_period),
-            _PeriodicLoop(self._poll_owners, self._choose_poll_period),
+            self._renewer,
+            self._directory,
+            _PeriodicLoop(self._check, self._choose_check_period, self._pause),
         ]
         self.duties: list[DutyId] = []
 
     @property
     def lease_valid_until(self) -> float:
         """Monotonic time in seconds until which no other instance takes over duties."""
-        return self._lease_valid_until
+        return self._renewer.valid_until
+
+    @property
+    def is_claimant(self) -> bool:
+        """Whether this instance renews a lease and may claim duties."""
+        return self._renewer.is_claimant
 
     @property
     def owned_duties(self) -> dict[DutyId, FenceToken]:
@@ -130,13 +180,13 @@
 
     @property
     def peer_addresses(self) -> list[str]:
-        """Addresses of the other live instances."""
-        heartbeats = self._observer.list_alive(self._clock.monotonic())
-        return [
+        """Addresses of the other live instances, as far as known."""
+        claimants = [
             row.address
-            for row in heartbeats
+            for row in self._observer.list_alive(self._clock.monotonic())
             if row.address and row.instance != self._instance
         ]
+        return list(dict.fromkeys([*claimants, *self._directory.addresses]))
 
     @property
     def duty_rows(self) -> dict[DutyId, DutyRow]:
@@ -155,17 +205,15 @@
 
     async def hand_over(self) -> None:
         """Release all duties; other instances can then claim them without a wait."""
-        self._is_stopping = True
+        is_claimant = self._renewer.is_claimant
+        self._renewer.stop()
         released = list(self._owned_duties)
         await self._release(released, "handed over")
-        # Marks this instance as stopping for the other instances. The write has no
-        # condition, because repeating the write is harmless.
-        await self._commit_release(
-            Transaction(
-                writes={self._heartbeat_key: self._make_heartbeat()}, nonce=uuid4().hex
-            ),
-            released,
-        )
+        if is_claimant:
+            await self._commit_release(
+                self._renewer.make_stopping_transaction(), released
+            )
+        await self._directory.remove()
 
     async def _release(self, duties: list[DutyId], reason: str) -> None:
         for duty in duties:
@@ -190,99 +238,144 @@
         except (StoreError, TransactionConflictError) as error:
             self._log.write("hand_over_failed", duties=duties, detail=str(error))
 
-    @property
-    def _heartbeat_key(self) -> str:
-        return make_heartbeat_key(self._instance)
+    def _check_soon(self) -> None:
+        self._pause.interrupt()
 
-    def _make_heartbeat(self) -> dict[str, Any]:
+    def _choose_check_period(self) -> float:
         now = self._clock.monotonic()
-        return make_heartbeat(
-            replace(
-                self._identity,
-                is_stopping=self._is_stopping,
-                renewal_count=self._renewal_count,
-                sent_at=self._heartbeat_watcher.to_store_time(now),
-            )
-        )
-
-    async def _renew(self) -> None:
-        if self._is_stopping:
-            return
-        sent_at = self._clock.monotonic()
-        try:
-            if self._heartbeat_revision is None:
-                self._heartbeat_revision = await self._read_heartbeat_revision()
-            transaction = Transaction(
-                conditions={self._heartbeat_key: self._heartbeat_revision},
-                writes={self._heartbeat_key: self._make_heartbeat()},
-                nonce=uuid4().hex,
-            )
-            self._heartbeat_revision = await self._store.commit(transaction)
-        except StoreError as error:
-            self._record_failure("heartbeat_failed", str(error))
-            self._heartbeat_revision = None
+        if self._renewer.is_claimant:
+            is_starting = now < self._started_at + STARTUP_SECONDS
+            return STARTUP_POLL_SECONDS if is_starting else OWNER_POLL_SECONDS
+        if self._join_at is not None:
+            wait_seconds = max(START_CHECK_SECONDS, self._join_at - now)
+            return min(JOIN_CHECK_SECONDS, wait_seconds)
+        return JOIN_CHECK_SECONDS if self._has_decided else START_CHECK_SECONDS
+
+    async def _check(self) -> None:
+        if self._renewer.is_stopping:
             return
-        except TransactionConflictError:
-            # An earlier heartbeat whose response was lost has taken effect late, after
-            # the revision was read.
-            self._heartbeat_revision = None
-            self._metrics.count("heartbeat_conflict")
+        if not self._renewer.is_claimant:
+            await self._join_if_wanted()
+        if self._renewer.is_claimant:
+            await self._poll_owners()
+            self._leave_if_surplus()
+            await self._purge_silent()
+        self._report_peers()
+
+    async def _join_if_wanted(self) -> None:
+        """Become a claimant if there are too few, after a random delay."""
+        now = self._clock.monotonic()
+        if not self._observer.is_current(now) or not self.duties:
             return
+        is_starting, self._has_decided = not self._has_decided, True
+        if not self._policy.is_wanted(len(self.duties), now):
+            self._join_at = None
+        elif self._join_at is None:
+            delay = self._policy.choose_delay(len(self.duties), is_starting, now)
+            self._join_at = now + delay
+        elif now >= self._join_at:
+            self._join_at = None
+            if await self._heartbeat_watcher.read_now() and self._policy.is_wanted(
+                len(self.duties), self._clock.monotonic()
+            ):
+                is_late = now > self._started_at + STARTUP_SECONDS
+                self._renewer.join(is_late)
+
+    def _leave_if_surplus(self) -> None:
+        now = self._clock.monotonic()
+        if self._owned_duties or not self._policy.is_surplus(len(self.duties), now):
+            self._surplus_until = None
+        elif self._surplus_until is None:
+            self._surplus_until = now + self._random.uniform(*LEAVE_SECONDS)
+        elif now >= self._surplus_until:
+            self._surplus_until = None
+            self._renewer.leave()
+
+    async def _purge_silent(self) -> None:
+        """Delete the heartbeats of instances that have long been lost."""
         now = self._clock.monotonic()
-        self._renewal_count += 1
-        if float("-inf") < self._lease_valid_until < now:
-            self._may_claim_from = now + RECOVERY_SECONDS
-        self._lease_valid_until = max(self._lease_valid_until, sent_at + LEASE_SECONDS)
-
-    async def _read_heartbeat_revision(self) -> int:
-        found = await self._store.read(self._heartbeat_key)
-        for row in found.rows:
-            if row.key == self._heartbeat_key:
-                return row.revision
-        return ABSENT_REVISION
-
-    def _record_failure(self, event: str, detail: str) -> None:
-        lease_left = round(self._lease_valid_until - self._clock.monotonic(), 3)
-        self._metrics.count(event)
-        if self._owned_duties:
-            self._log.write(event, detail=detail, lease_left=lease_left)
-
-    def _choose_renew_period(self) -> float:
-        has_failed = self._heartbeat_revision is None
-        return RENEW_RETRY_SECONDS if has_failed else RENEW_PERIOD_SECONDS
-
-    def _choose_poll_period(self) -> float:
-        if self._clock.monotonic() < self._started_at + STARTUP_SECONDS:
-            return STARTUP_POLL_SECONDS
-        return OWNER_POLL_SECONDS
+        if not self._owned_duties or now < self._purged_at + PURGE_PERIOD_SECONDS:
+            return
+        self._purged_at = now
+        for row in self._observer.list_silent(SILENT_HEARTBEAT_SECONDS, now):
+            key = make_heartbeat_key(row.instance)
+            transaction = Transaction(
+                conditions={key: row.revision}, writes={key: None}, nonce=uuid4().hex
+            )
+            try:
+                await self._store.commit(transaction)
+            except (StoreError, TransactionConflictError) as error:
+                self._metrics.count("heartbeat_undeleted", type(error).__name__)
+
+    def _report_peers(self) -> None:
+        addresses = self.peer_addresses
+        if self._peers != frozenset(addresses):
+            self._peers = frozenset(addresses)
+            self._listener.on_peers_changed(addresses)
 
     async def _poll_owners(self) -> None:
+        is_confirmed = self._renewer.is_confirmed
         try:
             found = await self._store.read(make_key(TableName.CONTROL, "", ""))
         except StoreError as error:
-            self._record_failure("owners_unread", str(error))
+            self._renewer.record_failure("owners_unread", str(error))
             return
         now = self._clock.monotonic()
-        serviceable_seconds = self._peer_progress.measure(now, self._renewal_count)
+        serviceable_seconds = self._peer_progress.measure(
+            now, self._renewer.renewal_count
+        )
         self._apply_rows(found.rows)
         for duty in list(self._owned_duties):
             row = self._duty_rows.get(duty)
-            if row is None or row.revision != self._owned_duties[duty]:
+            if row is None or row.token != self._owned_duties[duty]:
                 await self._end_duty(duty, "taken over")
-        if self._is_stopping or now < self._started_at + SETTLE_SECONDS:
+        if not is_confirmed and not await self._confirm_duties():
             return
-        if now > self._lease_valid_until:
+        if self._renewer.is_stopping or now < self._started_at + SETTLE_SECONDS:
+            return
+        if now > self._renewer.valid_until:
             return
         await self._reclaim_unserved()
         await self._release_unserved(now, serviceable_seconds)
-        if now < self._may_claim_from:
+        if now < self._renewer.may_claim_from:
             return
-        poll_period = self._choose_poll_period()
+        poll_period = self._choose_check_period()
         for duty in self._planner.choose(
             self.duties, self._duty_rows, poll_period, now
         ):
             await self._claim(duty)
 
+    async def _confirm_duties(self) -> bool:
+        """Write the rows of the owned duties after the lease had lapsed.
+
+        A claim of an instance that has not read the renewal of the lease fails then,
+        because the claim has the former revision of the row as a condition.
+
+        Returns:
+            Whether all duties are confirmed.
+        """
+        for duty in list(self._owned_duties):
+            row, key = self._duty_rows[duty], _duty_key(duty)
+            value = {
+                "holder": self._instance,
+                "incarnation": self._incarnation,
+                "claimed": row.token,
+            }
+            transaction = Transaction(
+                conditions={key: row.revision}, writes={key: value}, nonce=uuid4().hex
+            )
+            try:
+                revision = await self._store.commit(transaction)
+            except (StoreError, TransactionConflictError) as error:
+                self._metrics.count("confirmation_failed", type(error).__name__)
+                return False
+            self._duty_rows[duty] = replace(
+                row, revision=revision, claim_revision=row.token
+            )
+            self._log.write("duty_confirmed", duty=duty, token=row.token)
+        self._renewer.confirm()
+        return True
+
     async def _reclaim_unserved(self) -> None:
         """Claim again the duties whose row names this instance but that are not served.
 
@@ -339,7 +432,6 @@
             if row.value is not None and name.startswith(DUTY_PREFIX):
                 duty = self._read_duty(name, row)
                 self._duty_rows[duty.duty] = duty
-        self._listener.on_peers_changed(self.peer_addresses)
 
     def _read_duty(self, name: str, row: Row) -> DutyRow:
         """Decode the owner of a duty; an unreadable row counts as one without owner."""
@@ -354,6 +446,7 @@
             InstanceId(holder.holder),
             IncarnationId(holder.incarnation),
             row.revision,
+            holder.claimed,
         )
 
     async def _claim(self, duty: DutyId) -> None:
@@ -364,11 +457,15 @@
         transaction = Transaction(
             conditions=conditions, writes={key: value}, nonce=uuid4().hex
         )
+        lapse_count = self._renewer.lapse_count
         try:
             revision = await self._store.commit(transaction)
         except (StoreError, TransactionConflictError) as error:
             self._metrics.count("claim_failed", type(error).__name__)
             return
+        if self._renewer.lapse_count != lapse_count:
+            # Another instance may have taken over the duty since the claim took effect.
+            self._renewer.suspend()
         token = FenceToken(revision)
         if duty in self._owned_duties:
             await self._end_duty(duty, "claimed again")
@@ -392,6 +489,7 @@
             former=row.holder if row else "",
             silence=silence_seconds if silence_seconds != float("inf") else None,
         )
+        self._directory.update_soon()
         await self._listener.on_claimed(duty, token)
 
     async def _end_duty(self, duty: DutyId, reason: str) -> None:
@@ -410,16 +508,20 @@
 
 class _PeriodicLoop(BackgroundLoop):
     def __init__(
-        self, action: Callable[[], Awaitable[None]], get_period: Callable[[], float]
+        self,
+        action: Callable[[], Awaitable[None]],
+        get_period: Callable[[], float],
+        pause: Pause,
     ):
         super().__init__()
         self._action = action
         self._get_period = get_period
+        self._pause = pause
 
     async def _run(self) -> None:
         while True:
             await self._action()
-            await sleep(self._get_period())
+            await self._pause.sleep(self._get_period())
 
 
 def _duty_key(duty: DutyId) -> str:
--- a/jujubebarrow/runtimes/table_watchers.py
+++ b/jujubebarrow/runtimes/table_watchers.py
@@ -1,13 +1,14 @@
 """Watches the change feed of one table in the store."""
 
 from abc import abstractmethod
-from asyncio import sleep
+from asyncio import Future, get_running_loop, sleep
 
 from jujubebarrow.background_loops import BackgroundLoop
 from jujubebarrow.clocks.clocks import Clock
 from jujubebarrow.errors.exceptions import HistoryLostError, StoreError
 from jujubebarrow.logs.decision_logs import DecisionLog
 from jujubebarrow.metrics.registries import MetricsRegistry
+from jujubebarrow.pauses import Pause
 from jujubebarrow.stores.rows import Row
 from jujubebarrow.stores.store_clocks import StoreClock
 from jujubebarrow.stores.stores import Store
@@ -17,8 +18,7 @@
 store's rate limit."""
 
 POLL_SECONDS = 0.02
-"""Seconds between two checks whether the table has to be watched, or whether the first
-revision to watch from is known."""
+"""Seconds between two checks whether the first revision to watch from is known."""
 
 
 class TableWatcher(BackgroundLoop):
@@ -57,6 +57,8 @@
         self._failed_at: float | None = None
         self._store_clock = StoreClock(clock)
         self._complete_at = float("-inf")
+        self._pause = Pause()
+        self._read_requests: list[Future[bool]] = []
 
     @abstractmethod
     async def apply(self, rows: list[Row], sent_at: float) -> None:
@@ -76,6 +78,17 @@
         """Whether the table has to be watched."""
         return True
 
+    def wake(self) -> None:
+        """Check at once whether the table has to be watched and how often."""
+        self._pause.interrupt()
+
+    async def read_now(self) -> bool:
+        """Wait for a read that begins after the call; return whether it succeeded."""
+        request = get_running_loop().create_future()
+        self._read_requests.append(request)
+        self._pause.interrupt()
+        return await request
+
     def clear(self) -> None:
         """Clear any copy of the table, because later changes will not be reported.
 
@@ -87,6 +100,11 @@
         """Minimum time in seconds between two requests."""
         return self._spacing
 
+    @property
+    def wait(self) -> float:
+        """Longest time in seconds that the store may delay a response."""
+        return self._wait
+
     def estimate_store_time(self, longest_lag: float) -> float | None:
         """Return the time of the store's clock, which is never too late.
 
@@ -138,11 +156,11 @@
                 self._revision = None
                 self._complete_at = float("-inf")
                 self.clear()
-                await sleep(POLL_SECONDS)
+                await self._pause.sleep()
                 continue
             sent_at = self._clock.monotonic()
             try:
-                await self._read_once(sent_at)
+                await self._read_for_requests(sent_at)
             except HistoryLostError:
                 self._revision = None
                 self._metrics.count("feed_history_lost", self._table)
@@ -154,7 +172,18 @@
             else:
                 self._record_success(sent_at)
                 elapsed = self._clock.monotonic() - sent_at
-                await sleep(max(0.0, self.spacing - elapsed))
+                await self._pause.sleep(self.spacing - elapsed)
+
+    async def _read_for_requests(self, sent_at: float) -> None:
+        requests, self._read_requests = self._read_requests, []
+        has_succeeded = False
+        try:
+            await self._read_once(sent_at)
+            has_succeeded = True
+        finally:
+            for request in requests:
+                if not request.done():
+                    request.set_result(has_succeeded)
 
     async def _read_once(self, sent_at: float) -> None:
         if self._revision is None:
@@ -163,7 +192,7 @@
             prefix = f"{self._table}/"
             # A request that may wait takes as much longer to time out. After a failure,
             # requests that do not wait find the store again sooner.
-            wait = self._wait if self._failed_at is None else 0.0
+            wait = self.wait if self._failed_at is None else 0.0
             changes = await self._store.read_changes(prefix, self._revision, wait)
             revision, rows = changes.revision, changes.rows
             self.record_store_time(sent_at, changes.clock)
--- a/jujubebarrow/runtimes/worker_watchers.py
+++ b/jujubebarrow/runtimes/worker_watchers.py
@@ -66,6 +66,7 @@
     def add_listener(self, listener: WorkerListener) -> None:
         """Register a listener and report all present registrations to it."""
         self._listeners.append(listener)
+        self.wake()
         for entry in self.entries.values():
             listener.on_worker_changed(entry)
 
--- a/jujubebarrow/stores/row_keys.py
+++ b/jujubebarrow/stores/row_keys.py
@@ -9,6 +9,7 @@
 
     CONTROL = "control"
     HEARTBEATS = "heartbeats"
+    INSTANCES = "instances"
     JOBS = "jobs"
     PROGRESS = "progress"
     FENCES = "fences"
