Send orders for machines only while they are permitted

Where fences are not checked, an order of a former holder takes effect: a machine that its successor has just brought back goes down again, or moves twice.

Cause, read from the code and shown by two tests: the order of an upkeep was sent from what had been read before, whether or not the owner's lease had ended since; a process that was suspended between the two ordered after its successor. A batch of up to 50 moves was handed to a client with 8 connections: while the machine service is slow, the last orders left seconds after their claim (2.0 s seen, with answers after 1 s), although other instances count on 0.5 s.

Change: OrderGate sends at most as many orders at a time as the client has connections, and each only if the owner's lease is valid and, for a move, the window of its claim is open when its turn comes. A move that is not sent stops counting as on its way and is planned again.

Evidence: LatePermissionTest; with the check taken out, the successor's order is followed by one with a lower token (1 != 0), and an order leaves 2.0 s after its claim (bound 0.5 s).

--- a/jujubebarrow/runtimes/entry_nodes.py
+++ b/jujubebarrow/runtimes/entry_nodes.py
@@ -34,6 +34,7 @@
 from jujubebarrow.runtimes.job_watchers import JobWatcher
 from jujubebarrow.runtimes.load_registries import LoadRegistry
 from jujubebarrow.runtimes.move_controllers import MoveController
+from jujubebarrow.runtimes.order_gates import OrderGate
 from jujubebarrow.runtimes.owner_hooks import OwnerHooks
 from jujubebarrow.runtimes.ownership_services import OwnershipService
 from jujubebarrow.runtimes.pool_owners import PoolOwner
@@ -128,6 +129,7 @@
         self._machines = machines
         self._advisor = advisor
         self._advice_lock = Lock()
+        self._order_gate = OrderGate(metrics)
         self._clock = clock
         self._log = log
         self._metrics = metrics
@@ -276,6 +278,7 @@
             self.fleet_source,
             self._wave_store,
             self._machines,
+            self._order_gate,
             hooks,
             self._options.downtime,
             self._options.machine_lease,
@@ -304,6 +307,7 @@
             self._load_registry,
             spec is not None and spec.is_standby,
             self._machines,
+            self._order_gate,
             wave_controller.is_under_maintenance,
             hooks,
             self._options.machine_lease,
--- a/jujubebarrow/runtimes/load_registries.py
+++ b/jujubebarrow/runtimes/load_registries.py
@@ -74,6 +74,8 @@
         # Revision, target pool, holder and time of the order; for a move read from the
         # store, the latest time at which its order may have been sent.
         self._moves: dict[MachineId, tuple[int, PoolId, str, float]] = {}
+        # Time until which the order of a move that was claimed here may be sent.
+        self._order_until: dict[MachineId, float] = {}
         self.loads: dict[PoolId, PoolLoad] = {}
 
     async def refresh(self) -> None:
@@ -155,6 +157,13 @@
             return True
         return self._clock.monotonic() - recorded[3] > machine_lease
 
+    def is_order_timely(self, machine: MachineId) -> bool:
+        """Return whether the order of a move that was claimed here may still be sent.
+
+        Other instances count on the order being sent within ORDER_WINDOW_SECONDS.
+        """
+        return self._clock.monotonic() <= self._order_until.get(machine, float("-inf"))
+
     async def write_load(self, load: PoolLoad) -> None:
         """Write the load of a pool.
 
@@ -202,6 +211,7 @@
         now = self._clock.monotonic()
         for machine, target in targets.items():
             self._moves[machine] = (revision, target, holder, now)
+            self._order_until[machine] = started_at + ORDER_WINDOW_SECONDS
         if now - started_at > ORDER_WINDOW_SECONDS:
             self._metrics.count("move_claimed_late")
             raise StoreError("claim of moves took too long")
--- a/jujubebarrow/runtimes/move_controllers.py
+++ b/jujubebarrow/runtimes/move_controllers.py
@@ -21,6 +21,7 @@
 from jujubebarrow.pools.pool_loads import PoolLoad
 from jujubebarrow.pools.surplus_planners import plan_moves
 from jujubebarrow.runtimes.load_registries import MOVES_PER_CLAIM_LIMIT, LoadRegistry
+from jujubebarrow.runtimes.order_gates import OrderGate
 from jujubebarrow.runtimes.owner_hooks import OwnerHooks
 from jujubebarrow.workloads.identifiers import FenceToken, MachineId, WorkerId
 
@@ -58,6 +59,7 @@
         load_registry: Loads of all pools and recent moves.
         is_standby: Whether that pool's machines are switched off and cost nothing.
         machines: Client for the machine service.
+        gate: Checks the permission to send an order.
         is_under_maintenance: Returns whether a machine is being maintained or drained
             for maintenance.
         hooks: Callbacks into the pool's owner.
@@ -75,6 +77,7 @@
         load_registry: LoadRegistry,
         is_standby: bool,
         machines: MachineControl,
+        gate: OrderGate,
         is_under_maintenance: Callable[[MachineId], bool],
         hooks: OwnerHooks,
         machine_lease: float,
@@ -88,6 +91,7 @@
         self._load_registry = load_registry
         self._is_standby = is_standby
         self._machines = machines
+        self._gate = gate
         self._is_under_maintenance = is_under_maintenance
         self._hooks = hooks
         self._machine_lease = machine_lease
@@ -410,13 +414,22 @@
     ) -> MachineOrderOutcome | None:
         """Send the order for a move; return None if there was no response."""
         try:
-            outcome = await self._machines.move(machine.machine, target, token)
+            outcome = await self._gate.send(
+                lambda: (
+                    self._hooks.can_send_orders()
+                    and self._load_registry.is_order_timely(machine.machine)
+                ),
+                lambda: self._machines.move(machine.machine, target, token),
+            )
         except MachineControlError as error:
             self._metrics.count("move_retry", type(error).__name__)
             self._log.write(
                 "move_unanswered", machine=machine.machine, detail=str(error)
             )
             return None
+        if outcome is None:
+            self._load_registry.record_refusal(machine.machine)
+            return MachineOrderOutcome.TRY_LATER
         self._metrics.count("move", outcome.value)
         self._log.write(
             "machine_moved",
--- a/jujubebarrow/runtimes/owner_hooks.py
+++ b/jujubebarrow/runtimes/owner_hooks.py
@@ -8,6 +8,10 @@
 class OwnerHooks(ABC):
     """Callbacks of a pool's owner, called by the owner's components."""
 
+    @abstractmethod
+    def can_send_orders(self) -> bool:
+        """Return whether orders may be sent, since the pool certainly is owned."""
+
     @abstractmethod
     def can_renew_leases(self) -> bool:
         """Return whether leases of runs may still be renewed."""
--- a/jujubebarrow/runtimes/pool_owners.py
+++ b/jujubebarrow/runtimes/pool_owners.py
@@ -157,7 +157,7 @@
             relay,
             backlog,
             self._tasks,
-            self._can_send_orders,
+            self.can_send_orders,
             self.on_change,
             clock,
             log,
@@ -231,7 +231,8 @@
         )
         self.on_change()
 
-    def _can_send_orders(self) -> bool:
+    def can_send_orders(self) -> bool:
+        """Return whether orders may be sent, since the pool certainly is owned."""
         return self._clock.monotonic() < self._ownership.lease_valid_until
 
     def can_renew_leases(self) -> bool:
@@ -426,7 +427,7 @@
 
     def _plan(self) -> None:
         coordinator = self.coordinator
-        if self._can_send_orders():
+        if self.can_send_orders():
             coordinator.plan(
                 self._clock.monotonic(),
                 self._clock.wall(),
--- a/jujubebarrow/runtimes/wave_controllers.py
+++ b/jujubebarrow/runtimes/wave_controllers.py
@@ -30,6 +30,7 @@
 )
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.runtimes.fleet_sources import FleetSource
+from jujubebarrow.runtimes.order_gates import OrderGate
 from jujubebarrow.runtimes.owner_hooks import OwnerHooks
 from jujubebarrow.runtimes.wave_stores import StoredWave, WaveStore
 from jujubebarrow.workloads.identifiers import (
@@ -67,6 +68,7 @@
         fleet_source: Source of the requested waves.
         store: Reads and writes the progress of waves.
         machines: Client for the machine service.
+        gate: Checks the permission to send an order.
         hooks: Callbacks into the pool's owner.
         downtime: Usual duration of a machine's maintenance in seconds.
         machine_lease: Time in seconds after an instance's order for a machine during
@@ -85,6 +87,7 @@
         fleet_source: FleetSource,
         store: WaveStore,
         machines: MachineControl,
+        gate: OrderGate,
         hooks: OwnerHooks,
         downtime: float,
         machine_lease: float,
@@ -99,6 +102,7 @@
         self._fleet_source = fleet_source
         self._store = store
         self._machines = machines
+        self._gate = gate
         self._hooks = hooks
         self._downtime = downtime
         self._machine_lease = machine_lease
@@ -284,11 +288,16 @@
         key = (wave.wave, machine.machine)
         token = self._tokens[key]
         try:
-            outcome = await self._machines.maintain(machine.machine, wave.wave, token)
+            outcome = await self._gate.send(
+                self._hooks.can_send_orders,
+                lambda: self._machines.maintain(machine.machine, wave.wave, token),
+            )
         except MachineControlError as error:
             # The order is repeated in the next round, which is harmless.
             self._metrics.count("wave_retry", type(error).__name__)
             return
+        if outcome is None:
+            return
         self._log.write(
             "maintenance_ordered",
             wave=wave.wave,
--- a/jujubebarrow/tests/test_machine_orders.py
+++ b/jujubebarrow/tests/test_machine_orders.py
@@ -3,6 +3,8 @@
 import unittest
 from asyncio import gather, get_running_loop, sleep
 from random import Random
+from typing import Any
+from unittest.mock import patch
 
 from jujubebarrow.errors.exceptions import StoreError, TransactionConflictError
 from jujubebarrow.fleets.wave_requests import WaveRequest
@@ -10,7 +12,9 @@
 from jujubebarrow.identifiers import PoolId
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.pools.pool_loads import PoolLoad
-from jujubebarrow.runtimes.load_registries import LoadRegistry
+from jujubebarrow.runtimes.load_registries import ORDER_WINDOW_SECONDS, LoadRegistry
+from jujubebarrow.runtimes.order_gates import CONCURRENT_ORDERS_COUNT
+from jujubebarrow.runtimes.wave_stores import WaveStore
 from jujubebarrow.standins.emulated_stores import EmulatedStore, SharedStore
 from jujubebarrow.standins.emulated_workers import TaskBehaviour
 from jujubebarrow.tests.fakes.fake_machines import STANDBY
@@ -27,6 +31,8 @@
 MACHINE_LEASE_SECONDS = 3.0
 """Shortest time between the orders of two holders for one machine."""
 MACHINE = MachineId("m-w1")
+SUSPENSION_SECONDS = 10.0
+"""Seconds that suffice for a takeover, the machine lease and an order."""
 
 
 def _find_owner(cluster: JobCluster, pool: PoolId) -> Instance:
@@ -195,6 +201,86 @@
     ]
 
 
+class LatePermissionTest(JobCase):
+    """Orders whose permission has ended while the process or the service was slow."""
+
+    def test_suspended_holder_sends_no_order_after_its_successor(self) -> None:
+        read = WaveStore.read
+
+        async def scenario(cluster: JobCluster) -> None:
+            await sleep(3.0)
+            owner = _find_owner(cluster, POOL)
+            assert owner.node is not None
+            suspended: list[float] = []
+
+            async def read_and_suspend(store: WaveStore, wave: WaveRequest) -> Any:
+                stored = await read(store, wave)
+                is_owner = owner.node and store is owner.node._wave_store
+                if is_owner and stored.record.in_maintenance_count and not suspended:
+                    suspended.append(get_running_loop().time())
+                    self._set_suspended(owner, True)
+                    await sleep(SUSPENSION_SECONDS)
+                    self._set_suspended(owner, False)
+                return stored
+
+            with patch.object(WaveStore, "read", read_and_suspend):
+                cluster.write_wave(
+                    WaveRequest(
+                        wave=7, machines=(MACHINE,), duration=30.0, max_concurrent=1
+                    )
+                )
+                await sleep(SUSPENSION_SECONDS + 5.0)
+            self.assertTrue(suspended)
+            self.assertEqual(cluster.machines.maintenance_orders, [(MACHINE, 7)])
+            self.assertEqual(cluster.machines.rejected_order_count, 0)
+
+        for seed in range(1, 4):
+            self.run_scenario(scenario, seed=seed, workers=2)
+
+    def _set_suspended(self, instance: Instance, is_suspended: bool) -> None:
+        instance.store.is_disconnected = is_suspended
+        instance.gateway.is_disconnected = is_suspended
+        instance.is_isolated = is_suspended
+
+    def test_slow_machine_service_gets_no_order_after_the_window_of_its_claim(
+        self,
+    ) -> None:
+        claim_moves = LoadRegistry.claim_moves
+        claimed_at: dict[MachineId, float] = {}
+        delays: list[float] = []
+
+        async def record_claim(
+            registry: LoadRegistry, targets: dict[MachineId, PoolId], holder: str
+        ) -> Any:
+            now = get_running_loop().time()
+            claimed_at.update(dict.fromkeys(targets, now))
+            return await claim_moves(registry, targets, holder)
+
+        async def scenario(cluster: JobCluster) -> None:
+            await sleep(3.0)
+            move = cluster.machines.move
+
+            async def move_slowly(
+                machine: MachineId, pool: PoolId, token: int
+            ) -> MachineOrderOutcome:
+                delays.append(get_running_loop().time() - claimed_at[machine])
+                await sleep(1.0)
+                return await move(machine, pool, token)
+
+            cluster.machines.move = move_slowly
+            step = StepSpec(count=300, needs=Resources(1000, 500), estimate=2.0)
+            for number in range(3):
+                await cluster.submit(
+                    number, (step,), behaviour=TaskBehaviour(seconds=2.0)
+                )
+            await sleep(15.0)
+
+        with patch.object(LoadRegistry, "claim_moves", record_claim):
+            self.run_scenario(scenario, workers=24, standby=24)
+        self.assertGreater(len(delays), CONCURRENT_ORDERS_COUNT)
+        self.assertLessEqual(max(delays), ORDER_WINDOW_SECONDS)
+
+
 class StaleLoadTest(unittest.TestCase):
     def test_loads_are_not_used_after_their_age_limit_while_reads_fail(self) -> None:
         async def scenario() -> dict[PoolId, PoolLoad]:
