Look at workers again soon while a long-running task is starting

Cause: the machines left are those with long-running tasks. These move one after the other, as many as the step tolerates, and the next waits until the last one is known to be operating. A worker with long-running tasks alone is looked at each 1.5 s, so that each move took 1.9 s in the emulation, whatever the task's startup.

Change: a worker with a long-running task that has not reached 100 % may delay its answer for 0.4 s only, as with tasks that end.

--- a/jujubebarrow/runtimes/worker_sessions.py
+++ b/jujubebarrow/runtimes/worker_sessions.py
@@ -5,6 +5,7 @@
 
 from jujubebarrow.clocks.clocks import Clock
 from jujubebarrow.coordinators.active_runs import RunStage
+from jujubebarrow.coordinators.evacuations import OPERATING_PERCENT
 from jujubebarrow.coordinators.pool_coordinators import PoolCoordinator
 from jujubebarrow.coordinators.worker_views import WorkerView
 from jujubebarrow.gateways.worker_gateways import (
@@ -164,6 +165,11 @@
             return 0.0
         if self._coordinator.demand.has_finite_runs(worker):
             return SHORT_WAIT_SECONDS
+        if any(
+            run.progress_percent < OPERATING_PERCENT for run in worker.runs.values()
+        ):
+            # Evacuations wait until a restarted long-running task is operating.
+            return SHORT_WAIT_SECONDS
         return LONG_WAIT_SECONDS
 
     def _record_failed_renewal(self, detail: str) -> None:
--- a/jujubebarrow/tests/test_maintained_machines.py
+++ b/jujubebarrow/tests/test_maintained_machines.py
@@ -14,10 +14,16 @@
 from jujubebarrow.tests.fakes.job_cases import JobCase
 from jujubebarrow.tests.fakes.job_clusters import OTHER_POOL, JobCluster
 from jujubebarrow.workloads.identifiers import MachineId
+from jujubebarrow.workloads.resources import Resources
+from jujubebarrow.workloads.step_specs import StepSpec
 
 WAVE_SECONDS = 20.0
 SHORT_WAVE_SECONDS = 8.0
 """Longer than two rounds of machines that are down for two seconds."""
+LONG_RUNNING_COUNT = 10
+LONG_RUNNING_WAVE_SECONDS = 16.0
+"""Shorter than the rounds of idle machines and the moves of all long-running tasks, one
+after the other."""
 COMMIT_SECONDS = 0.008
 """Time of the platform's store for one transaction of a partition."""
 
@@ -83,3 +89,35 @@
             self.assertLessEqual(cluster.machines.max_down_count, wave.max_concurrent)
 
         self.run_scenario(scenario, seed=seed, workers=30, others=30)
+
+    def test_machines_with_long_running_tasks_do_not_end_a_wave_late(self) -> None:
+        for seed in range(1, 4):
+            self._run_wave_with_long_running_tasks(seed)
+
+    def _run_wave_with_long_running_tasks(self, seed: int) -> None:
+        async def scenario(cluster: JobCluster) -> None:
+            await sleep(2.0)
+            step = StepSpec(
+                count=LONG_RUNNING_COUNT,
+                needs=Resources(1000, 500),
+                long_running=True,
+                most_per_worker=1,
+                tolerated_absences=1,
+            )
+            await cluster.submit(
+                1, (step,), behaviour=TaskBehaviour(is_long_running=True)
+            )
+            await sleep(4.0)
+            wave = WaveRequest(
+                wave=7,
+                machines=tuple(MachineId(f"m-{name}") for name in cluster.workers),
+                duration=LONG_RUNNING_WAVE_SECONDS,
+                max_concurrent=len(cluster.workers) // 4,
+            )
+            cluster.write_wave(wave)
+            await sleep(LONG_RUNNING_WAVE_SECONDS)
+            self.assertEqual(
+                len(cluster.machines.maintenance_orders), len(cluster.workers), seed
+            )
+
+        self.run_scenario(scenario, seed=seed, workers=24)
