Split the ownership service

DutyStore reads and writes the owners of duties, ClaimantMembership joins and leaves the claimants; what is left polls, claims and releases. The stub of the platform's store that two tests share moved to the fakes.

--- a/jujubebarrow/runtimes/ownership_services.py
+++ b/jujubebarrow/runtimes/ownership_services.py
@@ -2,16 +2,13 @@
 
 from asyncio import gather
 from collections.abc import Awaitable, Callable
-from dataclasses import replace
 from random import Random
+from typing import Any
 from uuid import uuid4
 
-from msgspec import Struct, ValidationError, convert
-
 from jujubebarrow.background_loops import BackgroundLoop
 from jujubebarrow.clocks.clocks import Clock
 from jujubebarrow.errors.exceptions import StoreError, TransactionConflictError
-from jujubebarrow.identifiers import IncarnationId, InstanceId
 from jujubebarrow.logs.decision_logs import DecisionLog
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.ownerships.claim_planners import ClaimPlanner
@@ -21,7 +18,9 @@
 from jujubebarrow.ownerships.peer_progresses import PeerProgress
 from jujubebarrow.ownerships.service_gaps import ServiceGaps
 from jujubebarrow.pauses import Pause
+from jujubebarrow.runtimes.claimant_memberships import ClaimantMembership
 from jujubebarrow.runtimes.duty_listeners import DutyListener
+from jujubebarrow.runtimes.duty_stores import DutyStore
 from jujubebarrow.runtimes.heartbeat_watchers import (
     HeartbeatWatcher,
     make_heartbeat_key,
@@ -32,10 +31,8 @@
     RENEW_PERIOD_SECONDS,
     LeaseRenewer,
 )
-from jujubebarrow.stores.row_keys import RowKey, TableName, make_key
-from jujubebarrow.stores.rows import Row
 from jujubebarrow.stores.stores import Store
-from jujubebarrow.stores.transactions import ABSENT_REVISION, Transaction
+from jujubebarrow.stores.transactions import Transaction
 from jujubebarrow.workloads.identifiers import FenceToken
 
 OWNER_POLL_SECONDS = 0.4
@@ -44,31 +41,12 @@
 """Seconds after an instance's start in which the instance claims no duty, to wait for
 the heartbeats of other instances; instances that start together all start within that
 time."""
-STARTUP_SECONDS = 4.0
-"""Seconds after this instance's start in which owners are polled more often, since no
-pool has an owner after a power failure."""
 STARTUP_POLL_SECONDS = 0.12
 """Seconds between two polls of the owners during startup."""
-JOIN_CHECK_SECONDS = 0.5
-"""Seconds between two checks whether this instance should become a claimant."""
-START_CHECK_SECONDS = 0.02
-"""Seconds between two such checks until the heartbeats have been read, and the shortest
-time between any two."""
-LEAVE_SECONDS = (4.0, 10.0)
-"""Range of the time for which too many claimants are preferred to this one before it
-leaves; different for each, so that not too many leave at once."""
 SILENT_HEARTBEAT_SECONDS = 60.0
 """Silence after which the heartbeat of a lost instance is deleted."""
 PURGE_PERIOD_SECONDS = 20.0
 """Seconds between two deletions of such heartbeats by an owner of duties."""
-DUTY_PREFIX = "duty/"
-
-
-class _Holder(Struct):
-    holder: str
-    incarnation: str
-    # Revision of the claim; None in the row that the claim has written.
-    claimed: int | None = None
 
 
 class OwnershipService:
@@ -101,10 +79,10 @@
         log: DecisionLog,
         metrics: MetricsRegistry,
     ):
-        self._identity = identity
         self._instance = identity.instance
         self._incarnation = identity.incarnation
         self._store = store
+        self._duty_store = DutyStore(identity, store, metrics)
         self._listener = listener
         self._clock = clock
         self._log = log
@@ -118,12 +96,7 @@
             identity.instance, self._observer, RENEW_PERIOD_SECONDS
         )
         self._started_at = clock.monotonic()
-        self._random = random
-        self._policy = ClaimantPolicy(identity, self._observer, random)
         self._pause = Pause()
-        self._has_decided = False
-        self._join_at: float | None = None
-        self._surplus_until: float | None = None
         self._purged_at = self._started_at
         self._peers: frozenset[str] = frozenset()
         self._heartbeat_watcher = HeartbeatWatcher(
@@ -145,6 +118,14 @@
             log,
             metrics,
         )
+        self._membership = ClaimantMembership(
+            ClaimantPolicy(identity, self._observer, random),
+            self._observer,
+            self._heartbeat_watcher.read_now,
+            self._renewer,
+            random,
+            clock,
+        )
         self._directory = InstanceDirectory(
             identity.instance,
             identity.address,
@@ -210,8 +191,8 @@
         released = list(self._owned_duties)
         await self._release(released, "handed over")
         if is_claimant:
-            await self._commit_release(
-                self._renewer.make_stopping_transaction(), released
+            await self._log_failure(
+                self._store.commit(self._renewer.make_stopping_transaction()), released
             )
         await self._directory.remove()
 
@@ -222,19 +203,11 @@
         await gather(*(self._clear_holder(duty) for duty in duties))
 
     async def _clear_holder(self, duty: DutyId) -> None:
-        key = _duty_key(duty)
-        transaction = Transaction(
-            conditions={key: self._duty_rows[duty].revision},
-            writes={key: {"holder": "", "incarnation": ""}},
-            nonce=uuid4().hex,
-        )
-        await self._commit_release(transaction, [duty])
+        await self._log_failure(self._duty_store.release(self._duty_rows[duty]), [duty])
 
-    async def _commit_release(
-        self, transaction: Transaction, duties: list[DutyId]
-    ) -> None:
+    async def _log_failure(self, write: Awaitable[Any], duties: list[DutyId]) -> None:
         try:
-            await self._store.commit(transaction)
+            await write
         except (StoreError, TransactionConflictError) as error:
             self._log.write("hand_over_failed", duties=duties, detail=str(error))
 
@@ -242,55 +215,25 @@
         self._pause.interrupt()
 
     def _choose_check_period(self) -> float:
-        now = self._clock.monotonic()
-        if self._renewer.is_claimant:
-            is_starting = now < self._started_at + STARTUP_SECONDS
-            return STARTUP_POLL_SECONDS if is_starting else OWNER_POLL_SECONDS
-        if self._join_at is not None:
-            wait_seconds = max(START_CHECK_SECONDS, self._join_at - now)
-            return min(JOIN_CHECK_SECONDS, wait_seconds)
-        return JOIN_CHECK_SECONDS if self._has_decided else START_CHECK_SECONDS
+        if not self._renewer.is_claimant:
+            return self._membership.seconds_to_check
+        if self._membership.is_starting:
+            return STARTUP_POLL_SECONDS
+        return OWNER_POLL_SECONDS
 
     async def _check(self) -> None:
         if self._renewer.is_stopping:
             return
         if not self._renewer.is_claimant:
-            await self._join_if_wanted()
+            await self._membership.join_if_wanted(len(self.duties))
         if self._renewer.is_claimant:
             await self._poll_owners()
-            self._leave_if_surplus()
+            self._membership.leave_if_surplus(
+                len(self.duties), bool(self._owned_duties)
+            )
             await self._purge_silent()
         self._report_peers()
 
-    async def _join_if_wanted(self) -> None:
-        """Become a claimant if there are too few, after a random delay."""
-        now = self._clock.monotonic()
-        if not self._observer.is_current(now) or not self.duties:
-            return
-        is_starting, self._has_decided = not self._has_decided, True
-        if not self._policy.is_wanted(len(self.duties), now):
-            self._join_at = None
-        elif self._join_at is None:
-            delay = self._policy.choose_delay(len(self.duties), is_starting, now)
-            self._join_at = now + delay
-        elif now >= self._join_at:
-            self._join_at = None
-            if await self._heartbeat_watcher.read_now() and self._policy.is_wanted(
-                len(self.duties), self._clock.monotonic()
-            ):
-                is_late = now > self._started_at + STARTUP_SECONDS
-                self._renewer.join(is_late)
-
-    def _leave_if_surplus(self) -> None:
-        now = self._clock.monotonic()
-        if self._owned_duties or not self._policy.is_surplus(len(self.duties), now):
-            self._surplus_until = None
-        elif self._surplus_until is None:
-            self._surplus_until = now + self._random.uniform(*LEAVE_SECONDS)
-        elif now >= self._surplus_until:
-            self._surplus_until = None
-            self._renewer.leave()
-
     async def _purge_silent(self) -> None:
         """Delete the heartbeats of instances that have long been lost."""
         now = self._clock.monotonic()
@@ -316,7 +259,7 @@
     async def _poll_owners(self) -> None:
         is_confirmed = self._renewer.is_confirmed
         try:
-            found = await self._store.read(make_key(TableName.CONTROL, "", ""))
+            self._duty_rows = await self._duty_store.read()
         except StoreError as error:
             self._renewer.record_failure("owners_unread", str(error))
             return
@@ -324,7 +267,6 @@
         serviceable_seconds = self._peer_progress.measure(
             now, self._renewer.renewal_count
         )
-        self._apply_rows(found.rows)
         for duty in list(self._owned_duties):
             row = self._duty_rows.get(duty)
             if row is None or row.token != self._owned_duties[duty]:
@@ -355,23 +297,12 @@
             Whether all duties are confirmed.
         """
         for duty in list(self._owned_duties):
-            row, key = self._duty_rows[duty], _duty_key(duty)
-            value = {
-                "holder": self._instance,
-                "incarnation": self._incarnation,
-                "claimed": row.token,
-            }
-            transaction = Transaction(
-                conditions={key: row.revision}, writes={key: value}, nonce=uuid4().hex
-            )
+            row = self._duty_rows[duty]
             try:
-                revision = await self._store.commit(transaction)
+                self._duty_rows[duty] = await self._duty_store.confirm(row)
             except (StoreError, TransactionConflictError) as error:
                 self._metrics.count("confirmation_failed", type(error).__name__)
                 return False
-            self._duty_rows[duty] = replace(
-                row, revision=revision, claim_revision=row.token
-            )
             self._log.write("duty_confirmed", duty=duty, token=row.token)
         self._renewer.confirm()
         return True
@@ -425,53 +356,21 @@
             self._gaps.record_release(duty)
         await self._release(list(overdue), "not served")
 
-    def _apply_rows(self, rows: list[Row]) -> None:
-        self._duty_rows = {}
-        for row in rows:
-            name = RowKey.parse(row.key).name
-            if row.value is not None and name.startswith(DUTY_PREFIX):
-                duty = self._read_duty(name, row)
-                self._duty_rows[duty.duty] = duty
-
-    def _read_duty(self, name: str, row: Row) -> DutyRow:
-        """Decode the owner of a duty; an unreadable row counts as one without owner."""
-        duty = DutyId(name.removeprefix(DUTY_PREFIX))
-        try:
-            holder = convert(row.value, _Holder)
-        except ValidationError:
-            self._metrics.count("row_unreadable", TableName.CONTROL.value)
-            return DutyRow(duty, InstanceId(""), IncarnationId(""), row.revision)
-        return DutyRow(
-            duty,
-            InstanceId(holder.holder),
-            IncarnationId(holder.incarnation),
-            row.revision,
-            holder.claimed,
-        )
-
     async def _claim(self, duty: DutyId) -> None:
         row = self._duty_rows.get(duty)
-        key = _duty_key(duty)
-        conditions = {key: row.revision if row else ABSENT_REVISION}
-        value = {"holder": self._instance, "incarnation": self._incarnation}
-        transaction = Transaction(
-            conditions=conditions, writes={key: value}, nonce=uuid4().hex
-        )
         lapse_count = self._renewer.lapse_count
         try:
-            revision = await self._store.commit(transaction)
+            claimed = await self._duty_store.claim(duty, row)
         except (StoreError, TransactionConflictError) as error:
             self._metrics.count("claim_failed", type(error).__name__)
             return
         if self._renewer.lapse_count != lapse_count:
             # Another instance may have taken over the duty since the claim took effect.
             self._renewer.suspend()
-        token = FenceToken(revision)
+        token = FenceToken(claimed.token)
         if duty in self._owned_duties:
             await self._end_duty(duty, "claimed again")
-        self._duty_rows[duty] = DutyRow(
-            duty, self._instance, self._incarnation, revision
-        )
+        self._duty_rows[duty] = claimed
         self._owned_duties[duty] = token
         self._gaps.start(duty)
         silence_seconds = None
@@ -522,7 +421,3 @@
         while True:
             await self._action()
             await self._pause.sleep(self._get_period())
-
-
-def _duty_key(duty: DutyId) -> str:
-    return make_key(TableName.CONTROL, "", DUTY_PREFIX + duty)
--- a/jujubebarrow/tests/test_odd_entries.py
+++ b/jujubebarrow/tests/test_odd_entries.py
@@ -11,24 +11,22 @@
 from msgspec import json
 
 from jujubebarrow.background_loops import RESTART_SECONDS, BackgroundLoop
-from jujubebarrow.links.link_backlogs import LinkBacklog
-from jujubebarrow.links.link_meters import LinkMeter
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.platform.documents import PlatformDocuments
-from jujubebarrow.platform.stores import PlatformStore
 from jujubebarrow.runtimes.grant_controllers import GRANT_NAME
 from jujubebarrow.runtimes.worker_watchers import WorkerWatcher
-from jujubebarrow.stores.read_throttles import ReadThrottle
 from jujubebarrow.stores.row_keys import TableName, make_key
 from jujubebarrow.stores.transactions import Transaction
 from jujubebarrow.tests.fakes.fake_documents import ListLog
 from jujubebarrow.tests.fakes.job_cases import JobCase
 from jujubebarrow.tests.fakes.job_clusters import POOL, TEAM, JobCluster
-from jujubebarrow.tests.fakes.scripted_clients import ScriptedStoreClient
+from jujubebarrow.tests.fakes.scripted_clients import (
+    ScriptedStoreClient,
+    make_scripted_store,
+)
 from jujubebarrow.tests.fakes.virtual_loops import LoopClock, run_virtual
 from jujubebarrow.workloads.resources import Resources
 
-LINK_MBPS = 1000.0
 DEPTH = 100_000
 WORKER = {
     "Backend": "labels",
@@ -110,12 +108,7 @@
     def _make_watcher(self, client: ScriptedStoreClient) -> WorkerWatcher:
         metrics, log = MetricsRegistry(), ListLog("n1")
         clock = LoopClock(get_running_loop())
-        meter = LinkMeter(LINK_MBPS, LinkBacklog(LINK_MBPS, clock), log, metrics)
-        store = PlatformStore(
-            "10.0.0.2:80", ReadThrottle(LINK_MBPS, metrics), meter, metrics
-        )
-        store.close()
-        store._client = client  # type: ignore[assignment]
+        store = make_scripted_store(client, log, metrics)
         reader = PlatformDocuments(log, metrics)
         watcher = WorkerWatcher(store, reader, clock, log, metrics)
         watcher.add_listener(_NoListener())
--- a/jujubebarrow/tests/test_restarts.py
+++ b/jujubebarrow/tests/test_restarts.py
@@ -1,7 +1,7 @@
 """What a restarted instance knows of workers and keys.
 
-Guards against a worker that has left, or a key that was withdrawn, which is in use again
-after a restart of an instance.
+Guards against a worker that has left, or a key that was withdrawn, which is in use
+again after a restart of an instance.
 """
 
 import unittest
@@ -9,21 +9,19 @@
 
 from msgspec import json
 
-from jujubebarrow.links.link_backlogs import LinkBacklog
-from jujubebarrow.links.link_meters import LinkMeter
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.platform.documents import PlatformDocuments
-from jujubebarrow.platform.stores import PlatformStore
 from jujubebarrow.runtimes.fleet_watchers import FleetWatcher
-from jujubebarrow.stores.read_throttles import ReadThrottle
 from jujubebarrow.tests.fakes.fake_documents import ListLog
 from jujubebarrow.tests.fakes.job_cases import JobCase
 from jujubebarrow.tests.fakes.job_clusters import JobCluster
-from jujubebarrow.tests.fakes.scripted_clients import ScriptedStoreClient
+from jujubebarrow.tests.fakes.scripted_clients import (
+    ScriptedStoreClient,
+    make_scripted_store,
+)
 from jujubebarrow.tests.fakes.virtual_loops import LoopClock, run_virtual
 from jujubebarrow.workloads.identifiers import WorkerId
 
-LINK_MBPS = 1000.0
 KEY_FRESHNESS_SECONDS = 4.0
 
 
@@ -79,18 +77,11 @@
 
     def _make_watcher(self, client: ScriptedStoreClient) -> FleetWatcher:
         metrics, log = MetricsRegistry(), ListLog("n1")
-        clock = LoopClock(get_running_loop())
-        meter = LinkMeter(LINK_MBPS, LinkBacklog(LINK_MBPS, clock), log, metrics)
-        store = PlatformStore(
-            "10.0.0.2:80", ReadThrottle(LINK_MBPS, metrics), meter, metrics
-        )
-        store.close()
-        store._client = client  # type: ignore[assignment]
         return FleetWatcher(
-            store,
+            make_scripted_store(client, log, metrics),
             PlatformDocuments(log, metrics),
             KEY_FRESHNESS_SECONDS,
-            clock,
+            LoopClock(get_running_loop()),
             log,
             metrics,
         )
