--- a/review/harness/fleets.py
+++ b/review/harness/fleets.py
@@ -11,7 +11,7 @@
 import time
 import tomllib
 from collections.abc import Awaitable, Callable
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, ExitStack
 from pathlib import Path
 from typing import Any
 
@@ -30,6 +30,9 @@
 HELD, BROKEN, UNPLAYED = 0, 1, 2
 READY_SECONDS = 30.0
 POLL_SECONDS = 0.1
+PORT_RANGE = (20000, 32000)
+PORT_STEP = 8
+PORT_COUNT = 4
 
 SETTINGS = """\
 NodeName={name}
@@ -93,24 +96,18 @@
 """
 
 
-def find_port_pair() -> int:
-    """Return the first of two successive free ports."""
+def find_ports(count: int) -> int:
+    """Return the first of successive free ports, outside the range of clients."""
     while True:
-        port = random.randrange(20000, 32000, 2)
-        try:
-            for number in (port, port + 1):
-                with socket.socket() as probe:
-                    probe.bind(("127.0.0.1", number))
-        except OSError:
-            continue
-        return port
-
-
-def find_port() -> int:
-    """Return a free port."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+        first = random.randrange(*PORT_RANGE, PORT_STEP)
+        with ExitStack() as stack:
+            try:
+                for port in range(first, first + count):
+                    probe = stack.enter_context(socket.socket())
+                    probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return first
 
 
 class Node:
@@ -125,8 +122,8 @@
     """
 
     def __init__(self, name: str, zone: str, folder: Path, store: str, cloud: str):
-        ports = [find_port(), find_port()]
-        first = find_port_pair()
+        first = find_ports(PORT_COUNT)
+        ports = [first + 2, first + 3]
         self.name = name
         self.front = f"127.0.0.1:{ports[0]}"
         self.ready = f"127.0.0.1:{ports[1]}"
