--- a/review/harness/fleets.py
+++ b/review/harness/fleets.py
@@ -179,8 +179,8 @@
     Args:
         record: Record of the case.
         routes: Prefix and further fields of each route, by its name.
-        worker_count: Number of workers of the one service.
-        capacity: ``Capacity`` of each worker.
+        worker_count: Number of workers of each service.
+        backends: Names of the services.
     """
 
     def __init__(
@@ -188,14 +188,16 @@
         record: Record,
         routes: dict[str, dict[str, Any]],
         worker_count: int = 3,
-        capacity: dict[str, int] | None = None,
+        backends: tuple[str, ...] = (BACKEND,),
     ):
         self.record = record
         self.store = StoreStandIn()
         self._cloud = Server(self._serve_cloud)
         self._routes = routes
+        self._backends = backends
         self.workers = [
-            WorkerStandIn(f"i-{number:08x}", BACKEND, self.store, record, capacity)
+            WorkerStandIn(f"i-{position:04x}{number:04x}", backend, self.store, record)
+            for position, backend in enumerate(backends)
             for number in range(1, worker_count + 1)
         ]
         self.nodes: list[Node] = []
@@ -253,12 +255,13 @@
             "Routes": routes,
             "Services": [
                 {
-                    "Name": BACKEND,
+                    "Name": backend,
                     "HealthPath": "/healthz",
                     "MaxConns": 64,
                     "EnforceCapacity": False,
                     "Standby": False,
                 }
+                for backend in self._backends
             ],
             "Limits": {"MaxBodyBytes": 262144},
             "Tenants": [
@@ -272,7 +275,7 @@
         machines = [
             {
                 "Machine": f"m-{worker.name}",
-                "Pool": BACKEND,
+                "Pool": worker.backend,
                 "State": "up",
                 "Zone": ZONES[0],
                 "Labels": ["a", "r1"],
--- a/review/harness/workers.py
+++ b/review/harness/workers.py
@@ -18,6 +18,7 @@
 """Time that a stop takes, below ``Bounds.StopGraceMs`` of the settings."""
 LIST_LIMIT = 500
 """Most finished runs of one response, by the platform's page."""
+CAPACITY = {"Cpu": 32000, "MemMb": 65536, "Gpus": 0}
 STARTUP_SECONDS = 0.3
 """Time until a task that lasts is at work."""
 POLL_SECONDS = 0.02
@@ -60,7 +61,11 @@
         backend: Name of the worker's service.
         store: Store in which the worker registers.
         record: Record of all runs.
-        capacity: ``Capacity`` of the worker.
+
+    Attributes:
+        name: Id of the worker.
+        backend: Name of the worker's service.
+        is_up: Whether the worker responds.
     """
 
     def __init__(
@@ -69,13 +74,11 @@
         backend: str,
         store: StoreStandIn,
         record: Record,
-        capacity: dict[str, int] | None = None,
     ):
         self.name = name
-        self._backend = backend
+        self.backend = backend
         self._store = store
         self._record = record
-        self._capacity = capacity or {"Cpu": 32000, "MemMb": 65536, "Gpus": 0}
         self._server = Server(self._handle)
         self._life = _Life(0, 0.0)
         self._sequence = 0
@@ -117,14 +120,14 @@
                 "servers",
                 self.name,
                 {
-                    "Backend": self._backend,
+                    "Backend": self.backend,
                     "Address": self._server.address,
                     "Zone": "zone-a",
                     "Version": "v1",
                     "Slots": 8,
                     "State": "ready",
                     "ColdLeftMs": 0,
-                    "Capacity": self._capacity,
+                    "Capacity": CAPACITY,
                     "Labels": ["a", "r1"],
                     "Machine": f"m-{self.name}",
                     "ClockMs": self._clock_ms,
