--- a/review/harness/workers.py
+++ b/review/harness/workers.py
@@ -65,7 +65,9 @@
     Attributes:
         name: Id of the worker.
         backend: Name of the worker's service.
-        is_up: Whether the worker responds.
+        is_up: Whether the worker is alive.
+        is_dark: Whether the worker is lost for good and leaves all calls without a
+            response.
     """
 
     def __init__(
@@ -84,6 +86,7 @@
         self._sequence = 0
         self._tasks: list[asyncio.Task[None]] = []
         self.is_up = False
+        self.is_dark = False
 
     async def open(self, port: int = 0) -> None:
         """Start a life of the worker."""
@@ -108,6 +111,15 @@
             self._record.end(self.name, run.task, run.run, "crashed")
         self._life.running.clear()
 
+    def lose(self) -> None:
+        """Lose the worker for good: it runs nothing, and no call gets a response."""
+        self.is_dark = True
+        for task in self._tasks:
+            task.cancel()
+        for run in list(self._life.running.values()):
+            self._finish(self._life, run, "crashed")
+        self.is_up = False
+
     @property
     def running(self) -> list[RunId]:
         """Runs at work."""
@@ -154,11 +166,16 @@
 
     async def _handle(self, request: Request) -> Response | None:
         life = self._life
+        if self.is_dark:
+            return None
         if request.path == "/healthz":
             return Response(200, None, {"X-Instance-Id": self.name})
         if request.headers.get("x-target-instance", self.name) != self.name:
             return Response(421)
-        document = request.to_document()
+        try:
+            document = request.to_document()
+        except ValueError:
+            return Response(400)
         if document.get("FencingToken", 0) < life.token:
             return self._answer(409, Reason="fence")
         life.token = document.get("FencingToken", 0)
