--- a/review/harness/http.py
+++ b/review/harness/http.py
@@ -137,7 +137,7 @@
     try:
         async with asyncio.timeout(timeout):
             return await _exchange(address, method, target, document, headers or {})
-    except (OSError, EOFError, ValueError, TimeoutError):
+    except (OSError, EOFError, ValueError, IndexError, TimeoutError):
         return 0, None
 
 
