--- a/review/harness/http.py
+++ b/review/harness/http.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -9,6 +10,7 @@
 
 HEADER_LIMIT_BYTES = 1 << 20
 """Longest line that the server reads."""
+QUEUE_FILLERS = 4
 
 
 @dataclass(slots=True)
@@ -56,6 +58,8 @@
         self._handler = handler
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._sockets: list[socket.socket] = []
+        self.is_silent = False
         self.port = 0
 
     async def open(self, port: int = 0) -> None:
@@ -70,8 +74,32 @@
         """IP and port that the server listens on."""
         return f"127.0.0.1:{self.port}"
 
+    def go_silent(self) -> None:
+        """Let new connections hang, as those to a machine without power do.
+
+        The queue of new connections is full and nobody accepts any, so that the kernel
+        drops the opening packets. Open connections stay and deliver nothing further.
+        """
+        self.is_silent = True
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(("127.0.0.1", self.port))
+        listener.listen(0)
+        self._sockets.append(listener)
+        for _ in range(QUEUE_FILLERS):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(("127.0.0.1", self.port))
+            self._sockets.append(filler)
+
     def close(self) -> None:
         """Stop listening and reset all connections."""
+        for item in self._sockets:
+            item.close()
+        self._sockets.clear()
         if self._server is not None:
             self._server.close()
             self._server = None
@@ -84,8 +112,10 @@
         self._writers.add(writer)
         try:
             while (request := await _read_request(reader)) is not None:
-                response = await self._handler(request)
-                if response is None:
+                response = None
+                if not self.is_silent:
+                    response = await self._handler(request)
+                if response is None or self.is_silent:
                     await reader.read()
                     return
                 writer.write(_encode_response(response))
