Decide about a task by its own step, not by whether its job lasts

Cause: JobRecord.is_long_running tells whether any step lasts. The ends, failures, stalls, drains, preemption, evacuations, waves and the arrival rate asked it about single tasks.

Each of these decisions now goes by the run or the step. Lasting steps are planned before all finite ones: otherwise a finite step of a job that ranks as high takes back the room that was made for a lasting task, which the test of preemption showed.

--- a/jujubebarrow/coordinators/evacuations.py
+++ b/jujubebarrow/coordinators/evacuations.py
@@ -27,10 +27,10 @@
     def evacuate(self, worker_id: WorkerId, is_grace_period_over: bool) -> bool:
         """Stop the tasks that may be moved; return whether the worker has no runs.
 
-        A task of a long-running job is stopped if another worker has free capacity for
-        the task and fewer tasks of the step are absent than the step tolerates; a step
-        that states no tolerated absences has no such limit. The tasks of other jobs are
-        finite and may run until the grace period is over.
+        A long-running task is stopped if another worker has free capacity for the task
+        and fewer tasks of the step are absent than the step tolerates; a step that
+        states no tolerated absences has no such limit. Finite tasks may run until the
+        grace period is over.
 
         Args:
             worker_id: Id of the worker.
@@ -43,7 +43,7 @@
             job = self._state.jobs.get(run.task.job)
             if job is None or run.stage is RunStage.STOPPING:
                 continue
-            if job.record.is_long_running:
+            if run.is_long_running:
                 if self._can_stop(job, run, worker):
                     self._state.request_stop(run)
             elif is_grace_period_over:
--- a/jujubebarrow/coordinators/job_demands.py
+++ b/jujubebarrow/coordinators/job_demands.py
@@ -27,10 +27,11 @@
     def record_arrival(self, job: JobProgress, now: float) -> None:
         """Add a job that has just been accepted to the arrival rate.
 
-        Ignores long-running jobs and jobs with several occurrences.
+        Ignores long-running steps and jobs with several occurrences.
         """
-        if not job.record.is_long_running and job.record.occurrence_count == 1:
-            self._arrivals.add_work(job.estimated_work, now)
+        has_finite_step = not all(step.long_running for step in job.record.steps)
+        if has_finite_step and job.record.occurrence_count == 1:
+            self._arrivals.add_work(job.record.estimated_finite_work, now)
 
     def count_demand(self, now: float) -> int:
         """Return the demand of the pool in thousandths of a core.
--- a/jujubebarrow/coordinators/job_progresses.py
+++ b/jujubebarrow/coordinators/job_progresses.py
@@ -209,7 +209,10 @@
         self._forget_derived()
 
     def record_done(self, key: TaskKey) -> None:
-        """Mark a task as done; complete its occurrence and its job if all are done."""
+        """Mark a finite task as done; complete its occurrence and job if all are done.
+
+        A job with a long-running step is never complete.
+        """
         step = self.find_step(key)
         if step is None:
             return
@@ -217,7 +220,7 @@
         self._remaining = None
         self._forget_derived()
         steps = self._occurrences[key.occurrence]
-        if all(other.is_done for other in steps) and not self.record.is_long_running:
+        if all(other.is_done for other in steps):
             self._finished.add(key.occurrence)
             if not any(
                 task.active is not None for other in steps for task in other.tasks
@@ -227,14 +230,18 @@
         if is_every_occurrence_done and not self.phase.is_final:
             self.phase = JobPhase.COMPLETED
 
-    def record_failure(self, task: TaskState, worker: WorkerId) -> None:
-        """Record a failed run; a task that has used up its attempts fails the job.
+    def record_failure(self, key: TaskKey, worker: WorkerId) -> None:
+        """Record a failed run; a finite task without attempts left fails the job.
 
-        A long-running job does not fail; its tasks are started again.
+        Long-running tasks are started again however often they fail.
         """
+        step = self.find_step(key)
+        if step is None:
+            return
+        task = step.tasks[key.index]
         task.failures += 1
         task.avoided_worker = worker
-        if self.record.is_long_running or self.phase.is_final:
+        if step.spec.long_running or self.phase.is_final:
             return
         if task.failures >= self.record.attempts:
             self.phase = JobPhase.FAILED
--- a/jujubebarrow/coordinators/planners.py
+++ b/jujubebarrow/coordinators/planners.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Iterator
+from itertools import chain
 from math import inf
 from typing import Any
 
@@ -102,12 +103,17 @@
     ) -> Iterator[tuple[JobProgress, tuple[int, int], StepState]]:
         """Iterate over the steps that may start now in the order of the jobs.
 
-        Steps with a task that has crashed its workers repeatedly come last, as each of
-        their starts may take a worker away from all others.
+        Long-running steps come first; otherwise a finite step of a job that also has
+        long-running ones would take the place of the runs that they preempt. Steps with
+        a task that has crashed its workers repeatedly come last, as each of their
+        starts may take a worker away from all others.
         """
+        long_running = [(job, True) for job in jobs if job.is_long_running]
         last = []
-        for job in jobs:
+        for job, is_long_running in chain(long_running, ((job, False) for job in jobs)):
             for occurrence, number, step in job.startable_steps():
+                if step.spec.long_running is not is_long_running:
+                    continue
                 if not self._can_start(job, step):
                     continue
                 item = (job, (occurrence, number), step)
@@ -375,7 +381,7 @@
                 return victims
             job = self._state.jobs.get(run.task.job)
             is_preemptible = run.stage in (RunStage.CONFIRMED, RunStage.RECORDED)
-            if job is None or job.record.is_long_running or not is_preemptible:
+            if job is None or run.is_long_running or not is_preemptible:
                 continue
             victims.append(run)
             free_capacity = free_capacity.plus(run.reserved)
--- a/jujubebarrow/coordinators/pool_coordinators.py
+++ b/jujubebarrow/coordinators/pool_coordinators.py
@@ -148,8 +148,7 @@
 
     def _stop_long_running(self, worker: WorkerView) -> None:
         for run in list(worker.runs.values()):
-            job = self.state.jobs.get(run.task.job)
-            if job is not None and job.record.is_long_running:
+            if run.is_long_running and run.task.job in self.state.jobs:
                 self.state.request_stop(run)
 
     def handle_deregistration(self, worker_id: WorkerId) -> None:
--- a/jujubebarrow/coordinators/reconcilers.py
+++ b/jujubebarrow/coordinators/reconcilers.py
@@ -219,11 +219,11 @@
         self._state.release_run(job, task, now)
         if finished.checkpoint:
             task.checkpoint = finished.checkpoint
-        if finished.outcome is RunOutcome.DONE and not job.record.is_long_running:
+        if finished.outcome is RunOutcome.DONE and not run.is_long_running:
             job.record_done(finished.task)
             worker.score.record_run(finished.task.job, True, now)
         elif finished.outcome is RunOutcome.FAILED:
-            job.record_failure(task, worker.worker)
+            job.record_failure(finished.task, worker.worker)
             is_paused = worker.score.record_run(finished.task.job, False, now)
             self._log.write(
                 "run_failed",
--- a/jujubebarrow/coordinators/stall_detectors.py
+++ b/jujubebarrow/coordinators/stall_detectors.py
@@ -51,7 +51,7 @@
 
     def _find_estimate(self, run: ActiveRun) -> float | None:
         job = self._state.jobs.get(run.task.job)
-        if job is None or job.record.is_long_running:
+        if job is None or run.is_long_running:
             return None
         step = job.find_step(run.task)
         if step is None or step.spec.gang or run.speed_percent < 100:
--- a/jujubebarrow/maintenance/wave_choices.py
+++ b/jujubebarrow/maintenance/wave_choices.py
@@ -20,8 +20,8 @@
     Attributes:
         machine: Id of the machine.
         cpu_usage_ratio: Share of the machine's processor in use.
-        long_running_count: Number of tasks of long-running jobs on the machine, which
-            a drain has to move.
+        long_running_count: Number of long-running tasks on the machine, which a drain
+            has to move.
         tolerated_absences: For each long-running step with a task on the machine that
             limits its absent tasks, that limit.
     """
--- a/jujubebarrow/placements/job_orders.py
+++ b/jujubebarrow/placements/job_orders.py
@@ -27,7 +27,8 @@
     """Sort key of a job; the lowest is placed first.
 
     Attributes:
-        group: 0 for long-running jobs, 1 for jobs that can still meet their objective,
+        group: 0 for jobs with a long-running step, which may wait for finite steps of
+            the job, 1 for jobs that can still meet their objective,
             2 for jobs that can only finish late but still have a value, 3 for the rest.
         negated_value_density: Value of the job per remaining work, negated.
         accepted_at: Time in seconds at which the job was accepted.
--- a/jujubebarrow/runtimes/wave_controllers.py
+++ b/jujubebarrow/runtimes/wave_controllers.py
@@ -458,7 +458,7 @@
         tolerated_absences: dict[StepKey, int] = {}
         for run in worker.runs.values():
             job = self._coordinator.state.jobs.get(run.task.job)
-            if job is None or not job.record.is_long_running:
+            if job is None or not run.is_long_running:
                 continue
             long_running_count += 1
             step = job.find_step(run.task)
--- a/jujubebarrow/standins/emulated_workers.py
+++ b/jujubebarrow/standins/emulated_workers.py
@@ -69,6 +69,8 @@
     Attributes:
         seconds: Duration of a run in seconds.
         is_long_running: Whether a run lasts until the run is stopped.
+        long_running_steps: Steps whose runs last until they are stopped, if those of
+            the job's other steps end.
         is_failing: Whether every run fails.
         crash_delay: Time in seconds from the start of a run to the crash of its worker;
             None if the worker does not crash.
@@ -76,9 +78,14 @@
 
     seconds: float = 0.5
     is_long_running: bool = False
+    long_running_steps: tuple[int, ...] = ()
     is_failing: bool = False
     crash_delay: float | None = None
 
+    def lasts(self, step: int) -> bool:
+        """Return whether the runs of a step last until they are stopped."""
+        return self.is_long_running or step in self.long_running_steps
+
 
 @dataclass(slots=True)
 class _Incarnation:
@@ -138,6 +145,7 @@
         capacity: Total resources of the worker.
         labels: Hardware kind and rack of the worker.
         state: Whether the worker accepts new tasks.
+        remaining_seconds: Minimum time until a draining worker shuts down.
         run_history: All runs of all incarnations in the order of their starts.
         acknowledged_runs: Finished runs that an owner has acknowledged.
         unacknowledged_at_expiry: Finished runs that no owner had acknowledged when the
@@ -171,6 +179,7 @@
         self.capacity = capacity
         self.labels = labels
         self.state = WorkerState.READY
+        self.remaining_seconds = 0.0
         self.run_history: list[EmulatedRun] = []
         self.acknowledged_runs: list[FinishedRun] = []
         # The workers' contract permits a second start of a task whose finished run
@@ -214,6 +223,7 @@
             address=self.worker,
             zone=ZoneId("z"),
             state=self.state,
+            remaining=self.remaining_seconds,
             capacity=self.capacity,
             labels=self.labels,
         )
@@ -285,7 +295,7 @@
         if behaviour.crash_delay is not None:
             loop = get_running_loop()
             loop.call_later(behaviour.crash_delay, self._crash_for_run, run)
-        if not behaviour.is_long_running:
+        if not behaviour.lasts(order.task.step):
             outcome = RunOutcome.FAILED if behaviour.is_failing else RunOutcome.DONE
             self._duration_seconds[order.task] = behaviour.seconds
             if not self.is_stalled:
--- a/jujubebarrow/workloads/job_records.py
+++ b/jujubebarrow/workloads/job_records.py
@@ -67,9 +67,12 @@
     @property
     def estimated_work(self) -> float:
         """Estimated work of one occurrence in core-seconds."""
-        return sum(
-            step.count * step.needs.cpu / 1000 * step.estimate for step in self.steps
-        )
+        return sum(step.estimated_work for step in self.steps)
+
+    @property
+    def estimated_finite_work(self) -> float:
+        """Estimated work of the finite steps of one occurrence in core-seconds."""
+        return sum(step.estimated_work for step in self.steps if not step.long_running)
 
     @property
     def objective(self) -> float:
--- a/jujubebarrow/workloads/step_specs.py
+++ b/jujubebarrow/workloads/step_specs.py
@@ -55,3 +55,8 @@
         if self.uses_leftovers:
             return Resources(0, self.needs.memory, self.needs.gpus)
         return self.needs
+
+    @property
+    def estimated_work(self) -> float:
+        """Estimated work of all tasks in core-seconds."""
+        return self.count * self.needs.cpu / 1000 * self.estimate
