Bound what is stored for a job, and never repeat what the store refuses for good

Cause: the row with a job's progress names each started task and exceeds RowBytes; the transaction that the store refuses for its size was repeated without end, and a queue has one transaction at a time.

Before the fix a job of 6,000 tasks, its takeover, 150 overlapping occurrences and 13 small jobs beside one whose row is refused never complete, and jobs that cannot be recorded are accepted; 40 jobs of 400 tasks make a transaction of 1.23 MB.

Only as many tasks of a job are started as its row has room for; the room of gangs and long-running tasks is reserved, and jobs beyond the limits are refused with never-runs. A refused transaction is divided, and a job whose progress is refused alone is set aside while the others go on. Relays pass such refusals on as what they are.

--- a/jujubebarrow/coordinators/coordinator_options.py
+++ b/jujubebarrow/coordinators/coordinator_options.py
@@ -2,10 +2,14 @@
 
 from dataclasses import dataclass
 
+DEFAULT_ROW_BYTES = 48_000
+"""Limit on a row's value where the store states none: 64 KiB of base64, with a margin
+for the envelope of the value."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class CoordinatorOptions:
-    """Durations in seconds that the decisions of a pool's owner depend on.
+    """Durations in seconds and limits that the decisions of a pool's owner depend on.
 
     Attributes:
         lease: Length of a lease issued for the runs of a worker.
@@ -17,6 +21,7 @@
         late_order_window: Time for which a worker may still execute an
             unacknowledged order.
         retention: Time for which the outcome of a closed job is kept.
+        row_limit: Largest value of a stored row in bytes.
     """
 
     lease: float
@@ -27,6 +32,7 @@
     early_start: float
     late_order_window: float = 13.0
     retention: float = 150.0
+    row_limit: int = DEFAULT_ROW_BYTES
 
     def compute_foreign_lease(self, age: float) -> float:
         """Return the longest lease of a worker at its first report to this owner.
--- a/jujubebarrow/coordinators/job_progresses.py
+++ b/jujubebarrow/coordinators/job_progresses.py
@@ -4,11 +4,21 @@
 from typing import Any
 
 from jujubebarrow.coordinators.active_runs import ActiveRun, RunStage
+from jujubebarrow.coordinators.coordinator_options import DEFAULT_ROW_BYTES
 from jujubebarrow.coordinators.step_states import StepState
 from jujubebarrow.coordinators.task_states import TaskState
 from jujubebarrow.workloads.identifiers import RunNumber, WorkerId, WorkerIncarnation
 from jujubebarrow.workloads.job_phases import JobPhase
-from jujubebarrow.workloads.job_records import JobRecord
+from jujubebarrow.workloads.job_records import (
+    RESERVED_ROW_SHARE,
+    TASK_LIMIT,
+    JobRecord,
+)
+from jujubebarrow.workloads.step_specs import (
+    CHECKPOINT_BYTES,
+    STEP_BYTES,
+    TASK_BYTES,
+)
 from jujubebarrow.workloads.task_keys import TaskKey
 
 PHASE_KEY = "phase"
@@ -17,6 +27,11 @@
 BEGUN_KEY = "begun"
 CLOSED_KEY = "closed"
 LOSSES_KEY = "losses"
+FINISHED_BYTES = 3
+"""Size of the number of a finished occurrence in the stored progress."""
+LARGEST_TASK_BYTES = 2 * (TASK_BYTES + CHECKPOINT_BYTES + STEP_BYTES)
+"""Bound of what a task with a step of its own adds to the stored progress; twice that,
+as the finished occurrences need room as well."""
 
 
 class JobProgress:
@@ -33,6 +48,8 @@
         is_long_running: Whether a step runs until the job is cancelled.
         has_started_tasks: Whether a worker has acknowledged the start of a task or has
             listed a run; a planned run need not have started.
+        held_until: Time in seconds until which the job's progress is not stored, since
+            the store has refused it; 0 if the store has not.
     """
 
     def __init__(self, record: JobRecord, accepted_at: float):
@@ -46,6 +63,9 @@
         self.stored_phase: JobPhase | None = None
         self.has_started_tasks = False
         self.closed_at = 0.0
+        self.held_until = 0.0
+        self._reserved_bytes = record.reserved_bytes
+        self._open_task_count = 0
         self._occurrences: dict[int, list[StepState]] = {}
         self._finished: set[int] = set()
         self._next_occurrence = 0
@@ -61,26 +81,42 @@
         is_final = self.stored_phase is not None and self.stored_phase.is_final
         return is_final and not self.has_active_runs
 
-    def open_due_occurrences(self, wall: float, early_start: float) -> None:
+    def open_due_occurrences(
+        self, wall: float, early_start: float, row_limit: int = DEFAULT_ROW_BYTES
+    ) -> None:
         """Open the occurrences that are due.
 
+        An occurrence waits for earlier ones to finish if the stored progress has no
+        room for another.
+
         Args:
             wall: Unix time in seconds.
             early_start: Seconds by which an occurrence may start before its due time.
+            row_limit: Largest value of a stored row in bytes.
         """
         while self._next_occurrence < self.record.occurrence_count:
             number = self._next_occurrence
             if self.record.earliest_start(number) > wall + early_start:
                 return
+            if not self._has_room_for_occurrence(row_limit):
+                return
             self._next_occurrence += 1
             if number not in self._finished:
                 self._open_occurrence(number)
 
+    def _has_room_for_occurrence(self, row_limit: int) -> bool:
+        if not self._occurrences:
+            return True
+        size = (len(self._occurrences) + 1) * self._reserved_bytes
+        task_count = self._open_task_count + self.record.task_count
+        return size <= RESERVED_ROW_SHARE * row_limit and task_count <= TASK_LIMIT
+
     def _open_occurrence(self, number: int) -> list[StepState]:
         steps = self._occurrences.get(number)
         if steps is None:
             steps = [StepState(spec) for spec in self.record.steps]
             self._occurrences[number] = steps
+            self._open_task_count += self.record.task_count
             self._remaining = None
             self._forget_derived()
         return steps
@@ -173,6 +209,33 @@
             ]
         return iter(self._active)
 
+    def list_recordable(self, step: StepState, row_limit: int) -> list[int]:
+        """Return the waiting tasks of a step that the stored progress has room for.
+
+        Tasks that were started before are recorded already.
+
+        Args:
+            step: Open step of this job.
+            row_limit: Largest value of a stored row in bytes.
+        """
+        waiting = step.waiting
+        if (
+            step.spec.starts_together
+            or self._open_task_count * LARGEST_TASK_BYTES < row_limit
+        ):
+            return waiting
+        size = FINISHED_BYTES * len(self._finished)
+        size += sum(other.document_bytes for _, _, other in self.steps())
+        room = max(0, row_limit - size) // step.spec.task_bytes
+        recordable = []
+        for index in waiting:
+            if not step.tasks[index].last_run:
+                if not room:
+                    continue
+                room -= 1
+            recordable.append(index)
+        return recordable
+
     def find_task(self, key: TaskKey) -> TaskState | None:
         """Return the state of a task of an open occurrence."""
         step = self.find_step(key)
@@ -204,9 +267,21 @@
             task: Task of this job.
             now: Time in seconds.
         """
+        run = task.active
         task.active = None
         task.absent_since = now
         self._forget_derived()
+        if run is not None and run.task.occurrence in self._finished:
+            self._close_occurrence_if_idle(run.task.occurrence)
+
+    def _close_occurrence_if_idle(self, number: int) -> None:
+        steps = self._occurrences.get(number, ())
+        if steps and not any(
+            task.active is not None for step in steps for task in step.tasks
+        ):
+            del self._occurrences[number]
+            self._open_task_count -= self.record.task_count
+            self._forget_derived()
 
     def record_done(self, key: TaskKey) -> None:
         """Mark a finite task as done; complete its occurrence and job if all are done.
@@ -222,10 +297,7 @@
         steps = self._occurrences[key.occurrence]
         if all(other.is_done for other in steps):
             self._finished.add(key.occurrence)
-            if not any(
-                task.active is not None for other in steps for task in other.tasks
-            ):
-                del self._occurrences[key.occurrence]
+            self._close_occurrence_if_idle(key.occurrence)
         is_every_occurrence_done = len(self._finished) == self.record.occurrence_count
         if is_every_occurrence_done and not self.phase.is_final:
             self.phase = JobPhase.COMPLETED
@@ -340,6 +412,15 @@
             self._restore_losses(row)
 
 
+def estimate_document_bytes(document: dict[str, Any]) -> int:
+    """Return about how many bytes a stored form has, rather too many than too few."""
+    size = FINISHED_BYTES * len(document.get(FINISHED_KEY, ()))
+    for _, _, done_mask, started in document.get(TASKS_KEY, ()):
+        started_bytes = len(started) * (TASK_BYTES + CHECKPOINT_BYTES)
+        size += STEP_BYTES + len(done_mask) + started_bytes
+    return size
+
+
 def _encode_task(index: int, task: TaskState) -> list[Any]:
     row: list[Any] = [index, task.last_run, task.failures, task.checkpoint]
     if task.active is not None:
--- a/jujubebarrow/coordinators/planners.py
+++ b/jujubebarrow/coordinators/planners.py
@@ -69,9 +69,14 @@
         for worker in unpaused:
             if not worker.is_over_capacity:
                 self._spare = self._spare.plus(worker.free)
-        jobs = [job for job in self._state.list_open_jobs() if not job.phase.is_final]
+        jobs = [
+            job
+            for job in self._state.list_open_jobs()
+            if not job.phase.is_final and not job.held_until
+        ]
         for job in jobs:
-            job.open_due_occurrences(wall, self._state.options.early_start)
+            options = self._state.options
+            job.open_due_occurrences(wall, options.early_start, options.row_limit)
         jobs = self._sort_jobs(jobs, unpaused, now)
         planned: list[ActiveRun] = []
         for job, position, step in self._order_steps(jobs):
@@ -183,7 +188,8 @@
         planned = []
         run_counts = count_runs_by_worker(step)
         # Suspects have fewer workers to choose from and must not keep others waiting.
-        waiting = sorted(step.waiting, key=lambda index: step.tasks[index].is_suspect)
+        waiting = job.list_recordable(step, self._state.options.row_limit)
+        waiting.sort(key=lambda index: step.tasks[index].is_suspect)
         for placed_count, index in enumerate(waiting):
             task = step.tasks[index]
             worker = _choose_worker(step, task, workers, run_counts, now, wall)
--- a/jujubebarrow/coordinators/pool_coordinators.py
+++ b/jujubebarrow/coordinators/pool_coordinators.py
@@ -6,7 +6,11 @@
 from jujubebarrow.coordinators.coordinator_options import CoordinatorOptions
 from jujubebarrow.coordinators.job_changes import JobChange
 from jujubebarrow.coordinators.job_demands import JobDemand
-from jujubebarrow.coordinators.job_progresses import PHASE_KEY, JobProgress
+from jujubebarrow.coordinators.job_progresses import (
+    PHASE_KEY,
+    JobProgress,
+    estimate_document_bytes,
+)
 from jujubebarrow.coordinators.loss_recorders import LossRecorder
 from jujubebarrow.coordinators.orders import RenewalOrder, StopOrder
 from jujubebarrow.coordinators.planners import TaskPlanner
@@ -33,6 +37,8 @@
 NEW_JOB_AGE_SECONDS = 1.0
 """Age up to which an added job counts towards the arrival rate of the pool; older jobs
 were read from the store and do not show the present rate."""
+HOLD_SECONDS = 2.0
+"""Time after which refused progress is stored again."""
 STOP_MARGIN_SECONDS = 0.4
 """Margin on top of the longest time that a worker takes to stop a run. The tasks of a
 draining worker are stopped by the sum of both before the worker shuts down, so that
@@ -172,6 +178,7 @@
         """
         for worker in list(self.state.workers.values()):
             self._check_worker(worker, now)
+        self.state.release_held_jobs(now)
         run_limit = sendable_starts
         if run_limit < inf:
             run_limit -= self.state.count_planned_runs()
@@ -300,6 +307,29 @@
             for finished in change.finished_runs:
                 self.state.mark_changed(job, finished)
 
+    def hold_refused_change(self, change: JobChange, detail: str, now: float) -> None:
+        """Set a job aside whose progress the store refuses for its content.
+
+        The other jobs of the queue go on. The ends of the job's runs may make its
+        progress acceptable, so that it is stored again after some time.
+
+        Args:
+            change: Refused change.
+            detail: Cause of the refusal.
+            now: Time in seconds.
+        """
+        job = change.progress
+        self.handle_refused_changes([change], now)
+        self.state.hold_job(job, now + HOLD_SECONDS)
+        self._log.write(
+            "progress_refused",
+            job=job.record.job,
+            queue=job.record.queue,
+            detail=detail,
+            bytes=estimate_document_bytes(change.document),
+            seconds=HOLD_SECONDS,
+        )
+
     def make_renewal(self, worker: WorkerView, wait: float, now: float) -> RenewalOrder:
         """Return the order that renews the lease of a worker's runs.
 
--- a/jujubebarrow/coordinators/pool_states.py
+++ b/jujubebarrow/coordinators/pool_states.py
@@ -5,7 +5,10 @@
 from jujubebarrow.coordinators.active_runs import ActiveRun, RunStage
 from jujubebarrow.coordinators.coordinator_options import CoordinatorOptions
 from jujubebarrow.coordinators.job_changes import FinishedRunRef, JobChange
-from jujubebarrow.coordinators.job_progresses import JobProgress
+from jujubebarrow.coordinators.job_progresses import (
+    JobProgress,
+    estimate_document_bytes,
+)
 from jujubebarrow.coordinators.orders import StopOrder
 from jujubebarrow.coordinators.recorded_leases import RecordedLease
 from jujubebarrow.coordinators.task_states import TaskState
@@ -17,6 +20,8 @@
 
 TOKENS_PER_CLAIM_COUNT = 2**20
 """Number of fencing tokens between two successive claims of a pool."""
+TRANSACTION_LIMIT_BYTES = 600_000
+"""Size of the rows of one transaction; the store accepts 1 MB, in base64."""
 
 
 class PoolState:
@@ -57,6 +62,7 @@
         self._issued_token_count = 0
         self._deferred: dict[QueueId, dict[JobId, None]] = defaultdict(dict)
         self._finished_runs: dict[JobId, list[FinishedRunRef]] = defaultdict(list)
+        self._held: dict[JobId, JobProgress] = {}
 
     def add_job(self, job: JobProgress) -> None:
         """Add a job whose progress may still have to be restored."""
@@ -66,6 +72,7 @@
     def remove_job(self, job: JobProgress) -> None:
         """Remove a job whose retention time is over."""
         del self.jobs[job.record.job]
+        self._held.pop(job.record.job, None)
         self._open_jobs.pop(job.record.job, None)
 
     def list_open_jobs(self) -> list[JobProgress]:
@@ -192,7 +199,8 @@
             finished_run: Finished run that may be acknowledged once the progress is
                 stored.
         """
-        self._changed[job.record.queue][job.record.job] = None
+        if not job.held_until:
+            self._changed[job.record.queue][job.record.job] = None
         if finished_run is not None:
             self._finished_runs[job.record.job].append(finished_run)
 
@@ -203,7 +211,23 @@
         """
         if not job.has_started_tasks:
             job.has_started_tasks = True
-            self._deferred[job.record.queue][job.record.job] = None
+            if not job.held_until:
+                self._deferred[job.record.queue][job.record.job] = None
+
+    def hold_job(self, job: JobProgress, until: float) -> None:
+        """Neither plan a job nor store its progress until a time in seconds."""
+        job.held_until = until
+        self._held[job.record.job] = job
+        self._changed[job.record.queue].pop(job.record.job, None)
+        self._deferred[job.record.queue].pop(job.record.job, None)
+
+    def release_held_jobs(self, now: float) -> None:
+        """Store the progress of the held jobs whose time has come."""
+        for name, job in list(self._held.items()):
+            if now >= job.held_until:
+                del self._held[name]
+                job.held_until = 0.0
+                self.mark_changed(job)
 
     def changed_queues(self) -> list[QueueId]:
         """Return the queues whose jobs have unstored progress that is not deferred."""
@@ -227,18 +251,24 @@
 
         Args:
             queue: Queue that the jobs were submitted to.
-            limit: Maximum number of jobs.
+            limit: Maximum number of jobs; there are fewer if a transaction would become
+                too large.
         """
         job_ids = list(self._changed[queue] | self._deferred[queue])[:limit]
-        changes = []
+        changes: list[JobChange] = []
+        size = 0
         for job_id in job_ids:
+            job = self.jobs.get(job_id)
+            document = job.to_document() if job is not None else {}
+            size += estimate_document_bytes(document)
+            if changes and size > TRANSACTION_LIMIT_BYTES:
+                break
             self._changed[queue].pop(job_id, None)
             self._deferred[queue].pop(job_id, None)
             finished_runs = self._finished_runs.pop(job_id, [])
-            job = self.jobs.get(job_id)
             if job is not None:
                 starts = [
                     run for run in job.active_runs() if run.stage is RunStage.PLANNED
                 ]
-                changes.append(JobChange(job, job.to_document(), starts, finished_runs))
+                changes.append(JobChange(job, document, starts, finished_runs))
         return changes
--- a/jujubebarrow/coordinators/step_states.py
+++ b/jujubebarrow/coordinators/step_states.py
@@ -1,7 +1,12 @@
 """State of the tasks of one step in one occurrence of a job."""
 
 from jujubebarrow.coordinators.task_states import TaskState
-from jujubebarrow.workloads.step_specs import StepSpec
+from jujubebarrow.workloads.step_specs import (
+    CHECKPOINT_BYTES,
+    STEP_BYTES,
+    TASKS_PER_MASK_BYTE,
+    StepSpec,
+)
 
 REPEATED_CRASH_COUNT = 2
 """Crashes in a row from which on they are hardly by chance."""
@@ -43,6 +48,17 @@
         """Whether a task has crashed its workers repeatedly."""
         return any(task.crashes >= REPEATED_CRASH_COUNT for task in self.tasks)
 
+    @property
+    def document_bytes(self) -> int:
+        """Bound of the step's part of the stored progress, in bytes."""
+        task_bytes = self.spec.task_bytes
+        size = STEP_BYTES + len(self.tasks) // TASKS_PER_MASK_BYTE
+        for task in self.tasks:
+            if task.is_done or not (task.last_run or self.spec.starts_together):
+                continue
+            size += task_bytes + max(0, len(task.checkpoint) - CHECKPOINT_BYTES)
+        return size
+
     def mark_done(self, index: int) -> None:
         """Mark a task as done; all tasks of a gang become done together."""
         indexes = range(len(self.tasks)) if self.spec.gang else (index,)
--- a/jujubebarrow/errors/exceptions.py
+++ b/jujubebarrow/errors/exceptions.py
@@ -65,6 +65,17 @@
         self.may_have_applied = may_have_applied
 
 
+class InvalidCallError(StoreError):
+    """The store refuses a call for its content; a repeat would be refused as well.
+
+    Args:
+        detail: Cause of the refusal.
+    """
+
+    def __init__(self, detail: str):
+        super().__init__(detail, may_have_applied=False)
+
+
 class SlowResponseError(StoreError):
     """Only a part of the store's response arrived within the timeout.
 
--- a/jujubebarrow/platform/main.py
+++ b/jujubebarrow/platform/main.py
@@ -59,6 +59,8 @@
 SUPERSEDED_RENEWAL_SECONDS = 2.0
 """Time for which an owner that cannot reach the store still renews leases after another
 instance may have taken over."""
+ENVELOPE_BYTES = 1000
+"""Part of a row that is left for the names and the nonce around a value."""
 RETENTION_MARGIN_SECONDS = 30.0
 """Time added to the platform's retention of job outcomes."""
 CALLER_DRAIN_SECONDS = 2.6
@@ -245,6 +247,7 @@
             stop_grace=settings.stop_grace,
             early_start=settings.early_start / 2,
             retention=settings.retention + RETENTION_MARGIN_SECONDS,
+            row_limit=settings.row_limit * 3 // 4 - ENVELOPE_BYTES,
         ),
         downtime=settings.downtime,
         machine_lease=settings.machine_lease,
--- a/jujubebarrow/platform/settings_files.py
+++ b/jujubebarrow/platform/settings_files.py
@@ -13,6 +13,7 @@
 """Processor cores of a machine of which nothing is known."""
 DEFAULT_LINK_MBPS = 1000.0
 """Rate of a network link of which nothing is known."""
+DEFAULT_ROW_LIMIT_BYTES = 65_536
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -46,6 +47,7 @@
         absence_window: Time for which a task counts as unavailable after an
             absence.
         link_mbps: Bandwidth of the machine's network link in Mbit/s.
+        row_limit: Largest value of a row of the store, in bytes of base64.
         cores: Processor cores that the process can use; below 1 for a slow core.
     """
 
@@ -71,6 +73,7 @@
     interference_tolerance: float
     absence_window: float
     link_mbps: float
+    row_limit: int
     cores: float
 
 
@@ -162,6 +165,8 @@
             absence_window=self._milliseconds("Bounds.NoticeMs", 4.5),
             link_mbps=self._number("Limits.LinkMbps", DEFAULT_LINK_MBPS)
             or DEFAULT_LINK_MBPS,
+            row_limit=int(self._number("platform.RowBytes", DEFAULT_ROW_LIMIT_BYTES))
+            or DEFAULT_ROW_LIMIT_BYTES,
             cores=self._number("Limits.CpuShare", DEFAULT_CORES) or DEFAULT_CORES,
         )
         if self._faults:
--- a/jujubebarrow/platform/stores.py
+++ b/jujubebarrow/platform/stores.py
@@ -10,6 +10,7 @@
 
 from jujubebarrow.errors.exceptions import (
     HistoryLostError,
+    InvalidCallError,
     SlowResponseError,
     StoreError,
 )
@@ -24,7 +25,7 @@
 from jujubebarrow.stores.row_keys import RowKey
 from jujubebarrow.stores.row_pages import RowPage
 from jujubebarrow.stores.rows import Row, RowSet
-from jujubebarrow.stores.stores import Store
+from jujubebarrow.stores.stores import INVALID_CALL_STATUSES, Store
 from jujubebarrow.stores.transactions import Transaction
 from jujubebarrow.transports.http_clients import (
     ClientResponse,
@@ -214,8 +215,10 @@
 
 
 def _make_status_error(response: ClientResponse) -> StoreError:
+    if response.status in INVALID_CALL_STATUSES:
+        return InvalidCallError(f"status {response.status}")
     # With one of these statuses the store applied nothing.
-    is_rejected = response.status in (400, 403, 404, 413, 429, 503, 507)
+    is_rejected = response.status in (404, 429, 503, 507)
     return StoreError(f"status {response.status}", not is_rejected)
 
 
--- a/jujubebarrow/runtimes/entry_nodes.py
+++ b/jujubebarrow/runtimes/entry_nodes.py
@@ -160,7 +160,14 @@
             metrics,
         )
         self.start_executor = StartExecutor(gateway, backlog)
-        self.intake = JobIntake(store, self._find_phase, clock, log, metrics)
+        self.intake = JobIntake(
+            store,
+            self._find_phase,
+            clock,
+            log,
+            metrics,
+            options.coordinator_options.row_limit,
+        )
 
     @property
     def is_ready(self) -> bool:
--- a/jujubebarrow/runtimes/job_intakes.py
+++ b/jujubebarrow/runtimes/job_intakes.py
@@ -8,6 +8,7 @@
 from jujubebarrow.clocks.clocks import Clock
 from jujubebarrow.coordinators.job_progresses import PHASE_KEY
 from jujubebarrow.errors.exceptions import (
+    InvalidCallError,
     RefusalError,
     StoreError,
     TransactionConflictError,
@@ -51,6 +52,7 @@
         clock: Time source.
         log: Decision log.
         metrics: Registry of the counters.
+        row_limit: Largest value of a stored row in bytes.
     """
 
     def __init__(
@@ -60,7 +62,9 @@
         clock: Clock,
         log: DecisionLog,
         metrics: MetricsRegistry,
+        row_limit: int,
     ):
+        self._row_limit = row_limit
         self._store = store
         self._find_phase = find_phase
         self._clock = clock
@@ -96,6 +100,9 @@
         if error_text:
             raise RefusalError(ErrorKind.BAD_REQUEST, error_text)
         record = _make_record(route, team, job, submission, self._clock.wall())
+        error_text = record.find_size_error(self._row_limit)
+        if error_text:
+            raise RefusalError(ErrorKind.NEVER_RUNS, error_text)
         writes: dict[str, dict[str, Any] | None] = {
             make_job_key(route.queue, job): record.to_document()
         }
@@ -129,6 +136,8 @@
         )
 
     def _make_refusal(self, error: StoreError) -> RefusalError:
+        if isinstance(error, InvalidCallError):
+            return RefusalError(ErrorKind.NEVER_RUNS, str(error))
         if error.may_have_applied:
             return RefusalError(ErrorKind.RUN_UNKNOWN, str(error), STORE_RETRY_SECONDS)
         return RefusalError(
--- a/jujubebarrow/runtimes/progress_writers.py
+++ b/jujubebarrow/runtimes/progress_writers.py
@@ -9,7 +9,11 @@
 from jujubebarrow.coordinators.job_changes import JobChange
 from jujubebarrow.coordinators.job_progresses import JobProgress
 from jujubebarrow.coordinators.pool_coordinators import PoolCoordinator
-from jujubebarrow.errors.exceptions import StoreError, TransactionConflictError
+from jujubebarrow.errors.exceptions import (
+    InvalidCallError,
+    StoreError,
+    TransactionConflictError,
+)
 from jujubebarrow.identifiers import PoolId, QueueId
 from jujubebarrow.links.link_backlogs import LinkBacklog
 from jujubebarrow.logs.decision_logs import DecisionLog
@@ -181,7 +185,11 @@
                 record = change.progress.record.make_compact(change.outcome)
                 writes[make_job_key(queue, job)] = record.to_document()
         started_at = self._clock.monotonic()
-        conflicts = await self.commit(queue, writes, absent_rows)
+        try:
+            conflicts = await self.commit(queue, writes, absent_rows)
+        except InvalidCallError as error:
+            await self._handle_refusal(queue, changes, error)
+            return
         now = self._clock.monotonic()
         self._metrics.record_latency(queue, "store-progress", now - started_at)
         if not conflicts:
@@ -194,6 +202,26 @@
                     self._coordinator.cancel_job(job)
         self._on_outcome()
 
+    async def _handle_refusal(
+        self, queue: QueueId, changes: list[JobChange], error: InvalidCallError
+    ) -> None:
+        """Store the changes of a refused transaction in smaller ones.
+
+        Only the job whose progress the store refuses by itself is set aside.
+        """
+        self._metrics.count("store_refused", queue)
+        if len(changes) == 1:
+            now = self._clock.monotonic()
+            self._coordinator.hold_refused_change(changes[0], str(error), now)
+            self._on_outcome()
+            return
+        self._log.write(
+            "transaction_divided", queue=queue, jobs=len(changes), detail=str(error)
+        )
+        middle = len(changes) // 2
+        await self._write(queue, changes[:middle])
+        await self._write(queue, changes[middle:])
+
     async def commit(
         self,
         queue: QueueId,
@@ -215,6 +243,7 @@
 
         Raises:
             DisplacedError: Another instance has taken over the pool.
+            InvalidCallError: The store refuses the transaction for its content.
         """
         fence = make_fence_key(queue, self._pool)
         counted_at = self._clock.monotonic()
@@ -247,6 +276,9 @@
                 return []
             except TransactionConflictError as error:
                 return error.keys
+            except InvalidCallError:
+                # A repeat would be refused as well and hold up all jobs of the queue.
+                raise
             except StoreError as error:
                 self._metrics.count("retry", "progress")
                 self._metrics.count("store_unanswered", str(error)[:40])
--- a/jujubebarrow/standins/emulated_stores.py
+++ b/jujubebarrow/standins/emulated_stores.py
@@ -3,9 +3,14 @@
 from asyncio import get_running_loop, sleep
 from random import Random
 
+import cbor2
 from msgspec import json
 
-from jujubebarrow.errors.exceptions import HistoryLostError, StoreError
+from jujubebarrow.errors.exceptions import (
+    HistoryLostError,
+    InvalidCallError,
+    StoreError,
+)
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.standins.tables import Table
 from jujubebarrow.stores.commit_results import CommitResult
@@ -18,6 +23,11 @@
 ONE_WAY_DELAY_SECONDS = 0.004
 RESPONSE_TIMEOUT_SECONDS = 0.9
 """Time without a response after which a call counts as unanswered."""
+ENTRY_LIMIT = 100
+"""Most conditions and writes of a transaction."""
+ROW_LIMIT_BYTES = 65_536
+TRANSACTION_LIMIT_BYTES = 1_000_000
+BASE64_FACTOR = 4 / 3
 LATE_WRITE_RANGE_SECONDS = (1.0, 6.0)
 """Range of the delay after which the store applies a late write."""
 
@@ -44,6 +54,9 @@
         response_loss_keys: Keys whose commits are applied although the response is
             lost.
         oldest_readable_revision: Lowest revision from which changes can still be read.
+        refused_keys: Keys whose writes are refused for good, like those of rows that
+            are too large.
+        refusal_count: Number of transactions that were refused for good.
         history_truncation_count: Number of truncations of the history. A truncation
             makes all waiting reads of changes fail.
     """
@@ -57,10 +70,31 @@
         self.response_loss_probability = 0.0
         self.late_write_probability = 0.0
         self.response_loss_keys: set[str] = set()
+        self.refused_keys: set[str] = set()
+        self.refusal_count = 0
         self.oldest_readable_revision = 0
         self.history_truncation_count = 0
         self._busy_until: dict[str, float] = {}
 
+    def check_limits(self, transaction: Transaction) -> None:
+        """Refuse a transaction that exceeds a limit of the store.
+
+        Raises:
+            InvalidCallError: A row, the transaction or its entries are too large.
+        """
+        sizes = [
+            BASE64_FACTOR * len(cbor2.dumps(value))
+            for value in transaction.writes.values()
+        ]
+        if (
+            len(transaction.conditions) + len(transaction.writes) > ENTRY_LIMIT
+            or max(sizes, default=0.0) > ROW_LIMIT_BYTES
+            or sum(sizes) > TRANSACTION_LIMIT_BYTES
+            or not self.refused_keys.isdisjoint(transaction.writes)
+        ):
+            self.refusal_count += 1
+            raise InvalidCallError("status 413")
+
     async def wait_for_turn(self, transaction: Transaction) -> None:
         """Wait until the partitions of a transaction have completed it."""
         if not self.commit_seconds:
@@ -136,6 +170,7 @@
         """Make one attempt to commit a transaction.
 
         Raises:
+            InvalidCallError: The transaction exceeds a limit of the store.
             StoreError: The store was unreachable, rejected the call, or its response
                 was lost.
         """
@@ -145,6 +180,7 @@
             await sleep(RESPONSE_TIMEOUT_SECONDS)
             raise StoreError("no answer", True)
         shared = self._shared
+        shared.check_limits(transaction)
         await shared.wait_for_turn(transaction)
         draw = shared.random.random()
         if draw < shared.late_write_probability:
--- a/jujubebarrow/stores/http_stores.py
+++ b/jujubebarrow/stores/http_stores.py
@@ -8,12 +8,12 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPResponse
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
-from jujubebarrow.errors.exceptions import StoreError
+from jujubebarrow.errors.exceptions import InvalidCallError, StoreError
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.stores.commit_results import CommitResult
 from jujubebarrow.stores.instance_lists import InstanceList
 from jujubebarrow.stores.rows import RowSet
-from jujubebarrow.stores.stores import Store
+from jujubebarrow.stores.stores import INVALID_CALL_STATUSES, Store
 from jujubebarrow.stores.transactions import Transaction
 
 ROW_SET_LIMIT_BYTES = 256 * 1024 * 1024
@@ -97,5 +97,7 @@
             raise StoreError(str(error)) from error
         if response.code not in (200, 409):
             self._metrics.count("store_failure", str(response.code))
+            if response.code in INVALID_CALL_STATUSES:
+                raise InvalidCallError(f"status {response.code}")
             raise StoreError(f"status {response.code}")
         return response
--- a/jujubebarrow/stores/relay_messages.py
+++ b/jujubebarrow/stores/relay_messages.py
@@ -6,7 +6,11 @@
 import cbor2
 from msgspec import ValidationError, convert
 
-from jujubebarrow.errors.exceptions import HistoryLostError, StoreError
+from jujubebarrow.errors.exceptions import (
+    HistoryLostError,
+    InvalidCallError,
+    StoreError,
+)
 from jujubebarrow.stores.commit_results import CommitResult
 from jujubebarrow.stores.row_errors import ROW_ERRORS
 from jujubebarrow.stores.row_pages import RowPage
@@ -22,6 +26,7 @@
 CHANGES = "changes"
 PARTITIONS = "partitions"
 HISTORY_LOST = "history-lost"
+INVALID_CALL = "is_invalid"
 
 Result = TypeVar("Result")
 
@@ -55,6 +60,10 @@
         return cbor2.dumps({"answer": await _execute_operation(operation, call, store)})
     except HistoryLostError:
         return cbor2.dumps({"error": HISTORY_LOST, "may_have_applied": False})
+    except InvalidCallError as error:
+        return cbor2.dumps(
+            {"error": str(error), "may_have_applied": False, INVALID_CALL: True}
+        )
     except StoreError as error:
         return cbor2.dumps(
             {"error": str(error), "may_have_applied": error.may_have_applied}
@@ -86,6 +95,7 @@
 
     Raises:
         HistoryLostError: The store no longer has all requested changes.
+        InvalidCallError: The store refuses the call for its content.
         StoreError: The store call failed on the relaying instance, or the response is
             not a CBOR map.
     """
@@ -94,10 +104,13 @@
         error = document.get("error")
         answer = document["answer"] if error is None else None
         may_have_applied = bool(document.get("may_have_applied", True))
+        is_invalid = bool(document.get(INVALID_CALL, False))
     except (cbor2.CBORDecodeError, *ROW_ERRORS) as decode_error:
         raise StoreError(f"unreadable relay: {decode_error!r}") from decode_error
     if error == HISTORY_LOST:
         raise HistoryLostError("relayed")
+    if is_invalid:
+        raise InvalidCallError(f"relayed: {error}")
     if error is not None:
         raise StoreError(f"relayed: {error}", may_have_applied)
     return answer
--- a/jujubebarrow/stores/relayed_stores.py
+++ b/jujubebarrow/stores/relayed_stores.py
@@ -15,6 +15,7 @@
 from jujubebarrow.clocks.clocks import Clock
 from jujubebarrow.errors.exceptions import (
     HistoryLostError,
+    InvalidCallError,
     SlowResponseError,
     StoreError,
 )
@@ -171,7 +172,7 @@
         sent_at = self._clock.monotonic()
         try:
             result = await call()
-        except (HistoryLostError, SlowResponseError):
+        except (HistoryLostError, InvalidCallError, SlowResponseError):
             # The store is reachable.
             self._record_success(sent_at)
             raise
@@ -185,7 +186,7 @@
         self._metrics.count("store_relay")
         try:
             result = await self._relay.call(address, body, wait)
-        except (HistoryLostError, SlowResponseError):
+        except (HistoryLostError, InvalidCallError, SlowResponseError):
             self._selector.record_success(address)
             raise
         except StoreError:
@@ -226,7 +227,7 @@
         for address in self._choose_relays():
             try:
                 return await call_relay(address)
-            except (HistoryLostError, SlowResponseError):
+            except (HistoryLostError, InvalidCallError, SlowResponseError):
                 raise
             except StoreError:
                 # The next instance or the direct call may still succeed.
@@ -239,6 +240,8 @@
             body = encode_commit(transaction)
             try:
                 return decode_commit(await self._call_relay(address, body))
+            except InvalidCallError:
+                raise
             except StoreError as error:
                 if error.may_have_applied:
                     raise
--- a/jujubebarrow/stores/stores.py
+++ b/jujubebarrow/stores/stores.py
@@ -2,7 +2,11 @@
 
 from abc import ABC, abstractmethod
 
-from jujubebarrow.errors.exceptions import StoreError, TransactionConflictError
+from jujubebarrow.errors.exceptions import (
+    InvalidCallError,
+    StoreError,
+    TransactionConflictError,
+)
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.stores.commit_results import CommitResult
 from jujubebarrow.stores.instance_lists import InstanceList
@@ -12,6 +16,8 @@
 from jujubebarrow.stores.transactions import Transaction
 
 COMMIT_ATTEMPTS = 3
+INVALID_CALL_STATUSES = frozenset({400, 403, 413})
+"""HTTP statuses of calls that break a rule of the store, such as the size of a row."""
 
 
 class Store(ABC):
@@ -37,6 +43,7 @@
 
         Raises:
             TransactionConflictError: A condition did not hold.
+            InvalidCallError: The store refuses the transaction for its content.
             StoreError: All attempts failed; ``may_have_applied`` tells whether one of
                 the attempts may have taken effect.
         """
@@ -46,6 +53,8 @@
             attempts += 1
             try:
                 return await self._commit_once(transaction)
+            except InvalidCallError:
+                raise
             except StoreError as error:
                 is_uncertain = is_uncertain or error.may_have_applied
                 if attempts == self.commit_attempts:
--- a/jujubebarrow/workloads/job_records.py
+++ b/jujubebarrow/workloads/job_records.py
@@ -3,6 +3,7 @@
 from dataclasses import MISSING, dataclass, fields
 from typing import Any
 
+import cbor2
 from msgspec import convert, to_builtins
 
 from jujubebarrow.identifiers import JobId, PoolId, QueueId, TeamId
@@ -10,6 +11,13 @@
 from jujubebarrow.workloads.resources import Resources
 from jujubebarrow.workloads.step_specs import StepSpec
 
+TASK_LIMIT = 10_000
+"""Most tasks of one occurrence of a job."""
+OCCURRENCE_LIMIT = 5_000
+"""Most occurrences of a job; the stored progress lists the finished ones."""
+RESERVED_ROW_SHARE = 0.75
+"""Part of the row with a job's progress that may be reserved before any start; the rest
+is for tasks that run one after the other."""
 OUTCOME_KEY = "outcome"
 """Key of the final phase in the stored form of a closed job."""
 
@@ -64,6 +72,11 @@
         """Number of tasks of one occurrence."""
         return sum(step.count for step in self.steps)
 
+    @property
+    def reserved_bytes(self) -> int:
+        """Bound of what an occurrence adds to the stored progress before any start."""
+        return sum(step.reserved_bytes for step in self.steps)
+
     @property
     def estimated_work(self) -> float:
         """Estimated work of one occurrence in core-seconds."""
@@ -88,6 +101,26 @@
         """Number of times that the steps are run."""
         return max(1, self.occurrences)
 
+    def find_size_error(self, row_limit: int) -> str:
+        """Return why the job's rows would be too large; empty if they are not.
+
+        Args:
+            row_limit: Largest value of a stored row in bytes.
+        """
+        if self.task_count > TASK_LIMIT:
+            return f"{self.task_count} tasks, the limit is {TASK_LIMIT}"
+        if self.occurrence_count > OCCURRENCE_LIMIT:
+            return f"{self.occurrence_count} runs, the limit is {OCCURRENCE_LIMIT}"
+        reserved = self.reserved_bytes
+        if self.is_long_running:
+            # Its occurrences never end, so that all of them are open in the end.
+            reserved *= self.occurrence_count
+        if reserved > RESERVED_ROW_SHARE * row_limit:
+            return "too many tasks that run together or until they are cancelled"
+        if len(cbor2.dumps(self.to_document())) > row_limit:
+            return "the payload and the steps are too long"
+        return ""
+
     def earliest_start(self, occurrence: int) -> float:
         """Return the earliest start of an occurrence as a Unix time in seconds."""
         if not self.occurrences:
--- a/jujubebarrow/workloads/step_specs.py
+++ b/jujubebarrow/workloads/step_specs.py
@@ -4,6 +4,16 @@
 
 from jujubebarrow.workloads.resources import NO_RESOURCES, Resources
 
+STEP_BYTES = 32
+"""Bound of what a step without started tasks adds to the stored progress, besides the
+mask of its done tasks."""
+TASKS_PER_MASK_BYTE = 4
+TASK_BYTES = 72
+"""Bound of what a started task adds to the stored progress: its numbers, its counts and
+a worker's id of up to 24 bytes."""
+CHECKPOINT_BYTES = 40
+"""Bound of a checkpoint's usual size."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class StepSpec:
@@ -60,3 +70,19 @@
     def estimated_work(self) -> float:
         """Estimated work of all tasks in core-seconds."""
         return self.count * self.needs.cpu / 1000 * self.estimate
+
+    @property
+    def task_bytes(self) -> int:
+        """Bound of what a started task adds to the stored progress, in bytes."""
+        return TASK_BYTES + (CHECKPOINT_BYTES if self.checkpoints else 0)
+
+    @property
+    def starts_together(self) -> bool:
+        """Whether all tasks run at the same time, so that all have to be recorded."""
+        return self.gang or self.long_running
+
+    @property
+    def reserved_bytes(self) -> int:
+        """Bound of what the step adds to the stored progress before any start."""
+        size = STEP_BYTES + self.count // TASKS_PER_MASK_BYTE
+        return size + (self.count * self.task_bytes if self.starts_together else 0)
