Never fail a job because its workers were lost

Cause: LossRecorder gave a task up, and its job with it, after three workers in a row that were lost right after its start or five lost at any time. A lapsed lease counted as such a loss, so that silence was taken for a crash and an inference for an attempt.

Only failed runs fail a job now. A task whose workers are lost again and again is started later and later, prefers workers without runs, and keeps others off its worker; losses of a worker that responds again without a restart are taken back.

--- a/jujubebarrow/coordinators/active_runs.py
+++ b/jujubebarrow/coordinators/active_runs.py
@@ -52,6 +52,8 @@
         first_sent_at: Time in seconds at which this process sent the first start order;
             0 if it sent none.
         is_suspect: Whether the task's former run may have crashed its worker.
+        is_isolated: Whether no other run may start on the worker during this one, since
+            the task has lost several workers.
         is_proven: Whether the worker has responded long enough after the start of the
             run to show that the start did not crash it.
         is_loss_recorded: Whether the loss of the worker counts against the task.
@@ -79,6 +81,7 @@
     is_start_sent: bool = False
     first_sent_at: float = 0.0
     is_suspect: bool = False
+    is_isolated: bool = False
     is_proven: bool = False
     is_loss_recorded: bool = False
     ticket: str = ""
--- a/jujubebarrow/coordinators/planners.py
+++ b/jujubebarrow/coordinators/planners.py
@@ -188,11 +188,15 @@
         planned = []
         run_counts = count_runs_by_worker(step)
         # Suspects have fewer workers to choose from and must not keep others waiting.
-        waiting = job.list_recordable(step, self._state.options.row_limit)
+        waiting = [
+            index
+            for index in job.list_recordable(step, self._state.options.row_limit)
+            if not self._is_delayed(step, step.tasks[index], now)
+        ]
         waiting.sort(key=lambda index: step.tasks[index].is_suspect)
         for placed_count, index in enumerate(waiting):
             task = step.tasks[index]
-            worker = _choose_worker(step, task, workers, run_counts, now, wall)
+            worker = self._choose_worker(step, task, workers, run_counts, now, wall)
             victims = None
             if worker is None and step.spec.long_running:
                 victims = self._find_preemptible_runs(step, workers, run_counts)
@@ -219,6 +223,41 @@
             self._waits.clear((job.record.job, *position))
         return planned
 
+    def _compute_wait(self, task: TaskState, now: float) -> float:
+        """Return for how many seconds this owner has kept a task waiting."""
+        return now - max(task.absent_since, self._state.owned_since)
+
+    def _is_delayed(self, step: StepState, task: TaskState, now: float) -> bool:
+        """Return whether a task that may crash its workers has to wait."""
+        return self._compute_wait(task, now) < step.compute_restart_delay(task)
+
+    def _choose_worker(
+        self,
+        step: StepState,
+        task: TaskState,
+        workers: list[WorkerView],
+        run_counts: Counter[WorkerId],
+        now: float,
+        wall: float,
+    ) -> WorkerView | None:
+        """Return the worker for a task, or None if no worker is suitable.
+
+        A suspect waits some time for a worker that has been up for long, since one that
+        has just started may crash by itself. A finite task that has lost several
+        workers also waits for a worker without runs, for as long as it was delayed.
+        """
+        if task.is_suspect:
+            delay = step.compute_restart_delay(task)
+            wait = self._compute_wait(task, now) - delay
+            if wait < ESTABLISHED_WAIT_SECONDS:
+                started_before = 1000 * (wall - ESTABLISHED_SECONDS)
+                workers = [w for w in workers if w.started_at_ms <= started_before]
+            if wait < delay and not step.spec.long_running:
+                workers = [worker for worker in workers if not worker.runs]
+        return choose_worker(
+            step.spec, workers, run_counts, task.avoided_worker, task.is_suspect
+        )
+
     def _request_start(self, job: JobProgress, step: StepState, count: int) -> bool:
         """Return whether a task of a step fits into the team's grant.
 
@@ -286,6 +325,8 @@
         indexes = step.waiting
         if len(indexes) < len(step.tasks):
             return []
+        if any(self._is_delayed(step, task, now) for task in step.tasks):
+            return []
         chosen = choose_gang(step.spec, len(indexes), workers)
         if chosen is None:
             return []
@@ -315,6 +356,7 @@
         worker: WorkerView,
         now: float,
     ) -> ActiveRun:
+        task = step.tasks[key.index]
         run = ActiveRun(
             task=key,
             run=number,
@@ -322,7 +364,8 @@
             reserved=step.spec.reserved,
             usage=step.spec.needs,
             is_long_running=step.spec.long_running,
-            is_suspect=step.tasks[key.index].is_suspect,
+            is_suspect=task.is_suspect,
+            is_isolated=step.compute_restart_delay(task) > 0,
             ticket=self._state.advice.find_ticket(key[:3], worker.incarnation, now),
         )
         job.record_planned_run(run)
@@ -394,27 +437,6 @@
         return victims if step.spec.reserved.fits(free_capacity) else None
 
 
-def _choose_worker(
-    step: StepState,
-    task: TaskState,
-    workers: list[WorkerView],
-    run_counts: Counter[WorkerId],
-    now: float,
-    wall: float,
-) -> WorkerView | None:
-    """Return the worker for a task, or None if no worker is suitable.
-
-    A suspect waits some time for a worker that has been up for long, since one that has
-    just started may crash by itself.
-    """
-    if task.is_suspect and now - task.absent_since < ESTABLISHED_WAIT_SECONDS:
-        started_before = 1000 * (wall - ESTABLISHED_SECONDS)
-        workers = [w for w in workers if w.started_at_ms <= started_before]
-    return choose_worker(
-        step.spec, workers, run_counts, task.avoided_worker, task.is_suspect
-    )
-
-
 def count_runs_by_worker(step: StepState) -> Counter[WorkerId]:
     """Return the number of a step's active runs on each worker."""
     return Counter(task.active.worker for task in step.tasks if task.active is not None)
--- a/jujubebarrow/coordinators/reconcilers.py
+++ b/jujubebarrow/coordinators/reconcilers.py
@@ -49,6 +49,7 @@
             return []
         foreign_lease = self._state.options.compute_foreign_lease(report.clock)
         worker.record_contact(report.clock, now, foreign_lease)
+        self._losses.record_response(worker)
         orphans = []
         listed: set[tuple[TaskKey, RunNumber]] = set()
         for running in report.running:
--- a/jujubebarrow/coordinators/step_states.py
+++ b/jujubebarrow/coordinators/step_states.py
@@ -59,6 +59,10 @@
             size += task_bytes + max(0, len(task.checkpoint) - CHECKPOINT_BYTES)
         return size
 
+    def compute_restart_delay(self, task: TaskState) -> float:
+        """Return for how many seconds a task of the step waits after its last run."""
+        return task.compute_restart_delay(self.spec.long_running)
+
     def mark_done(self, index: int) -> None:
         """Mark a task as done; all tasks of a gang become done together."""
         indexes = range(len(self.tasks)) if self.spec.gang else (index,)
--- a/jujubebarrow/coordinators/task_states.py
+++ b/jujubebarrow/coordinators/task_states.py
@@ -7,6 +7,15 @@
 
 SUSPECT_LOSS_COUNT = 2
 """Lost workers from which on a task counts as suspect, however late it lost them."""
+DELAYED_CRASH_COUNT = 3
+"""Crashes in a row from which on a task waits before it is started again."""
+DELAYED_LOSS_COUNT = 5
+"""Lost workers from which on a finite task waits, however late it lost them."""
+RESTART_DELAY_SECONDS = 1.0
+"""First of these waits; each further crash doubles the wait."""
+RESTART_DELAY_LIMIT_SECONDS = 32.0
+LONG_RUNNING_DELAY_LIMIT_SECONDS = 4.0
+"""Longest wait of a long-running task, whose absence its users notice."""
 
 
 @dataclass(slots=True, eq=False)
@@ -41,3 +50,21 @@
     def is_suspect(self) -> bool:
         """Whether the task may be the one that crashes its workers."""
         return self.crashes > 0 or self.losses >= SUSPECT_LOSS_COUNT
+
+    def compute_restart_delay(self, is_long_running: bool) -> float:
+        """Return for how many seconds a task waits that may crash its workers.
+
+        A long-running task loses workers by chance in the course of time, so that only
+        those count that were lost right after its start.
+
+        Args:
+            is_long_running: Whether the task runs until its job is cancelled.
+        """
+        excess = self.crashes - DELAYED_CRASH_COUNT
+        limit = LONG_RUNNING_DELAY_LIMIT_SECONDS
+        if not is_long_running:
+            excess = max(excess, self.losses - DELAYED_LOSS_COUNT)
+            limit = RESTART_DELAY_LIMIT_SECONDS
+        if excess < 0:
+            return 0.0
+        return min(limit, RESTART_DELAY_SECONDS * 2.0**excess)
--- a/jujubebarrow/coordinators/worker_views.py
+++ b/jujubebarrow/coordinators/worker_views.py
@@ -116,7 +116,7 @@
 
     @property
     def has_unproven_suspect(self) -> bool:
-        """Whether a run may be about to crash the worker; no other may start then."""
+        """Whether a run may crash the worker; no other may start then."""
         return bool(self._unproven_suspects)
 
     @property
@@ -178,7 +178,8 @@
     def prove_run(self, run: ActiveRun) -> None:
         """Record that the worker has survived the start of a run."""
         run.is_proven = True
-        self._unproven_suspects.discard((run.task, run.run))
+        if not run.is_isolated:
+            self._unproven_suspects.discard((run.task, run.run))
 
     def record_unacknowledged_start(self, run: ActiveRun) -> None:
         """Record an unacknowledged start, which the worker may execute late."""
--- a/jujubebarrow/placements/placers.py
+++ b/jujubebarrow/placements/placers.py
@@ -49,25 +49,28 @@
         workers: Workers that accept tasks.
         run_counts: Number of the step's active runs, by worker.
         avoided_worker: Worker on which the task last failed or stalled.
-        is_suspect: Whether the task may crash its worker; it is kept away from workers
-            with long-running tasks.
+        is_suspect: Whether the task may crash its worker; it is kept away from other
+            runs, most of all from long-running tasks.
     """
     best: WorkerView | None = None
-    best_rank: tuple[bool, bool, bool, bool, bool, int] | None = None
+    best_rank: tuple[bool, bool, bool, bool, int, int] | None = None
     for worker in workers:
         if not can_run(step, worker, run_counts[worker.worker]):
             continue
         is_near_data = not step.data_rack or step.data_rack in worker.labels
         if is_suspect:
-            is_preferred = not worker.has_long_running
+            preference = (not worker.has_long_running) + (not worker.runs)
         else:
-            is_preferred = worker.has_long_running and not step.long_running
+            preference = int(worker.has_long_running and not step.long_running)
+        has_step = (
+            not (step.long_running or is_suspect) and run_counts[worker.worker] > 0
+        )
         rank = (
             is_near_data,
             worker.worker != avoided_worker,
             not (step.long_running and worker.score.is_maintenance_due),
-            not step.long_running and run_counts[worker.worker] > 0,
-            is_preferred,
+            has_step,
+            preference,
             worker.free.cpu,
         )
         if best_rank is None or rank > best_rank:
