Take a run for lost only if its worker has listed all of its ends

Cause: a run in neither list of its worker counted as over, although a list of 500 ends may be a part.

The adapter tells whether the list is complete; the emulated workers list 500 ends as well.

--- a/jujubebarrow/coordinators/reconcilers.py
+++ b/jujubebarrow/coordinators/reconcilers.py
@@ -66,7 +66,9 @@
             if worker.record_finished(finished.number):
                 self._handle_finished(worker, finished, now)
         for key, run in list(worker.runs.items()):
-            if key not in listed and _must_be_listed(run, sent_at):
+            if key in listed or not report.lists_all_ends:
+                continue
+            if _must_be_listed(run, sent_at):
                 self.record_unreported_end(
                     worker, run, "not in the worker's lists", now
                 )
--- a/jujubebarrow/platform/workers.py
+++ b/jujubebarrow/platform/workers.py
@@ -40,6 +40,8 @@
 RENEWAL_MARGIN_SECONDS = 0.4
 """Time for the response to a lease renewal in addition to the requested wait."""
 
+LISTED_ENDS_LIMIT = 500
+"""Most finished runs in a worker's response."""
 START_PATH = "/-/run-start"
 RENEWAL_PATH = "/-/hold"
 TRAFFIC_KINDS = {START_PATH: TrafficKind.START, RENEWAL_PATH: TrafficKind.RENEWAL}
@@ -190,15 +192,15 @@
     def _decode_renewal_report(self, body: bytes) -> RenewalReport:
         try:
             document = json.decode(body)
+            finished = document.get("Finished") or ()
             return RenewalReport(
                 born=int(document.get("born", 0)),
                 clock=document["ClockMs"] / 1000,
                 running=tuple(
                     _decode_running_task(row) for row in document.get("Running") or ()
                 ),
-                ended=tuple(
-                    _decode_finished_run(row) for row in document.get("Finished") or ()
-                ),
+                ended=tuple(_decode_finished_run(row) for row in finished),
+                lists_all_ends=len(finished) < LISTED_ENDS_LIMIT,
             )
         except DECODE_ERRORS as error:
             self._metrics.count("worker_unreadable", type(error).__name__)
--- a/jujubebarrow/standins/emulated_workers.py
+++ b/jujubebarrow/standins/emulated_workers.py
@@ -30,6 +30,8 @@
 """Time from a crash that a run causes to the restart of its worker."""
 RENEWALS_UNTIL_KNOWN_COUNT = 2
 """Number of answered renewals after which an owner is known to an incarnation."""
+LISTED_ENDS_LIMIT = 500
+"""Most finished runs in a list."""
 LEASE_TOLERANCE_SECONDS = 1e-6
 """Rounding error of the worker's clock, within which a lease counts as expired."""
 STARTUP_SECONDS = 0.3
@@ -383,7 +385,8 @@
             incarnation.started_at_ms,
             self.clock,
             tuple(self._make_running_task(run) for run in incarnation.running.values()),
-            tuple(incarnation.finished_runs),
+            tuple(incarnation.finished_runs[:LISTED_ENDS_LIMIT]),
+            len(incarnation.finished_runs) < LISTED_ENDS_LIMIT,
         )
 
     @property
--- a/jujubebarrow/workloads/worker_reports.py
+++ b/jujubebarrow/workloads/worker_reports.py
@@ -78,9 +78,12 @@
         clock: Reading of the worker's monotonic clock in seconds.
         running: Unfinished runs.
         ended: Finished runs that have not been acknowledged, oldest first.
+        lists_all_ends: Whether there are no further finished runs, which the worker
+            lists once these are acknowledged.
     """
 
     born: int
     clock: float
     running: tuple[RunningTask, ...]
     ended: tuple[FinishedRun, ...]
+    lists_all_ends: bool = True
