Let no lasting task wait for a start that only a gone worker has got

Cause: a run whose start got no answer was not given up before the start could no longer be executed, 13 s after it was sent, even if its worker was no longer registered.

The worker refuses the start after its deadline, and a next incarnation would register itself. So a long-running run ends with the lease if the worker is not registered any more.

--- a/jujubebarrow/coordinators/pool_coordinators.py
+++ b/jujubebarrow/coordinators/pool_coordinators.py
@@ -234,8 +234,11 @@
     def _expire_run(self, worker: WorkerView, run: ActiveRun, now: float) -> None:
         if run.stage is RunStage.PLANNED:
             return
-        # The worker may execute an unacknowledged start even after it has restarted.
-        if not (run.unacknowledged_starts and now < run.late_start_until):
+        # The worker may execute an unacknowledged start even after it has restarted. A
+        # worker that is not registered has not restarted, as far as anybody knows.
+        is_gone = worker.entry is None and run.is_long_running
+        may_start = bool(run.unacknowledged_starts) and now < run.late_start_until
+        if is_gone or not may_start:
             self._losses.record_loss(worker, run)
             self._reconciler.record_unreported_end(worker, run, "lease expired", now)
 
--- a/jujubebarrow/tests/test_long_running_waits.py
+++ b/jujubebarrow/tests/test_long_running_waits.py
@@ -23,6 +23,10 @@
 CI_SEEDS = (1, 27, 65, 68)
 WORKER_COUNT = 6
 NEEDS = Resources(1000, 500)
+ENTRY_EXPIRY_SECONDS = 4.5
+"""Time after the loss of a worker in which its registration is removed."""
+RESTART_BOUND_SECONDS = 11.5
+"""The same time, four seconds of calm and three in which a task may wait."""
 LONG_RUNNING = StepSpec(count=2, needs=NEEDS, long_running=True, most_per_worker=1)
 
 
@@ -104,6 +108,33 @@
 
         self.run_scenario(scenario, workers=2)
 
+    def test_task_placed_on_a_lost_worker_runs_elsewhere_in_time(self) -> None:
+        """Guards against a task that waits for a start that nobody can execute."""
+
+        async def scenario(cluster: JobCluster) -> None:
+            warm_up = StepSpec(count=40, needs=NEEDS, most_per_worker=5)
+            await cluster.submit(1, (warm_up,), behaviour=TaskBehaviour(seconds=0.5))
+            await sleep(3.0)
+            lost = cluster.workers[WorkerId("w0")]
+            lost.crash()
+            step = StepSpec(count=8, needs=NEEDS, most_per_worker=2, long_running=True)
+            lasting = TaskBehaviour(is_long_running=True)
+            job = await cluster.submit(2, (step,), behaviour=lasting)
+
+            def count_running() -> int:
+                runs = cluster.list_runs()
+                return sum(r.task.job == job and r.ended_at is None for r in runs)
+
+            await sleep(ENTRY_EXPIRY_SECONDS)
+            self.assertLess(count_running(), 8)
+            cluster.unregister_worker(lost.worker)
+            remaining = RESTART_BOUND_SECONDS - ENTRY_EXPIRY_SECONDS
+            self.assertTrue(
+                await cluster.wait_for(lambda: count_running() == 8, remaining)
+            )
+
+        self.run_scenario(scenario, workers=8)
+
     def test_start_that_cannot_be_sent_moves_to_another_worker(self) -> None:
         # The worker becomes unreachable while the run is being stored.
         async def scenario(cluster: JobCluster) -> None:
