Send no start to a worker that drains

Cause: the repetition of a start that got no answer did not look at the worker's state, so that the start was sent again to a worker that had long reported that it drains.

Evidence: test_draining_workers.py; both tests fail before the change and pass after it.

A run whose start may have arrived is stopped on the draining worker, and one whose start was never sent is released at once.

--- a/jujubebarrow/coordinators/run_orders.py
+++ b/jujubebarrow/coordinators/run_orders.py
@@ -70,6 +70,9 @@
             return None
         if run.stage is not RunStage.RECORDED or run.incarnation != worker.incarnation:
             return None
+        if worker.draining_since:
+            self._leave_draining_worker(worker, run, now)
+            return None
         if worker.is_over_capacity and not run.is_start_sent:
             reason = "capacity reduced before the start"
             self._reconciler.record_unreported_end(worker, run, reason, now)
@@ -96,6 +99,16 @@
             ticket=run.ticket,
         )
 
+    def _leave_draining_worker(
+        self, worker: WorkerView, run: ActiveRun, now: float
+    ) -> None:
+        """Give up a run that a draining worker has not started as far as is known."""
+        if run.is_start_sent:
+            self._state.request_stop(run)
+        else:
+            reason = "worker drains"
+            self._reconciler.record_unreported_end(worker, run, reason, now)
+
     def handle_start_result(
         self,
         run: ActiveRun,
