Keep only finite tasks that lose their workers alone on a worker

A long-running task that had lost three workers right after its start kept all other tasks off its worker for as long as it ran, although it had survived its last start.

Unanswered starts are forgotten once they can no longer be executed, and their last end is kept beside them, so that neither grows with the time that a worker is up.

--- a/jujubebarrow/coordinators/active_runs.py
+++ b/jujubebarrow/coordinators/active_runs.py
@@ -54,7 +54,7 @@
             0 if it sent none.
         is_suspect: Whether the task's former run may have crashed its worker.
         is_isolated: Whether no other run may start on the worker during this one, since
-            the task has lost several workers.
+            the finite task has lost several workers.
         is_proven: Whether the worker has responded long enough after the start of the
             run to show that the start did not crash it.
         is_loss_recorded: Whether the loss of the worker counts against the task.
--- a/jujubebarrow/coordinators/planners.py
+++ b/jujubebarrow/coordinators/planners.py
@@ -229,9 +229,11 @@
 
     def _is_delayed(self, step: StepState, task: TaskState, now: float) -> bool:
         """Return whether a task must not start yet."""
-        return now < task.blocked_until or self._compute_wait(
-            task, now
-        ) < step.compute_restart_delay(task)
+        if now < task.blocked_until:
+            return True
+        if not task.losses:
+            return False
+        return self._compute_wait(task, now) < step.compute_restart_delay(task)
 
     def _choose_worker(
         self,
@@ -367,7 +369,9 @@
             usage=step.spec.needs,
             is_long_running=step.spec.long_running,
             is_suspect=task.is_suspect,
-            is_isolated=step.compute_restart_delay(task) > 0,
+            is_isolated=(
+                not step.spec.long_running and step.compute_restart_delay(task) > 0
+            ),
             ticket=self._state.advice.find_ticket(key[:3], worker.incarnation, now),
         )
         job.record_planned_run(run)
--- a/jujubebarrow/coordinators/run_orders.py
+++ b/jujubebarrow/coordinators/run_orders.py
@@ -122,7 +122,7 @@
         outcome = result.outcome
         if worker is not None and outcome is OrderOutcome.UNACKNOWLEDGED:
             run.late_start_until = sent_at + self._state.options.late_order_window
-            worker.record_unacknowledged_start(run)
+            worker.record_unacknowledged_start(run, now)
         if worker is None or (run.task, run.run) not in worker.runs:
             return
         if outcome in (OrderOutcome.ACCEPTED, OrderOutcome.OUTDATED):
--- a/jujubebarrow/coordinators/worker_views.py
+++ b/jujubebarrow/coordinators/worker_views.py
@@ -61,6 +61,7 @@
         self.has_orphans = False
         self._unacknowledged_starts: dict[tuple[TaskKey, RunNumber], float] = {}
         self._late_start_ends: dict[TaskKey, float] = {}
+        self._own_late_starts_end = 0.0
         self.former_owners_late_starts_end = 0.0
         self._clock_reading = 0.0
         self._clock_read_at: float | None = None
@@ -183,10 +184,12 @@
         if not run.is_isolated:
             self._unproven_suspects.discard((run.task, run.run))
 
-    def record_unacknowledged_start(self, run: ActiveRun) -> None:
+    def record_unacknowledged_start(self, run: ActiveRun, now: float) -> None:
         """Record an unacknowledged start, which the worker may execute late."""
+        self.prune_unacknowledged_starts(now)
         self._unacknowledged_starts[run.task, run.run] = run.late_start_until
         self._late_start_ends[run.task] = run.late_start_until
+        self._own_late_starts_end = max(self._own_late_starts_end, run.late_start_until)
 
     def find_late_start_end(self, task: TaskKey) -> float:
         """Return until when an unacknowledged start of a task may be executed.
@@ -202,8 +205,7 @@
     @property
     def late_starts_end(self) -> float:
         """Time in seconds until which the worker may execute unacknowledged starts."""
-        own = max(self._late_start_ends.values(), default=0.0)
-        return max(own, self.former_owners_late_starts_end)
+        return max(self._own_late_starts_end, self.former_owners_late_starts_end)
 
     def prune_unacknowledged_starts(
         self, now: float
--- a/jujubebarrow/tests/test_lost_workers.py
+++ b/jujubebarrow/tests/test_lost_workers.py
@@ -110,6 +110,13 @@
             self.assertEqual(await cluster.read_phase(job), "running")
             active = [run for run in cluster.list_runs() if run.ended_at is None]
             self.assertEqual(len(active), 1)
+            # The task has survived its last start and keeps nobody off its worker.
+            beside = StepSpec(count=63, needs=SMALL, estimate=5.0)
+            long = TaskBehaviour(seconds=5.0)
+            await cluster.submit(2, (beside,), behaviour=long)
+            await sleep(2.0)
+            active = [run for run in cluster.list_runs() if run.ended_at is None]
+            self.assertEqual(len(active), 64)
 
         self.run_scenario(scenario, workers=8)
 
