Let the mutation of dropped runs be detected again

Since a task does not start beside a run of it that nobody recorded, and the end of such a run counts, which hides the fault. The mutation takes both out as well and is detected.

--- a/jujubebarrow/tests/proof_job_mutations.py
+++ b/jujubebarrow/tests/proof_job_mutations.py
@@ -12,6 +12,7 @@
 from jujubebarrow.placements import placers
 from jujubebarrow.placements.free_rooms import FreeRoom
 from jujubebarrow.tests.proof_job_core import REGRESSION_SEEDS, simulate
+from jujubebarrow.workloads.finished_runs import FinishedRun
 
 EARLY_EXPIRY_SECONDS = 4.5
 """Time by which the mutated code takes a lease as expired too early."""
@@ -51,8 +52,17 @@
                 for task in step.tasks:
                     task.active = None
 
+        def drop(self: Reconciler, worker: WorkerView, finished: FinishedRun) -> None:
+            worker.mark_recorded(finished.number)
+
         original = JobProgress.restore
-        self.assert_detected(patch.object(JobProgress, "restore", restore))
+        self.assert_detected(
+            patch.object(JobProgress, "restore", restore),
+            # Both would hide the fault: a task does not start beside a run that nobody
+            # recorded, and the end of such a run counts.
+            patch.object(Reconciler, "_block_task", lambda self, key, now: None),
+            patch.object(Reconciler, "_handle_unrecorded_end", drop),
+        )
 
     def test_capacity_not_checked(self) -> None:
         self.assert_detected(
