Acknowledge a full list of ends even while late starts may come

Evidence: test_ends_beyond_the_first_list_are_known_in_spite_of_late_starts fails before the change and passes after it.

--- a/jujubebarrow/coordinators/reconcilers.py
+++ b/jujubebarrow/coordinators/reconcilers.py
@@ -72,7 +72,7 @@
                 self.record_unreported_end(
                     worker, run, "not in the worker's lists", now
                 )
-        worker.record_report(has_orphans=bool(orphans))
+        worker.record_report(bool(orphans), report.lists_all_ends)
         return orphans
 
     def handle_restart(
--- a/jujubebarrow/coordinators/worker_views.py
+++ b/jujubebarrow/coordinators/worker_views.py
@@ -59,6 +59,7 @@
         self.best_effort_speed_percent = 100
         self.warmed_up_at = 0.0
         self.has_orphans = False
+        self.lists_all_ends = True
         self._unacknowledged_starts: dict[tuple[TaskKey, RunNumber], float] = {}
         self._late_start_ends: dict[TaskKey, float] = {}
         self._own_late_starts_end = 0.0
@@ -263,6 +264,7 @@
         self._finished_runs.clear()
         self._clock_read_at = None
         self.has_orphans = False
+        self.lists_all_ends = True
         self.score = WorkerScore()
         self.draining_since = 0.0
         self.is_cordoned = False
@@ -277,14 +279,16 @@
         if not self._is_expiry_recorded:
             self.lease_end = max(self.lease_end, expiry)
 
-    def record_report(self, has_orphans: bool) -> None:
+    def record_report(self, has_orphans: bool, lists_all_ends: bool) -> None:
         """Record what the present incarnation has listed.
 
         Args:
             has_orphans: Whether runs were listed that no owner has recorded; they need
                 resources until they are stopped.
+            lists_all_ends: Whether there are no further finished runs.
         """
         self.has_orphans = has_orphans
+        self.lists_all_ends = lists_all_ends
 
     def record_contact(self, clock: float, now: float, longest_lease: float) -> None:
         """Record a report of the present incarnation, which has seen its token.
--- a/jujubebarrow/tests/test_long_end_lists.py
+++ b/jujubebarrow/tests/test_long_end_lists.py
@@ -56,3 +56,22 @@
 
     def test_successor_repeats_no_ends_beyond_the_first_list(self) -> None:
         self.submit_all(kills_owner=True)
+
+    def test_ends_beyond_the_first_list_are_known_in_spite_of_late_starts(self) -> None:
+        """Guards against jobs that seem to run until no late start can come."""
+
+        async def scenario(cluster: JobCluster) -> None:
+            for name, worker in cluster.workers.items():
+                worker.capacity = CAPACITY
+                worker.response_loss_probability = 0.05
+                cluster.register_worker(name)
+            behaviour = TaskBehaviour(seconds=2.0)
+            jobs = [
+                await cluster.submit(number, (STEP,), behaviour=behaviour)
+                for number in range(JOB_COUNT)
+            ]
+            for job in jobs:
+                done = await cluster.wait_for_phase(job, "completed", 8.0)
+                self.assertTrue(done)
+
+        self.run_scenario(scenario)
