Let the waits of tasks that lose their workers grow eightfold

Cause: since such a task is not given up but waits 1, 2 and 4 s, which is little beside the lease of a lost worker.

It waits 1, 8 and then 64 s now. The tests of crashing tasks check these waits.

--- a/jujubebarrow/coordinators/task_states.py
+++ b/jujubebarrow/coordinators/task_states.py
@@ -12,8 +12,10 @@
 DELAYED_LOSS_COUNT = 5
 """Lost workers from which on a finite task waits, however late it lost them."""
 RESTART_DELAY_SECONDS = 1.0
-"""First of these waits; each further crash doubles the wait."""
-RESTART_DELAY_LIMIT_SECONDS = 32.0
+"""First of these waits."""
+RESTART_DELAY_FACTOR = 8.0
+"""Growth of the wait with each further crash."""
+RESTART_DELAY_LIMIT_SECONDS = 64.0
 LONG_RUNNING_DELAY_LIMIT_SECONDS = 4.0
 """Longest wait of a long-running task, whose absence its users notice."""
 
@@ -70,4 +72,4 @@
             limit = RESTART_DELAY_LIMIT_SECONDS
         if excess < 0:
             return 0.0
-        return min(limit, RESTART_DELAY_SECONDS * 2.0**excess)
+        return min(limit, RESTART_DELAY_SECONDS * RESTART_DELAY_FACTOR**excess)
--- a/jujubebarrow/tests/test_crashing_tasks.py
+++ b/jujubebarrow/tests/test_crashing_tasks.py
@@ -17,7 +17,8 @@
 UNDELAYED_LATE_COUNT = 5
 """The same for workers that are lost at any time of the task's runs."""
 FIRST_DELAY_SECONDS = 1.0
-DELAY_LIMIT_SECONDS = 32.0
+DELAY_FACTOR = 8.0
+DELAY_LIMIT_SECONDS = 64.0
 LONG_RUNNING_DELAY_LIMIT_SECONDS = 4.0
 WATCH_SECONDS = 90.0
 SMALL = Resources(1000, 500)
@@ -32,7 +33,7 @@
         undelayed_count: int = UNDELAYED_COUNT,
         limit: float = DELAY_LIMIT_SECONDS,
     ) -> None:
-        """Check that each start after some crashes waits twice as long as the last.
+        """Check that each start after some crashes waits much longer than the last.
 
         A lost worker is no failed run, so that the job does not fail.
         """
@@ -46,7 +47,7 @@
             delay = FIRST_DELAY_SECONDS
             for former, run in pairwise(starts[undelayed_count - 1 :]):
                 self.assertGreaterEqual(run.started_at - former.ended_at, delay)
-                delay = min(2 * delay, limit)
+                delay = min(DELAY_FACTOR * delay, limit)
             self.assertGreater(len(starts), undelayed_count)
         node = next(i for i, each in enumerate(cluster.instances) if each.node)
         self.assertEqual(await cluster.read_phase(job, node), "running")
