Let the mutation of late starts after a restart be detected again

Since a task with such a start waits for the first list of the new incarnation, and its end is not acknowledged, which hides the fault.

--- a/jujubebarrow/tests/proof_job_mutations.py
+++ b/jujubebarrow/tests/proof_job_mutations.py
@@ -19,6 +19,18 @@
 SEEDS = (*REGRESSION_SEEDS, *range(1, 51))
 
 
+def _drop_end(self: Reconciler, worker: WorkerView, finished: FinishedRun) -> None:
+    worker.mark_recorded(finished.number)
+
+
+HIDDEN_RUN_PATCHES = (
+    patch.object(Reconciler, "_block_task", lambda self, key, now: None),
+    patch.object(Reconciler, "_handle_unrecorded_end", _drop_end),
+)
+"""Take out what hides runs that nobody recorded: a task does not start beside such a
+run, and its end counts."""
+
+
 class JobMutationProof(unittest.TestCase):
     def assert_detected(self, *patches: Any) -> None:
         for each in patches:
@@ -52,16 +64,9 @@
                 for task in step.tasks:
                     task.active = None
 
-        def drop(self: Reconciler, worker: WorkerView, finished: FinishedRun) -> None:
-            worker.mark_recorded(finished.number)
-
         original = JobProgress.restore
         self.assert_detected(
-            patch.object(JobProgress, "restore", restore),
-            # Both would hide the fault: a task does not start beside a run that nobody
-            # recorded, and the end of such a run counts.
-            patch.object(Reconciler, "_block_task", lambda self, key, now: None),
-            patch.object(Reconciler, "_handle_unrecorded_end", drop),
+            patch.object(JobProgress, "restore", restore), *HIDDEN_RUN_PATCHES
         )
 
     def test_capacity_not_checked(self) -> None:
@@ -75,6 +80,11 @@
         self.assert_detected(
             patch.object(PoolState, "issue_token", lambda self: self.token),
             patch.object(RunOrders, "pop_late_start_stops", lambda self: []),
+            # A task whose start may come late waits after a restart, and its end is not
+            # acknowledged, which would hide the fault.
+            patch.object(WorkerView, "late_starts_end", property(lambda self: 0.0)),
+            patch.object(WorkerView, "find_late_start_end", lambda self, task: 0.0),
+            *HIDDEN_RUN_PATCHES,
         )
 
     def test_unacknowledged_starts_moved_to_another_worker(self) -> None:
