Keep the longer of two waits for late starts

Found while reading the whole change as a newcomer. What callers would see: two runs of a task. A task whose late start may come until 13 s after its order waits for that time; a worker that then listed a run of it that nobody recorded set the wait to 2.5 s from now, also if that was earlier.

Evidence: test_listed_run_shortens_no_longer_wait_for_late_starts fails before the change (the task is planned again within the window) and passes after it.

The wait is only ever extended.

--- a/jujubebarrow/coordinators/reconcilers.py
+++ b/jujubebarrow/coordinators/reconcilers.py
@@ -173,7 +173,7 @@
         may_have_moved = run.has_moved or run.stage is RunStage.INHERITED
         if may_have_moved and not run.is_long_running:
             # The worker may restart again, and its next incarnation execute the start.
-            task.blocked_until = worker.find_late_start_end(run.task)
+            task.block_until(worker.find_late_start_end(run.task))
         self._state.release_run(job, task, now)
         self._state.mark_changed(job)
 
@@ -210,7 +210,7 @@
         job = self._state.jobs.get(key.job)
         task = job.find_task(key) if job is not None else None
         if task is not None:
-            task.blocked_until = now + ORPHAN_BLOCK_SECONDS
+            task.block_until(now + ORPHAN_BLOCK_SECONDS)
 
     def _log_orphan(self, worker: WorkerView, running: RunningTask) -> None:
         self._log.write(
--- a/jujubebarrow/coordinators/task_states.py
+++ b/jujubebarrow/coordinators/task_states.py
@@ -56,6 +56,10 @@
         """Whether the task may be the one that crashes its workers."""
         return self.crashes > 0 or self.losses >= SUSPECT_LOSS_COUNT
 
+    def block_until(self, time: float) -> None:
+        """Let no run start before a time in seconds; a later time is kept."""
+        self.blocked_until = max(self.blocked_until, time)
+
     def compute_restart_delay(self, is_long_running: bool) -> float:
         """Return for how many seconds a task waits that may crash its workers.
 
--- a/jujubebarrow/tests/test_restarted_workers.py
+++ b/jujubebarrow/tests/test_restarted_workers.py
@@ -234,6 +234,19 @@
         planned = self.coordinator.plan(NOW + ORPHAN_BLOCK_SECONDS + 0.2, NOW)
         self.assertEqual(len(planned), 1)
 
+    async def test_listed_run_shortens_no_longer_wait_for_late_starts(self) -> None:
+        [(run, order)] = self.start_tasks()
+        self.finish(run, order, OrderOutcome.UNACKNOWLEDGED)
+        self.register(SECOND_START_MS)
+        [stop] = self.coordinator.orders.pop_stops()
+        stop.stop_acknowledged_at = NOW + 0.1
+        self.report(SECOND_START_MS, clock=0.1, now=NOW + 0.2)
+        late = RunningTask(run.task, run.run, "", 5, 0)
+        self.report(SECOND_START_MS, (late,), clock=0.2, now=NOW + 0.3)
+        self.report(SECOND_START_MS, clock=0.3, now=NOW + 0.4)
+        window_end = NOW + OPTIONS.late_order_window
+        self.assertEqual(self.coordinator.plan(window_end - 0.1, NOW), [])
+
     async def test_end_of_a_run_that_nobody_recorded_counts(self) -> None:
         """Guards against the repetition of a task that a late start has done."""
         [(run, order)] = self.start_tasks()
