Ask workers for recent signs of life before a lasting task starts elsewhere

A start without a response counts as a fault now, workers that may execute a late start are polled every 0.4 s, also without runs, and a registered worker without a response for 1.2 s counts as silent.

--- a/jujubebarrow/coordinators/late_start_waits.py
+++ b/jujubebarrow/coordinators/late_start_waits.py
@@ -13,6 +13,8 @@
 """Time without faults before which no task counts as lost; from the same rule."""
 START_SECONDS = 1.5
 """Time in which a planned run is stored, sent and sent again."""
+CONTACT_SECONDS = 1.2
+"""Time without a response after which a worker that is polled often may have failed."""
 
 
 class LateStartWait:
@@ -53,10 +55,12 @@
     def _find_absence_end(self, job: JobProgress, task: TaskState) -> float:
         """Return when a long-running task has to start again, in seconds."""
         last_executed_at = max(task.last_seen_at, job.accepted_at)
-        end = max(
-            last_executed_at + ABSENCE_SECONDS,
-            self._state.last_fault_at + CALM_SECONDS,
+        # A start without a response is a fault as well.
+        window = self._state.options.late_order_window
+        last_fault_at = max(
+            self._state.last_fault_at, max(task.late_starts.values()) - window
         )
+        end = max(last_executed_at + ABSENCE_SECONDS, last_fault_at + CALM_SECONDS)
         return end - START_SECONDS
 
     def _may_execute(
@@ -81,7 +85,10 @@
             return False
         if not is_absence_limited:
             return True
-        is_silent = worker is not None and (
-            bool(worker.unresponsive_since) or not worker.has_seen_token
+        if worker is None or worker.entry is None:
+            return False
+        return (
+            bool(worker.unresponsive_since)
+            or not worker.has_seen_token
+            or now - (worker.last_contact_at or 0.0) > CONTACT_SECONDS
         )
-        return is_silent and worker is not None and worker.entry is not None
--- a/jujubebarrow/runtimes/worker_sessions.py
+++ b/jujubebarrow/runtimes/worker_sessions.py
@@ -102,11 +102,16 @@
             worker.has_seen_token
             and not worker.unresponsive_since
             and not worker.runs
+            and not self._may_start_late
             and not worker.has_orphans
             and not worker.has_unrecorded_finished_runs
             and self._sent_acknowledgement >= worker.acknowledged
         )
 
+    @property
+    def _may_start_late(self) -> bool:
+        return self._worker.may_start_late(self._clock.monotonic())
+
     async def run(self) -> None:
         """Renew the leases until the coordinator removes the worker."""
         while self._serves_present_worker:
@@ -169,6 +174,8 @@
 
     def _choose_wait_seconds(self) -> float:
         worker = self._worker
+        if worker.has_seen_token and self._may_start_late and not worker.runs:
+            return 0.0 if worker.unresponsive_since else SHORT_WAIT_SECONDS
         has_inherited_or_stopping_run = any(
             run.stage in (RunStage.INHERITED, RunStage.STOPPING)
             for run in worker.runs.values()
@@ -183,7 +190,7 @@
             return 0.0
         if worker.has_unrecorded_finished_runs:
             return 0.0
-        if self._coordinator.demand.has_finite_runs(worker):
+        if self._coordinator.demand.has_finite_runs(worker) or self._may_start_late:
             return SHORT_WAIT_SECONDS
         if any(
             run.progress_percent < OPERATING_PERCENT for run in worker.runs.values()
--- a/jujubebarrow/tests/test_lasting_late_starts.py
+++ b/jujubebarrow/tests/test_lasting_late_starts.py
@@ -156,9 +156,15 @@
 
     async def test_task_runs_elsewhere_before_its_absence_counts(self) -> None:
         self.end_run()
+        self.report(FORMER, SECOND_START_MS, ABSENCE_END)
         self.assertEqual(self.plan(ABSENCE_END - 0.1), [])
         self.assertEqual(self.plan(ABSENCE_END + 0.1), [OTHER])
 
+    async def test_task_waits_for_a_worker_without_a_recent_response(self) -> None:
+        self.end_run()
+        self.assertEqual(self.plan(LATE_START_END - 0.1), [])
+        self.assertEqual(self.plan(LATE_START_END + 0.1), [OTHER])
+
     async def test_task_waits_for_a_registered_worker_that_is_out_of_reach(
         self,
     ) -> None:
@@ -170,7 +176,7 @@
         self.assertEqual(self.plan(end - 0.1), [])
         self.assertEqual(self.plan(end + 0.1), [OTHER])
 
-    async def test_task_does_not_wait_for_a_worker_that_is_gone(self) -> None:
+    async def test_task_waits_no_longer_for_a_worker_that_is_gone(self) -> None:
         self.end_run()
         self.coordinator.handle_deregistration(FORMER)
         self.assertEqual(self.plan(ABSENCE_END - 0.1), [])
@@ -182,6 +188,7 @@
         self.report(OTHER, FIRST_START_MS, later)
         self.register(OTHER, SECOND_START_MS)
         self.report(OTHER, SECOND_START_MS, later)
+        self.report(FORMER, SECOND_START_MS, later + 5.5)
         self.assertEqual(self.plan(ABSENCE_END + 0.1), [])
         self.assertEqual(self.plan(later + 5.6), [OTHER])
 
