Count the survival of a repeated start from its present incarnation

A task that lasts and crashes its workers right after its start was sent again to each next incarnation of its worker without the delay that such tasks get: the time of the run's first start, to a former incarnation, counted, so that the first list after a repeated start proved that the worker survives, and the number of crashes in a row was cleared.

The survival of a run that has moved counts from the time at which the present incarnation acknowledged or listed it.

--- a/jujubebarrow/coordinators/reconcilers.py
+++ b/jujubebarrow/coordinators/reconcilers.py
@@ -373,7 +373,9 @@
         self._state.mark_started(job)
         if running.checkpoint:
             task.checkpoint = running.checkpoint
-        if not run.is_proven and now - run.first_sent_at >= SURVIVAL_SECONDS:
+        # The first start of a run that has moved was sent to a former incarnation.
+        started_at = run.confirmed_at if run.has_moved else run.first_sent_at
+        if not run.is_proven and now - started_at >= SURVIVAL_SECONDS:
             worker.prove_run(run)
             task.crashes = 0
         if job.phase.is_final:
--- a/jujubebarrow/tests/test_repeated_lost_starts.py
+++ b/jujubebarrow/tests/test_repeated_lost_starts.py
@@ -5,8 +5,9 @@
 """
 
 from jujubebarrow.coordinators.active_runs import ActiveRun, RunStage
-from jujubebarrow.coordinators.order_results import OrderOutcome
+from jujubebarrow.coordinators.order_results import OrderOutcome, OrderResult
 from jujubebarrow.coordinators.pool_coordinators import PoolCoordinator
+from jujubebarrow.coordinators.reconcilers import SURVIVAL_SECONDS
 from jujubebarrow.coordinators.task_states import TaskState
 from jujubebarrow.tests.fakes.job_clusters import POOL
 from jujubebarrow.tests.test_lasting_late_starts import (
@@ -22,6 +23,8 @@
 from jujubebarrow.workloads.identifiers import FenceToken
 from jujubebarrow.workloads.worker_reports import RunningTask
 
+PROBE_SECONDS = 0.1
+
 
 class RepeatedLostStartTest(LastingLateStartCase):
     def find_task(self, run: ActiveRun) -> TaskState:
@@ -42,6 +45,12 @@
         assert run is not None
         return run
 
+    def send_start(self, run: ActiveRun, outcome: OrderOutcome, now: float) -> None:
+        order = self.coordinator.orders.make_start(run, now)
+        assert order is not None
+        result = OrderResult(outcome, now)
+        self.coordinator.orders.handle_start_result(run, order, result, now, now)
+
     async def test_run_listed_to_the_next_owner_does_not_start_elsewhere(self) -> None:
         run = self.take_over(self.start([OrderOutcome.ACCEPTED]))
         listed = RunningTask(run.task, run.run, "", 0, 0)
@@ -54,3 +63,16 @@
         self.assertEqual(self.plan(now), [])
         self.assertIs(self.find_task(run).active, run)
         self.assertEqual(self.coordinator.orders.pop_starts(), [run])
+
+    async def test_repeated_start_does_not_prove_that_the_worker_survives(self) -> None:
+        run = self.lose_run()
+        task = self.find_task(run)
+        self.assertEqual(task.crashes, 1)
+        now = NOW + 2 * SURVIVAL_SECONDS
+        self.report(FORMER, SECOND_START_MS, now)
+        self.send_start(run, OrderOutcome.ACCEPTED, now)
+        listed = RunningTask(run.task, run.run, "", 0, 0)
+        self.report(FORMER, SECOND_START_MS, now + PROBE_SECONDS, listed)
+        self.assertEqual((run.is_proven, task.crashes), (False, 1))
+        self.report(FORMER, SECOND_START_MS, now + SURVIVAL_SECONDS, listed)
+        self.assertEqual((run.is_proven, task.crashes), (True, 0))
