Don't repeat a start to the incarnation that has rejected it

A task that lasts may be absent for 13 s while its owner and a worker exchange starts and lists without a pause. A worker that has executed a late stop of the run, sent to its former incarnation by an owner that was killed since, rejects the repeated start as outdated. That counted as acknowledged, the next list did not contain the run, and the start was repeated, until the former starts were impossible.

A rejected start is repeated only to a later incarnation, which does not know of the stop.

--- a/jujubebarrow/coordinators/active_runs.py
+++ b/jujubebarrow/coordinators/active_runs.py
@@ -46,6 +46,8 @@
             first listed the run.
         stop_acknowledged_at: Time in seconds at which the worker acknowledged the stop.
         has_moved: Whether the worker restarted while it might still execute a start.
+        is_outdated: Whether that incarnation has rejected the start, since it has
+            already stopped or ended the run or a later one.
         unacknowledged_starts: Number of unacknowledged starts; the worker may still
             execute each of these starts.
         late_start_until: Time in seconds until which the worker may execute the last
@@ -80,6 +82,7 @@
     confirmed_at: float = 0.0
     stop_acknowledged_at: float = 0.0
     has_moved: bool = False
+    is_outdated: bool = False
     unacknowledged_starts: int = 0
     late_start_until: float = 0.0
     is_start_sent: bool = False
--- a/jujubebarrow/coordinators/reconcilers.py
+++ b/jujubebarrow/coordinators/reconcilers.py
@@ -145,6 +145,7 @@
         task = self._find_task(run)
         return (
             run.is_long_running
+            and not run.is_outdated
             and run.stage is not RunStage.STOPPING
             and worker.entry is not None
             and not worker.draining_since
@@ -272,6 +273,7 @@
         )
         may_late_start_run = now < worker.find_late_start_end(run.task)
         run.speed_percent = 100
+        run.is_outdated = False
         may_former_owner_have_repeated_start = (
             not run.first_sent_at and now < self._state.former_starts_end
         )
--- a/jujubebarrow/coordinators/run_orders.py
+++ b/jujubebarrow/coordinators/run_orders.py
@@ -149,6 +149,7 @@
                 self._state.mark_started(job)
             if task is not None:
                 task.last_seen_at = now
+            run.is_outdated = outcome is OrderOutcome.OUTDATED
             if run.stage is RunStage.RECORDED:
                 run.confirm(now)
                 worker.record_known_run(run, now)
--- a/jujubebarrow/tests/test_repeated_lost_starts.py
+++ b/jujubebarrow/tests/test_repeated_lost_starts.py
@@ -11,6 +11,7 @@
 from jujubebarrow.coordinators.task_states import TaskState
 from jujubebarrow.tests.fakes.job_clusters import POOL
 from jujubebarrow.tests.test_lasting_late_starts import (
+    ABSENCE_END,
     FIRST_START_MS,
     FORMER,
     NOW,
@@ -18,6 +19,7 @@
     OTHER,
     RESTART_SECONDS,
     SECOND_START_MS,
+    THIRD_START_MS,
     LastingLateStartCase,
 )
 from jujubebarrow.workloads.identifiers import FenceToken
@@ -76,3 +78,24 @@
         self.assertEqual((run.is_proven, task.crashes), (False, 1))
         self.report(FORMER, SECOND_START_MS, now + SURVIVAL_SECONDS, listed)
         self.assertEqual((run.is_proven, task.crashes), (True, 0))
+
+    async def test_rejected_start_is_not_repeated_to_the_same_incarnation(self) -> None:
+        run = self.lose_run()
+        self.coordinator.orders.pop_starts()
+        now = NOW + RESTART_SECONDS
+        self.report(FORMER, SECOND_START_MS, now)
+        self.send_start(run, OrderOutcome.OUTDATED, now)
+        self.report(FORMER, SECOND_START_MS, now + PROBE_SECONDS)
+        self.assertIsNone(self.find_task(run).active)
+        self.assertEqual(self.coordinator.orders.pop_starts(), [])
+        self.report(FORMER, SECOND_START_MS, ABSENCE_END + 1.0)
+        self.assertEqual(self.plan(ABSENCE_END + 1.0), [OTHER])
+
+    async def test_rejected_start_is_repeated_to_the_next_incarnation(self) -> None:
+        run = self.lose_run()
+        self.coordinator.orders.pop_starts()
+        now = NOW + RESTART_SECONDS
+        self.report(FORMER, SECOND_START_MS, now)
+        self.send_start(run, OrderOutcome.OUTDATED, now)
+        self.register(FORMER, THIRD_START_MS)
+        self.assertEqual(self.coordinator.orders.pop_starts(), [run])
