Start a lasting task in time if its restarted worker is gone

A task that lasts waits 23.3 s, with leases of 6 s of which workers accept 10 s, if its worker restarts, and crashes again and leaves the registry before its owner has reached it. Its absence counts after 9 s while all else is calm. The task's run stayed active until the lease would expire that the last possible late start could grant. The limit of the waits for late starts held only for tasks without an active run.

The run is over when the absence of the task would count, if the worker has restarted, is not registered and gives no response. A worker that is registered and silent holds the task as before. Leases of former owners have to expire first: one of them may have reached the incarnation.

--- a/jujubebarrow/coordinators/late_start_waits.py
+++ b/jujubebarrow/coordinators/late_start_waits.py
@@ -45,21 +45,22 @@
         if not task.late_starts:
             return False
         is_absence_limited = step.spec.long_running and (
-            now >= self._find_absence_end(job, task)
+            now >= self.find_absence_end(job, task)
         )
         return any(
             self._may_execute(name, end, is_absence_limited, now)
             for name, end in task.late_starts.items()
         )
 
-    def _find_absence_end(self, job: JobProgress, task: TaskState) -> float:
+    def find_absence_end(self, job: JobProgress, task: TaskState) -> float:
         """Return when a long-running task has to start again, in seconds."""
         last_executed_at = max(task.last_seen_at, job.accepted_at)
         # A start without a response is a fault as well.
+        ends = list(task.late_starts.values())
+        if task.active is not None:
+            ends.append(task.active.late_start_until)
         window = self._state.options.late_order_window
-        last_fault_at = max(
-            self._state.last_fault_at, max(task.late_starts.values()) - window
-        )
+        last_fault_at = max(self._state.last_fault_at, max(ends, default=0.0) - window)
         end = max(last_executed_at + ABSENCE_SECONDS, last_fault_at + CALM_SECONDS)
         return end - START_SECONDS
 
--- a/jujubebarrow/coordinators/pool_coordinators.py
+++ b/jujubebarrow/coordinators/pool_coordinators.py
@@ -11,6 +11,7 @@
     JobProgress,
     estimate_document_bytes,
 )
+from jujubebarrow.coordinators.late_start_waits import LateStartWait
 from jujubebarrow.coordinators.loss_recorders import LossRecorder
 from jujubebarrow.coordinators.orders import RenewalOrder, StopOrder
 from jujubebarrow.coordinators.planners import TaskPlanner
@@ -68,6 +69,7 @@
         self._log = log
         self._order = JobOrder()
         self._waits = WaitRecorder(log)
+        self._late_start_wait = LateStartWait(self.state)
         self.fair_share = FairShare()
         self._planner = TaskPlanner(
             self.state, self._order, self.fair_share, self._waits
@@ -204,6 +206,7 @@
                 ):
                     self._expire_run(worker, run, now)
         self._release_unsent_runs(worker, now)
+        self._release_absent_runs(worker, now)
         if (
             worker.entry is None
             and not worker.runs
@@ -232,6 +235,31 @@
                 reason = "start not sent, worker unresponsive"
                 self._reconciler.record_unreported_end(worker, run, reason, now)
 
+    def _release_absent_runs(self, worker: WorkerView, now: float) -> None:
+        """Release the long-running runs of a restarted worker that is gone.
+
+        The lease that a late start grants to an incarnation which no owner has reached
+        ends long after the absence of the tasks counts.
+        """
+        if (
+            now < self.state.former_leases_end
+            or worker.entry is not None
+            or worker.has_seen_token
+            or not worker.unresponsive_since
+        ):
+            return
+        for run in list(worker.runs.values()):
+            job = self.state.jobs.get(run.task.job)
+            task = job.find_task(run.task) if job is not None else None
+            if job is None or task is None or not run.is_long_running:
+                continue
+            if run.stage is RunStage.PLANNED or not run.has_moved:
+                continue
+            if now >= self._late_start_wait.find_absence_end(job, task):
+                self._losses.record_loss(worker, run)
+                reason = "restarted worker gone"
+                self._reconciler.record_unreported_end(worker, run, reason, now)
+
     def _expire_run(self, worker: WorkerView, run: ActiveRun, now: float) -> None:
         if run.stage is RunStage.PLANNED:
             return
--- a/jujubebarrow/coordinators/pool_states.py
+++ b/jujubebarrow/coordinators/pool_states.py
@@ -77,6 +77,13 @@
         """
         return self.owned_since + self.options.late_order_window
 
+    @property
+    def former_leases_end(self) -> float:
+        """Time in seconds at which the leases of former owners have expired."""
+        options = self.options
+        last_renewed_at = self.owned_since + options.superseded_renewal
+        return last_renewed_at + options.longest_lease / CLOCK_RATE
+
     def record_fault(self, time: float) -> None:
         """Record that a worker failed no earlier than at a time in seconds."""
         self.last_fault_at = max(self.last_fault_at, time)
@@ -111,10 +118,7 @@
         """Return the state of a worker; create the state for an unknown worker."""
         view = self.workers.get(worker)
         if view is None:
-            options = self.options
-            max_lease = options.longest_lease / CLOCK_RATE
-            expiry = self.owned_since + options.superseded_renewal + max_lease
-            view = WorkerView(worker, expiry, self.issue_token())
+            view = WorkerView(worker, self.former_leases_end, self.issue_token())
             self.workers[worker] = view
             late_starts = self._former_owners_starts.get(worker)
             if late_starts is not None:
--- a/jujubebarrow/tests/test_repeated_lost_starts.py
+++ b/jujubebarrow/tests/test_repeated_lost_starts.py
@@ -23,9 +23,10 @@
     LastingLateStartCase,
 )
 from jujubebarrow.workloads.identifiers import FenceToken
-from jujubebarrow.workloads.worker_reports import RunningTask
+from jujubebarrow.workloads.worker_reports import RunningTask, WorkerState
 
 PROBE_SECONDS = 0.1
+SILENCE_SECONDS = 40.0
 
 
 class RepeatedLostStartTest(LastingLateStartCase):
@@ -99,3 +100,54 @@
         self.send_start(run, OrderOutcome.OUTDATED, now)
         self.register(FORMER, THIRD_START_MS)
         self.assertEqual(self.coordinator.orders.pop_starts(), [run])
+
+    def find_next_start(self, is_registered: bool) -> float:
+        """Return when the task starts elsewhere if its worker stays out of reach."""
+        view = self.coordinator.state.workers[FORMER]
+        now = NOW
+        while now < NOW + SILENCE_SECONDS:
+            now += PROBE_SECONDS
+            view.record_failure(now)
+            self.report(OTHER, FIRST_START_MS, now)
+            if not is_registered:
+                self.coordinator.handle_deregistration(FORMER)
+            if OTHER in self.plan(now):
+                return now
+        return now
+
+    async def test_task_of_a_restarted_worker_that_is_gone_starts_in_time(self) -> None:
+        self.lose_run()
+        end = self.find_next_start(is_registered=False)
+        self.assertLess(abs(end - ABSENCE_END), 2 * PROBE_SECONDS)
+
+    async def test_stopped_task_of_a_restarted_worker_that_is_gone_starts_in_time(
+        self,
+    ) -> None:
+        self.lose_run(WorkerState.DRAINING)
+        end = self.find_next_start(is_registered=False)
+        self.assertLess(abs(end - ABSENCE_END), 2 * PROBE_SECONDS)
+
+    async def test_task_of_a_registered_silent_worker_does_not_start_elsewhere(
+        self,
+    ) -> None:
+        self.lose_run()
+        end = self.find_next_start(is_registered=True)
+        self.assertGreater(end, NOW + OPTIONS.late_order_window)
+
+    async def test_run_of_a_former_owner_keeps_its_worker_until_its_lease_ends(
+        self,
+    ) -> None:
+        self.take_over(self.start([OrderOutcome.ACCEPTED]))
+        self.register(FORMER, SECOND_START_MS)
+        end = self.find_next_start(is_registered=False)
+        leases_end = self.coordinator.state.former_leases_end
+        self.assertGreater(leases_end, NOW + OPTIONS.longest_lease)
+        self.assertLess(abs(end - leases_end), 2 * PROBE_SECONDS)
+
+    async def test_run_of_a_former_owner_on_a_worker_that_has_not_restarted_expires(
+        self,
+    ) -> None:
+        self.take_over(self.start([OrderOutcome.ACCEPTED]))
+        view = self.coordinator.state.workers[FORMER]
+        end = self.find_next_start(is_registered=False)
+        self.assertGreater(end, view.lease_end)
