Keep former owners' starts of stopped runs in mind

A task that lasts may wait for a worker that is well until 13 s after a takeover, while its absence counts after 9 s: the worker of a run that was inherited and then stopped, such as one that drains after a restart, was not asked for signs of life, since the starts of its former owner were noted only for runs that were still inherited when they ended. Their room was not kept either, and a later owner was not told.

The starts of former owners are noted for all runs that this owner has not sent and whose worker has not listed them.

--- a/jujubebarrow/coordinators/reconcilers.py
+++ b/jujubebarrow/coordinators/reconcilers.py
@@ -319,10 +319,9 @@
             unanswered=run.unacknowledged_starts,
             reason=reason,
         )
-        if run.stage is RunStage.INHERITED and not run.is_listed:
+        if run.is_start_sent and not run.first_sent_at and not run.is_listed:
             # The former owner may have sent a start that nobody has recorded.
-            end = self._state.owned_since + self._state.options.late_order_window
-            worker.keep_former_start(run, end, now)
+            worker.keep_former_start(run, self._state.former_starts_end, now)
         self._state.release_run(job, task, now)
         self.block_late_starts(worker, run, task)
         self._state.mark_changed(job)
--- a/jujubebarrow/tests/test_repeated_lost_starts.py
+++ b/jujubebarrow/tests/test_repeated_lost_starts.py
@@ -151,3 +151,23 @@
         view = self.coordinator.state.workers[FORMER]
         end = self.find_next_start(is_registered=False)
         self.assertGreater(end, view.lease_end)
+
+    async def test_worker_of_a_stopped_run_of_a_former_owner_is_asked_for_signs_of_life(
+        self,
+    ) -> None:
+        run = self.take_over(self.start([OrderOutcome.ACCEPTED]))
+        self.register(FORMER, SECOND_START_MS, WorkerState.DRAINING)
+        now = NOW + RESTART_SECONDS
+        self.report(FORMER, SECOND_START_MS, now)
+        order = self.coordinator.orders.make_stop(run)
+        assert order is not None
+        result = OrderResult(OrderOutcome.ACCEPTED, now)
+        self.coordinator.orders.handle_stop_result(run, order, result, now)
+        now += PROBE_SECONDS
+        self.report(FORMER, SECOND_START_MS, now)
+        task = self.find_task(run)
+        end = self.coordinator.state.former_starts_end
+        self.assertEqual((task.active, task.late_starts), (None, {FORMER: end}))
+        view = self.coordinator.state.workers[FORMER]
+        self.assertTrue(view.may_start_late(end - PROBE_SECONDS))
+        self.assertFalse(view.may_start_late(end))
