--- a/jujubebarrow/coordinators/reconcilers.py
+++ b/jujubebarrow/coordinators/reconcilers.py
@@ -145,6 +145,7 @@
         task = self._find_task(run)
         return (
             run.is_long_running
+            and not run.is_outdated
             and run.stage is not RunStage.STOPPING
             and worker.entry is not None
             and not worker.draining_since
@@ -272,6 +273,7 @@
         )
         may_late_start_run = now < worker.find_late_start_end(run.task)
         run.speed_percent = 100
+        run.is_outdated = False
         may_former_owner_have_repeated_start = (
             not run.first_sent_at and now < self._state.former_starts_end
         )
@@ -290,7 +292,11 @@
             # The next list of runs tells whether the new incarnation executes the run.
             run.incarnation = worker.incarnation
             run.is_listed = False
-            run.has_moved = run.has_moved or run.stage is RunStage.INHERITED
+            run.has_moved = (
+                run.has_moved
+                or run.stage is RunStage.INHERITED
+                or (run.is_long_running and may_former_owner_have_repeated_start)
+            )
 
     def record_unreported_end(
         self, worker: WorkerView, run: ActiveRun, reason: str, now: float
@@ -313,10 +319,9 @@
             unanswered=run.unacknowledged_starts,
             reason=reason,
         )
-        if run.stage is RunStage.INHERITED and not run.is_listed:
+        if run.is_start_sent and not run.first_sent_at and not run.is_listed:
             # The former owner may have sent a start that nobody has recorded.
-            end = self._state.owned_since + self._state.options.late_order_window
-            worker.keep_former_start(run, end, now)
+            worker.keep_former_start(run, self._state.former_starts_end, now)
         self._state.release_run(job, task, now)
         self.block_late_starts(worker, run, task)
         self._state.mark_changed(job)
@@ -369,7 +374,9 @@
         self._state.mark_started(job)
         if running.checkpoint:
             task.checkpoint = running.checkpoint
-        if not run.is_proven and now - run.first_sent_at >= SURVIVAL_SECONDS:
+        # The first start of a run that has moved was sent to a former incarnation.
+        started_at = run.confirmed_at if run.has_moved else run.first_sent_at
+        if not run.is_proven and now - started_at >= SURVIVAL_SECONDS:
             worker.prove_run(run)
             task.crashes = 0
         if job.phase.is_final:
