Run the job core with jobs of all kinds and all faults together

The runs with late orders had one pool, jobs of one step, and no faults of the store, no drains, no maintenance and no owners that are frozen. A second run of a task can come from each of them. The new proof plays them beside late orders: two pools, 13 workers, four instances, gangs, steps after steps, checkpoints, failing tasks, cancelled jobs, occurrences, tasks that last, waves, owners that are killed, frozen or cut off.

Emulated workers keep a lower run of a task beside a higher one, and reject only what is not higher than a run that was stopped or has ended there, as the workers' contract says.

--- a/jujubebarrow/standins/emulated_gateways.py
+++ b/jujubebarrow/standins/emulated_gateways.py
@@ -1,6 +1,6 @@
 """Connection of one instance to the emulated workers, with delays and faults."""
 
-from asyncio import get_running_loop, sleep
+from asyncio import Event, get_running_loop, sleep
 from collections.abc import Callable
 from random import Random
 
@@ -47,6 +47,8 @@
         pending_renewal_loss_count: Number of upcoming renewals whose response will be
             lost.
         extra_delay_seconds: Additional delay of each lease renewal in seconds.
+        is_running: Cleared while the instance gets no processor time, so that it sends
+            no message and takes note of no response.
         link_bytes_per_second: Rate at which the instance's link carries orders and
             renewals, one after the other.
         sent_start_count: Number of start orders sent.
@@ -66,6 +68,8 @@
         self.is_disconnected = False
         self.pending_renewal_loss_count = 0
         self.extra_delay_seconds = 0.0
+        self.is_running = Event()
+        self.is_running.set()
         self.link_bytes_per_second = float("inf")
         self.sent_start_count = 0
         self.sent_bytes = 0
@@ -90,6 +94,17 @@
         worker: EmulatedWorker,
         execute: Callable[[], OrderResult],
         payload_bytes: int = 0,
+    ) -> OrderResult:
+        await self.is_running.wait()
+        result = await self._deliver_order(worker, execute, payload_bytes)
+        await self.is_running.wait()
+        return result
+
+    async def _deliver_order(
+        self,
+        worker: EmulatedWorker,
+        execute: Callable[[], OrderResult],
+        payload_bytes: int,
     ) -> OrderResult:
         link_seconds = self.put_on_link(
             MESSAGE_BYTES + payload_bytes, is_start=payload_bytes > 0
@@ -145,6 +160,13 @@
             WorkerSilentError: The worker is unreachable or its response was lost.
             WorkerFencedError: The worker has seen a higher token.
         """
+        await self.is_running.wait()
+        try:
+            return await self._deliver_renewal(order)
+        finally:
+            await self.is_running.wait()
+
+    async def _deliver_renewal(self, order: RenewalOrder) -> RenewalReport:
         worker = self._workers[order.worker]
         timeout_at = get_running_loop().time() + order.wait + RESPONSE_TIMEOUT_SECONDS
         link_seconds = self.put_on_link(MESSAGE_BYTES)
--- a/jujubebarrow/standins/emulated_stores.py
+++ b/jujubebarrow/standins/emulated_stores.py
@@ -1,6 +1,6 @@
 """In-memory store with one client for each instance and with injected faults."""
 
-from asyncio import get_running_loop, sleep
+from asyncio import Event, get_running_loop, sleep
 from random import Random
 
 import cbor2
@@ -119,6 +119,8 @@
         commit_attempts: Number of attempts to commit a transaction.
         is_disconnected: Whether this client's calls time out.
         is_rejecting_calls: Whether this client's calls fail at once with status 503.
+        is_running: Cleared while the client gets no processor time, so that it sends no
+            request and takes note of no response.
         unreadable_tables: Tables whose rows and change feeds this client cannot read;
             such reads time out.
         loss_probability: Probability that a call of this client gets no response.
@@ -136,6 +138,8 @@
         self._shared = shared
         self.is_disconnected = False
         self.is_rejecting_calls = False
+        self.is_running = Event()
+        self.is_running.set()
         self.loss_probability = 0.0
         self.unreadable_tables: set[str] = set()
         self.unwritable_tables: set[str] = set()
@@ -159,6 +163,7 @@
         )
 
     async def _deliver_request(self, wait: float = 0.0) -> None:
+        await self.is_running.wait()
         await sleep(ONE_WAY_DELAY_SECONDS + self._shared.extra_delay_seconds)
         if self.is_rejecting_calls:
             raise StoreError("status 503", False)
@@ -198,6 +203,7 @@
                 >= shared.late_write_probability + shared.response_loss_probability
             ):
                 await sleep(ONE_WAY_DELAY_SECONDS)
+                await self.is_running.wait()
                 return result
         await sleep(RESPONSE_TIMEOUT_SECONDS)
         raise StoreError("answer lost", True)
@@ -212,6 +218,7 @@
         await self._check_readable(prefix)
         rows = self._shared.table.read(prefix, limit)
         await sleep(ONE_WAY_DELAY_SECONDS)
+        await self.is_running.wait()
         return self._count_bytes(rows)
 
     async def list_partitions(self, table: str) -> list[str]:
@@ -241,6 +248,7 @@
             await sleep(timeout_at - get_running_loop().time())
             raise StoreError("no answer", True)
         await sleep(ONE_WAY_DELAY_SECONDS)
+        await self.is_running.wait()
         return self._count_bytes(rows)
 
     async def _check_readable(self, prefix: str) -> None:
--- a/jujubebarrow/standins/emulated_workers.py
+++ b/jujubebarrow/standins/emulated_workers.py
@@ -1,7 +1,7 @@
 """In-memory worker that runs tasks under leases, with injected faults."""
 
 from asyncio import Event, get_running_loop, wait_for
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from random import Random
 
@@ -13,6 +13,7 @@
     ThrottleOrder,
 )
 from jujubebarrow.identifiers import PoolId, ZoneId
+from jujubebarrow.standins.emulated_gangs import EmulatedGangs
 from jujubebarrow.workloads.finished_runs import FinishedRun, RunOutcome
 from jujubebarrow.workloads.identifiers import RunNumber, WorkerId
 from jujubebarrow.workloads.resources import NO_RESOURCES, Resources
@@ -37,6 +38,8 @@
 STARTUP_SECONDS = 0.3
 """Time from the start of a long-running task until the task is operating."""
 
+RunKey = tuple[TaskKey, RunNumber]
+
 
 @dataclass(slots=True)
 class EmulatedRun:
@@ -58,6 +61,7 @@
         is_end_acknowledged: Whether an owner has acknowledged the end of the run.
         has_lease_lapsed: Whether the lease expired before that. The workers' contract
             permits a second start of the task then.
+        restored_seconds: Work that the checkpoint of the start has saved.
     """
 
     task: TaskKey
@@ -73,6 +77,7 @@
     sent_at: float = 0.0
     is_end_acknowledged: bool = False
     has_lease_lapsed: bool = False
+    restored_seconds: float = 0.0
 
 
 @dataclass(slots=True)
@@ -87,6 +92,8 @@
         is_failing: Whether every run fails.
         crash_delay: Time in seconds from the start of a run to the crash of its worker;
             None if the worker does not crash.
+        gang_sizes: Number of tasks of each step whose tasks work only together.
+        checkpoint_seconds: Work after which a run saves its progress; 0 for none.
     """
 
     seconds: float = 0.5
@@ -94,6 +101,8 @@
     long_running_steps: tuple[int, ...] = ()
     is_failing: bool = False
     crash_delay: float | None = None
+    gang_sizes: Mapping[int, int] = field(default_factory=dict)
+    checkpoint_seconds: float = 0.0
 
     def lasts(self, step: int) -> bool:
         """Return whether the runs of a step last until they are stopped."""
@@ -109,9 +118,9 @@
         started_at: Start time in seconds of the event loop's clock.
         token: Highest fencing token that the worker has seen.
         lease_end: End of the lease in seconds of the worker's clock.
-        running: Active run of each task.
-        highest_runs: Highest run number that the worker has started or was ordered to
-            stop, by task.
+        running: Active runs. Several runs of a task may be active.
+        highest_runs: Highest run number that has ended or that the worker was ordered
+            to stop, by task.
         finished_runs: Finished runs that have not been acknowledged, oldest first.
         ended_runs: Record of each of these, by the number of its end.
         finished_count: Number of all finished runs.
@@ -123,7 +132,7 @@
     started_at: float
     token: int = 0
     lease_end: float = 0.0
-    running: dict[TaskKey, EmulatedRun] = field(default_factory=dict)
+    running: dict[RunKey, EmulatedRun] = field(default_factory=dict)
     highest_runs: dict[TaskKey, int] = field(default_factory=dict)
     finished_runs: list[FinishedRun] = field(default_factory=list)
     ended_runs: dict[int, EmulatedRun] = field(default_factory=dict)
@@ -146,6 +155,7 @@
         started_at_ms: Start time of the first incarnation in Unix milliseconds.
         default_behaviour: Behaviour of the tasks of all jobs without an entry in
             ``behaviours``.
+        gangs: Gangs of all workers whose runs may belong to one gang.
 
     Attributes:
         worker: Id of the worker.
@@ -179,6 +189,7 @@
         random: Random | None = None,
         started_at_ms: int = 1,
         default_behaviour: TaskBehaviour | None = None,
+        gangs: EmulatedGangs | None = None,
     ):
         self.worker = worker
         self.pool = pool
@@ -201,6 +212,7 @@
         self._finish_event = Event()
         self._duration_seconds: dict[TaskKey, float] = {}
         self._default_behaviour = default_behaviour or TaskBehaviour()
+        self._gangs = gangs or EmulatedGangs()
         self._incarnation = _Incarnation(started_at_ms, self._now())
 
     def _now(self) -> float:
@@ -234,12 +246,14 @@
     def crash(self) -> None:
         """End all runs; the worker responds to no request until ``restart``."""
         self.is_up = False
-        for run in list(self._incarnation.running.values()):
-            run.ended_at = self._now()
+        runs = list(self._incarnation.running.values())
         self._incarnation.running.clear()
+        for run in runs:
+            run.ended_at = self._now()
+            self._gangs.leave(run.task, run.run)
 
     def _crash_for_run(self, run: EmulatedRun) -> None:
-        if self._incarnation.running.get(run.task) is run:
+        if self._incarnation.running.get((run.task, run.run)) is run:
             self.crash()
             get_running_loop().call_later(CRASH_DOWNTIME_SECONDS, self._restart_if_down)
 
@@ -285,8 +299,7 @@
         if order.token < incarnation.token:
             return self._make_result(OrderOutcome.FENCED)
         incarnation.token = order.token
-        current = incarnation.running.get(order.task)
-        if current is not None and current.run == order.run:
+        if (order.task, order.run) in incarnation.running:
             return self._make_result(OrderOutcome.ACCEPTED)
         if order.run <= incarnation.highest_runs.get(order.task, 0):
             self._renew_until(order.deadline)
@@ -294,7 +307,6 @@
         if order.deadline <= self.clock:
             return self._make_result(OrderOutcome.LEASE_DEADLINE_PASSED)
         self._renew_until(order.deadline)
-        incarnation.highest_runs[order.task] = order.run
         run = EmulatedRun(order.task, order.run, self.worker, self._now())
         run.payload = order.payload
         run.pool = self.pool
@@ -303,19 +315,53 @@
         run.known_capacity = self.capacity
         if not self._is_owner_known:
             run.known_capacity = max(self.capacity, incarnation.former_capacity)
-        incarnation.running[order.task] = run
+        incarnation.running[order.task, order.run] = run
         self.run_history.append(run)
         behaviour = self._behaviours.get(order.payload, self._default_behaviour)
         if behaviour.crash_delay is not None:
             loop = get_running_loop()
             loop.call_later(behaviour.crash_delay, self._crash_for_run, run)
         if not behaviour.lasts(order.task.step):
-            outcome = RunOutcome.FAILED if behaviour.is_failing else RunOutcome.DONE
-            self._duration_seconds[order.task] = behaviour.seconds
-            if not self.is_stalled:
-                self._finish_later(incarnation, run, behaviour.seconds, outcome)
+            self._plan_end(incarnation, run, behaviour, order.checkpoint)
         return self._make_result(OrderOutcome.ACCEPTED)
 
+    def _plan_end(
+        self,
+        incarnation: _Incarnation,
+        run: EmulatedRun,
+        behaviour: TaskBehaviour,
+        checkpoint: str,
+    ) -> None:
+        """Let a finite run end after its work, a gang's run with the other members."""
+        outcome = RunOutcome.FAILED if behaviour.is_failing else RunOutcome.DONE
+        self._duration_seconds[run.task] = behaviour.seconds
+        if behaviour.checkpoint_seconds and checkpoint:
+            run.restored_seconds = float(checkpoint)
+        seconds = max(0.0, behaviour.seconds - run.restored_seconds)
+        gang_size = behaviour.gang_sizes.get(run.task.step, 0)
+        if gang_size and not behaviour.is_failing:
+            self._gangs.join(
+                run.task,
+                run.run,
+                gang_size,
+                seconds,
+                lambda end: self._finish(incarnation, run, end),
+            )
+        elif not self.is_stalled:
+            self._finish_later(incarnation, run, seconds, outcome)
+
+    def _make_checkpoint(self, run: EmulatedRun, is_stopped: bool = False) -> str:
+        """Return the work that a run has saved; empty if there is none."""
+        behaviour = self._behaviours.get(run.payload, self._default_behaviour)
+        period_seconds = behaviour.checkpoint_seconds
+        if not period_seconds:
+            return ""
+        worked_seconds = self._now() - run.started_at
+        if not is_stopped:
+            worked_seconds -= worked_seconds % period_seconds
+        saved_seconds = run.restored_seconds + worked_seconds
+        return f"{saved_seconds:.3f}" if saved_seconds else ""
+
     def _finish_later(
         self,
         incarnation: _Incarnation,
@@ -330,17 +376,24 @@
     ) -> None:
         if (
             incarnation is not self._incarnation
-            or incarnation.running.get(run.task) is not run
+            or incarnation.running.get((run.task, run.run)) is not run
         ):
             return
-        del incarnation.running[run.task]
+        del incarnation.running[run.task, run.run]
+        incarnation.highest_runs[run.task] = max(
+            incarnation.highest_runs.get(run.task, 0), run.run
+        )
         run.ended_at = self._now()
         run.outcome = outcome
+        checkpoint = self._make_checkpoint(run, outcome is RunOutcome.STOPPED)
         incarnation.finished_count += 1
         incarnation.finished_runs.append(
-            FinishedRun(incarnation.finished_count, run.task, run.run, outcome, "")
+            FinishedRun(
+                incarnation.finished_count, run.task, run.run, outcome, checkpoint
+            )
         )
         incarnation.ended_runs[incarnation.finished_count] = run
+        self._gangs.leave(run.task, run.run)
         self._finish_event.set()
 
     def _renew_until(self, deadline: float) -> None:
@@ -375,8 +428,8 @@
         incarnation.highest_runs[order.task] = max(
             incarnation.highest_runs.get(order.task, 0), order.run
         )
-        current = incarnation.running.get(order.task)
-        if current is not None and current.run <= order.run:
+        current = incarnation.running.get((order.task, order.run))
+        if current is not None:
             self._finish_later(
                 incarnation, current, STOP_DELAY_SECONDS, RunOutcome.STOPPED
             )
@@ -447,14 +500,15 @@
 
     def _make_running_task(self, run: EmulatedRun) -> RunningTask:
         elapsed_seconds = self._now() - run.started_at
+        checkpoint = self._make_checkpoint(run)
         if self.is_stalled:
-            return RunningTask(run.task, run.run, "", 0, 0)
+            return RunningTask(run.task, run.run, checkpoint, 0, 0)
         duration_seconds = self._duration_seconds.get(run.task, 0.0)
         if duration_seconds:
             percent = min(99, int(100 * elapsed_seconds / duration_seconds))
         else:
             percent = 100 if elapsed_seconds > STARTUP_SECONDS else 0
-        return RunningTask(run.task, run.run, "", percent, 0)
+        return RunningTask(run.task, run.run, checkpoint, percent, 0)
 
     def _make_result(self, outcome: OrderOutcome) -> OrderResult:
         return OrderResult(outcome, self.clock)
--- a/jujubebarrow/tests/fakes/job_clusters.py
+++ b/jujubebarrow/tests/fakes/job_clusters.py
@@ -37,6 +37,7 @@
 from jujubebarrow.runtimes.entry_nodes import EntryNode, EntryOptions
 from jujubebarrow.runtimes.fleet_watchers import FleetWatcher
 from jujubebarrow.runtimes.worker_watchers import WorkerWatcher
+from jujubebarrow.standins.emulated_gangs import EmulatedGangs
 from jujubebarrow.standins.emulated_gateways import EmulatedGateway
 from jujubebarrow.standins.emulated_stores import EmulatedStore, SharedStore
 from jujubebarrow.standins.emulated_workers import (
@@ -221,6 +222,20 @@
             await node.close()
             await self._stack.aclose()
 
+    def freeze(self) -> None:
+        """Give the process no processor time until ``thaw``."""
+        self.clock.freeze()
+        self.store.is_running.clear()
+        self.gateway.is_running.clear()
+        self.is_isolated = True
+
+    def thaw(self) -> None:
+        """Let a frozen process continue; what it was about to send is sent."""
+        self.clock.thaw()
+        self.is_isolated = False
+        self.store.is_running.set()
+        self.gateway.is_running.set()
+
     async def stop(self) -> None:
         if self.node is not None:
             await self.node.hand_over()
@@ -263,6 +278,7 @@
         self.reader = FakeReader()
         self.behaviours: dict[str, TaskBehaviour] = {}
         self.workers: dict[WorkerId, EmulatedWorker] = {}
+        self.gangs = EmulatedGangs()
         self.logs: list[ListLog] = []
         self.machines = FakeMachines(self)
         self.advisor = FakeAdvisor()
@@ -293,6 +309,7 @@
                 accepted_lease_seconds,
                 self.behaviours,
                 random=self.random,
+                gangs=self.gangs,
             )
             self.workers[name].crash()
         self.write_fleet()
@@ -306,6 +323,7 @@
             self.accepted_lease_seconds,
             self.behaviours,
             random=self.random,
+            gangs=self.gangs,
         )
         self.workers[name].on_restarted = lambda: self.register_worker(name)
         self.register_worker(name)
@@ -382,6 +400,8 @@
         team: TeamId = TEAM,
         payload_bytes: int = 0,
         route: QueueRoute = ROUTE,
+        occurrences: int = 0,
+        interval: float = 0.0,
     ) -> JobId:
         job = JobId(f"{number:016x}")
         payload = f"job-{number}".ljust(payload_bytes, ".")
@@ -390,7 +410,13 @@
         steps = steps or (StepSpec(count=2, needs=Resources(1000, 500)),)
         node = self.instances[instance].node
         assert node is not None
-        submission = JobSubmission(payload=payload, steps=steps)
+        submission = JobSubmission(
+            payload=payload,
+            steps=steps,
+            first_start=get_running_loop().time() if occurrences else 0.0,
+            interval=interval,
+            occurrences=occurrences,
+        )
         # A repeated id remains the job of the first submission.
         self.submissions.setdefault(job, submission)
         self._pool_by_job[job] = route.pool
@@ -406,10 +432,12 @@
         self.accepted.add(JobId(name))
         return JobId(name)
 
-    async def cancel(self, job: JobId, instance: int = 0) -> None:
+    async def cancel(
+        self, job: JobId, instance: int = 0, route: QueueRoute = ROUTE
+    ) -> None:
         node = self.instances[instance].node
         assert node is not None
-        await node.intake.cancel(ROUTE, TEAM, job)
+        await node.intake.cancel(route, TEAM, job)
         self.cancelled_at[job] = get_running_loop().time()
 
     async def read_phase(self, job: JobId, instance: int = 0) -> str:
--- a/jujubebarrow/tests/fakes/virtual_loops.py
+++ b/jujubebarrow/tests/fakes/virtual_loops.py
@@ -44,12 +44,20 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, error: float = 0.0):
         self._loop = loop
         self._error = error
+        self._frozen_at: float | None = None
 
     def monotonic(self) -> float:
-        return self._loop.time()
+        return self._loop.time() if self._frozen_at is None else self._frozen_at
 
     def wall(self) -> float:
-        return self._loop.time() + self._error
+        return self.monotonic() + self._error
+
+    def freeze(self) -> None:
+        """Stop the clock, like that of a process that gets no processor time."""
+        self._frozen_at = self._loop.time()
+
+    def thaw(self) -> None:
+        self._frozen_at = None
 
 
 def run_virtual(main: Coroutine[Any, Any, Any]) -> Any:
--- /dev/null
+++ b/jujubebarrow/tests/proof_mixed_faults.py
@@ -0,0 +1,48 @@
+"""Runs the job core with jobs of all kinds and all faults at the same time.
+
+Guards against tasks that run twice, overloaded workers and misplaced tasks when orders
+that are executed late, restarts, drains, maintenance, owners that are killed, frozen or
+cut off, and failures of the store come together.
+"""
+
+import unittest
+from random import Random
+
+from jujubebarrow.tests.fakes.job_clusters import JobCluster
+from jujubebarrow.tests.fakes.mixed_faults import MixedFaults
+from jujubebarrow.tests.fakes.virtual_loops import run_virtual
+
+SEEDS = range(1, 9)
+ACCEPTED_LEASE_SECONDS = 10.0
+"""Longer than the leases that owners issue."""
+
+
+def run_cluster(seed: int) -> JobCluster:
+    """Return the cluster after a seeded run."""
+
+    async def main() -> JobCluster:
+        cluster = JobCluster(
+            seed=seed,
+            instances=4,
+            workers=8,
+            others=5,
+            has_other_queue=True,
+            accepted_lease_seconds=ACCEPTED_LEASE_SECONDS,
+        )
+        injector = MixedFaults(cluster, Random(seed))
+        try:
+            await cluster.start()
+            await injector.run()
+        finally:
+            for instance in cluster.instances:
+                await instance.kill()
+        return cluster
+
+    return run_virtual(main())
+
+
+class MixedFaultProof(unittest.TestCase):
+    def test_mixed_faults_repeat_or_misplace_no_task(self) -> None:
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                self.assertEqual(run_cluster(seed).find_violations(), [])
