Let gangs wait for starts of a former owner that no list contains

Callers saw a gang's tasks run twice. Starts of other tasks are sent again to the same worker in this case, those of gangs are not.

Such a run now stays the active one of its task until no worker can execute a start of the former owner.

--- a/jujubebarrow/coordinators/reconcilers.py
+++ b/jujubebarrow/coordinators/reconcilers.py
@@ -204,7 +204,9 @@
         """
         job = self._state.jobs.get(run.task.job)
         has_moved = run.has_moved or run.incarnation != worker.incarnation
-        if job is None or job.phase.is_final or not has_moved:
+        # The incarnation rejects starts of former owners, but the next one does not.
+        is_former = run.stage is RunStage.INHERITED and not run.is_listed
+        if job is None or job.phase.is_final or not (has_moved or is_former):
             return 0.0
         end = worker.find_late_start_end(run.task)
         return end if run.first_sent_at else max(end, self._state.former_starts_end)
--- a/jujubebarrow/tests/test_restarted_workers.py
+++ b/jujubebarrow/tests/test_restarted_workers.py
@@ -484,6 +484,26 @@
         self.report(SECOND_START_MS, now=NOW + 0.1, clock=0.1)
         self.assertNotIn((run.task, run.run), self.worker.runs)
 
+    async def test_unlisted_run_of_a_gang_waits_for_starts_of_the_former_owner(
+        self,
+    ) -> None:
+        record = make_record(0, 2)
+        step = replace(record.steps[0], gang=True)
+        record = replace(record, steps=(step,))
+        self.coordinator.add_job(record, None, NOW)
+        self.assertEqual(len(self.coordinator.plan(NOW, NOW)), 2)
+        document = self.coordinator.state.jobs[record.job].to_document()
+        self.coordinator = self.make_coordinator(FenceToken(8))
+        self.coordinator.state.owned_since = NOW
+        self.coordinator.add_job(record, document, NOW)
+        self.register(FIRST_START_MS)
+        self.report(FIRST_START_MS, now=NOW + 0.1)
+        self.report(FIRST_START_MS, now=NOW + 1.0)
+        self.assertEqual(self.coordinator.plan(NOW + 1.0, NOW), [])
+        end = NOW + OPTIONS.late_order_window + 0.1
+        self.report(FIRST_START_MS, now=end)
+        self.assertEqual(len(self.coordinator.plan(end, NOW)), 2)
+
     async def test_worker_with_an_unknown_start_time_gets_tasks(self) -> None:
         self.coordinator = self.make_coordinator(FenceToken(8))
         self.register(0)
