Send no planned start while another run of its task is listed

Callers saw a task run twice. At 95.55 it sees run 1 on o4 and orders a stop; at 95.58 run 2 has been stored and is started, beside run 1 until 95.71. A listed run that nobody recorded kept its task from being planned only.

Such a run also holds up a start that is planned. The unit test fails without the change.

--- a/jujubebarrow/coordinators/run_orders.py
+++ b/jujubebarrow/coordinators/run_orders.py
@@ -83,7 +83,8 @@
         if worker.is_over_capacity and (run.has_moved or not run.is_start_sent):
             self._give_up_start(worker, run, "capacity reduced before the start", now)
             return None
-        if worker.has_orphans:
+        if worker.has_orphans or now < task.blocked_until:
+            # Another run of the task may still be executing.
             return None
         if worker.unresponsive_since:
             # Each attempt would delay the lease expiry, after which the runs of an
--- a/jujubebarrow/tests/test_restarted_workers.py
+++ b/jujubebarrow/tests/test_restarted_workers.py
@@ -504,6 +504,21 @@
         self.report(FIRST_START_MS, now=end)
         self.assertEqual(len(self.coordinator.plan(end, NOW)), 2)
 
+    async def test_planned_run_waits_while_another_worker_lists_a_run_of_its_task(
+        self,
+    ) -> None:
+        self.coordinator.add_job(make_record(0, 1), None, NOW)
+        (run,) = self.coordinator.plan(NOW, NOW)
+        run.stage = RunStage.RECORDED
+        self.register_other_worker()
+        other = self.coordinator.state.workers[OTHER_WORKER]
+        stray = RunningTask(run.task, RunNumber(run.run + 1), "", 5, 0)
+        report = RenewalReport(FIRST_START_MS, 50.0, (stray,), ())
+        self.coordinator.handle_renewal_report(other, report, NOW, NOW)
+        self.assertIsNone(self.coordinator.orders.make_start(run, NOW))
+        later = NOW + ORPHAN_BLOCK_SECONDS
+        self.assertIsNotNone(self.coordinator.orders.make_start(run, later))
+
     async def test_worker_with_an_unknown_start_time_gets_tasks(self) -> None:
         self.coordinator = self.make_coordinator(FenceToken(8))
         self.register(0)
