Acknowledge no ends of workers that belong to another pool

Callers saw a task start again after its end.

An owner acknowledges ends only while the worker's present incarnation is registered in its pool. One test acknowledged ends of a worker that had never registered; it registers it now and makes the same assertions. The new unit test fails without the change.

--- a/jujubebarrow/coordinators/pool_coordinators.py
+++ b/jujubebarrow/coordinators/pool_coordinators.py
@@ -352,8 +352,11 @@
         # position of its predecessor would acknowledge runs that it has not listed. It
         # may also execute late starts again, which repeat only unacknowledged runs. A
         # full list is acknowledged all the same, since it leaves out other ends.
-        may_repeat_runs = worker.may_start_late(now) and worker.lists_all_ends
-        is_withheld = worker.unresponsive_since or may_repeat_runs
+        # The ends of a worker in another pool are for the owner of that pool to store.
+        may_concern_others = not worker.is_entry_present
+        is_withheld = worker.unresponsive_since or (
+            worker.lists_all_ends and (may_concern_others or worker.may_start_late(now))
+        )
         acknowledged = 0 if is_withheld else worker.acknowledged
         deadline = None
         if not worker.unresponsive_since:
--- a/jujubebarrow/tests/test_restarted_workers.py
+++ b/jujubebarrow/tests/test_restarted_workers.py
@@ -16,7 +16,7 @@
 from jujubebarrow.coordinators.reconcilers import ORPHAN_BLOCK_SECONDS
 from jujubebarrow.coordinators.recorded_leases import RecordedLease
 from jujubebarrow.coordinators.worker_views import CLOCK_RATE, WorkerView
-from jujubebarrow.identifiers import ZoneId
+from jujubebarrow.identifiers import JobId, ZoneId
 from jujubebarrow.tests.fakes.fake_documents import ListLog
 from jujubebarrow.tests.fakes.job_clusters import POOL, QUEUE
 from jujubebarrow.tests.test_planning_work import make_record
@@ -429,6 +429,8 @@
     async def test_late_starts_of_a_former_owner_delay_acknowledgements(self) -> None:
         successor = self.make_coordinator(FenceToken(8))
         successor.state.set_former_owners_starts({WORKER: LateStartRecord(NOW + 5.0)})
+        self.coordinator = successor
+        self.register(FIRST_START_MS)
         worker = successor.state.ensure_worker(WORKER)
         worker.acknowledged = 3
         self.assertEqual(successor.make_renewal(worker, 0.0, NOW).acknowledged, 0)
@@ -519,6 +521,20 @@
         later = NOW + ORPHAN_BLOCK_SECONDS
         self.assertIsNotNone(self.coordinator.orders.make_start(run, later))
 
+    async def test_ends_of_a_worker_in_another_pool_are_not_acknowledged(self) -> None:
+        task = TaskKey(JobId("1"), 0, 0, 0)
+        ended = FinishedRun(1, task, RunNumber(1), RunOutcome.DONE, "")
+        self.report(FIRST_START_MS, (), (ended,))
+        self.assertEqual(self.renew(), 1)
+        self.coordinator.handle_deregistration(WORKER)
+        self.assertEqual(self.renew(), 0)
+        self.register(FIRST_START_MS)
+        self.assertEqual(self.renew(), 1)
+
+    def renew(self) -> int:
+        """Return the position up to which a renewal acknowledges finished runs."""
+        return self.coordinator.make_renewal(self.worker, 0.0, NOW).acknowledged
+
     async def test_worker_with_an_unknown_start_time_gets_tasks(self) -> None:
         self.coordinator = self.make_coordinator(FenceToken(8))
         self.register(0)
