--- a/jujubebarrow/tests/fakes/job_clusters.py
+++ b/jujubebarrow/tests/fakes/job_clusters.py
@@ -37,6 +37,7 @@
 from jujubebarrow.runtimes.entry_nodes import EntryNode, EntryOptions
 from jujubebarrow.runtimes.fleet_watchers import FleetWatcher
 from jujubebarrow.runtimes.worker_watchers import WorkerWatcher
+from jujubebarrow.standins.emulated_gangs import EmulatedGangs
 from jujubebarrow.standins.emulated_gateways import EmulatedGateway
 from jujubebarrow.standins.emulated_stores import EmulatedStore, SharedStore
 from jujubebarrow.standins.emulated_workers import (
@@ -81,6 +82,8 @@
 CAPACITY = Resources(8000, 16000, 0)
 PROPAGATION_SECONDS = 1.0
 """Time after which an owner must know a registration."""
+CANCELLATION_SECONDS = 3.0
+"""Time after a cancellation in which starts of the job may still be sent."""
 UNKNOWN_STEP = StepSpec(needs=Resources(1000, 0, 0))
 """Step of the tasks of jobs that a test submits past the cluster."""
 
@@ -221,6 +224,20 @@
             await node.close()
             await self._stack.aclose()
 
+    def freeze(self) -> None:
+        """Give the process no processor time until ``thaw``."""
+        self.clock.freeze()
+        self.store.is_running.clear()
+        self.gateway.is_running.clear()
+        self.is_isolated = True
+
+    def thaw(self) -> None:
+        """Let a frozen process continue; what it was about to send is sent."""
+        self.clock.thaw()
+        self.is_isolated = False
+        self.store.is_running.set()
+        self.gateway.is_running.set()
+
     async def stop(self) -> None:
         if self.node is not None:
             await self.node.hand_over()
@@ -263,6 +280,7 @@
         self.reader = FakeReader()
         self.behaviours: dict[str, TaskBehaviour] = {}
         self.workers: dict[WorkerId, EmulatedWorker] = {}
+        self.gangs = EmulatedGangs()
         self.logs: list[ListLog] = []
         self.machines = FakeMachines(self)
         self.advisor = FakeAdvisor()
@@ -293,6 +311,7 @@
                 accepted_lease_seconds,
                 self.behaviours,
                 random=self.random,
+                gangs=self.gangs,
             )
             self.workers[name].crash()
         self.write_fleet()
@@ -306,6 +325,7 @@
             self.accepted_lease_seconds,
             self.behaviours,
             random=self.random,
+            gangs=self.gangs,
         )
         self.workers[name].on_restarted = lambda: self.register_worker(name)
         self.register_worker(name)
@@ -382,6 +402,8 @@
         team: TeamId = TEAM,
         payload_bytes: int = 0,
         route: QueueRoute = ROUTE,
+        occurrences: int = 0,
+        interval: float = 0.0,
     ) -> JobId:
         job = JobId(f"{number:016x}")
         payload = f"job-{number}".ljust(payload_bytes, ".")
@@ -390,7 +412,13 @@
         steps = steps or (StepSpec(count=2, needs=Resources(1000, 500)),)
         node = self.instances[instance].node
         assert node is not None
-        submission = JobSubmission(payload=payload, steps=steps)
+        submission = JobSubmission(
+            payload=payload,
+            steps=steps,
+            first_start=get_running_loop().time() if occurrences else 0.0,
+            interval=interval,
+            occurrences=occurrences,
+        )
         # A repeated id remains the job of the first submission.
         self.submissions.setdefault(job, submission)
         self._pool_by_job[job] = route.pool
@@ -406,10 +434,12 @@
         self.accepted.add(JobId(name))
         return JobId(name)
 
-    async def cancel(self, job: JobId, instance: int = 0) -> None:
+    async def cancel(
+        self, job: JobId, instance: int = 0, route: QueueRoute = ROUTE
+    ) -> None:
         node = self.instances[instance].node
         assert node is not None
-        await node.intake.cancel(ROUTE, TEAM, job)
+        await node.intake.cancel(route, TEAM, job)
         self.cancelled_at[job] = get_running_loop().time()
 
     async def read_phase(self, job: JobId, instance: int = 0) -> str:
@@ -439,6 +469,7 @@
         """
         return [
             *self.find_repeated_runs(),
+            *self._find_repeated_gangs(),
             *self._find_overloaded_workers(),
             *self._find_misplaced_runs(),
             *self._find_starts_after_cancellation(),
@@ -463,6 +494,32 @@
                         violations.append(f"{task}: {later} after the end of {run}")
         return violations
 
+    def _find_repeated_gangs(self) -> list[str]:
+        """Return the starts of a gang's members after the gang has ended as done.
+
+        The acknowledged end of one member counts for all.
+        """
+        violations = []
+        by_gang = defaultdict(list)
+        for run in self.list_runs():
+            if self._find_step(run.task).gang:
+                by_gang[run.task[:3]].append(run)
+        for runs in by_gang.values():
+            done = [
+                run
+                for run in runs
+                if run.outcome is RunOutcome.DONE
+                and run.is_end_acknowledged
+                and not run.has_lease_lapsed
+            ]
+            violations += [
+                f"{later} after the end of a gang: {run}"
+                for run in done
+                for later in runs
+                if later.task != run.task and later.started_at > (run.ended_at or 0.0)
+            ]
+        return violations
+
     def _find_overloaded_workers(self) -> list[str]:
         """Return the starts that brought a worker above its capacity."""
         violations = []
@@ -548,13 +605,26 @@
         violations = []
         for run in self.list_runs():
             cancellation_time = self.cancelled_at.get(run.task.job)
+            # A worker may execute a start late that was sent before the cancellation.
+            sent_at = run.sent_at or run.started_at
             if (
                 cancellation_time is not None
-                and run.started_at > cancellation_time + 3.0
+                and sent_at > cancellation_time + CANCELLATION_SECONDS
             ):
                 violations.append(f"{run} started after its job was cancelled")
         return violations
 
+    def find_runs_of_cancelled_jobs(self) -> list[str]:
+        """Return the active runs of cancelled jobs.
+
+        Call when all faults are over and late orders have been executed.
+        """
+        return [
+            f"{run} is active although its job was cancelled"
+            for run in self.list_runs()
+            if run.ended_at is None and run.task.job in self.cancelled_at
+        ]
+
     def count_starts(self) -> Counter[Any]:
         return Counter(run.task for run in self.list_runs())
 
