Let the store decide whether an owner that a worker refuses is displaced

Cause: an owner took a refusal for a too low token as proof that another instance owns its pool. Tokens rise with the store's revision, so that those of different pools are comparable, and the worker keeps the highest of its incarnation. A worker that changed the pool refuses its former owner after it has seen its new one, or its new one if the former one has a higher token and reaches it first (traced: 1036786.23 the former one, 1036793.33 the new one).

Change: a refusal disputes the claim. From then on the owner sends no order and renews no lease, as a displaced one, until the store has decided: it reads the row of the duty and writes it anew on condition that it still holds the claim. If it does not, the owner closes as before; if the store does not answer, it goes on sending nothing. If the claim holds, the revision of that write is above all claims of other pools so far and below any later claim of this one; tokens issued from then on start there. A refusing worker that is registered in the pool gets such a token and is asked anew; one that is not is left to its owner: it gets no call with the refused token any more, and its runs are over with their leases.

In test_restarted_workers.py the refusal of an order to the present incarnation now sets state.is_claim_disputed, which stops all orders at once, instead of orders.is_superseded, which did so at the next plan; that of an order to a former one still sets nothing.

--- a/jujubebarrow/coordinators/pool_states.py
+++ b/jujubebarrow/coordinators/pool_states.py
@@ -63,7 +63,10 @@
         self.recorded_leases: dict[WorkerId, RecordedLease] = {}
         self.last_fault_at = owned_since - TAKEOVER_SECONDS
         self._changed: dict[QueueId, dict[JobId, None]] = defaultdict(dict)
+        self._token_base = token
         self._issued_token_count = 0
+        self._refusal_count = 0
+        self._checked_refusal_count = 0
         self._deferred: dict[QueueId, dict[JobId, None]] = defaultdict(dict)
         self._finished_runs: dict[JobId, list[FinishedRunRef]] = defaultdict(list)
         self._held: dict[JobId, JobProgress] = {}
@@ -134,9 +137,56 @@
             self._issued_token_count + 1, TOKENS_PER_CLAIM_COUNT - 1
         )
         return FenceToken(
-            self.token * TOKENS_PER_CLAIM_COUNT + self._issued_token_count
+            self._token_base * TOKENS_PER_CLAIM_COUNT + self._issued_token_count
         )
 
+    @property
+    def refusal_count(self) -> int:
+        """Number of refusals by workers that have seen a higher token."""
+        return self._refusal_count
+
+    @property
+    def is_claim_disputed(self) -> bool:
+        """Whether a worker has seen a higher token since the claim was last confirmed.
+
+        The token may be that of a later owner of the pool, or of the owner of another
+        pool that the worker belongs or has belonged to.
+        """
+        return self._refusal_count > self._checked_refusal_count
+
+    def record_refusal(self, worker: WorkerView, now: float) -> None:
+        """Record that a worker has refused an order with its present token."""
+        if not worker.is_refusing:
+            self._refusal_count += 1
+        worker.record_refusal(now)
+
+    def confirm_claim(self, revision: FenceToken, refusal_count: int) -> None:
+        """Record that the claim of the pool still held after refusals.
+
+        Args:
+            revision: Revision at which the store confirmed the claim: higher than the
+                claims of other pools before, lower than any later claim.
+            refusal_count: Number of refusals before the claim was confirmed.
+        """
+        self._checked_refusal_count = refusal_count
+        self._token_base = revision
+        self._issued_token_count = 0
+        for worker in self.workers.values():
+            self.replace_refused_token(worker)
+
+    def replace_refused_token(self, worker: WorkerView) -> None:
+        """Issue a higher token to a worker of this pool that refuses the present one.
+
+        A worker that is not registered in this pool is left to its present owner.
+        """
+        if not worker.is_refusing or worker.entry is None or self.is_claim_disputed:
+            return
+        worker.replace_token(self.issue_token())
+        for run in worker.runs.values():
+            if run.stage is RunStage.STOPPING:
+                run.stop_acknowledged_at = 0.0
+                self.stops.append(run)
+
     def set_former_owners_starts(
         self, records: dict[WorkerId, LateStartRecord]
     ) -> None:
--- a/jujubebarrow/coordinators/run_orders.py
+++ b/jujubebarrow/coordinators/run_orders.py
@@ -25,7 +25,6 @@
     """
 
     def __init__(self, state: PoolState, reconciler: Reconciler):
-        self.is_superseded = False
         self._state = state
         self._reconciler = reconciler
 
@@ -83,7 +82,7 @@
         if worker.is_over_capacity and (run.has_moved or not run.is_start_sent):
             self._give_up_start(worker, run, "capacity reduced before the start", now)
             return None
-        if worker.has_orphans:
+        if worker.has_orphans or worker.is_refusing:
             return None
         if worker.unresponsive_since:
             # Each attempt would delay the lease expiry, after which the runs of an
@@ -153,7 +152,7 @@
                 run.confirm(now)
                 worker.record_known_run(run, now)
         elif outcome is OrderOutcome.FENCED:
-            self._handle_fenced_order(worker, order)
+            self._state.record_refusal(worker, now)
         elif outcome not in (
             OrderOutcome.UNACKNOWLEDGED,
             OrderOutcome.LEASE_DEADLINE_PASSED,
@@ -204,7 +203,7 @@
     def make_stop(self, run: ActiveRun) -> StopOrder | None:
         """Return the order to stop a run, or None if the run has ended."""
         worker = self._state.workers.get(run.worker)
-        if worker is None or not self.is_active(run):
+        if worker is None or not self.is_active(run) or worker.is_refusing:
             return None
         return StopOrder(
             worker=worker.worker,
@@ -222,7 +221,7 @@
         if worker is None or order.token != worker.token:
             return False
         if result.outcome is OrderOutcome.FENCED:
-            self._handle_fenced_order(worker, order)
+            self._state.record_refusal(worker, now)
             return True
         if result.outcome is not OrderOutcome.ACCEPTED:
             return False
@@ -248,17 +247,6 @@
             token=worker.token,
         )
 
-    def _handle_fenced_order(
-        self, worker: WorkerView, order: StartOrder | StopOrder
-    ) -> None:
-        """Note that another instance owns the pool, unless the token is outdated.
-
-        An order to a former incarnation is rejected because the present one has seen
-        its own token.
-        """
-        if order.token == worker.token:
-            self.is_superseded = True
-
     def is_to_present_incarnation(self, order: ThrottleOrder) -> bool:
         """Return whether an order was made for a worker's present incarnation."""
         worker = self._state.workers.get(order.worker)
--- a/jujubebarrow/coordinators/worker_views.py
+++ b/jujubebarrow/coordinators/worker_views.py
@@ -50,6 +50,7 @@
         self.score = WorkerScore()
         self.lease_end = expiry
         self.is_lease_recorded = False
+        self._refused_token: FenceToken | None = None
         self._recorded_start_ms = 0
         self.lease_issued_at: float | None = None
         self.last_contact_at: float | None = None
@@ -141,6 +142,11 @@
         """Whether the present incarnation has seen the token of the orders to it."""
         return self._clock_read_at is not None
 
+    @property
+    def is_refusing(self) -> bool:
+        """Whether the worker has seen a higher token than that of the orders to it."""
+        return self._refused_token == self.token
+
     def can_accept_tasks(self, now: float) -> bool:
         """Return whether new tasks may be placed on the worker."""
         return self.is_available and not self.score.is_paused(now)
@@ -412,6 +418,16 @@
         """Return whether all leases of the present incarnation are certainly over."""
         return now > self.lease_end
 
+    def record_refusal(self, now: float) -> None:
+        """Record that the worker has seen a higher token and executes no order."""
+        self._refused_token = self.token
+        self.record_failure(now)
+
+    def replace_token(self, token: FenceToken) -> None:
+        """Set a higher token, which the present incarnation has not seen yet."""
+        self.token = token
+        self._clock_read_at = None
+
     def record_failure(self, now: float) -> None:
         """Record that the worker did not respond."""
         self.unresponsive_since = self.unresponsive_since or now
@@ -423,9 +439,13 @@
 
         A worker that responds again reports how its runs ended, so its runs are not
         given up while a response may still come. A worker without a known address
-        cannot be polled and counts as unreachable.
+        cannot be polled and counts as unreachable, as does one that refuses all orders.
         """
-        return not self.address or self.last_failure_at > self.lease_end
+        return (
+            not self.address
+            or self.is_refusing
+            or self.last_failure_at > self.lease_end
+        )
 
     def record_finished(self, number: int) -> bool:
         """Record a listed finished run; return whether the entry is new."""
--- a/jujubebarrow/runtimes/owner_hooks.py
+++ b/jujubebarrow/runtimes/owner_hooks.py
@@ -23,7 +23,3 @@
     @abstractmethod
     def on_orphaned_run(self, order: StopOrder) -> None:
         """Stop an orphaned run: a worker runs it, but no owner has a record of it."""
-
-    @abstractmethod
-    def on_superseded(self) -> None:
-        """Stop the owner at once, because another instance owns the pool."""
--- a/jujubebarrow/runtimes/ownership_services.py
+++ b/jujubebarrow/runtimes/ownership_services.py
@@ -174,6 +174,28 @@
         """Rows of all duties as last read."""
         return self._duty_rows
 
+    async def confirm_claim(self, duty: DutyId, token: FenceToken) -> FenceToken | None:
+        """Write the row of a duty anew if this instance's claim still holds.
+
+        Args:
+            duty: Id of the duty.
+            token: Fencing token of the claim.
+
+        Returns:
+            Revision of the row, which is higher than all claims before and lower than
+            all later ones; None if the claim does not hold any more.
+
+        Raises:
+            StoreError: Whether the row was written may be unknown.
+            TransactionConflictError: The row has changed since it was read.
+        """
+        row = (await self._duty_store.read()).get(duty)
+        if row is None or row.token != token:
+            return None
+        confirmed = await self._duty_store.confirm(row)
+        self._duty_rows[duty] = confirmed
+        return FenceToken(confirmed.revision)
+
     def open(self) -> None:
         """Start the heartbeat and the poll of the owners."""
         for loop in self._loops:
--- a/jujubebarrow/runtimes/pool_owners.py
+++ b/jujubebarrow/runtimes/pool_owners.py
@@ -7,7 +7,11 @@
 from jujubebarrow.coordinators.coordinator_options import CoordinatorOptions
 from jujubebarrow.coordinators.orders import StopOrder
 from jujubebarrow.coordinators.pool_coordinators import PoolCoordinator
-from jujubebarrow.errors.exceptions import QueueLoadError, StoreError
+from jujubebarrow.errors.exceptions import (
+    QueueLoadError,
+    StoreError,
+    TransactionConflictError,
+)
 from jujubebarrow.fleets.fleet_maps import FleetMap
 from jujubebarrow.gateways.start_relays import StartRelay
 from jujubebarrow.gateways.worker_gateways import WorkerGateway
@@ -15,6 +19,7 @@
 from jujubebarrow.links.link_backlogs import LinkBacklog
 from jujubebarrow.logs.decision_logs import DecisionLog
 from jujubebarrow.metrics.registries import MetricsRegistry
+from jujubebarrow.ownerships.ownership_rows import DutyId
 from jujubebarrow.runtimes.advice_controllers import AdviceController
 from jujubebarrow.runtimes.grant_controllers import GrantController
 from jujubebarrow.runtimes.grant_watchers import GrantWatcher
@@ -133,6 +138,7 @@
         self._is_plan_scheduled = False
         self._plan_seconds = 0.0
         self._is_closed = False
+        self._is_confirming = False
         now = clock.monotonic()
         self._claimed_at = now
         self.coordinator = PoolCoordinator(pool, token, options, now, log)
@@ -237,12 +243,14 @@
 
     def can_send_orders(self) -> bool:
         """Return whether orders may be sent, since the pool certainly is owned."""
-        return self._clock.monotonic() < self._ownership.lease_valid_until
+        is_owned = self._clock.monotonic() < self._ownership.lease_valid_until
+        return is_owned and not self.coordinator.state.is_claim_disputed
 
     def can_renew_leases(self) -> bool:
         """Return whether leases of runs may still be renewed."""
         deadline = self._ownership.lease_valid_until + self._options.superseded_renewal
-        return self._clock.monotonic() < deadline
+        is_disputed = self.coordinator.state.is_claim_disputed
+        return self._clock.monotonic() < deadline and not is_disputed
 
     async def _take_over(self) -> None:
         started_at = self._clock.monotonic()
@@ -443,8 +451,35 @@
         self._sender.send_released()
         self._update_sessions()
         self._plan_seconds = self._clock.monotonic() - started_at
-        if coordinator.orders.is_superseded:
+        if coordinator.state.is_claim_disputed and not self._is_confirming:
+            self._is_confirming = True
+            self._tasks.start(self._confirm_claim())
+
+    async def _confirm_claim(self) -> None:
+        """Stop the owner after a refusal by a worker, unless its claim still holds."""
+        try:
+            while self.coordinator.state.is_claim_disputed and not self._is_closed:
+                await self._check_claim()
+        finally:
+            self._is_confirming = False
+        self.on_change()
+
+    async def _check_claim(self) -> None:
+        state = self.coordinator.state
+        refusal_count = state.refusal_count
+        try:
+            revision = await self._ownership.confirm_claim(
+                DutyId(self.pool), state.token
+            )
+        except (StoreError, TransactionConflictError) as error:
+            self._metrics.count("confirmation_failed", type(error).__name__)
+            await sleep(RETRY_SECONDS)
+            return
+        if revision is None:
             self.on_superseded()
+            return
+        state.confirm_claim(revision, refusal_count)
+        self._log.write("claim_confirmed", pool=self.pool, revision=revision)
 
     def _update_sessions(self) -> None:
         workers = self.coordinator.state.workers
--- a/jujubebarrow/runtimes/worker_sessions.py
+++ b/jujubebarrow/runtimes/worker_sessions.py
@@ -112,6 +112,10 @@
     def _may_start_late(self) -> bool:
         return self._worker.may_start_late(self._clock.monotonic())
 
+    @property
+    def _can_poll(self) -> bool:
+        return bool(self._worker.address) and not self._worker.is_refusing
+
     async def run(self) -> None:
         """Renew the leases until the coordinator removes the worker."""
         while self._serves_present_worker:
@@ -119,7 +123,7 @@
                 self._wake_event.clear()
                 await self._wait_for_wake()
                 continue
-            if not self._worker.address or not self._hooks.can_renew_leases():
+            if not self._can_poll or not self._hooks.can_renew_leases():
                 await sleep(RETRY_SECONDS)
                 continue
             await self._renew_lease()
@@ -139,7 +143,10 @@
             report = await self._gateway.renew_lease(renewal)
         except WorkerFencedError:
             if not self._is_outdated(renewal):
-                self._hooks.on_superseded()
+                self._coordinator.state.record_refusal(
+                    self._worker, self._clock.monotonic()
+                )
+                self._hooks.on_change()
             return
         except WorkerSilentError as error:
             if self._is_outdated(renewal):
--- a/jujubebarrow/tests/test_restarted_workers.py
+++ b/jujubebarrow/tests/test_restarted_workers.py
@@ -216,14 +216,14 @@
         [(run, order)] = self.start_tasks()
         self.register(SECOND_START_MS)
         self.finish(run, order, OrderOutcome.FENCED)
-        self.assertFalse(self.coordinator.orders.is_superseded)
+        self.assertFalse(self.coordinator.state.is_claim_disputed)
 
     async def test_rejection_of_an_order_to_the_present_incarnation_ends_the_ownership(
         self,
     ) -> None:
         [(run, order)] = self.start_tasks()
         self.finish(run, order, OrderOutcome.FENCED)
-        self.assertTrue(self.coordinator.orders.is_superseded)
+        self.assertTrue(self.coordinator.state.is_claim_disputed)
 
     async def test_response_of_a_former_incarnation_sets_no_clock(self) -> None:
         [(run, order)] = self.start_tasks()
