Free the capacity of a former owner's gang while its tasks wait

The run ends now, as before, and its task waits until no worker can execute a start of the former owner; the record of late starts keeps that for later owners.

--- a/jujubebarrow/coordinators/reconcilers.py
+++ b/jujubebarrow/coordinators/reconcilers.py
@@ -89,13 +89,19 @@
             self._repeat_former_start(worker, run, now)
             return
         late_start_end = self._find_late_start_end(worker, run)
+        task = self._find_task(run)
         if sent_at >= late_start_end:
+            is_inherited = run.stage is RunStage.INHERITED
             self.record_unreported_end(worker, run, "not in the worker's lists", now)
+            former_end = self._state.former_starts_end
+            if is_inherited and task is not None and now < former_end:
+                # The incarnation rejects starts of former owners, but the next one
+                # does not.
+                self._record_late_start(worker, run, task, former_end)
         elif self._can_repeat_lost_start(worker, run):
             self._repeat_lost_start(worker, run, now)
         elif run.is_long_running:
             # The task waits for as long as it does not count as lost.
-            task = self._find_task(run)
             self.record_unreported_end(worker, run, "not in the worker's lists", now)
             if task is not None:
                 self._record_late_start(worker, run, task, late_start_end)
@@ -204,9 +210,7 @@
         """
         job = self._state.jobs.get(run.task.job)
         has_moved = run.has_moved or run.incarnation != worker.incarnation
-        # The incarnation rejects starts of former owners, but the next one does not.
-        is_former = run.stage is RunStage.INHERITED and not run.is_listed
-        if job is None or job.phase.is_final or not (has_moved or is_former):
+        if job is None or job.phase.is_final or not has_moved:
             return 0.0
         end = worker.find_late_start_end(run.task)
         return end if run.first_sent_at else max(end, self._state.former_starts_end)
--- a/jujubebarrow/tests/test_late_starts.py
+++ b/jujubebarrow/tests/test_late_starts.py
@@ -324,13 +324,16 @@
         self.assertGreater(self.worker.late_starts_end, NOW + WINDOW_SECONDS)
 
     async def test_gang_of_a_killed_owner_is_planned_anew(self) -> None:
-        # The other tasks may have ended alone before a single one started again.
+        # The other tasks may have ended alone before a single one started again, and
+        # the worker's next incarnation executes the former owner's starts.
         self.plan(replace(SMALL, gang=True, count=2))
         self.take_over(FenceToken(8), NOW + 1.0)
         self.register(STARTED_AT_MS)
         self.report(now=NOW + 1.0)
         self.assertEqual(self.coordinator.orders.pop_starts(), [])
-        self.assertEqual(len(self.plan(now=NOW + 1.0)), 2)
+        end = self.coordinator.state.former_starts_end
+        self.assertEqual(self.plan(now=end - 0.1), [])
+        self.assertEqual(len(self.plan(now=end)), 2)
 
     async def test_overloaded_worker_is_logged_with_its_late_starts(self) -> None:
         run = self.run_with_unacknowledged_start(LARGE)
