Store the unanswered starts of a worker before one of them is repeated

A start is repeated only once the store has what the worker may execute late, and until when it may execute the order that is about to be sent. A killed owner's write that comes late is refused by its token, and its repeat is not sent. The write begins when a start gets no answer, at most one in 0.05 s, instead of at the next check (0.25 s).

While the store does not answer, a start without an answer is not repeated.

--- a/jujubebarrow/runtimes/lease_recorders.py
+++ b/jujubebarrow/runtimes/lease_recorders.py
@@ -8,7 +8,8 @@
 have granted.
 """
 
-from asyncio import sleep
+import builtins
+from asyncio import Event, sleep, wait_for
 from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
@@ -43,6 +44,8 @@
 UPDATE_PERIOD_SECONDS = 0.25
 """Time between two checks whether the row is up to date; a worker that becomes
 reachable again waits up to this time for a lease."""
+UPDATE_SPACING_SECONDS = 0.05
+"""Shortest time between two writes; starts that get no response meanwhile share one."""
 UNRESPONSIVE_AFTER_SECONDS = 0.8
 """Time without a response after which a worker's lease is recorded; a single lost
 response must not be enough, since responses of healthy workers get lost as well."""
@@ -89,6 +92,36 @@
         self._stored: dict[WorkerId, RecordedLease] = {}
         self._stored_late: dict[WorkerId, LateStartRecord] = {}
         self._is_write_confirmed = True
+        # Times until which the record of a worker has to last at least.
+        self._requested_ends: dict[WorkerId, float] = {}
+        self._request_event = Event()
+
+    def request_record(self, name: WorkerId) -> bool:
+        """Return whether a start of a worker may be repeated; store it if not.
+
+        A later owner that knows of one start only would acknowledge the end of the run
+        while the worker may still execute the other one. It has to know until when the
+        worker may execute either of them, as this owner may be lost at any time.
+
+        Args:
+            name: Id of the worker.
+
+        Returns:
+            Whether the store has the unacknowledged starts of the worker, if any, and
+            until when it may execute an order that is sent now.
+        """
+        now = self._clock.monotonic()
+        end = now + self._state.options.late_order_window
+        worker = self._state.workers.get(name)
+        if worker is None or worker.late_starts_end <= now:
+            return True
+        record = worker.make_late_start_record(now)
+        record = replace(record, end=max(record.end, end))
+        if self._stored_late.get(name, LateStartRecord()).covers(record):
+            return True
+        self._requested_ends[name] = end
+        self._request_event.set()
+        return False
 
     async def load(self) -> None:
         """Read the row and write this owner's token before any lease is granted.
@@ -123,7 +156,25 @@
             except DisplacedError:
                 self._on_superseded()
                 return
-            await sleep(UPDATE_PERIOD_SECONDS)
+            await self._wait_for_request()
+
+    async def _wait_for_request(self) -> None:
+        await sleep(UPDATE_SPACING_SECONDS)
+        try:
+            await wait_for(
+                self._request_event.wait(),
+                UPDATE_PERIOD_SECONDS - UPDATE_SPACING_SECONDS,
+            )
+        except builtins.TimeoutError:
+            return
+
+    def _make_late_start_records(self, now: float) -> dict[WorkerId, LateStartRecord]:
+        """Return the starts to be stored, with the ends that were requested."""
+        requested, self._requested_ends = self._requested_ends, {}
+        return {
+            name: replace(record, end=max(record.end, requested.get(name, 0.0)))
+            for name, record in self._state.make_late_start_records(now).items()
+        }
 
     async def _read(self) -> None:
         sent_at = self._clock.monotonic()
@@ -174,12 +225,13 @@
 
     async def _update(self) -> None:
         now = self._clock.monotonic()
+        self._request_event.clear()
         unresponsive = {
             worker.worker: RecordedLease(worker.started_at_ms, worker.lease_end)
             for worker in self._state.workers.values()
             if self._needs_record(worker, now)
         }
-        late = self._state.make_late_start_records(now)
+        late = self._make_late_start_records(now)
         is_changed = self._is_changed(unresponsive)
         if self._is_write_confirmed and not is_changed:
             if all(
--- a/jujubebarrow/runtimes/order_senders.py
+++ b/jujubebarrow/runtimes/order_senders.py
@@ -15,6 +15,7 @@
 from jujubebarrow.logs.decision_logs import DecisionLog
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.runtimes.owned_tasks import OwnedTasks
+from jujubebarrow.workloads.identifiers import WorkerId
 
 FIRST_RETRY_SECONDS = 0.02
 """Seconds before the first retry of an unacknowledged start order; short, because two
@@ -44,6 +45,8 @@
         tasks: Runs background tasks until the owner closes.
         can_send_orders: Returns whether this instance certainly owns the pool.
         on_change: Called when the result of an order may allow a new plan.
+        may_repeat_start: Returns whether a later owner would know of the unacknowledged
+            starts of a worker; if not, they are stored soon.
         clock: Time source.
         log: Decision log.
         metrics: Registry of the counters and latencies.
@@ -58,6 +61,7 @@
         tasks: OwnedTasks,
         can_send_orders: Callable[[], bool],
         on_change: Callable[[], None],
+        may_repeat_start: Callable[[WorkerId], bool],
         clock: Clock,
         log: DecisionLog,
         metrics: MetricsRegistry,
@@ -69,6 +73,7 @@
         self._tasks = tasks
         self._can_send_orders = can_send_orders
         self._on_change = on_change
+        self._may_repeat_start = may_repeat_start
         self._clock = clock
         self._log = log
         self._metrics = metrics
@@ -194,6 +199,8 @@
     def _make_start(self, run: ActiveRun, now: float) -> StartOrder | None:
         if run.stage is not RunStage.RECORDED or not self._can_send_orders():
             return None
+        if run.unacknowledged_starts and not self._may_repeat_start(run.worker):
+            return None
         order = self._coordinator.orders.make_start(run, now)
         if order is not None:
             run.is_start_sent = True
@@ -212,6 +219,8 @@
         self._coordinator.orders.handle_start_result(run, order, result, sent_at, now)
         if result.outcome is OrderOutcome.ACCEPTED:
             return
+        if result.outcome is OrderOutcome.UNACKNOWLEDGED:
+            self._may_repeat_start(run.worker)
         if run.unacknowledged_starts <= 1:
             self._log.write(
                 "start_unconfirmed",
@@ -239,7 +248,8 @@
             delay = FIRST_RETRY_SECONDS * 4 ** max(0, run.unacknowledged_starts - 1)
             await sleep(min(RETRY_SECONDS, delay))
         if run.stage is RunStage.RECORDED:
-            self._enqueue([run], may_relay=not is_sent)
+            may_relay = not is_sent and not run.unacknowledged_starts
+            self._enqueue([run], may_relay)
 
     async def _send_stop(self, run: ActiveRun) -> None:
         while True:
--- a/jujubebarrow/runtimes/pool_owners.py
+++ b/jujubebarrow/runtimes/pool_owners.py
@@ -155,6 +155,9 @@
         self._loader = PoolLoader(
             pool, self.coordinator, self._writer, store, clock, metrics
         )
+        self._lease_recorder = LeaseRecorder(
+            self.coordinator.state, store, self.on_superseded, clock, log, metrics
+        )
         self._sender = OrderSender(
             self.coordinator,
             gateway,
@@ -163,6 +166,7 @@
             self._tasks,
             self.can_send_orders,
             self.on_change,
+            self._lease_recorder.request_record,
             clock,
             log,
             metrics,
@@ -180,9 +184,6 @@
             log,
             metrics,
         )
-        self._lease_recorder = LeaseRecorder(
-            self.coordinator.state, store, self.on_superseded, clock, log, metrics
-        )
         self._wave_controller = make_wave_controller(self.coordinator, self)
         self._move_controller = make_move_controller(
             self.coordinator, self, self._wave_controller
