--- a/jujubebarrow/tests/proof_mixed_faults.py
+++ b/jujubebarrow/tests/proof_mixed_faults.py
@@ -12,9 +12,9 @@
 from jujubebarrow.tests.fakes.mixed_faults import MixedFaults
 from jujubebarrow.tests.fakes.virtual_loops import run_virtual
 
-SEEDS = (1, 2, 3, 27, 30, 43)
-"""The last four had tasks that ran twice."""
-
+SEEDS = (2, 3, 27, 30, 43)
+OPEN_SEEDS = (1, 25)
+"""Seeds that still fail, see KNOWN-RED.txt."""
 ACCEPTED_LEASE_SECONDS = 10.0
 """Longer than the leases that owners issue."""
 
@@ -45,7 +45,13 @@
 
 class MixedFaultProof(unittest.TestCase):
     def test_mixed_faults_repeat_or_misplace_no_task(self) -> None:
-        for seed in SEEDS:
+        self._check_seeds(SEEDS)
+
+    def test_mixed_faults_in_open_seeds(self) -> None:
+        self._check_seeds(OPEN_SEEDS)
+
+    def _check_seeds(self, seeds: tuple[int, ...]) -> None:
+        for seed in seeds:
             with self.subTest(seed=seed):
                 cluster = run_cluster(seed)
                 self.assertEqual(cluster.find_violations(), [])
