Record starts of former owners in one place

Both ways of sending a run's start again counted the start that a former owner may have sent in the same three lines. No change of behaviour; the unit tests of late and repeated starts pass.

--- a/jujubebarrow/coordinators/reconcilers.py
+++ b/jujubebarrow/coordinators/reconcilers.py
@@ -168,10 +168,7 @@
         task = self._find_task(run)
         is_being_sent = run.stage is RunStage.RECORDED
         if not run.first_sent_at:
-            # A former owner may have sent a start that nobody has recorded.
-            run.unacknowledged_starts += 1
-            run.late_start_until = self._state.former_starts_end
-            worker.record_unacknowledged_start(run, now)
+            self._record_former_start(worker, run, now)
         worker.remove_run(run, now)
         run.prepare_repeated_start()
         run.incarnation = worker.incarnation
@@ -192,9 +189,7 @@
         self, worker: WorkerView, run: ActiveRun, now: float
     ) -> None:
         run.stage = RunStage.RECORDED
-        run.unacknowledged_starts += 1
-        run.late_start_until = self._state.former_starts_end
-        worker.record_unacknowledged_start(run, now)
+        self._record_former_start(worker, run, now)
         self._state.starts.append(run)
         self._log.write(
             "former_start_repeated",
@@ -203,6 +198,14 @@
             worker=run.worker,
         )
 
+    def _record_former_start(
+        self, worker: WorkerView, run: ActiveRun, now: float
+    ) -> None:
+        """Count the start that a former owner may have sent as unacknowledged."""
+        run.unacknowledged_starts += 1
+        run.late_start_until = self._state.former_starts_end
+        worker.record_unacknowledged_start(run, now)
+
     def _find_late_start_end(self, worker: WorkerView, run: ActiveRun) -> float:
         """Return until when a later incarnation may execute a run that has moved.
 
