--- a/jujubebarrow/tests/proof_job_mutations.py
+++ b/jujubebarrow/tests/proof_job_mutations.py
@@ -5,6 +5,7 @@
 from unittest.mock import patch
 
 from jujubebarrow.coordinators.job_progresses import JobProgress
+from jujubebarrow.coordinators.late_start_waits import LateStartWait
 from jujubebarrow.coordinators.pool_states import PoolState
 from jujubebarrow.coordinators.reconcilers import Reconciler
 from jujubebarrow.coordinators.run_orders import RunOrders
@@ -99,8 +100,10 @@
                 )
 
         original = RunOrders.handle_start_result
+        # Otherwise the task waits for the start that the worker may execute late.
         self.assert_detected(
-            patch.object(RunOrders, "handle_start_result", handle_start_result)
+            patch.object(RunOrders, "handle_start_result", handle_start_result),
+            patch.object(LateStartWait, "must_wait", lambda *_: False),
         )
 
     def test_unreported_ends_not_recorded(self) -> None:
