Log workers that execute runs after their lease has expired

Callers saw tasks that ran twice, workers beyond their capacity and starts in the wrong pool. The logs could not tell whether a worker that responds again still executed runs whose lease the owner counts as over, or had been renewed in time.

--- a/jujubebarrow/coordinators/reconcilers.py
+++ b/jujubebarrow/coordinators/reconcilers.py
@@ -53,6 +53,12 @@
             # token, and its lists may still change.
             self.handle_restart(worker, report.born, now)
             return []
+        if (
+            report.running
+            and worker.has_seen_token
+            and worker.is_lease_expired(sent_at)
+        ):
+            self._log_outlived_lease(worker, report, sent_at)
         foreign_lease = self._state.options.compute_foreign_lease(report.clock)
         worker.record_contact(report.clock, now, foreign_lease)
         self._losses.record_response(worker)
@@ -77,6 +83,19 @@
         worker.record_report(bool(orphans), report.lists_all_ends)
         return orphans
 
+    def _log_outlived_lease(
+        self, worker: WorkerView, report: RenewalReport, sent_at: float
+    ) -> None:
+        """Log that a worker executes runs whose lease counts as expired."""
+        self._log.write(
+            "lease_outlived",
+            worker=worker.worker,
+            seconds=round(sent_at - worker.lease_end, 3),
+            issued_before=round(sent_at - (worker.lease_issued_at or sent_at), 3),
+            runs=[f"{item.task}#{item.run}" for item in report.running],
+            known=[f"{task}#{run}" for task, run in worker.runs],
+        )
+
     def _handle_unlisted_run(
         self, worker: WorkerView, run: ActiveRun, sent_at: float, now: float
     ) -> None:
