--- a/jujubebarrow/standins/emulated_gateways.py
+++ b/jujubebarrow/standins/emulated_gateways.py
@@ -94,9 +94,12 @@
         worker: EmulatedWorker,
         execute: Callable[[], OrderResult],
         payload_bytes: int = 0,
+        execute_late: Callable[[], OrderResult] | None = None,
     ) -> OrderResult:
         await self.is_running.wait()
-        result = await self._deliver_order(worker, execute, payload_bytes)
+        result = await self._deliver_order(
+            worker, execute, payload_bytes, execute_late or execute
+        )
         await self.is_running.wait()
         return result
 
@@ -105,6 +108,7 @@
         worker: EmulatedWorker,
         execute: Callable[[], OrderResult],
         payload_bytes: int,
+        execute_late: Callable[[], OrderResult],
     ) -> OrderResult:
         link_seconds = self.put_on_link(
             MESSAGE_BYTES + payload_bytes, is_start=payload_bytes > 0
@@ -121,7 +125,7 @@
         if fault == "late":
             delay_seconds = self._random.uniform(*LATE_EXECUTION_RANGE_SECONDS)
             get_running_loop().call_later(
-                delay_seconds, _execute_if_up, worker, execute
+                delay_seconds, _execute_if_up, worker, execute_late
             )
         elif fault == "lost":
             execute()
@@ -137,10 +141,12 @@
         worker = self._workers[order.worker]
         self.sent_start_count += 1
         sent_at = get_running_loop().time()
+        sent_clock = worker.clock
         return await self._send_order(
             worker,
             lambda: worker.start(order, sent_at),
             len(order.payload),
+            lambda: worker.start(worker.postpone_deadline(order, sent_clock), sent_at),
         )
 
     async def stop(self, order: StopOrder) -> OrderResult:
@@ -168,6 +174,7 @@
 
     async def _deliver_renewal(self, order: RenewalOrder) -> RenewalReport:
         worker = self._workers[order.worker]
+        sent_clock = worker.clock
         timeout_at = get_running_loop().time() + order.wait + RESPONSE_TIMEOUT_SECONDS
         link_seconds = self.put_on_link(MESSAGE_BYTES)
         if link_seconds > order.wait + RESPONSE_TIMEOUT_SECONDS:
@@ -183,7 +190,9 @@
                 delay_seconds,
                 _execute_if_up,
                 worker,
-                lambda: worker.apply_renewal(order),
+                lambda: worker.apply_renewal(
+                    worker.postpone_deadline(order, sent_clock)
+                ),
             )
             await sleep(timeout_at - get_running_loop().time())
             raise WorkerSilentError(f"renewal for worker {order.worker} timed out")
--- a/jujubebarrow/standins/emulated_workers.py
+++ b/jujubebarrow/standins/emulated_workers.py
@@ -2,8 +2,9 @@
 
 from asyncio import Event, get_running_loop, wait_for
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
+from typing import TypeVar
 
 from jujubebarrow.coordinators.order_results import OrderOutcome, OrderResult
 from jujubebarrow.coordinators.orders import (
@@ -39,6 +40,7 @@
 """Time from the start of a long-running task until the task is operating."""
 
 RunKey = tuple[TaskKey, RunNumber]
+Order = TypeVar("Order", StartOrder, RenewalOrder)
 
 
 @dataclass(slots=True)
@@ -175,6 +177,8 @@
             response is lost.
         late_renewal_probability: Probability that a lease renewal is executed after
             its timeout.
+        late_leases_begin_on_arrival: Whether the lease of an order that is executed
+            late has its full length from then on.
         on_restarted: Called when the worker has restarted by itself after a crash.
     """
 
@@ -205,6 +209,7 @@
         self.late_order_probability = 0.0
         self.response_loss_probability = 0.0
         self.late_renewal_probability = 0.0
+        self.late_leases_begin_on_arrival = False
         self.on_restarted: Callable[[], None] = lambda: None
         self._longest_lease = longest_lease
         self._behaviours = behaviours
@@ -475,6 +480,19 @@
         """
         return self._incarnation.answered_renewals >= RENEWALS_UNTIL_KNOWN_COUNT
 
+    def postpone_deadline(self, order: Order, sent_clock: float) -> Order:
+        """Return a late order with the deadline that the worker uses for the lease.
+
+        Args:
+            order: Order that is executed late.
+            sent_clock: Reading of the worker's clock in seconds at which the order was
+                sent.
+        """
+        if not self.late_leases_begin_on_arrival or order.deadline is None:
+            return order
+        length = max(0.0, order.deadline - sent_clock)
+        return replace(order, deadline=self.clock + length)
+
     def apply_renewal(self, order: RenewalOrder) -> bool:
         """Renew the lease and forget acknowledged runs; return False if fenced."""
         incarnation = self._incarnation
--- a/jujubebarrow/tests/fakes/late_order_faults.py
+++ b/jujubebarrow/tests/fakes/late_order_faults.py
@@ -97,6 +97,8 @@
         changes_kind: Whether restarted workers may have another kind.
         changes_pool: Whether restarted workers may belong to another pool, and
             registrations are removed for some time.
+        postpones_leases: Whether the lease of an order that is executed late has its
+            full length from then on.
         load: Jobs that are submitted.
     """
 
@@ -108,6 +110,7 @@
         changes_capacity: bool = False,
         changes_kind: bool = False,
         changes_pool: bool = False,
+        postpones_leases: bool = False,
         load: LateOrderLoad | None = None,
     ):
         self.cluster = cluster
@@ -116,6 +119,7 @@
         self._changes_capacity = changes_capacity
         self._changes_kind = changes_kind
         self._changes_pool = changes_pool
+        self._postpones_leases = postpones_leases
         self._load = load or LateOrderLoad()
 
     async def run(self) -> None:
@@ -124,6 +128,7 @@
             worker.late_order_probability = self._load.order_probability
             worker.response_loss_probability = LOSS_PROBABILITY
             worker.late_renewal_probability = RENEWAL_PROBABILITY
+            worker.late_leases_begin_on_arrival = self._postpones_leases
         loop = get_running_loop()
         loops = [self._restart_workers, self._restart_workers, self._cut_workers]
         loops += [self._kill_owners] if self._kills_owners else []
--- a/jujubebarrow/tests/fakes/mixed_faults.py
+++ b/jujubebarrow/tests/fakes/mixed_faults.py
@@ -39,10 +39,14 @@
     Args:
         cluster: Simulated cluster.
         random: Seeded source of all random choices.
+        postpones_leases: Whether the lease of an order that is executed late has its
+            full length from then on.
     """
 
-    def __init__(self, cluster: JobCluster, random: Random):
-        super().__init__(cluster, random)
+    def __init__(
+        self, cluster: JobCluster, random: Random, postpones_leases: bool = False
+    ):
+        super().__init__(cluster, random, postpones_leases=postpones_leases)
         self._withdrawn: set[WorkerId] = set()
         self._wave_count = 0
 
@@ -53,6 +57,7 @@
             worker.late_order_probability = ORDER_PROBABILITY
             worker.response_loss_probability = LOSS_PROBABILITY
             worker.late_renewal_probability = RENEWAL_PROBABILITY
+            worker.late_leases_begin_on_arrival = self._postpones_leases
         loop = get_running_loop()
         faults = (
             self._restart_workers,
--- a/jujubebarrow/tests/proof_late_orders.py
+++ b/jujubebarrow/tests/proof_late_orders.py
@@ -47,10 +47,15 @@
     seed: int,
     kills_owners: bool = False,
     changes_capacity: bool = False,
+    postpones_leases: bool = False,
     load: LateOrderLoad | None = None,
 ) -> list[str]:
     """Return the violations that the workers' records show after a seeded run."""
-    options = {"kills_owners": kills_owners, "changes_capacity": changes_capacity}
+    options = {
+        "kills_owners": kills_owners,
+        "changes_capacity": changes_capacity,
+        "postpones_leases": postpones_leases,
+    }
     return run_cluster(seed, load, **options).find_violations()
 
 
--- a/jujubebarrow/tests/proof_mixed_faults.py
+++ b/jujubebarrow/tests/proof_mixed_faults.py
@@ -19,8 +19,14 @@
 """Longer than the leases that owners issue."""
 
 
-def run_cluster(seed: int) -> JobCluster:
-    """Return the cluster after a seeded run."""
+def run_cluster(seed: int, postpones_leases: bool = False) -> JobCluster:
+    """Return the cluster after a seeded run.
+
+    Args:
+        seed: Seed of all random choices.
+        postpones_leases: Whether the lease of an order that is executed late has its
+            full length from then on.
+    """
 
     async def main() -> JobCluster:
         cluster = JobCluster(
@@ -31,7 +37,7 @@
             has_other_queue=True,
             accepted_lease_seconds=ACCEPTED_LEASE_SECONDS,
         )
-        injector = MixedFaults(cluster, Random(seed))
+        injector = MixedFaults(cluster, Random(seed), postpones_leases)
         try:
             await cluster.start()
             await injector.run()
