Move no machine whose worker may still execute a start of its pool

Callers saw starts in a pool to which no configuration sends them, and a worker beyond its capacity. A start got no response; the run ended or was cancelled, the machine was moved to another pool by an order of ours, and its next worker, under the same id, executed the start there, beside runs that its new owner knew. Nothing that gives orders to machines asked for late starts. Now such a machine is neither offered nor moved until the start can no longer be executed, 13 s at most; others are moved instead. Maintenance keeps the pool, whose owner counts late starts after a restart.

--- a/jujubebarrow/runtimes/move_controllers.py
+++ b/jujubebarrow/runtimes/move_controllers.py
@@ -266,10 +266,13 @@
 
     def _find_movable(self) -> list[WorkerView]:
         """Return the workers that may be moved, fewest reserved cores first."""
+        now = self._clock.monotonic()
         workers = [
             worker
             for worker in self._list_workers()
-            if not worker.is_cordoned and not worker.has_long_running
+            if not worker.is_cordoned
+            and not worker.has_long_running
+            and not worker.may_start_late(now)
         ]
         return sorted(workers, key=lambda worker: worker.reserved.cpu)
 
@@ -362,7 +365,10 @@
                 del self._pending_moves[name]
                 continue
             machine = self._machines_by_worker.get(name)
-            if not worker.runs and machine is not None and self._is_movable(machine):
+            # The worker may come back under its id, and would then execute a start of
+            # this pool in the other one.
+            is_free = not worker.runs and not worker.may_start_late(now)
+            if is_free and machine is not None and self._is_movable(machine):
                 ready.append((worker, machine, target))
             elif now - planned_at > DRAIN_GRACE_SECONDS:
                 self._cancel_move(worker)
