Look at the runs of a worker only once its lease may be over

Each plan asked for the end of the lease for each run; the answer walks through the orders without a response. The guard compares one time for each worker, as before the change of the leases, and decides the same: a run is over no earlier than the timely end.

--- a/jujubebarrow/coordinators/pool_coordinators.py
+++ b/jujubebarrow/coordinators/pool_coordinators.py
@@ -195,11 +195,8 @@
         Removes the state of a worker that is not registered, has no runs and whose
         lease has expired.
         """
-        for run in list(worker.runs.values()):
-            if (
-                run.is_start_sent or worker.entry is None or worker.unresponsive_since
-            ) and self._is_lease_over(worker, run, now):
-                self._expire_run(worker, run, now)
+        if now > worker.timely_lease_end:
+            self._expire_runs(worker, now)
         self._release_unsent_runs(worker, now)
         self._release_absent_runs(worker, now)
         if (
@@ -216,6 +213,14 @@
                 for run in list(worker.runs.values()):
                     self.state.request_stop(run)
 
+    def _expire_runs(self, worker: WorkerView, now: float) -> None:
+        for run in list(worker.runs.values()):
+            may_be_sent = (
+                run.is_start_sent or worker.entry is None or worker.unresponsive_since
+            )
+            if may_be_sent and self._is_lease_over(worker, run, now):
+                self._expire_run(worker, run, now)
+
     def _is_lease_over(self, worker: WorkerView, run: ActiveRun, now: float) -> bool:
         """Return whether an unreachable worker has stopped a run with its lease.
 
