--- a/jujubebarrow/tests/proof_late_order_mutations.py
+++ b/jujubebarrow/tests/proof_late_order_mutations.py
@@ -11,6 +11,7 @@
 from jujubebarrow.tests.fakes.late_order_faults import (
     LARGE_TASK_LOAD,
     LASTING_SPREAD_LOAD,
+    SPREAD_LOAD,
 )
 from jujubebarrow.tests.proof_late_orders import simulate
 from jujubebarrow.workloads.resources import NO_RESOURCES
@@ -66,6 +67,7 @@
         self.assert_detected(
             patch.object(PoolState, "set_former_owners_starts", lambda self, _: None),
             kills_owners=True,
+            load=SPREAD_LOAD,
         )
 
     def test_registration_of_a_former_incarnation_used(self) -> None:
