Hold moves back only where workers keep their ids

The late start names its worker; the machine's next worker executes it only under the same id. WorkerIdObserver compares the lists of machines around moves, whoever ordered them: moves are held back until one has shown that the id changes, and for good once a worker has kept it.

--- a/jujubebarrow/runtimes/entry_nodes.py
+++ b/jujubebarrow/runtimes/entry_nodes.py
@@ -41,6 +41,7 @@
 from jujubebarrow.runtimes.wave_controllers import WaveController
 from jujubebarrow.runtimes.wave_reporters import WaveReporter
 from jujubebarrow.runtimes.wave_stores import WaveStore
+from jujubebarrow.runtimes.worker_id_observers import WorkerIdObserver
 from jujubebarrow.runtimes.worker_sources import WorkerSource
 from jujubebarrow.stores.stores import Store
 from jujubebarrow.stores.transactions import ABSENT_REVISION
@@ -138,6 +139,7 @@
         self._on_peers = on_peers
         self.fleet_source = fleet_source
         self._load_registry = LoadRegistry(store, clock, metrics)
+        self._worker_ids = WorkerIdObserver()
         self._wave_store = WaveStore(store, reporter, clock)
         self._worker_source = worker_source
         self._job_watcher = JobWatcher(store, clock, log, metrics)
@@ -312,6 +314,7 @@
             self._options.instance,
             coordinator,
             self._load_registry,
+            self._worker_ids,
             spec is not None and spec.is_standby,
             self._machines,
             self._order_gate,
--- a/jujubebarrow/runtimes/move_controllers.py
+++ b/jujubebarrow/runtimes/move_controllers.py
@@ -23,6 +23,7 @@
 from jujubebarrow.runtimes.load_registries import MOVES_PER_CLAIM_LIMIT, LoadRegistry
 from jujubebarrow.runtimes.order_gates import OrderGate
 from jujubebarrow.runtimes.owner_hooks import OwnerHooks
+from jujubebarrow.runtimes.worker_id_observers import WorkerIdObserver
 from jujubebarrow.workloads.identifiers import FenceToken, MachineId, WorkerId
 
 PLAN_PERIOD_SECONDS = 0.15
@@ -57,6 +58,7 @@
         instance: Id of this instance.
         coordinator: Makes the scheduling decisions of that pool.
         load_registry: Loads of all pools and recent moves.
+        worker_ids: Tells whether a worker may keep its id when its machine is moved.
         is_standby: Whether that pool's machines are switched off and cost nothing.
         machines: Client for the machine service.
         gate: Checks the permission to send an order.
@@ -75,6 +77,7 @@
         instance: InstanceId,
         coordinator: PoolCoordinator,
         load_registry: LoadRegistry,
+        worker_ids: WorkerIdObserver,
         is_standby: bool,
         machines: MachineControl,
         gate: OrderGate,
@@ -89,6 +92,7 @@
         self._coordinator = coordinator
         self._pool = coordinator.state.pool
         self._load_registry = load_registry
+        self._worker_ids = worker_ids
         self._is_standby = is_standby
         self._machines = machines
         self._gate = gate
@@ -153,7 +157,7 @@
         )
 
     async def _plan_and_move(self) -> None:
-        if self._is_standby:
+        if self._is_standby or not self._worker_ids.is_decided:
             await self._refresh_machines()
         load = self._measure_load()
         await self._load_registry.refresh()
@@ -272,10 +276,17 @@
             for worker in self._list_workers()
             if not worker.is_cordoned
             and not worker.has_long_running
-            and not worker.may_start_late(now)
+            and not self._may_start_elsewhere(worker, now)
         ]
         return sorted(workers, key=lambda worker: worker.reserved.cpu)
 
+    def _may_start_elsewhere(self, worker: WorkerView, now: float) -> bool:
+        """Return whether a worker may execute a start of this pool in another pool.
+
+        It comes back under its id after the move, and a start got no response yet.
+        """
+        return self._worker_ids.may_keep_id and worker.may_start_late(now)
+
     async def _refresh_machines(self) -> None:
         now = self._clock.monotonic()
         if now - self._listed_at < MACHINE_LIST_AGE_SECONDS:
@@ -283,6 +294,7 @@
         listed = await self._machines.list_machines()
         self._listed_at = now
         self._listed_machines = listed
+        self._worker_ids.observe(listed)
         self._machines_by_worker = {
             machine.worker: machine for machine in listed if machine.worker
         }
@@ -365,9 +377,7 @@
                 del self._pending_moves[name]
                 continue
             machine = self._machines_by_worker.get(name)
-            # The worker may come back under its id, and would then execute a start of
-            # this pool in the other one.
-            is_free = not worker.runs and not worker.may_start_late(now)
+            is_free = not worker.runs and not self._may_start_elsewhere(worker, now)
             if is_free and machine is not None and self._is_movable(machine):
                 ready.append((worker, machine, target))
             elif now - planned_at > DRAIN_GRACE_SECONDS:
--- a/jujubebarrow/tests/test_moved_workers.py
+++ b/jujubebarrow/tests/test_moved_workers.py
@@ -1,14 +1,20 @@
 """Machines that are moved after a start to their worker got no response.
 
-The tests guard against a start that the machine's next worker executes in another pool.
+The tests guard against a start that the machine's next worker executes in another pool,
+and against machines that stay with their pool although no worker can execute the start.
 """
 
+import unittest
 from asyncio import sleep
 
+from jujubebarrow.gateways.machine_controls import Machine, MachineState
+from jujubebarrow.identifiers import PoolId, ZoneId
 from jujubebarrow.runtimes.order_senders import LATE_START_SECONDS
+from jujubebarrow.runtimes.worker_id_observers import WorkerIdObserver
 from jujubebarrow.standins.emulated_workers import TaskBehaviour
 from jujubebarrow.tests.fakes.job_cases import JobCase
 from jujubebarrow.tests.fakes.job_clusters import OTHER_POOL, POOL, JobCluster
+from jujubebarrow.workloads.identifiers import MachineId, WorkerId
 from jujubebarrow.workloads.resources import Resources
 from jujubebarrow.workloads.step_specs import StepSpec
 
@@ -63,3 +69,46 @@
     def test_machines_without_late_starts_are_moved(self) -> None:
         cluster = self.run_moves(1, has_late_starts=False)
         self.assertGreater(self.count_moves(cluster), 0)
+
+
+class WorkerIdObserverTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.observer = WorkerIdObserver()
+
+    def observe(
+        self, pool: PoolId, worker: str, state: MachineState = MachineState.UP
+    ) -> None:
+        machine = Machine(
+            machine=MachineId("m"),
+            pool=pool,
+            state=state,
+            zone=ZoneId("z"),
+            labels=(),
+            worker=WorkerId(worker),
+        )
+        self.observer.observe([machine])
+
+    def test_worker_may_keep_its_id_until_a_move_has_been_seen(self) -> None:
+        self.observe(POOL, "a")
+        self.observe(POOL, "b")
+        self.assertTrue(self.observer.may_keep_id)
+        self.assertFalse(self.observer.is_decided)
+
+    def test_worker_with_another_id_after_a_move_executes_no_former_start(self) -> None:
+        self.observe(POOL, "a")
+        self.observe(OTHER_POOL, "b")
+        self.assertFalse(self.observer.may_keep_id)
+
+    def test_machine_on_the_move_shows_nothing(self) -> None:
+        self.observe(POOL, "a")
+        self.observe(OTHER_POOL, "a", MachineState.MOVING)
+        self.observe(OTHER_POOL, "")
+        self.assertFalse(self.observer.is_decided)
+        self.observe(OTHER_POOL, "b")
+        self.assertFalse(self.observer.may_keep_id)
+
+    def test_worker_that_has_kept_its_id_once_may_keep_it_again(self) -> None:
+        self.observe(POOL, "a")
+        self.observe(OTHER_POOL, "a")
+        self.observe(POOL, "b")
+        self.assertTrue(self.observer.may_keep_id)
