Send no relayed start that its sender has given up

An instance that relays starts sends those for one worker one after the other. Where the worker is silent, each waits for its timeout, and the later ones leave when the sender has given up the call (0.8 s) and counts all of them as sent when it made the call. Such a start may be executed after the end of its window (13 s: 12 s by the workers' contract and 1 s for the way): when nobody waits for it any more.

The executor now sends nothing later than that timeout; the rest counts as not sent, and the sender has queued those starts again anyway. In the test, five starts for one worker that answers none, 0.35 s each, the last one left after 1.44 s before, and after less than 0.8 s now.

--- a/jujubebarrow/gateways/start_executors.py
+++ b/jujubebarrow/gateways/start_executors.py
@@ -1,9 +1,9 @@
 """Sends start orders on behalf of another instance."""
 
-from asyncio import gather, sleep
+from asyncio import gather, get_running_loop, sleep
 from collections import defaultdict
 
-from jujubebarrow.coordinators.order_results import OrderResult
+from jujubebarrow.coordinators.order_results import OrderOutcome, OrderResult
 from jujubebarrow.coordinators.orders import StartOrder
 from jujubebarrow.coordinators.start_queues import (
     LINK_POLL_SECONDS,
@@ -17,6 +17,9 @@
 
 OCCUPIED_WAIT_SECONDS = 0.1
 """Wait on this instance's link from which on orders of others are rejected."""
+SENDING_LIMIT_SECONDS = 0.8
+"""Time after which no further order of a call is sent. The caller has given up by then
+and counts the orders as sent when it made the call."""
 
 
 class StartExecutor:
@@ -48,6 +51,7 @@
             raise StartsNotRelayedError(f"link is occupied for {wait:.3f} s")
         for order in orders:
             self._waiting_bytes += estimate_start_bytes(order.payload)
+        last_sending_at = get_running_loop().time() + SENDING_LIMIT_SECONDS
         results: dict[int, OrderResult] = {}
         positions: dict[WorkerId, list[int]] = defaultdict(list)
         for position, order in enumerate(orders):
@@ -59,6 +63,9 @@
                 await self._wait_for_link()
                 size = estimate_start_bytes(order.payload)
                 self._waiting_bytes -= size
+                if get_running_loop().time() >= last_sending_at:
+                    results[position] = OrderResult(OrderOutcome.UNREACHED)
+                    continue
                 self._backlog.add(size)
                 results[position] = await self._gateway.start(order)
 
--- a/jujubebarrow/tests/test_start_relays.py
+++ b/jujubebarrow/tests/test_start_relays.py
@@ -4,6 +4,7 @@
 """
 
 import unittest
+from asyncio import get_running_loop, sleep
 from contextlib import AsyncExitStack
 from dataclasses import replace
 from random import Random
@@ -16,7 +17,11 @@
     StopOrder,
     ThrottleOrder,
 )
-from jujubebarrow.gateways.start_executors import OCCUPIED_WAIT_SECONDS, StartExecutor
+from jujubebarrow.gateways.start_executors import (
+    OCCUPIED_WAIT_SECONDS,
+    SENDING_LIMIT_SECONDS,
+    StartExecutor,
+)
 from jujubebarrow.gateways.start_relays import StartsNotRelayedError
 from jujubebarrow.gateways.worker_gateways import WorkerGateway
 from jujubebarrow.identifiers import JobId
@@ -40,6 +45,7 @@
 
 LINK_MBPS = 2.0
 BODY_LIMIT_BYTES = 1_000_000
+SILENCE_SECONDS = 0.35
 ORDER = StartOrder(
     worker=WorkerId("w1"),
     address="10.0.0.1:7000",
@@ -82,6 +88,34 @@
         raise NotImplementedError
 
 
+class SilentGateway(RecordingGateway):
+    def __init__(self) -> None:
+        super().__init__()
+        self.last_sent_at = 0.0
+
+    async def start(self, order: StartOrder) -> OrderResult:
+        self.orders.append(order)
+        self.last_sent_at = get_running_loop().time()
+        await sleep(SILENCE_SECONDS)
+        return OrderResult(OrderOutcome.UNACKNOWLEDGED)
+
+
+class StartExecutorTest(unittest.IsolatedAsyncioTestCase):
+    async def test_orders_that_the_caller_has_given_up_are_not_sent(self) -> None:
+        gateway = SilentGateway()
+        backlog = LinkBacklog(LINK_MBPS, SystemClock())
+        began_at = get_running_loop().time()
+        results = await StartExecutor(gateway, backlog).start([ORDER] * 5)
+        self.assertLess(gateway.last_sent_at - began_at, SENDING_LIMIT_SECONDS)
+        sent = len(gateway.orders)
+        outcomes = [result.outcome for result in results]
+        self.assertEqual(
+            outcomes,
+            [OrderOutcome.UNACKNOWLEDGED] * sent
+            + [OrderOutcome.UNREACHED] * (len(outcomes) - sent),
+        )
+
+
 class StartRelayTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.stack = await self.enterAsyncContext(AsyncExitStack())
