Keep unanswered orders when the lease of a silent worker is stored

Storing the lease of a silent worker replaced the owner's book of that worker by its two ends and forgot the orders without a response. A renewal that failed after that raised no token, as no order seemed to be open: all late orders stayed valid after the silence, and one that extended a lease issued later was not counted. That happens where a start marks the worker as silent while a renewal with a long wait is under way, 0.8 s before that renewal fails.

A record now only limits the ends of former leases. Both tests fail before: the token stays the same, and the lease ends at 118.45 s where a start may be executed until 113 s, after a renewal sent at 112 s.

--- a/jujubebarrow/coordinators/lease_books.py
+++ b/jujubebarrow/coordinators/lease_books.py
@@ -68,3 +68,15 @@
     def extend(self, end: float) -> None:
         """Let the leases end no earlier than at a time in seconds."""
         self._timely_end = max(self._timely_end, end)
+
+    def limit(self, timely_end: float, latest_end: float) -> None:
+        """Let former leases end no later than a record of them tells.
+
+        Args:
+            timely_end: Time in seconds at which they have expired if no order is
+                executed late.
+            latest_end: Time in seconds at which they have expired in any case.
+        """
+        former_end = max(self._timely_end, self._latest_end)
+        self._timely_end = min(self._timely_end, timely_end)
+        self._latest_end = min(former_end, latest_end)
--- a/jujubebarrow/coordinators/worker_views.py
+++ b/jujubebarrow/coordinators/worker_views.py
@@ -329,10 +329,7 @@
         self._recorded_start_ms = recorded.started_at_ms
         self.is_lease_recorded = True
         if self._is_expiry_recorded:
-            self._leases = LeaseBook(
-                min(self.timely_lease_end, recorded.expires_at),
-                min(self.lease_end, recorded.latest_expiry),
-            )
+            self._leases.limit(recorded.expires_at, recorded.latest_expiry)
 
     @property
     def _is_expiry_recorded(self) -> bool:
--- a/jujubebarrow/tests/test_postponed_leases.py
+++ b/jujubebarrow/tests/test_postponed_leases.py
@@ -10,7 +10,11 @@
 from jujubebarrow.coordinators.coordinator_options import CoordinatorOptions
 from jujubebarrow.coordinators.lease_books import LeaseBook
 from jujubebarrow.coordinators.order_results import OrderOutcome
-from jujubebarrow.coordinators.recorded_leases import decode_leases, encode_leases
+from jujubebarrow.coordinators.recorded_leases import (
+    RecordedLease,
+    decode_leases,
+    encode_leases,
+)
 from jujubebarrow.coordinators.worker_views import (
     CLOCK_RATE,
     EXPIRY_MARGIN_SECONDS,
@@ -150,6 +154,37 @@
         longest = compute_longest_lease(OPTIONS)
         self.assertAlmostEqual(self.worker.lease_end, NOW + 1.0 + longest)
 
+    def record_lease(self) -> None:
+        """Record the lease of the unresponsive worker, as its owner does."""
+        lease = RecordedLease(
+            FIRST_START_MS, self.worker.timely_lease_end, self.worker.lease_end
+        )
+        self.coordinator.state.set_recorded_leases({FORMER: lease})
+
+    async def test_stored_lease_of_a_silent_worker_leaves_no_late_order_valid(
+        self,
+    ) -> None:
+        self.start([OrderOutcome.UNACKNOWLEDGED])
+        token = self.worker.token
+        end = self.worker.lease_end
+        self.record_lease()
+        self.assertEqual(self.worker.lease_end, end)
+        self.coordinator.handle_renewal_failure(self.worker, NOW)
+        self.assertGreater(self.worker.token, token)
+
+    async def test_late_start_extends_leases_issued_after_the_stored_one(
+        self,
+    ) -> None:
+        self.start([OrderOutcome.UNACKNOWLEDGED])
+        self.record_lease()
+        self.report(FORMER, FIRST_START_MS, NOW + 1.0)
+        self.coordinator.state.set_recorded_leases({})
+        sent_at = NOW + OPTIONS.late_order_window - 1.0
+        self.coordinator.make_renewal(self.worker, 0.0, sent_at)
+        self.report(FORMER, FIRST_START_MS, sent_at)
+        late_start_end = NOW + OPTIONS.late_order_window
+        self.assertGreater(self.worker.lease_end, late_start_end + OPTIONS.lease)
+
     async def test_further_failures_issue_no_further_tokens(self) -> None:
         self.lose_renewal()
         token = self.worker.token
