Report ends to the owner of the job's pool before they are acknowledged

Callers saw a task run again after its acknowledged end. A start got no response, the worker restarted in another pool under its id and executed the start there. The owner of that pool does not know the job and acknowledged the end; the task's owner does not hear of the worker any more and started the task again when the start could not come any more.

The owner that lists an end `done` of an unknown job now looks for the job. If it belongs to another pool and is not closed, the end is stored beside the job's row, and acknowledged afterwards. The feed of accepted jobs brings the row to the job's owner, which counts the task as done, stops its active run, if any, and deletes the row with the job; a later owner reads the row with the jobs. To withhold the acknowledgement for some time alone would not help: an end that is taken note of later counts as well, and the task's owner would still not know. Other outcomes are acknowledged as before.

Test changed: test_ends_of_a_worker_in_another_pool_are_not_acknowledged took the end of an unknown job as one that is acknowledged at once. It now checks that it is not before the end is reported, and everything it checked before from then on.

An instance of an earlier build counts the new row as a waiting job until it is deleted.

--- a/jujubebarrow/coordinators/job_progresses.py
+++ b/jujubebarrow/coordinators/job_progresses.py
@@ -65,6 +65,8 @@
         self.has_started_tasks = False
         self.closed_at = 0.0
         self.held_until = 0.0
+        # Tasks that owners of other pools have reported as done.
+        self.reported_ends: set[TaskKey] = set()
         self._reserved_bytes = record.reserved_bytes
         self._open_task_count = 0
         self._occurrences: dict[int, list[StepState]] = {}
--- a/jujubebarrow/coordinators/pool_coordinators.py
+++ b/jujubebarrow/coordinators/pool_coordinators.py
@@ -4,7 +4,8 @@
 
 from jujubebarrow.coordinators.active_runs import ActiveRun, RunStage
 from jujubebarrow.coordinators.coordinator_options import CoordinatorOptions
-from jujubebarrow.coordinators.job_changes import JobChange
+from jujubebarrow.coordinators.foreign_ends import ForeignEnd
+from jujubebarrow.coordinators.job_changes import FinishedRunRef, JobChange
 from jujubebarrow.coordinators.job_demands import JobDemand
 from jujubebarrow.coordinators.job_progresses import (
     PHASE_KEY,
@@ -29,6 +30,7 @@
 from jujubebarrow.workloads.identifiers import FenceToken, WorkerId
 from jujubebarrow.workloads.job_phases import JobPhase
 from jujubebarrow.workloads.job_records import JobRecord
+from jujubebarrow.workloads.task_keys import TaskKey
 from jujubebarrow.workloads.worker_reports import (
     RenewalReport,
     WorkerEntry,
@@ -133,6 +135,21 @@
         self._stop_runs(job)
         self.state.mark_changed(job)
 
+    def record_done_elsewhere(self, task: TaskKey) -> None:
+        """Record that a worker of another pool has done a task of this pool."""
+        self._reconciler.record_done_elsewhere(task)
+
+    def pop_foreign_ends(self) -> list[ForeignEnd]:
+        """Remove and return the ends of tasks of unknown jobs."""
+        ends, self.state.foreign_ends = self.state.foreign_ends, []
+        return ends
+
+    def handle_recorded_end(self, finished: FinishedRunRef) -> None:
+        """Release the acknowledgement of an end that is stored."""
+        worker = self.state.workers.get(WorkerId(finished.incarnation[0]))
+        if worker is not None and worker.incarnation == finished.incarnation:
+            worker.mark_recorded(finished.number)
+
     def _stop_runs(self, job: JobProgress) -> None:
         for run in list(job.active_runs()):
             self.state.request_stop(run)
@@ -309,9 +326,7 @@
             job = change.progress
             job.stored_phase = JobPhase(change.document[PHASE_KEY])
             for finished in change.finished_runs:
-                worker = self.state.workers.get(WorkerId(finished.incarnation[0]))
-                if worker is not None and worker.incarnation == finished.incarnation:
-                    worker.mark_recorded(finished.number)
+                self.handle_recorded_end(finished)
             for run in change.runs_to_start:
                 self._release_start(job, run, now)
             if change.runs_to_start:
--- a/jujubebarrow/coordinators/pool_states.py
+++ b/jujubebarrow/coordinators/pool_states.py
@@ -4,6 +4,7 @@
 
 from jujubebarrow.coordinators.active_runs import ActiveRun, RunStage
 from jujubebarrow.coordinators.coordinator_options import CoordinatorOptions
+from jujubebarrow.coordinators.foreign_ends import ForeignEnd
 from jujubebarrow.coordinators.job_changes import FinishedRunRef, JobChange
 from jujubebarrow.coordinators.job_progresses import (
     JobProgress,
@@ -60,6 +61,7 @@
         self.stops: list[ActiveRun] = []
         self.speed_changes: list[ActiveRun] = []
         self.late_start_stops: list[StopOrder] = []
+        self.foreign_ends: list[ForeignEnd] = []
         self.recorded_leases: dict[WorkerId, RecordedLease] = {}
         self.last_fault_at = owned_since - TAKEOVER_SECONDS
         self._last_regained_at = float("-inf")
--- a/jujubebarrow/coordinators/reconcilers.py
+++ b/jujubebarrow/coordinators/reconcilers.py
@@ -1,7 +1,9 @@
 """Reconciliation of recorded runs with a worker's lists of runs."""
 
 from jujubebarrow.coordinators.active_runs import ActiveRun, RunStage
+from jujubebarrow.coordinators.foreign_ends import ForeignEnd
 from jujubebarrow.coordinators.job_changes import FinishedRunRef
+from jujubebarrow.coordinators.job_progresses import JobProgress
 from jujubebarrow.coordinators.loss_recorders import LossRecorder
 from jujubebarrow.coordinators.orders import StopOrder
 from jujubebarrow.coordinators.overload_recorders import OverloadRecorder
@@ -481,17 +483,14 @@
         next run; the end counts, so that the task is not repeated.
         """
         job = self._state.jobs.get(finished.task.job)
-        step = job.find_step(finished.task) if job is not None else None
+        reference = FinishedRunRef(worker.incarnation, finished.number)
+        is_done = finished.outcome is RunOutcome.DONE
         task = job.find_task(finished.task) if job is not None else None
-        if (
-            job is None
-            or step is None
-            or task is None
-            or task.is_done
-            or finished.outcome is not RunOutcome.DONE
-            or step.spec.long_running
-            or job.phase.is_final
-        ):
+        active = task.active if task is not None else None
+        if job is None and is_done:
+            self._state.foreign_ends.append(ForeignEnd(finished.task, reference))
+            return
+        if job is None or not is_done or not self._record_done(job, finished.task):
             worker.mark_recorded(finished.number)
             return
         self._log.write(
@@ -499,14 +498,43 @@
             task=str(finished.task),
             run=finished.run,
             worker=worker.worker,
-            active=task.active.run if task.active is not None else None,
+            active=active.run if active is not None else None,
         )
+        self._state.mark_changed(job, reference)
+
+    def record_done_elsewhere(self, key: TaskKey) -> None:
+        """Record that a worker of another pool has done a task of this pool.
+
+        A task that waits for its next run is not repeated then.
+        """
+        job = self._state.jobs.get(key.job)
+        if job is None:
+            return
+        job.reported_ends.add(key)
+        if self._record_done(job, key):
+            self._log.write("task_done_elsewhere", task=str(key))
+            self._state.mark_changed(job)
+
+    def _record_done(self, job: JobProgress, key: TaskKey) -> bool:
+        """Record that a task is done by another run than its active one, if any.
+
+        Returns:
+            Whether this has changed the job.
+        """
+        step = job.find_step(key)
+        task = job.find_task(key)
+        if (
+            step is None
+            or task is None
+            or task.is_done
+            or step.spec.long_running
+            or job.phase.is_final
+        ):
+            return False
         if task.active is not None:
             self._state.request_stop(task.active)
-        job.record_done(finished.task)
-        self._state.mark_changed(
-            job, FinishedRunRef(worker.incarnation, finished.number)
-        )
+        job.record_done(key)
+        return True
 
 
 def _is_repeated(run: ActiveRun) -> bool:
--- a/jujubebarrow/runtimes/job_browsers.py
+++ b/jujubebarrow/runtimes/job_browsers.py
@@ -5,7 +5,7 @@
 from jujubebarrow.coordinators.job_progresses import PHASE_KEY
 from jujubebarrow.identifiers import JobId, PoolId, QueueId, TeamId
 from jujubebarrow.metrics.registries import MetricsRegistry
-from jujubebarrow.runtimes.job_row_keys import CANCELLED_SUFFIX
+from jujubebarrow.runtimes.job_row_keys import CANCELLED_SUFFIX, is_job_name
 from jujubebarrow.runtimes.job_watchers import read_job
 from jujubebarrow.stores.row_keys import RowKey, TableName, make_key
 from jujubebarrow.stores.stores import Store
@@ -78,7 +78,7 @@
         records = [
             read_job(row, self._metrics)
             for row in jobs.rows
-            if not row.key.endswith(CANCELLED_SUFFIX)
+            if is_job_name(RowKey.parse(row.key).name)
         ]
         return [
             _summarise(record, phases, record.job + CANCELLED_SUFFIX in names)
--- a/jujubebarrow/runtimes/job_watchers.py
+++ b/jujubebarrow/runtimes/job_watchers.py
@@ -7,7 +7,7 @@
 from jujubebarrow.logs.decision_logs import DecisionLog
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.runtimes.job_listeners import JobListener
-from jujubebarrow.runtimes.job_row_keys import CANCELLED_SUFFIX
+from jujubebarrow.runtimes.job_row_keys import CANCELLED_SUFFIX, parse_end_name
 from jujubebarrow.runtimes.table_watchers import TableWatcher
 from jujubebarrow.stores.row_keys import RowKey, TableName, make_key
 from jujubebarrow.stores.rows import Row
@@ -87,7 +87,7 @@
         return found.revision, []
 
     async def apply(self, rows: list[Row], sent_at: float) -> None:
-        """Notify listeners of accepted and cancelled jobs."""
+        """Notify listeners of accepted and cancelled jobs and of reported ends."""
         for row in rows:
             if row.value is None:
                 continue
@@ -97,6 +97,11 @@
                 for listener in list(self._listeners):
                     listener.on_job_cancelled(QueueId(key.partition), job)
                 continue
+            task = parse_end_name(key.name)
+            if task is not None:
+                for listener in list(self._listeners):
+                    listener.on_task_done_elsewhere(task)
+                continue
             record = read_job(row, self._metrics)
             # The owner that has closed a job replaces the job's row by a compact one.
             if record is not None and record.outcome is None:
--- a/jujubebarrow/runtimes/pending_counters.py
+++ b/jujubebarrow/runtimes/pending_counters.py
@@ -11,7 +11,11 @@
 from jujubebarrow.logs.decision_logs import DecisionLog
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.runtimes.direct_counts import DirectCount
-from jujubebarrow.runtimes.job_row_keys import CANCELLED_SUFFIX, USED_SUFFIX
+from jujubebarrow.runtimes.job_row_keys import (
+    CANCELLED_SUFFIX,
+    USED_SUFFIX,
+    is_job_name,
+)
 from jujubebarrow.runtimes.load_reports import AT, PENDING
 from jujubebarrow.stores.row_keys import RowKey, TableName, make_key
 from jujubebarrow.stores.rows import Row, RowSet
@@ -106,8 +110,7 @@
         waiting = {
             name
             for name in names
-            if not name.endswith(CANCELLED_SUFFIX)
-            and name + CANCELLED_SUFFIX not in names
+            if is_job_name(name) and name + CANCELLED_SUFFIX not in names
         }
         if not waiting:
             return 0
--- a/jujubebarrow/runtimes/pool_loaders.py
+++ b/jujubebarrow/runtimes/pool_loaders.py
@@ -10,8 +10,10 @@
 from jujubebarrow.runtimes.job_row_keys import (
     CANCELLED_SUFFIX,
     USED_SUFFIX,
+    is_job_name,
     make_fence_key,
     make_use_key,
+    parse_end_name,
 )
 from jujubebarrow.runtimes.job_watchers import read_job
 from jujubebarrow.runtimes.progress_writers import ProgressWriter
@@ -124,6 +126,9 @@
             if name.endswith(CANCELLED_SUFFIX):
                 job = JobId(name.removesuffix(CANCELLED_SUFFIX))
                 self._coordinator.cancel_job(job)
+            task = parse_end_name(name)
+            if task is not None:
+                self._coordinator.record_done_elsewhere(task)
 
     async def _may_have_jobs(self, queue: QueueId) -> bool:
         """Return whether a queue may have jobs of this pool, without reading the jobs.
@@ -143,7 +148,7 @@
         records = [
             read_job(row, self._metrics)
             for row in rows
-            if not row.key.endswith(CANCELLED_SUFFIX)
+            if is_job_name(RowKey.parse(row.key).name)
         ]
         return [
             record
--- a/jujubebarrow/runtimes/pool_owners.py
+++ b/jujubebarrow/runtimes/pool_owners.py
@@ -21,6 +21,7 @@
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.ownerships.ownership_rows import DutyId
 from jujubebarrow.runtimes.advice_controllers import AdviceController
+from jujubebarrow.runtimes.foreign_end_reporters import ForeignEndReporter
 from jujubebarrow.runtimes.grant_controllers import GrantController
 from jujubebarrow.runtimes.grant_watchers import GrantWatcher
 from jujubebarrow.runtimes.job_listeners import JobListener
@@ -41,6 +42,7 @@
 from jujubebarrow.stores.stores import Store
 from jujubebarrow.workloads.identifiers import FenceToken, WorkerId
 from jujubebarrow.workloads.job_records import JobRecord
+from jujubebarrow.workloads.task_keys import TaskKey
 from jujubebarrow.workloads.worker_reports import WorkerEntry
 
 PLAN_PERIOD_SECONDS = 0.1
@@ -135,6 +137,7 @@
         self._pending_jobs: dict[QueueId, list[JobRecord]] = {}
         # Cancelled jobs that this owner does not know, which may be loading.
         self._unknown_cancelled: set[JobId] = set()
+        self._unknown_ends: set[TaskKey] = set()
         self._is_plan_scheduled = False
         self._plan_seconds = 0.0
         self._is_closed = False
@@ -177,6 +180,9 @@
             log,
             metrics,
         )
+        self._foreign_ends = ForeignEndReporter(
+            self.coordinator, store, self._tasks, self, clock, log, metrics
+        )
         registry = self.coordinator.state.grants
         self._grant_controller = GrantController(
             pool,
@@ -279,7 +285,7 @@
         for records in pending_jobs.values():
             for record in records:
                 self.on_job_accepted(record)
-        self._cancel_loaded_jobs()
+        self._apply_pending_changes()
         self._tasks.start_loop(self._plan_periodically)
         self._tasks.start_loop(self._grant_controller.run)
         self._tasks.start_loop(self._lease_recorder.run)
@@ -320,7 +326,7 @@
         self._loading_queues.discard(queue)
         for record in self._pending_jobs.pop(queue, []):
             self.on_job_accepted(record)
-        self._cancel_loaded_jobs()
+        self._apply_pending_changes()
         self.on_change()
 
     def on_job_cancelled(self, queue: QueueId, job: JobId) -> None:
@@ -332,18 +338,32 @@
         self.coordinator.cancel_job(job)
         self.on_change()
 
+    def on_task_done_elsewhere(self, task: TaskKey) -> None:
+        """Record the end of a task that a worker of another pool has done."""
+        if task.job not in self.coordinator.state.jobs:
+            if self._is_loading:
+                self._unknown_ends.add(task)
+            return
+        self.coordinator.record_done_elsewhere(task)
+        self.on_change()
+
     @property
     def _is_loading(self) -> bool:
         return bool(not self._is_loaded or self._reload_count or self._loading_queues)
 
-    def _cancel_loaded_jobs(self) -> None:
-        """Cancel the jobs whose cancellation was reported while they were loaded."""
+    def _apply_pending_changes(self) -> None:
+        """Apply the cancellations and ends that were reported during a load."""
         for job in list(self._unknown_cancelled):
             if job in self.coordinator.state.jobs:
                 self._unknown_cancelled.discard(job)
                 self.coordinator.cancel_job(job)
+        for task in list(self._unknown_ends):
+            if task.job in self.coordinator.state.jobs:
+                self._unknown_ends.discard(task)
+                self.coordinator.record_done_elsewhere(task)
         if not self._is_loading:
             self._unknown_cancelled.clear()
+            self._unknown_ends.clear()
 
     def on_history_lost(self) -> None:
         """Reload all jobs, because the change feed has skipped some changes."""
@@ -356,7 +376,7 @@
     async def _reload(self) -> None:
         if await self._load_all_queues():
             self._reload_count -= 1
-            self._cancel_loaded_jobs()
+            self._apply_pending_changes()
             self.on_change()
 
     async def _load_all_queues(self) -> bool:
@@ -450,6 +470,7 @@
             )
         self._writer.write_changes()
         self._sender.send_released()
+        self._foreign_ends.report_ends()
         self._update_sessions()
         self._plan_seconds = self._clock.monotonic() - started_at
         if coordinator.state.is_claim_disputed and not self._is_confirming:
--- a/jujubebarrow/runtimes/progress_writers.py
+++ b/jujubebarrow/runtimes/progress_writers.py
@@ -20,6 +20,7 @@
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.runtimes.job_row_keys import (
     make_cancellation_key,
+    make_end_key,
     make_fence_key,
     make_job_key,
     make_progress_key,
@@ -295,6 +296,11 @@
                 await self._delete(queue, batch)
 
     async def _delete(self, queue: QueueId, jobs: list[JobProgress]) -> None:
+        end_keys = [
+            make_end_key(queue, task)
+            for progress in jobs
+            for task in progress.reported_ends
+        ]
         writes: dict[str, dict[str, Any] | None] = {}
         for progress in jobs:
             job = progress.record.job
@@ -302,6 +308,9 @@
             writes[make_cancellation_key(queue, job)] = None
             writes[make_progress_key(queue, job)] = None
         try:
+            for start in range(0, len(end_keys), JOBS_PER_TRANSACTION_LIMIT):
+                batch = end_keys[start : start + JOBS_PER_TRANSACTION_LIMIT]
+                await self._commit_exclusively(queue, dict.fromkeys(batch))
             await self._commit_exclusively(queue, writes)
         except DisplacedError:
             self._on_superseded()
--- a/jujubebarrow/tests/proof_late_orders.py
+++ b/jujubebarrow/tests/proof_late_orders.py
@@ -40,6 +40,8 @@
 KIND_OPEN_SEEDS = (13,)
 """Seeds in which one does, see KNOWN-RED.txt."""
 POOL_SEEDS = (1, 2, 15)
+REPEATED_POOL_SEEDS = (22, 27, 31, 36, 42)
+REPEATED_POOL_KILL_SEEDS = (10, 12)
 ACCEPTED_LEASE_SECONDS = 10.0
 """Longer than the leases that owners issue."""
 
@@ -195,6 +197,24 @@
                 )
                 self.assertEqual(cluster.find_avoidable_placements(), [])
 
+    def test_workers_that_change_the_pool_repeat_no_task(self) -> None:
+        """Guards against a second run of a task that was done in another pool."""
+        for seeds, kills_owners in (
+            (REPEATED_POOL_SEEDS, False),
+            (REPEATED_POOL_KILL_SEEDS, True),
+        ):
+            for seed in seeds:
+                with self.subTest(seed=seed, kills_owners=kills_owners):
+                    cluster = run_cluster(
+                        seed,
+                        LABEL_LOAD,
+                        True,
+                        changes_kind=True,
+                        changes_pool=True,
+                        kills_owners=kills_owners,
+                    )
+                    self.assertEqual(cluster.find_repeated_runs(), [])
+
     def test_workers_that_change_the_pool_displace_no_owner(self) -> None:
         for seed in POOL_SEEDS:
             with self.subTest(seed=seed):
--- a/jujubebarrow/tests/test_restarted_workers.py
+++ b/jujubebarrow/tests/test_restarted_workers.py
@@ -525,6 +525,11 @@
         task = TaskKey(JobId("1"), 0, 0, 0)
         ended = FinishedRun(1, task, RunNumber(1), RunOutcome.DONE, "")
         self.report(FIRST_START_MS, (), (ended,))
+        self.assertEqual(self.renew(), 0)
+        # The owner of the job's pool has to learn of the end first.
+        [end] = self.coordinator.pop_foreign_ends()
+        self.assertEqual(end.task, task)
+        self.coordinator.handle_recorded_end(end.finished_run)
         self.assertEqual(self.renew(), 1)
         self.coordinator.handle_deregistration(WORKER)
         self.assertEqual(self.renew(), 0)
--- a/jujubebarrow/tests/test_store_clocks.py
+++ b/jujubebarrow/tests/test_store_clocks.py
@@ -23,6 +23,7 @@
 from jujubebarrow.tests.fakes.virtual_loops import LoopClock, run_virtual
 from jujubebarrow.workloads.identifiers import MachineId
 from jujubebarrow.workloads.job_records import JobRecord
+from jujubebarrow.workloads.task_keys import TaskKey
 
 MACHINE = MachineId("m-1")
 MACHINE_LEASE_SECONDS = 3.0
@@ -59,6 +60,9 @@
     def on_job_accepted(self, record: JobRecord) -> None:
         pass
 
+    def on_task_done_elsewhere(self, task: TaskKey) -> None:
+        pass
+
     def on_job_cancelled(self, queue: QueueId, job: JobId) -> None:
         pass
 
