--- a/jujubebarrow/tests/test_returned_owners.py
+++ b/jujubebarrow/tests/test_returned_owners.py
@@ -7,6 +7,7 @@
 
 from asyncio import sleep
 
+from jujubebarrow.runtimes.order_senders import LATE_START_SECONDS
 from jujubebarrow.standins.emulated_workers import TaskBehaviour
 from jujubebarrow.tests.fakes.job_cases import JobCase
 from jujubebarrow.tests.fakes.job_clusters import Instance, JobCluster
@@ -17,12 +18,15 @@
 NEEDS = Resources(1000, 500)
 SHARED_WORKER = WorkerId("w0")
 OTHER_WORKER = WorkerId("w1")
-TASK_SECONDS = 30.0
-OBSERVED_SECONDS = 13.0
+TASK_SECONDS = 60.0
+OBSERVED_SECONDS = 13.0 + LATE_START_SECONDS
 """Time from the cut in which the successor starts the tasks elsewhere."""
 SLOWEST_CLOCK_RATE = 0.98
 CUT_TENTHS = range(50, 80, 2)
 """Times for which the owner is cut off from the store, in tenths of a second."""
+MEND_SECONDS = (10.8, 11.0, 11.2)
+"""Times from the cut at which the successor reaches the worker, about when leases end
+that no late order of the former owner has extended."""
 SUBMISSION_DELAY_SECONDS = 1.5
 
 
@@ -60,8 +64,9 @@
                 self.assertEqual(max(cluster.count_starts().values()), 2)
 
     def test_returned_owner_leaves_no_run_on_a_worker_that_counts_as_free(self) -> None:
+        late = tuple(seconds + LATE_START_SECONDS for seconds in MEND_SECONDS)
         for tenths in CUT_TENTHS:
-            for mend_seconds in (10.8, 11.0, 11.2):
+            for mend_seconds in (*MEND_SECONDS, *late):
                 with self.subTest(tenths=tenths, mend_seconds=mend_seconds):
                     self._run_return(tenths / 10, mend_seconds, 16)
 
