--- a/jujubebarrow/coordinators/lease_books.py
+++ b/jujubebarrow/coordinators/lease_books.py
@@ -29,10 +29,10 @@
     @property
     def end(self) -> float:
         """Time in seconds at which all leases are certainly over."""
-        end = max(self._timely_end, self._latest_end)
+        end = self._timely_end
         for _, executed_until, length in self._unanswered.values():
             end = max(end, min(end, executed_until) + length)
-        return end
+        return max(end, self._latest_end)
 
     @property
     def has_unanswered(self) -> bool:
--- a/jujubebarrow/tests/test_postponed_leases.py
+++ b/jujubebarrow/tests/test_postponed_leases.py
@@ -64,6 +64,12 @@
             self.issue(sent_at)
         self.assertEqual(self.book.end, 4.0 + WINDOW_SECONDS + LEASE_SECONDS)
 
+    def test_record_of_the_lease_counts_no_order_twice(self) -> None:
+        self.issue(1.0)
+        end = self.book.end
+        self.book.limit(self.book.timely_end, end)
+        self.assertEqual(self.book.end, end)
+
     def test_orders_sent_at_the_same_time_are_settled_one_by_one(self) -> None:
         self.issue(1.0)
         self.issue(1.0)
