Log how each attempt to store a job ended, keep the lines of promises

A record of the users names refused jobs that ran, and no line of any process names them. A refusal did not tell why the job counts as not stored: how many attempts, on which path, with which result, whether curl had sent a request twice.

New: job_refused with the attempts, the counters store_resent and worker_resent, and a separate limit for the lines about promises. No decision changes. test_other_lines_do_not_displace_the_line_of_a_promise fails on the former log.

--- a/jujubebarrow/errors/exceptions.py
+++ b/jujubebarrow/errors/exceptions.py
@@ -58,11 +58,24 @@
         detail: Cause of the failure.
         may_have_applied: Whether a write may have been applied or may still be
             applied.
+        attempts: Result of each failed attempt, oldest first, with the path that it
+            took; empty for a single attempt.
     """
 
-    def __init__(self, detail: str, may_have_applied: bool = True):
+    def __init__(
+        self,
+        detail: str,
+        may_have_applied: bool = True,
+        attempts: tuple[str, ...] = (),
+    ):
         super().__init__(detail)
         self.may_have_applied = may_have_applied
+        self._attempts = attempts
+
+    @property
+    def attempts(self) -> tuple[str, ...]:
+        """Result of each failed attempt, oldest first."""
+        return self._attempts or (str(self),)
 
 
 class InvalidCallError(StoreError):
--- a/jujubebarrow/logs/event_logs.py
+++ b/jujubebarrow/logs/event_logs.py
@@ -20,10 +20,44 @@
 job rate of a pool."""
 BURST_LINES = 1000.0
 """Limit of lines in a burst, for instance after a takeover of a pool."""
+PROMISE_EVENTS = frozenset(
+    {
+        "job_accepted",
+        "job_repeated",
+        "job_refused",
+        "job_cancel_stored",
+        "job_closed",
+        "runs_recorded",
+    }
+)
+"""Events that tell what a caller was promised and what became of it. They have a limit
+of their own, so that other lines do not displace them."""
+
+
+class _LineBudget:
+    """Token bucket that limits the rate of lines.
+
+    Args:
+        now: Time in seconds.
+    """
+
+    def __init__(self, now: float):
+        self._tokens = BURST_LINES
+        self._refilled_at = now
+
+    def take(self, now: float) -> bool:
+        """Take one line at a time in seconds; return False if there is none left."""
+        refill = (now - self._refilled_at) * AVERAGE_LINE_RATE
+        self._tokens = min(BURST_LINES, self._tokens + max(0.0, refill))
+        self._refilled_at = now
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
 
 
 class EventLog(DecisionLog):
-    """Writes one JSON object per line; drops and counts lines over the rate limit.
+    """Writes one JSON object per line; drops and counts lines over the rate limits.
 
     Args:
         clock: Time source.
@@ -33,8 +67,8 @@
     def __init__(self, clock: Clock, metrics: MetricsRegistry):
         self._clock = clock
         self._metrics = metrics
-        self._tokens = BURST_LINES
-        self._refilled_at = clock.monotonic()
+        self._budget = _LineBudget(clock.monotonic())
+        self._promise_budget = _LineBudget(clock.monotonic())
 
     def write(self, event: str, **fields: Any) -> None:
         """Write one line, or drop and count the line if the rate limit is reached.
@@ -44,21 +78,13 @@
             fields: Ids of the subjects, inputs with their age or version, and the
                 outcome.
         """
-        if not self._take_token():
+        is_promise = event in PROMISE_EVENTS
+        budget = self._promise_budget if is_promise else self._budget
+        if not budget.take(self._clock.monotonic()):
             self._metrics.count("log_dropped", event)
             return
         logger.info(json.encode({"event": event, **fields}).decode())
 
-    def _take_token(self) -> bool:
-        now = self._clock.monotonic()
-        refill = (now - self._refilled_at) * AVERAGE_LINE_RATE
-        self._tokens = min(BURST_LINES, self._tokens + max(0.0, refill))
-        self._refilled_at = now
-        if self._tokens < 1.0:
-            return False
-        self._tokens -= 1.0
-        return True
-
 
 def make_stdout_sink(metrics: MetricsRegistry) -> Callable[[str], None]:
     """Return a sink that writes to standard output and drops lines that would block."""
--- a/jujubebarrow/platform/stores.py
+++ b/jujubebarrow/platform/stores.py
@@ -204,11 +204,15 @@
                 method, self._url + path, timeout, body, kind=kind
             )
         except HttpCallError as error:
+            if error.was_resent:
+                self._metrics.count("store_resent", "unanswered")
             if error.is_response_incomplete:
                 self._metrics.count("store_failure", "incomplete")
                 raise SlowResponseError(str(error), error.received_bytes) from error
             self._metrics.count("store_failure", "unanswered")
             raise StoreError(str(error), error.may_have_arrived) from error
+        if response.was_resent:
+            self._metrics.count("store_resent", str(response.status))
         if response.status not in (200, 410, 412):
             self._metrics.count("store_failure", str(response.status))
         return response
--- a/jujubebarrow/platform/workers.py
+++ b/jujubebarrow/platform/workers.py
@@ -180,14 +180,22 @@
         timeout: float,
     ) -> ClientResponse:
         self._metrics.count("worker_call", path)
-        return await self._client.call(
-            "POST",
-            f"http://{address}{path}",
-            timeout,
-            json.encode(document),
-            {"X-Target-Instance": worker},
-            TRAFFIC_KINDS.get(path, TrafficKind.ORDER),
-        )
+        try:
+            response = await self._client.call(
+                "POST",
+                f"http://{address}{path}",
+                timeout,
+                json.encode(document),
+                {"X-Target-Instance": worker},
+                TRAFFIC_KINDS.get(path, TrafficKind.ORDER),
+            )
+        except HttpCallError as error:
+            if error.was_resent:
+                self._metrics.count("worker_resent", f"{path} unanswered")
+            raise
+        if response.was_resent:
+            self._metrics.count("worker_resent", f"{path} {response.status}")
+        return response
 
     def _decode_renewal_report(self, body: bytes) -> RenewalReport:
         try:
--- a/jujubebarrow/runtimes/job_intakes.py
+++ b/jujubebarrow/runtimes/job_intakes.py
@@ -115,6 +115,7 @@
             writes=writes,
             nonce=uuid4().hex,
         )
+        started_at = self._clock.monotonic()
         try:
             await wait_for(self._store.commit(transaction), timeout)
         except TransactionConflictError:
@@ -122,9 +123,13 @@
             self._log.write("job_repeated", job=job, queue=route.queue)
             return
         except StoreError as error:
-            raise self._make_refusal(error) from error
+            refusal = self._make_refusal(error)
+            self._log_refusal(route, job, refusal, error.attempts, started_at)
+            raise refusal from error
         except TimeoutError as error:
-            raise RefusalError(ErrorKind.RUN_UNKNOWN, "store", 0.5) from error
+            refusal = RefusalError(ErrorKind.RUN_UNKNOWN, "store", 0.5)
+            self._log_refusal(route, job, refusal, ("no time left",), started_at)
+            raise refusal from error
         self._marked_uses.add(use_key)
         self._log.write(
             "job_accepted",
@@ -135,6 +140,24 @@
             steps=[step.count for step in submission.steps],
         )
 
+    def _log_refusal(
+        self,
+        route: QueueRoute,
+        job: JobId,
+        refusal: RefusalError,
+        attempts: tuple[str, ...],
+        started_at: float,
+    ) -> None:
+        self._log.write(
+            "job_refused",
+            job=job,
+            queue=route.queue,
+            reason=refusal.kind.value,
+            run=refusal.run.value,
+            seconds=round(self._clock.monotonic() - started_at, 3),
+            attempts=attempts,
+        )
+
     def _make_refusal(self, error: StoreError) -> RefusalError:
         if isinstance(error, InvalidCallError):
             return RefusalError(ErrorKind.NEVER_RUNS, str(error))
--- a/jujubebarrow/stores/relayed_stores.py
+++ b/jujubebarrow/stores/relayed_stores.py
@@ -236,6 +236,7 @@
 
     async def try_commit(self, transaction: Transaction) -> CommitResult:
         """Send a transaction once and return the result."""
+        failures: tuple[str, ...] = ()
         for address in self._choose_relays():
             body = encode_commit(transaction)
             try:
@@ -243,10 +244,17 @@
             except InvalidCallError:
                 raise
             except StoreError as error:
+                failures += (f"{address} {error}",)
                 if error.may_have_applied:
-                    raise
+                    raise StoreError(str(error), True, failures) from error
                 self._metrics.count("retry", "relay")
-        return await self._call_direct(lambda: self._direct.try_commit(transaction))
+        try:
+            return await self._call_direct(lambda: self._direct.try_commit(transaction))
+        except InvalidCallError:
+            raise
+        except StoreError as error:
+            failures += (f"direct: {error}",)
+            raise StoreError(str(error), error.may_have_applied, failures) from error
 
     async def read(self, prefix: str, limit: int = 0) -> RowSet:
         """Return the rows whose key starts with a prefix."""
--- a/jujubebarrow/stores/stores.py
+++ b/jujubebarrow/stores/stores.py
@@ -49,6 +49,7 @@
         """
         attempts = 0
         is_uncertain = False
+        failures: tuple[str, ...] = ()
         while True:
             attempts += 1
             try:
@@ -57,8 +58,9 @@
                 raise
             except StoreError as error:
                 is_uncertain = is_uncertain or error.may_have_applied
+                failures += error.attempts
                 if attempts == self.commit_attempts:
-                    raise StoreError(str(error), is_uncertain) from error
+                    raise StoreError(str(error), is_uncertain, failures) from error
                 self._metrics.count("retry", "store-commit")
 
     async def _commit_once(self, transaction: Transaction) -> int:
--- a/jujubebarrow/transports/http_clients.py
+++ b/jujubebarrow/transports/http_clients.py
@@ -44,6 +44,7 @@
         may_have_arrived: Whether the server may have received the request.
         received_bytes: Size of the part of the response body that arrived.
         has_timed_out: Whether the timeout ended the call.
+        was_resent: Whether the request was sent again after a reset.
     """
 
     def __init__(
@@ -52,11 +53,13 @@
         may_have_arrived: bool,
         received_bytes: int = 0,
         has_timed_out: bool = False,
+        was_resent: bool = False,
     ):
         super().__init__(detail)
         self.may_have_arrived = may_have_arrived
         self.received_bytes = received_bytes
         self.has_timed_out = has_timed_out
+        self.was_resent = was_resent
 
     @property
     def is_response_incomplete(self) -> bool:
@@ -72,11 +75,14 @@
         status: HTTP status code.
         body: Response body.
         transfer_seconds: Time from the first to the last byte of the response.
+        was_resent: Whether the request was sent again after its connection was reset.
+            The response is that to the second copy.
     """
 
     status: int
     body: bytes
     transfer_seconds: float = 0.0
+    was_resent: bool = False
 
 
 class _RequestBody:
@@ -84,11 +90,17 @@
 
     Args:
         data: Body; None for a request without body.
+
+    Attributes:
+        was_read: Whether curl has read a part of the body.
+        was_reread: Whether curl has gone back to the start after that, to send the
+            request on another connection.
     """
 
     def __init__(self, data: bytes | None):
         self._buffer = BytesIO(data) if data is not None else None
         self.was_read = False
+        self.was_reread = False
 
     def attach(self, curl: Curl) -> None:
         if self._buffer is not None:
@@ -102,6 +114,7 @@
 
     def _seek(self, offset: int, origin: int) -> int:
         assert self._buffer is not None
+        self.was_reread = self.was_reread or self.was_read
         self._buffer.seek(offset, origin)
         return SEEKFUNC_OK
 
@@ -220,6 +233,7 @@
             response.code,
             received.to_bytes(),
             max(0.0, times.get("total", 0.0) - times.get("starttransfer", 0.0)),
+            sent.was_reread,
         )
 
     async def _fetch(self, request: HTTPRequest) -> HTTPResponse:
@@ -247,7 +261,11 @@
     # reports only the failure of the latter.
     may_have_arrived = sent.was_read or _may_have_arrived(error)
     return HttpCallError(
-        str(error), may_have_arrived, received.size_bytes, has_timed_out
+        str(error),
+        may_have_arrived,
+        received.size_bytes,
+        has_timed_out,
+        sent.was_reread,
     )
 
 
