Conclude nothing from the refusal of a transaction that curl sent twice

Callers saw: a job that had been refused with 503, not run, and that ran (REFUSED).

Cause: if a kept connection is reset before a byte of the response, curl sends the request again and reports only the response to the second copy. A 429, 503 or 403 counted as "nothing was applied", which holds for that copy alone. Relays did the same with 4xx statuses and with refusals in their responses. Besides, a refusal for the content ended a commit as rejected whatever an earlier attempt had done, and so did a failed read of the revision of a transaction that was found applied.

A response to a resent request that says that nothing was applied counts as unknown, so that the next attempt or the caller's repeat finds the nonce or the job. The revision of a transaction that is found by its nonce comes with the conflict and is not read any more.

--- a/jujubebarrow/platform/stores.py
+++ b/jujubebarrow/platform/stores.py
@@ -97,6 +97,11 @@
             return _decode_commit(response, transaction)
         except DECODE_ERRORS as error:
             raise StoreError(f"unreadable answer: {error!r}", True) from error
+        except StoreError as error:
+            if response.was_resent:
+                # Only the second copy was refused.
+                raise StoreError(f"{error}, request resent", True) from error
+            raise
 
     async def read(self, prefix: str, limit: int = 0) -> RowSet:
         """Return the rows whose key starts with a prefix."""
@@ -233,7 +238,7 @@
         raise _make_status_error(response)
     document = json.decode(response.body)
     current_rows = {row.key: row for row in _decode_rows(document.get("rows", ()))}
-    nonces = {}
+    nonces, revisions = {}, {}
     for key, revision in transaction.conditions.items():
         row = current_rows.get(key)
         current_revision = (
@@ -241,9 +246,12 @@
         )
         if current_revision != revision:
             nonces[key] = row.nonce if row is not None else ""
+            revisions[key] = current_revision
     if not nonces:
         raise StoreError("conflict without a differing row", False)
-    return CommitResult(revision=document.get("Ver", 0), nonces=nonces)
+    return CommitResult(
+        revision=document.get("Ver", 0), nonces=nonces, revisions=revisions
+    )
 
 
 def _encode_transaction(transaction: Transaction) -> dict[str, Any]:
--- a/jujubebarrow/stores/stores.py
+++ b/jujubebarrow/stores/stores.py
@@ -43,7 +43,8 @@
 
         Raises:
             TransactionConflictError: A condition did not hold.
-            InvalidCallError: The store refuses the transaction for its content.
+            InvalidCallError: The store refuses the transaction for its content, and no
+                attempt may have taken effect.
             StoreError: All attempts failed; ``may_have_applied`` tells whether one of
                 the attempts may have taken effect.
         """
@@ -54,7 +55,10 @@
             attempts += 1
             try:
                 return await self._commit_once(transaction)
-            except InvalidCallError:
+            except InvalidCallError as error:
+                if is_uncertain:
+                    failures += error.attempts
+                    raise StoreError(str(error), True, failures) from error
                 raise
             except StoreError as error:
                 is_uncertain = is_uncertain or error.may_have_applied
@@ -71,11 +75,17 @@
         written_keys = [key for key, found in result.nonces.items() if found == nonce]
         if written_keys:
             # An earlier attempt took effect, but the response was lost.
-            return await self._read_commit_revision(written_keys[0], nonce)
+            key = written_keys[0]
+            if key in result.revisions:
+                return result.revisions[key]
+            return await self._read_commit_revision(key, nonce)
         raise TransactionConflictError(list(result.nonces))
 
     async def _read_commit_revision(self, key: str, nonce: str) -> int:
-        rows = await self.read(key)
+        try:
+            rows = await self.read(key)
+        except StoreError as error:
+            raise StoreError(f"applied, revision not read: {error}", True) from error
         for row in rows.rows:
             if row.key == key and row.nonce == nonce:
                 return row.revision
--- /dev/null
+++ b/jujubebarrow/tests/fakes/resetting_servers.py
@@ -0,0 +1,86 @@
+"""HTTP server on the loopback that resets connections instead of answering."""
+
+import asyncio
+import socket
+import struct
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from jujubebarrow.standins.ports import LOOPBACK
+
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)
+
+
+@dataclass(frozen=True, slots=True)
+class ServerRequest:
+    """Request that the server has read.
+
+    Attributes:
+        target: Path with the query.
+        body: Request body.
+    """
+
+    target: str
+    body: bytes
+
+
+Responder = Callable[[ServerRequest], tuple[int, bytes] | None]
+
+
+class ResettingServer:
+    """Serves each request with the status and body that a function returns.
+
+    Args:
+        respond: Returns the response; None resets the connection.
+    """
+
+    def __init__(self, respond: Responder):
+        self._respond = respond
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def open(self) -> str:
+        """Listen and return the address."""
+        self._server = await asyncio.start_server(self._serve, LOOPBACK, 0)
+        return f"{LOOPBACK}:{self._server.sockets[0].getsockname()[1]}"
+
+    async def close(self) -> None:
+        """Stop listening and close all connections."""
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+        await asyncio.sleep(0)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(writer)
+        try:
+            while True:
+                response = self._respond(await _read_request(reader))
+                if response is None:
+                    connection = writer.get_extra_info("socket")
+                    connection.setsockopt(
+                        socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE
+                    )
+                    return
+                status, body = response
+                head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n"
+                writer.write(head.encode() + body)
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return
+        finally:
+            self._writers.discard(writer)
+            writer.transport.abort()
+
+
+async def _read_request(reader: asyncio.StreamReader) -> ServerRequest:
+    head = (await reader.readuntil(b"\r\n\r\n")).decode()
+    request_line, *lines = head.split("\r\n")
+    size = 0
+    for line in lines:
+        if line.lower().startswith("content-length:"):
+            size = int(line.split(":")[1])
+    return ServerRequest(request_line.split(" ")[1], await reader.readexactly(size))
--- a/jujubebarrow/transports/http_relays.py
+++ b/jujubebarrow/transports/http_relays.py
@@ -4,7 +4,11 @@
 
 from tornado.httputil import HTTPServerRequest
 
-from jujubebarrow.errors.exceptions import SlowResponseError, StoreError
+from jujubebarrow.errors.exceptions import (
+    HistoryLostError,
+    SlowResponseError,
+    StoreError,
+)
 from jujubebarrow.links.link_meters import LinkMeter
 from jujubebarrow.links.traffic_kinds import TrafficKind
 from jujubebarrow.metrics.registries import MetricsRegistry
@@ -59,9 +63,17 @@
             raise StoreError(f"relay: {error}", error.may_have_arrived) from error
         if response.status != 200:
             # An unexpected error may follow a transaction that took effect.
-            has_failed = response.status >= 500
-            raise StoreError(f"relay: status {response.status}", has_failed)
-        return decode_response(response.body)
+            may_have_applied = response.status >= 500 or response.was_resent
+            raise StoreError(f"relay: status {response.status}", may_have_applied)
+        try:
+            return decode_response(response.body)
+        except HistoryLostError:
+            raise
+        except StoreError as error:
+            if response.was_resent:
+                # The result of the first copy is unknown.
+                raise StoreError(f"{error}, request resent", True) from error
+            raise
 
 
 class RelayHandler(HttpRequestHandler):
