Let no copy of an order to a worker go uncounted

Callers saw: a task that runs twice at the same time (TWICE).

A worker executed a start and its connection was reset; curl sent the start again, and a refusal of that copy (503, 429, 409, 421) ended the run, so that the task started elsewhere. Relays of starts did the same with their refusals. Besides, the first copy has no response and may be executed late, and it was not counted when the second one was accepted; a start is to be repeated only once the store has the unanswered ones. A renewal that was sent twice counted as answered.

Starts, also relayed ones, are not sent again by curl: they count as unacknowledged, are put on record and repeated by their owner. Of other orders a refusal of the second copy counts as no answer, and a renewal that was sent twice keeps its first copy in the book of leases.

--- a/jujubebarrow/coordinators/pool_coordinators.py
+++ b/jujubebarrow/coordinators/pool_coordinators.py
@@ -445,7 +445,8 @@
         self, worker: WorkerView, report: RenewalReport, sent_at: float, now: float
     ) -> list[StopOrder]:
         """Apply a worker's report; return stop orders for its orphaned runs."""
-        worker.record_answer(sent_at)
+        if not report.has_open_copy:
+            worker.record_answer(sent_at)
         orphans = self._reconciler.reconcile(worker, report, sent_at, now)
         self._stall_detector.check_worker(worker, now)
         self.state.speed_changes.extend(self._throttler.adjust_speed(worker))
--- a/jujubebarrow/platform/workers.py
+++ b/jujubebarrow/platform/workers.py
@@ -1,5 +1,6 @@
 """Client of the platform's workers."""
 
+from dataclasses import replace
 from typing import Any
 
 from msgspec import Struct, json
@@ -136,7 +137,12 @@
     ) -> OrderResult:
         try:
             response = await self._post(
-                order.worker, order.address, path, document, ORDER_TIMEOUT_SECONDS
+                order.worker,
+                order.address,
+                path,
+                document,
+                ORDER_TIMEOUT_SECONDS,
+                may_resend=path != START_PATH,
             )
         except HttpCallError as error:
             if not error.may_have_arrived:
@@ -169,7 +175,8 @@
             raise WorkerSilentError(
                 f"lease renewal returned status {response.status}, expected 200"
             )
-        return self._decode_renewal_report(response.body)
+        report = self._decode_renewal_report(response.body)
+        return replace(report, has_open_copy=response.was_resent)
 
     async def _post(
         self,
@@ -178,6 +185,7 @@
         path: str,
         document: dict[str, Any],
         timeout: float,
+        may_resend: bool = True,
     ) -> ClientResponse:
         self._metrics.count("worker_call", path)
         try:
@@ -188,6 +196,7 @@
                 json.encode(document),
                 {"X-Target-Instance": worker},
                 TRAFFIC_KINDS.get(path, TrafficKind.ORDER),
+                may_resend,
             )
         except HttpCallError as error:
             if error.was_resent:
@@ -246,6 +255,9 @@
     detail = f"status {response.status} {wire.reason}"
     if response.status == 200:
         return OrderResult(OrderOutcome.ACCEPTED, clock)
+    if response.was_resent:
+        # The worker may have executed the first copy.
+        return OrderResult(OrderOutcome.UNACKNOWLEDGED, None, f"{detail}, resent")
     if response.status == 409:
         outcome = REFUSAL_OUTCOMES.get(wire.reason, OrderOutcome.REFUSED)
         return OrderResult(outcome, clock, detail)
--- a/jujubebarrow/tests/test_postponed_leases.py
+++ b/jujubebarrow/tests/test_postponed_leases.py
@@ -29,7 +29,7 @@
     OTHER,
     LastingLateStartCase,
 )
-from jujubebarrow.workloads.worker_reports import RunningTask
+from jujubebarrow.workloads.worker_reports import RenewalReport, RunningTask
 
 PROBE_SECONDS = 0.1
 SILENCE_SECONDS = 40.0
@@ -118,6 +118,17 @@
         self.assertGreaterEqual(end, NOW + 2 * compute_longest_lease(OPTIONS))
         self.assertLess(end, NOW + OPTIONS.late_order_window)
 
+    async def test_task_of_a_silent_worker_waits_for_the_open_copy_of_a_renewal(
+        self,
+    ) -> None:
+        run = self.start([OrderOutcome.ACCEPTED])
+        self.coordinator.make_renewal(self.worker, 0.0, NOW)
+        listed = RunningTask(run.task, run.run, "", 0, 0)
+        report = RenewalReport(FIRST_START_MS, NOW, (listed,), (), has_open_copy=True)
+        self.coordinator.handle_renewal_report(self.worker, report, NOW, NOW)
+        end = self.find_next_start(is_registered=True)
+        self.assertGreaterEqual(end, NOW + 2 * compute_longest_lease(OPTIONS))
+
     async def test_task_of_a_silent_worker_waits_for_the_lease_of_a_late_start(
         self,
     ) -> None:
--- a/jujubebarrow/transports/http_clients.py
+++ b/jujubebarrow/transports/http_clients.py
@@ -11,6 +11,7 @@
     E_OPERATION_TIMEDOUT,
     M_MAXCONNECTS,
     READFUNCTION,
+    SEEKFUNC_FAIL,
     SEEKFUNC_OK,
     SEEKFUNCTION,
     WRITEFUNCTION,
@@ -90,6 +91,7 @@
 
     Args:
         data: Body; None for a request without body.
+        may_resend: Whether the body may be read again.
 
     Attributes:
         was_read: Whether curl has read a part of the body.
@@ -97,8 +99,9 @@
             request on another connection.
     """
 
-    def __init__(self, data: bytes | None):
+    def __init__(self, data: bytes | None, may_resend: bool):
         self._buffer = BytesIO(data) if data is not None else None
+        self._may_resend = may_resend
         self.was_read = False
         self.was_reread = False
 
@@ -114,6 +117,8 @@
 
     def _seek(self, offset: int, origin: int) -> int:
         assert self._buffer is not None
+        if self.was_read and not self._may_resend:
+            return SEEKFUNC_FAIL
         self.was_reread = self.was_reread or self.was_read
         self._buffer.seek(offset, origin)
         return SEEKFUNC_OK
@@ -175,8 +180,12 @@
         body: bytes | None = None,
         headers: dict[str, str] | None = None,
         kind: TrafficKind = TrafficKind.OTHER,
+        may_resend: bool = True,
     ) -> ClientResponse:
-        """Send a request once, without retries.
+        """Send a request without retries after a timeout or a response.
+
+        If a kept connection is reset before any byte of the response, curl sends the
+        request once more on a new connection. The server may have received both copies.
 
         Args:
             method: HTTP method.
@@ -185,6 +194,8 @@
             body: Request body, or None for a request without body.
             headers: Additional request headers.
             kind: Purpose of the call.
+            may_resend: Whether a request with a body may be sent once more; if not,
+                the call fails.
 
         Raises:
             HttpCallError: The call got no response.
@@ -193,7 +204,7 @@
         if body is not None:
             headers = {"Content-Type": "application/json"} | (headers or {})
             options["expect_100_continue"] = False
-        sent = _RequestBody(body)
+        sent = _RequestBody(body, may_resend)
         received = _ResponseBody()
 
         def attach(curl: Curl) -> None:
--- a/jujubebarrow/transports/http_start_relays.py
+++ b/jujubebarrow/transports/http_start_relays.py
@@ -88,6 +88,7 @@
                 encode_orders(orders),
                 {"Content-Type": MEDIA_TYPE},
                 TrafficKind.START_RELAY,
+                may_resend=False,
             )
             if response.status != 200:
                 self._selector.record_failure(address)
--- a/jujubebarrow/upstreams/http_worker_gateways.py
+++ b/jujubebarrow/upstreams/http_worker_gateways.py
@@ -1,5 +1,7 @@
 """HTTP client of the workers' task interface."""
 
+from dataclasses import replace
+
 from jujubebarrow.coordinators.order_results import OrderOutcome, OrderResult
 from jujubebarrow.coordinators.orders import (
     RenewalOrder,
@@ -13,7 +15,11 @@
     WorkerSilentError,
 )
 from jujubebarrow.metrics.registries import MetricsRegistry
-from jujubebarrow.transports.http_clients import HttpCallError, HttpClient
+from jujubebarrow.transports.http_clients import (
+    ClientResponse,
+    HttpCallError,
+    HttpClient,
+)
 from jujubebarrow.upstreams.task_messages import (
     FENCED_STATUS,
     MEDIA_TYPE,
@@ -69,42 +75,54 @@
         self, path: str, order: StartOrder | StopOrder | ThrottleOrder
     ) -> OrderResult:
         try:
-            status, body = await self._post(path, order, ORDER_TIMEOUT_SECONDS)
+            response = await self._post(
+                path, order, ORDER_TIMEOUT_SECONDS, may_resend=path != START_PATH
+            )
         except HttpCallError as error:
             outcome = OrderOutcome.UNACKNOWLEDGED
             if not error.may_have_arrived:
                 outcome = OrderOutcome.UNREACHED
             return OrderResult(outcome, None, str(error))
-        if status != OK_STATUS:
-            return OrderResult(OrderOutcome.UNACKNOWLEDGED, None, f"status {status}")
+        if response.status != OK_STATUS:
+            detail = f"status {response.status}"
+            return OrderResult(OrderOutcome.UNACKNOWLEDGED, None, detail)
         try:
-            return decode_message(body, OrderResult)
+            result = decode_message(response.body, OrderResult)
         except UnreadableMessageError as error:
             self._metrics.count("worker_unreadable", path)
             return OrderResult(OrderOutcome.UNACKNOWLEDGED, None, str(error))
+        if response.was_resent and result.outcome is not OrderOutcome.ACCEPTED:
+            # The worker may have executed the first copy.
+            detail = f"{result.outcome.value}, resent"
+            return OrderResult(OrderOutcome.UNACKNOWLEDGED, None, detail)
+        return result
 
     async def renew_lease(self, order: RenewalOrder) -> RenewalReport:
         """Renew a worker's lease and return its report of active and finished runs."""
         try:
-            status, body = await self._post(
+            response = await self._post(
                 RENEWAL_PATH, order, RENEWAL_MARGIN_SECONDS + order.wait
             )
         except HttpCallError as error:
             raise WorkerSilentError(str(error)) from error
-        if status == FENCED_STATUS:
+        if response.status == FENCED_STATUS:
             raise WorkerFencedError(order.worker)
-        if status != OK_STATUS:
-            raise WorkerSilentError(f"status {status}")
+        if response.status != OK_STATUS:
+            raise WorkerSilentError(f"status {response.status}")
         try:
-            return decode_message(body, RenewalReport)
+            report = decode_message(response.body, RenewalReport)
+            return replace(report, has_open_copy=response.was_resent)
         except UnreadableMessageError as error:
             self._metrics.count("worker_unreadable", RENEWAL_PATH)
             raise WorkerSilentError(str(error)) from error
 
-    async def _post(self, path: str, order: Order, timeout: float) -> tuple[int, bytes]:
+    async def _post(
+        self, path: str, order: Order, timeout: float, may_resend: bool = True
+    ) -> ClientResponse:
         self._metrics.count("worker_call", path)
         url = f"http://{order.address}{path}"
         headers = {"Content-Type": MEDIA_TYPE}
         body = encode_message(order)
-        response = await self._client.call("POST", url, timeout, body, headers)
-        return response.status, response.body
+        return await self._client.call(
+            "POST", url, timeout, body, headers, may_resend=may_resend
+        )
--- a/jujubebarrow/workloads/worker_reports.py
+++ b/jujubebarrow/workloads/worker_reports.py
@@ -80,6 +80,8 @@
         ended: Finished runs that have not been acknowledged, oldest first.
         lists_all_ends: Whether there are no further finished runs, which the worker
             lists once these are acknowledged.
+        has_open_copy: Whether the client sent the renewal twice, so that the worker may
+            still execute the first copy.
     """
 
     born: int
@@ -87,3 +89,4 @@
     running: tuple[RunningTask, ...]
     ended: tuple[FinishedRun, ...]
     lists_all_ends: bool = True
+    has_open_copy: bool = False
