--- a/jujubebarrow/platform/machines.py
+++ b/jujubebarrow/platform/machines.py
@@ -102,6 +102,11 @@
         response = await self._call("POST", path, json.encode(document), headers)
         if response.status == 200:
             return MachineOrderOutcome.DONE
+        if response.was_resent:
+            raise MachineControlError(
+                f"machine service refused the second copy of a call for {path} with "
+                f"status {response.status}; the first copy may take effect"
+            )
         if response.status == 400:
             return MachineOrderOutcome.UNKNOWN_MACHINE
         if response.status == 409:
--- a/jujubebarrow/tests/test_resent_orders.py
+++ b/jujubebarrow/tests/test_resent_orders.py
@@ -3,18 +3,22 @@
 import unittest
 from dataclasses import replace
 from random import Random
+from typing import Any
 
 from msgspec import json
 
 from jujubebarrow.clocks.boot_clocks import BootClock
 from jujubebarrow.coordinators.order_results import OrderOutcome, OrderResult
 from jujubebarrow.coordinators.orders import RenewalOrder, StartOrder, StopOrder
+from jujubebarrow.gateways.machine_controls import MachineControlError
 from jujubebarrow.gateways.start_batches import encode_results
 from jujubebarrow.gateways.worker_gateways import WorkerGateway
+from jujubebarrow.identifiers import InstanceId, PoolId
 from jujubebarrow.links.link_backlogs import LinkBacklog
 from jujubebarrow.links.link_meters import LinkMeter
 from jujubebarrow.logs.event_logs import EventLog
 from jujubebarrow.metrics.registries import MetricsRegistry
+from jujubebarrow.platform.machines import PlatformMachines
 from jujubebarrow.platform.workers import PlatformWorkers, parse_task_key
 from jujubebarrow.stores.relay_selectors import RelaySelector
 from jujubebarrow.tests.fakes.resetting_servers import ResettingServer, ServerRequest
@@ -23,6 +27,7 @@
 from jujubebarrow.upstreams.task_messages import encode_message
 from jujubebarrow.workloads.identifiers import (
     FenceToken,
+    MachineId,
     RunNumber,
     WorkerId,
 )
@@ -135,6 +140,22 @@
         self.assertFalse((await workers.renew_lease(renewal)).has_open_copy)
         self.assertTrue((await workers.renew_lease(renewal)).has_open_copy)
 
+    async def test_machine_order_whose_second_copy_is_refused_has_no_outcome(
+        self,
+    ) -> None:
+        refusals = [(status, "") for status in (400, 429, 503)]
+        refusals += [(409, name) for name in ("fence", "busy", "wave")]
+        for status, reason in refusals:
+            with self.subTest(status=status, reason=reason):
+                refusal = make_refusal(status, reason)
+                address = await self.open_server(ACCEPTED, refusal)
+                machines = PlatformMachines(address, InstanceId("a-1"), self.metrics)
+                self.addCleanup(machines.close)
+                move: Any = (MachineId("m1"), PoolId("labels"), ORDER.token)
+                await machines.move(*move)
+                with self.assertRaises(MachineControlError):
+                    await machines.move(*move)
+
     async def test_own_interface_stop_whose_second_copy_is_refused_is_unacknowledged(
         self,
     ) -> None:
