Report no task as not run whose second copy alone was refused

Callers saw, by reading: a request answered with 503, not run, that an upstream ran. Only requests that may run twice are concerned; the others use a fresh connection.

Cause: the class of the refused jobs, in the client of the upstreams. curl sends a task again whose kept connection is reset; a refusal of the second copy, and a refused connection for it (the case that mended in the other client), counted as "has not started". The unit of the team's limit was returned while the task ran.

What curl has read of a body now tells, as in the other client; requests without a body use a fresh connection, since nothing shows whether they were sent again.

--- a/jujubebarrow/tests/fakes/resetting_servers.py
+++ b/jujubebarrow/tests/fakes/resetting_servers.py
@@ -25,15 +25,16 @@
     body: bytes
 
 
-Response = tuple[int, bytes] | None
+Response = tuple[int, bytes] | tuple[int, bytes, str] | None
 Responder = Callable[[ServerRequest], Response | Awaitable[Response]]
 
 
 class ResettingServer:
-    """Serves each request with the status and body that a function returns.
+    """Serves each request with the response that a function returns.
 
     Args:
-        respond: Returns the response; None resets the connection.
+        respond: Returns the status, the body and, if there is one, a line for the
+            head of the response; None resets the connection.
     """
 
     def __init__(self, respond: Responder):
@@ -46,10 +47,14 @@
         self._server = await asyncio.start_server(self._serve, LOOPBACK, 0)
         return f"{LOOPBACK}:{self._server.sockets[0].getsockname()[1]}"
 
-    async def close(self) -> None:
-        """Stop listening and close all connections."""
+    def stop_listening(self) -> None:
+        """Refuse new connections; those that are open stay."""
         if self._server is not None:
             self._server.close()
+
+    async def close(self) -> None:
+        """Stop listening and close all connections."""
+        self.stop_listening()
         for writer in list(self._writers):
             writer.transport.abort()
         await asyncio.sleep(0)
@@ -69,9 +74,9 @@
                         socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE
                     )
                     return
-                status, body = response
-                head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n"
-                writer.write(head.encode() + body)
+                status, body, *lines = response
+                lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}", *lines]
+                writer.write("\r\n".join([*lines, "", ""]).encode() + body)
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError):
             return
--- a/jujubebarrow/transports/http_clients.py
+++ b/jujubebarrow/transports/http_clients.py
@@ -10,10 +10,6 @@
     E_COULDNT_CONNECT,
     E_OPERATION_TIMEDOUT,
     M_MAXCONNECTS,
-    READFUNCTION,
-    SEEKFUNC_FAIL,
-    SEEKFUNC_OK,
-    SEEKFUNCTION,
     WRITEFUNCTION,
     Curl,
 )
@@ -23,6 +19,7 @@
 from jujubebarrow.errors.exceptions import JujubebarrowError
 from jujubebarrow.links.link_meters import LinkMeter
 from jujubebarrow.links.traffic_kinds import TrafficKind
+from jujubebarrow.transports.request_bodies import RequestBody
 
 CONNECT_TIMEOUT_TEXT = "Connection timed out"
 """Part of curl's error message for a timeout before the connection was established."""
@@ -86,44 +83,6 @@
     was_resent: bool = False
 
 
-class _RequestBody:
-    """Supplies a request body, and tells whether any of it may have been sent.
-
-    Args:
-        data: Body; None for a request without body.
-        may_resend: Whether the body may be read again.
-
-    Attributes:
-        was_read: Whether curl has read a part of the body.
-        was_reread: Whether curl has gone back to the start after that, to send the
-            request on another connection.
-    """
-
-    def __init__(self, data: bytes | None, may_resend: bool):
-        self._buffer = BytesIO(data) if data is not None else None
-        self._may_resend = may_resend
-        self.was_read = False
-        self.was_reread = False
-
-    def attach(self, curl: Curl) -> None:
-        if self._buffer is not None:
-            curl.setopt(READFUNCTION, self._read)
-            curl.setopt(SEEKFUNCTION, self._seek)
-
-    def _read(self, size: int) -> bytes:
-        assert self._buffer is not None
-        self.was_read = True
-        return self._buffer.read(size)
-
-    def _seek(self, offset: int, origin: int) -> int:
-        assert self._buffer is not None
-        if self.was_read and not self._may_resend:
-            return SEEKFUNC_FAIL
-        self.was_reread = self.was_reread or self.was_read
-        self._buffer.seek(offset, origin)
-        return SEEKFUNC_OK
-
-
 class _ResponseBody:
     """Collects a response body, so that its size is known after a failure, too."""
 
@@ -204,7 +163,7 @@
         if body is not None:
             headers = {"Content-Type": "application/json"} | (headers or {})
             options["expect_100_continue"] = False
-        sent = _RequestBody(body, may_resend)
+        sent = RequestBody(body, may_resend)
         received = _ResponseBody()
 
         def attach(curl: Curl) -> None:
@@ -265,7 +224,7 @@
 
 
 def _make_call_error(
-    error: BaseException | None, sent: _RequestBody, received: _ResponseBody
+    error: BaseException | None, sent: RequestBody, received: _ResponseBody
 ) -> HttpCallError:
     has_timed_out = isinstance(error, CurlError) and error.errno == E_OPERATION_TIMEDOUT
     # If a kept connection is reset, curl repeats the request on a new connection and
--- a/jujubebarrow/upstreams/http_upstream_clients.py
+++ b/jujubebarrow/upstreams/http_upstream_clients.py
@@ -3,11 +3,13 @@
 from typing import Any
 
 import pycurl
+from pycurl import Curl
 from pydantic import BaseModel, ValidationError
 from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
 from tornado.httpclient import HTTPClientError, HTTPResponse
 
 from jujubebarrow.errors.exceptions import DispatchError
+from jujubebarrow.transports.request_bodies import RequestBody
 from jujubebarrow.upstreams.upstream_clients import (
     TaskRequest,
     TaskResponse,
@@ -66,19 +68,32 @@
 
     async def run(self, address: str, task: TaskRequest) -> TaskResponse:
         """Run a task on an upstream and return its response."""
-        response = await self._fetch(
-            f"http://{address}/run/{task.queue}",
-            method="POST",
-            body=task.body,
-            headers=_make_task_headers(task),
-            request_timeout=max(0.001, task.timeout),
-            connect_timeout=max(0.001, min(self._command_timeout, task.timeout)),
-            prepare_curl_callback=_forbid_reuse
-            if task.is_resend_forbidden
-            else _allow_reuse,
-        )
+        body = RequestBody(task.body, may_resend=True)
+        # Nothing shows whether a request without a body was sent again.
+        is_reused = bool(task.body) and not task.is_resend_forbidden
+
+        def prepare(curl: Curl) -> None:
+            body.attach(curl)
+            (_allow_reuse if is_reused else _forbid_reuse)(curl)
+
+        try:
+            response = await self._fetch(
+                f"http://{address}/run/{task.queue}",
+                method="POST",
+                body=task.body,
+                headers=_make_task_headers(task),
+                request_timeout=max(0.001, task.timeout),
+                connect_timeout=max(0.001, min(self._command_timeout, task.timeout)),
+                prepare_curl_callback=prepare,
+            )
+        except DispatchError as error:
+            # The failure may be that of the second copy only.
+            error.may_have_started = error.may_have_started or body.was_reread
+            raise
         if response.headers.get("Task-Started") == "no":
             reason = response.headers.get("Task-Refusal", "refused")
+            if body.was_reread:
+                raise DispatchError(f"{reason}, request resent", may_have_started=True)
             raise DispatchError(reason, may_have_started=False, refusal=reason)
         return TaskResponse(
             response.code,
