Run the proofs in virtual time beside each other

They run in as many processes as half of the cores now, before all others; tests with real processes follow one by one as before. The same tests run, with the same seeds.

--- a/jujubebarrow/tests/run.py
+++ b/jujubebarrow/tests/run.py
@@ -1,10 +1,18 @@
-"""Runs all tests and passes over those listed in KNOWN-RED.txt."""
+"""Runs all tests and passes over those listed in KNOWN-RED.txt.
+
+Proofs in virtual time run first, beside each other. The other tests follow one by one,
+since a busy machine could break those with real processes.
+"""
 
 import argparse
+import os
 import sys
 import time
 import unittest
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass
+from multiprocessing import get_context
 from pathlib import Path
 
 from hypothesis import HealthCheck, core, settings
@@ -13,6 +21,25 @@
 KNOWN_RED_PATH = TEST_FOLDER.parent.parent / "KNOWN-RED.txt"
 CI_EXAMPLE_COUNT = 40
 STATEFUL_STEP_COUNT = 60
+REAL_TIME_PROOFS = ("proof_refused_jobs",)
+PROCESS_COUNT = max(1, (os.cpu_count() or 1) // 2)
+
+
+@dataclass(frozen=True)
+class TestReport:
+    """Result of one test.
+
+    Attributes:
+        name: Full name of the test.
+        has_passed: Whether the test passed.
+        problem_text: Tracebacks of its failures.
+        seconds: Duration.
+    """
+
+    name: str
+    has_passed: bool
+    problem_text: str
+    seconds: float
 
 
 def set_up_hypothesis(seed: int | None, examples: int) -> None:
@@ -45,13 +72,39 @@
             yield item
 
 
-def run_one(test: unittest.TestCase) -> tuple[bool, str]:
+def run_one(test: unittest.TestCase) -> TestReport:
+    start = time.monotonic()
     result = unittest.TestResult()
     test.run(result)
-    problems = result.errors + result.failures
+    problems = [text for _, text in result.errors + result.failures]
     if result.unexpectedSuccesses:
-        return False, "unexpected success"
-    return not problems, "\n".join(problem_text for _, problem_text in problems)
+        problems.append("unexpected success")
+    seconds = time.monotonic() - start
+    return TestReport(test.id(), not problems, "\n".join(problems), seconds)
+
+
+def run_by_name(name: str) -> TestReport:
+    suite = unittest.defaultTestLoader.loadTestsFromName(name)
+    [test] = iterate_tests(suite)
+    return run_one(test)
+
+
+def is_in_virtual_time(test: unittest.TestCase) -> bool:
+    module = test.id().split(".")[2]
+    return module.startswith("proof_") and module not in REAL_TIME_PROOFS
+
+
+def run_all(
+    tests: list[unittest.TestCase], seed: int | None, examples: int
+) -> Iterable[TestReport]:
+    virtual = [test.id() for test in tests if is_in_virtual_time(test)]
+    with ProcessPoolExecutor(
+        PROCESS_COUNT, get_context("spawn"), set_up_hypothesis, (seed, examples)
+    ) as pool:
+        yield from pool.map(run_by_name, virtual)
+    for test in tests:
+        if not is_in_virtual_time(test):
+            yield run_one(test)
 
 
 def collect_tests(patterns: list[str], only: str) -> list[unittest.TestCase]:
@@ -79,15 +132,13 @@
     patterns = ["proof_*.py"] if options.proofs else ["test_*.py", "proof_*.py"]
     known_red = read_known_red()
     passed = failed = 0
-    for test in collect_tests(patterns, options.only):
-        start = time.monotonic()
-        has_passed, problem_text = run_one(test)
-        seconds = time.monotonic() - start
-        is_known_red = test.id() in known_red
+    tests = collect_tests(patterns, options.only)
+    for report in run_all(tests, options.seed, options.examples):
+        has_passed, is_known_red = report.has_passed, report.name in known_red
         verdict = "ok" if has_passed else "known red" if is_known_red else "FAILED"
-        print(f"{verdict} {test.id()} ({seconds:.1f} s)", flush=True)
+        print(f"{verdict} {report.name} ({report.seconds:.1f} s)", flush=True)
         if not has_passed:
-            print(problem_text, flush=True)
+            print(report.problem_text, flush=True)
         passed += has_passed
         failed += not has_passed and not is_known_red
     print(f"{passed} passed, {failed} failed")
