Send the position of acknowledged ends only until the worker has it

Callers would see: a task that runs again after its end was acknowledged (TWICE).

Cause: every renewal carried the last acknowledged position. It acknowledges that end, which nobody has listed; B's owner finds the run neither running nor ended ("not in the worker's lists") and starts the task again 11 s later. The class is that of the late orders: a number that belongs to one incarnation is taken by the next one.

A position that the incarnation has confirmed is not sent again, so that only renewals that acknowledge something new can do this. test_acknowledged_position_is_sent_until_it_is_confirmed fails before; seed 220 passes and joins the seeds of the mixed faults.

What remains is a new position and a start that are sent within the same moment, neither of which is answered.

--- a/jujubebarrow/coordinators/pool_coordinators.py
+++ b/jujubebarrow/coordinators/pool_coordinators.py
@@ -426,7 +426,10 @@
         is_withheld = worker.unresponsive_since or (
             worker.lists_all_ends and (may_concern_others or worker.may_start_late(now))
         )
-        acknowledged = 0 if is_withheld else worker.acknowledged
+        # A position that the incarnation knows is not repeated: a renewal without a
+        # response may acknowledge ends of the next incarnation that nobody has seen.
+        is_needed = worker.has_unconfirmed_acknowledgement and not is_withheld
+        acknowledged = worker.acknowledged if is_needed else 0
         deadline = None
         if not worker.unresponsive_since:
             # A renewal for an unresponsive worker would only delay the lease expiry.
--- a/jujubebarrow/coordinators/worker_views.py
+++ b/jujubebarrow/coordinators/worker_views.py
@@ -66,6 +66,7 @@
         self.unresponsive_since = 0.0
         self.last_failure_at = float("-inf")
         self.acknowledged = 0
+        self._confirmed_acknowledgement = 0
         self.draining_since = 0.0
         self.is_cordoned = False
         self.best_effort_speed_percent = 100
@@ -356,6 +357,7 @@
             self._leases.extend(expiry)
         self.started_at_ms = started_at_ms
         self.acknowledged = 0
+        self._confirmed_acknowledgement = 0
         self._finished_runs.clear()
         self._clock_read_at = None
         self.has_orphans = False
@@ -521,6 +523,15 @@
             del self._finished_runs[first]
             self.acknowledged = first
 
+    @property
+    def has_unconfirmed_acknowledgement(self) -> bool:
+        """Whether the incarnation may still list ends that may be acknowledged."""
+        return self.acknowledged > self._confirmed_acknowledgement
+
+    def confirm_acknowledgement(self, position: int) -> None:
+        """Record that the incarnation has received an acknowledged position."""
+        self._confirmed_acknowledgement = max(self._confirmed_acknowledgement, position)
+
     @property
     def has_unrecorded_finished_runs(self) -> bool:
         """Whether a finished run is not stored yet."""
--- a/jujubebarrow/runtimes/worker_sessions.py
+++ b/jujubebarrow/runtimes/worker_sessions.py
@@ -75,7 +75,6 @@
         self._clock = clock
         self._log = log
         self._metrics = metrics
-        self._sent_acknowledgement = 0
         self._wake_event = Event()
 
     def is_for(self, worker: WorkerView) -> bool:
@@ -105,7 +104,7 @@
             and not self._may_start_late
             and not worker.has_orphans
             and not worker.has_unrecorded_finished_runs
-            and self._sent_acknowledgement >= worker.acknowledged
+            and not worker.has_unconfirmed_acknowledgement
         )
 
     @property
@@ -164,9 +163,8 @@
             self._log.write(
                 "worker_regained", worker=self._worker.worker, seconds=seconds
             )
-        self._sent_acknowledgement = (
-            renewal.acknowledged if report.born == self._worker.started_at_ms else 0
-        )
+        if report.born == self._worker.started_at_ms:
+            self._worker.confirm_acknowledgement(renewal.acknowledged)
         for order in self._coordinator.handle_renewal_report(
             self._worker, report, sent_at, now
         ):
--- a/jujubebarrow/tests/test_restarted_workers.py
+++ b/jujubebarrow/tests/test_restarted_workers.py
@@ -253,6 +253,20 @@
         renewal = self.coordinator.make_renewal(self.worker, 0.0, NOW)
         self.assertEqual(renewal.acknowledged, 0)
 
+    async def test_acknowledged_position_is_sent_until_it_is_confirmed(self) -> None:
+        """Guards against a late renewal that acknowledges ends nobody has seen."""
+        [(run, order)] = self.start_tasks()
+        self.finish(run, order, OrderOutcome.ACCEPTED)
+        ended = FinishedRun(1, run.task, run.run, RunOutcome.DONE, "")
+        self.report(FIRST_START_MS, ended=(ended,))
+        self.worker.mark_recorded(1)
+        for _ in range(2):
+            renewal = self.coordinator.make_renewal(self.worker, 0.0, NOW)
+            self.assertEqual(renewal.acknowledged, 1)
+        self.worker.confirm_acknowledgement(renewal.acknowledged)
+        renewal = self.coordinator.make_renewal(self.worker, 0.0, NOW)
+        self.assertEqual(renewal.acknowledged, 0)
+
     async def test_no_end_is_acknowledged_while_a_late_start_may_be_executed(
         self,
     ) -> None:
