Find the claim of a move by its nonce as other transactions are found

Operators would see a machine that counts as on its way while no order goes out. Found by the review of the resent requests, shown over the loopback.

Cause: the claims of moves are written once, past Store.commit, and any conflict counted as another instance's claim. If curl sends the claim again after a reset, the second copy conflicts with the first one, which names this instance.

The meaning of a nonce is in Store.commit_once now, which the claims use as well. test_claim_of_moves_found_by_its_nonce_is_no_conflict fails before.

--- a/jujubebarrow/runtimes/load_registries.py
+++ b/jujubebarrow/runtimes/load_registries.py
@@ -6,7 +6,11 @@
 from msgspec import Struct, convert
 
 from jujubebarrow.clocks.clocks import Clock
-from jujubebarrow.errors.exceptions import HistoryLostError, StoreError
+from jujubebarrow.errors.exceptions import (
+    HistoryLostError,
+    StoreError,
+    TransactionConflictError,
+)
 from jujubebarrow.identifiers import PoolId
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.pools.pool_loads import PoolLoad
@@ -235,11 +239,10 @@
             conditions=conditions, writes=values, nonce=uuid4().hex
         )
         try:
-            result = await self._store.try_commit(transaction)
+            return await self._store.commit_once(transaction)
+        except TransactionConflictError as error:
+            self._metrics.count("move_conflict")
+            raise StoreError("another instance has claimed a machine") from error
         except StoreError:
             self._metrics.count("balance_unwritten")
             raise
-        if result.nonces:
-            self._metrics.count("move_conflict")
-            raise StoreError("another instance has claimed a machine")
-        return result.revision
--- a/jujubebarrow/stores/stores.py
+++ b/jujubebarrow/stores/stores.py
@@ -54,7 +54,7 @@
         while True:
             attempts += 1
             try:
-                return await self._commit_once(transaction)
+                return await self.commit_once(transaction)
             except InvalidCallError as error:
                 if is_uncertain:
                     failures += error.attempts
@@ -67,14 +67,21 @@
                     raise StoreError(str(error), is_uncertain, failures) from error
                 self._metrics.count("retry", "store-commit")
 
-    async def _commit_once(self, transaction: Transaction) -> int:
+    async def commit_once(self, transaction: Transaction) -> int:
+        """Commit a transaction without further attempts and return its revision.
+
+        Raises:
+            TransactionConflictError: A condition did not hold.
+            StoreError: The attempt failed; ``may_have_applied`` tells whether it may
+                have taken effect.
+        """
         result = await self.try_commit(transaction)
         if not result.nonces:
             return result.revision
         nonce = transaction.nonce
         written_keys = [key for key, found in result.nonces.items() if found == nonce]
         if written_keys:
-            # An earlier attempt took effect, but the response was lost.
+            # An earlier attempt or copy took effect, but the response was lost.
             key = written_keys[0]
             if key in result.revisions:
                 return result.revisions[key]
--- a/jujubebarrow/tests/test_resent_commits.py
+++ b/jujubebarrow/tests/test_resent_commits.py
@@ -7,11 +7,13 @@
 
 from jujubebarrow.clocks.boot_clocks import BootClock
 from jujubebarrow.errors.exceptions import StoreError
+from jujubebarrow.identifiers import InstanceId, PoolId
 from jujubebarrow.links.link_backlogs import LinkBacklog
 from jujubebarrow.links.link_meters import LinkMeter
 from jujubebarrow.logs.event_logs import EventLog
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.platform.stores import COMMIT_PATH, PlatformStore
+from jujubebarrow.runtimes.load_registries import LoadRegistry
 from jujubebarrow.stores.commit_results import CommitResult
 from jujubebarrow.stores.read_throttles import ReadThrottle
 from jujubebarrow.stores.relay_messages import encode_commit
@@ -19,6 +21,7 @@
 from jujubebarrow.tests.fakes.platform_tables import PlatformTable
 from jujubebarrow.tests.fakes.resetting_servers import ResettingServer, ServerRequest
 from jujubebarrow.transports.http_relays import HttpRelayClient
+from jujubebarrow.workloads.identifiers import MachineId
 
 LINK_MBPS = 100.0
 JOB = Transaction(
@@ -118,6 +121,15 @@
         assert error is not None
         self.assertTrue(error.may_have_applied, error)
 
+    async def test_claim_of_moves_found_by_its_nonce_is_no_conflict(self) -> None:
+        store = await self.open_store(
+            ScriptedTable([WARM_UP, APPLY_AND_RESET, WARM_UP])
+        )
+        registry = LoadRegistry(store, BootClock(), self.metrics)
+        targets = {MachineId("m1"): PoolId("labels")}
+        token = await registry.claim_moves(targets, InstanceId("a-1"))
+        self.assertEqual(token, 2)
+
     async def test_refusal_for_the_content_does_not_settle_an_earlier_attempt(
         self,
     ) -> None:
