Count starts as sent if their relay fails unexpectedly, fences as fences

No such error is known to happen. Statuses that certainly follow no start (400, 404, 503) are named now; relays of store calls know the difference already. Besides, a renewal whose second copy is refused for its token tells of a later owner, as on the other worker interface.

Both tests fail before: test_starts_of_a_relay_with_an_unexpected_error_are_unacknowledged, test_renewal_whose_second_copy_is_fenced_tells_of_a_later_owner.

--- a/jujubebarrow/platform/workers.py
+++ b/jujubebarrow/platform/workers.py
@@ -168,7 +168,8 @@
         except HttpCallError as error:
             raise WorkerSilentError(str(error)) from error
         if response.status == 409:
-            result = _decode_order_result(response)
+            # A refused token is a fact about the worker, whichever copy was refused.
+            result = _decode_order_result(replace(response, was_resent=False))
             if result.outcome is OrderOutcome.FENCED:
                 raise WorkerFencedError(order.worker)
         if response.status != 200:
--- a/jujubebarrow/tests/test_resent_orders.py
+++ b/jujubebarrow/tests/test_resent_orders.py
@@ -12,7 +12,7 @@
 from jujubebarrow.coordinators.orders import RenewalOrder, StartOrder, StopOrder
 from jujubebarrow.gateways.machine_controls import MachineControlError
 from jujubebarrow.gateways.start_batches import encode_results
-from jujubebarrow.gateways.worker_gateways import WorkerGateway
+from jujubebarrow.gateways.worker_gateways import WorkerFencedError, WorkerGateway
 from jujubebarrow.identifiers import InstanceId, PoolId
 from jujubebarrow.links.link_backlogs import LinkBacklog
 from jujubebarrow.links.link_meters import LinkMeter
@@ -85,6 +85,28 @@
                 self.assertIs(result.outcome, OrderOutcome.UNACKNOWLEDGED)
                 self.assertEqual(self.request_count, 2)
 
+    async def test_renewal_whose_second_copy_is_fenced_tells_of_a_later_owner(
+        self,
+    ) -> None:
+        address = await self.open_server(ACCEPTED, make_refusal(409, "fence"))
+        workers = PlatformWorkers(self.meter, self.metrics)
+        self.addCleanup(workers.close)
+        renewal = self.make_renewal(address)
+        await workers.renew_lease(renewal)
+        with self.assertRaises(WorkerFencedError):
+            await workers.renew_lease(renewal)
+
+    async def test_starts_of_a_relay_with_an_unexpected_error_are_unacknowledged(
+        self,
+    ) -> None:
+        server = ResettingServer(lambda request: (500, b""))
+        self.addAsyncCleanup(server.close)
+        relay = HttpStartRelay("a-1", self.selector, self.meter, self.metrics)
+        self.addCleanup(relay.close)
+        relay.set_peer_addresses([await server.open()])
+        [result] = await relay.start([ORDER])
+        self.assertIs(result.outcome, OrderOutcome.UNACKNOWLEDGED)
+
     async def test_relay_of_starts_is_not_sent_again_by_the_client_after_a_reset(
         self,
     ) -> None:
@@ -114,6 +136,16 @@
                 result = await self.stop_twice(workers, address)
                 self.assertIs(result.outcome, OrderOutcome.UNACKNOWLEDGED)
 
+    def make_renewal(self, address: str) -> RenewalOrder:
+        return RenewalOrder(
+            worker=ORDER.worker,
+            address=address,
+            token=ORDER.token,
+            acknowledged=0,
+            deadline=100.0,
+            wait=0.0,
+        )
+
     async def stop_twice(self, gateway: WorkerGateway, address: str) -> OrderResult:
         stop = StopOrder(
             worker=ORDER.worker,
@@ -129,14 +161,7 @@
         address = await self.open_server(ACCEPTED, ACCEPTED)
         workers = PlatformWorkers(self.meter, self.metrics)
         self.addCleanup(workers.close)
-        renewal = RenewalOrder(
-            worker=ORDER.worker,
-            address=address,
-            token=ORDER.token,
-            acknowledged=0,
-            deadline=100.0,
-            wait=0.0,
-        )
+        renewal = self.make_renewal(address)
         self.assertFalse((await workers.renew_lease(renewal)).has_open_copy)
         self.assertTrue((await workers.renew_lease(renewal)).has_open_copy)
 
--- a/jujubebarrow/transports/http_start_relays.py
+++ b/jujubebarrow/transports/http_start_relays.py
@@ -33,6 +33,9 @@
 """Instances that relay orders at the same time; few, so that workers get few
 connections."""
 OCCUPIED_STATUS = 503
+UNSENT_STATUSES = frozenset({400, 404, OCCUPIED_STATUS})
+"""Statuses with which the other instance has sent none of the orders. An unexpected
+error may follow orders that were sent."""
 
 
 class HttpStartRelay(StartRelay):
@@ -93,7 +96,10 @@
             if response.status != 200:
                 self._selector.record_failure(address)
                 self._metrics.count("start_relay_rejected", str(response.status))
-                raise StartsNotRelayedError(f"relay: status {response.status}")
+                detail = f"relay: status {response.status}"
+                if response.status not in UNSENT_STATUSES:
+                    return _make_unknown_results(orders, detail)
+                raise StartsNotRelayedError(detail)
             results = decode_results(response.body)
             if len(results) != len(orders):
                 raise UnreadableBatchError(f"{len(results)} results")
