--- a/jujubebarrow/logs/event_logs.py
+++ b/jujubebarrow/logs/event_logs.py
@@ -22,6 +22,7 @@
 """Limit of lines in a burst, for instance after a takeover of a pool."""
 PROMISE_EVENTS = frozenset(
     {
+        "call_refused",
         "job_accepted",
         "job_repeated",
         "job_refused",
--- a/jujubebarrow/transports/http_clients.py
+++ b/jujubebarrow/transports/http_clients.py
@@ -74,7 +74,8 @@
         body: Response body.
         transfer_seconds: Time from the first to the last byte of the response.
         was_resent: Whether the request was sent again after its connection was reset.
-            The response is that to the second copy.
+            The response is that to the second copy. Unknown, and so False, for a
+            request without a body.
     """
 
     status: int
