--- a/jujubebarrow/tests/proof_mixed_faults.py
+++ b/jujubebarrow/tests/proof_mixed_faults.py
@@ -13,7 +13,7 @@
 from jujubebarrow.tests.fakes.virtual_loops import run_virtual
 
 SEEDS = (2, 3, 13, 20, 25, 27, 30, 43, 220)
-OPEN_SEEDS = (1, 32, 58)
+OPEN_SEEDS = (1, 32, 58, 261)
 """Seeds in which a gang starts again after its end, see KNOWN-RED.txt."""
 ACCEPTED_LEASE_SECONDS = 10.0
 """Longer than the leases that owners issue."""
@@ -56,3 +56,8 @@
                 cluster = run_cluster(seed)
                 self.assertEqual(cluster.find_violations(), [])
                 self.assertEqual(cluster.find_runs_of_cancelled_jobs(), [])
+
+    def test_mixed_faults_repeat_no_gang_in_open_seeds(self) -> None:
+        for seed in OPEN_SEEDS:
+            with self.subTest(seed=seed):
+                self.assertEqual(run_cluster(seed).find_violations(), [])
