Ask a worker that has been idle before a task starts there

Cause: an owner polls a worker only while runs are active there. An idle worker that restarted, under its id, as another kind or in another pool was known by its former registration until the new one arrived, and the next start was sent to it by that one.

A start is now sent only to a worker whose last response is at most 0.6 s old, or that has a renewal under way since such a response: a worker that crashes closes the connection. An idle worker is asked while the run is being recorded, so that the start does not wait: test_idle_worker_starts_a_task_without_delay holds the first start to 0.15 s, before and after.

--- a/jujubebarrow/coordinators/run_orders.py
+++ b/jujubebarrow/coordinators/run_orders.py
@@ -85,11 +85,7 @@
         if worker.has_orphans or now < task.blocked_until:
             # Another run of the task may still be executing.
             return None
-        if worker.is_refusing:
-            return None
-        if worker.unresponsive_since:
-            # Each attempt would delay the lease expiry, after which the runs of an
-            # unreachable worker are started elsewhere.
+        if not _is_present(worker, now):
             return None
         options = self._state.options
         deadline = worker.issue_lease(now, options.lease, options.late_order_window)
@@ -276,6 +272,20 @@
         return worker
 
 
+def _is_present(worker: WorkerView, now: float) -> bool:
+    """Return whether the known incarnation of a worker executes orders.
+
+    To an unresponsive worker, each attempt would delay the lease expiry, after which
+    its runs are started elsewhere. A worker that has not responded for some time may
+    have restarted as another kind or in another pool.
+    """
+    return (
+        not worker.is_refusing
+        and not worker.unresponsive_since
+        and worker.is_contact_recent(now)
+    )
+
+
 def _find_start_obstacle(worker: WorkerView, label: str) -> str:
     """Return why a worker must get no start; empty if its registration permits one.
 
--- a/jujubebarrow/coordinators/worker_views.py
+++ b/jujubebarrow/coordinators/worker_views.py
@@ -25,6 +25,9 @@
 delays."""
 REORDERING_SECONDS = 1.0
 """Time by which a response may be older than one that has overtaken it."""
+CONTACT_AGE_LIMIT_SECONDS = 0.6
+"""Age up to which a response shows that a worker has not restarted since; longer than
+the time between two responses of a worker with finite runs."""
 UNKNOWN_START_MS = 0
 """Start time in the registration of a worker whose start is not known."""
 
@@ -63,6 +66,7 @@
         self._recorded_start_ms = 0
         self.lease_issued_at: float | None = None
         self.last_contact_at: float | None = None
+        self._open_renewal_at: float | None = None
         self.unresponsive_since = 0.0
         self.last_failure_at = float("-inf")
         self.acknowledged = 0
@@ -409,6 +413,24 @@
         self.last_contact_at = now
         self.unresponsive_since = 0.0
 
+    def begin_renewal(self, now: float) -> None:
+        """Record that a lease renewal is sent, which has no result yet."""
+        self._open_renewal_at = now
+
+    def end_renewal(self) -> None:
+        """Record that the lease renewal under way has got a result."""
+        self._open_renewal_at = None
+
+    def is_contact_recent(self, now: float) -> bool:
+        """Return whether the worker can hardly have restarted since its last response.
+
+        A restart closes the connection of a renewal that is under way.
+        """
+        if self.last_contact_at is None:
+            return False
+        checked_at = now if self._open_renewal_at is None else self._open_renewal_at
+        return checked_at - self.last_contact_at <= CONTACT_AGE_LIMIT_SECONDS
+
     def record_response(self, clock: float, now: float) -> None:
         """Record a response to an order, which does not tell the incarnation.
 
--- a/jujubebarrow/runtimes/worker_sessions.py
+++ b/jujubebarrow/runtimes/worker_sessions.py
@@ -17,6 +17,7 @@
 from jujubebarrow.logs.decision_logs import DecisionLog
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.runtimes.owner_hooks import OwnerHooks
+from jujubebarrow.workloads.worker_reports import RenewalReport
 
 LONG_WAIT_SECONDS = 1.5
 """Seconds for which a worker may delay its response until a run finishes; below the
@@ -139,7 +140,7 @@
             self._worker, self._choose_wait_seconds(), sent_at
         )
         try:
-            report = await self._gateway.renew_lease(renewal)
+            report = await self._exchange(renewal, sent_at)
         except WorkerFencedError:
             if not self._is_outdated(renewal):
                 self._coordinator.state.record_refusal(
@@ -177,8 +178,17 @@
         elapsed = self._clock.monotonic() - sent_at
         await sleep(max(0.0, RENEWAL_SPACING_SECONDS - elapsed))
 
+    async def _exchange(self, renewal: RenewalOrder, sent_at: float) -> RenewalReport:
+        self._worker.begin_renewal(sent_at)
+        try:
+            return await self._gateway.renew_lease(renewal)
+        finally:
+            self._worker.end_renewal()
+
     def _choose_wait_seconds(self) -> float:
         worker = self._worker
+        if not worker.is_contact_recent(self._clock.monotonic()):
+            return 0.0
         if worker.has_seen_token and self._may_start_late and not worker.runs:
             return 0.0 if worker.unresponsive_since else SHORT_WAIT_SECONDS
         has_inherited_or_stopping_run = any(
--- a/jujubebarrow/tests/test_restarted_workers.py
+++ b/jujubebarrow/tests/test_restarted_workers.py
@@ -533,6 +533,7 @@
         self.coordinator.handle_renewal_report(other, report, NOW, NOW)
         self.assertIsNone(self.coordinator.orders.make_start(run, NOW))
         later = NOW + ORPHAN_BLOCK_SECONDS
+        self.report(FIRST_START_MS, now=later)
         self.assertIsNotNone(self.coordinator.orders.make_start(run, later))
 
     async def test_ends_of_a_worker_in_another_pool_are_not_acknowledged(self) -> None:
