Conclude that workers change their ids only from moves of known workers

A machine is not moved while its worker may execute a start late, unless workers get new ids by a move.

Cause: one machine that stood in another pool with another worker than in the list before was taken for that, for good. The worker of the earlier list may have crashed, and its machine's next worker may have kept its id in the move. The class: an inference was counted as an observation.

The claim names it, so that all instances learn from it, and until one has, only known workers are moved. A worker that starts again under its id, which its registration shows, may keep it in a move as well. Of the machines that may be moved, those without late starts come first. Log: worker_ids_observed.

Failed try: evidence of each instance's own moves alone.

A patched claim_moves takes the new argument.

--- a/jujubebarrow/runtimes/entry_nodes.py
+++ b/jujubebarrow/runtimes/entry_nodes.py
@@ -138,8 +138,10 @@
         self._is_stopping = False
         self._on_peers = on_peers
         self.fleet_source = fleet_source
-        self._load_registry = LoadRegistry(store, clock, metrics)
         self._worker_ids = WorkerIdObserver()
+        self._load_registry = LoadRegistry(
+            store, clock, metrics, self._worker_ids.record_move
+        )
         self._wave_store = WaveStore(store, reporter, clock)
         self._worker_source = worker_source
         self._job_watcher = JobWatcher(store, clock, log, metrics)
--- a/jujubebarrow/runtimes/load_registries.py
+++ b/jujubebarrow/runtimes/load_registries.py
@@ -1,5 +1,7 @@
 """Loads of all pools and recent machine moves, shared through the store."""
 
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
 from typing import Any
 from uuid import uuid4
 
@@ -20,7 +22,7 @@
 from jujubebarrow.stores.store_clocks import StoreClock
 from jujubebarrow.stores.stores import Store
 from jujubebarrow.stores.transactions import ABSENT_REVISION, Transaction
-from jujubebarrow.workloads.identifiers import FenceToken, MachineId
+from jujubebarrow.workloads.identifiers import FenceToken, MachineId, WorkerId
 
 LOAD_PREFIX = "load/"
 MOVE_PREFIX = "move/"
@@ -45,9 +47,11 @@
 the move is not sent."""
 
 
-class _Move(Struct):
+class _Move(Struct, kw_only=True):
     target: str
     holder: str
+    # Worker that responded just before the claim; empty if unknown.
+    worker: str = ""
     # Time of the store's clock in seconds.
     at: float
 
@@ -59,16 +63,27 @@
         store: Store that holds the balance table.
         clock: Time source.
         metrics: Registry of the counters.
+        on_move: Called for each move of a known worker that any instance has claimed,
+            with the machine, the worker and the target pool.
 
     Attributes:
         loads: Recent load of each pool at the last refresh; pools whose owner has not
             reported for some time are left out.
     """
 
-    def __init__(self, store: Store, clock: Clock, metrics: MetricsRegistry):
+    def __init__(
+        self,
+        store: Store,
+        clock: Clock,
+        metrics: MetricsRegistry,
+        on_move: Callable[
+            [MachineId, WorkerId, PoolId], None
+        ] = lambda machine, worker, pool: None,
+    ):
         self._store = store
         self._clock = clock
         self._metrics = metrics
+        self._on_move = on_move
         self._store_clock = StoreClock(clock)
         self._read_at = float("-inf")
         # Revision up to which all changes are known; None before the first read.
@@ -139,6 +154,8 @@
                 )
                 target = PoolId(move.target)
                 self._moves[machine] = (row.revision, target, move.holder, ordered_at)
+                if move.worker:
+                    self._on_move(machine, WorkerId(move.worker), target)
 
     def count_incoming(self) -> dict[PoolId, int]:
         """Return the number of incoming machines of each pool that has any."""
@@ -179,7 +196,10 @@
         await self._write({key: load.to_document() | {WRITTEN_AT: written_at}}, {})
 
     async def claim_moves(
-        self, targets: dict[MachineId, PoolId], holder: str
+        self,
+        targets: dict[MachineId, PoolId],
+        holder: str,
+        workers: Mapping[MachineId, WorkerId] = MappingProxyType({}),
     ) -> FenceToken:
         """Record moves; the orders for the moves may be sent only after the record.
 
@@ -190,6 +210,7 @@
             targets: Pool to which each machine moves; MOVES_PER_CLAIM_LIMIT machines
                 at most.
             holder: Instance that sends the orders.
+            workers: Workers of these machines that have just responded.
 
         Returns:
             Fencing token for the orders.
@@ -207,7 +228,12 @@
         }
         revision = await self._write(
             {
-                keys[machine]: {"target": target, "holder": holder, "at": at}
+                keys[machine]: {
+                    "target": target,
+                    "holder": holder,
+                    "at": at,
+                    "worker": workers.get(machine, ""),
+                }
                 for machine, target in targets.items()
             },
             {keys[machine]: self._find_revision(machine) for machine in targets},
@@ -216,6 +242,8 @@
         for machine, target in targets.items():
             self._moves[machine] = (revision, target, holder, now)
             self._order_until[machine] = started_at + ORDER_WINDOW_SECONDS
+            if machine in workers:
+                self._on_move(machine, workers[machine], target)
         if now - started_at > ORDER_WINDOW_SECONDS:
             self._metrics.count("move_claimed_late")
             raise StoreError("claim of moves took too long")
--- a/jujubebarrow/runtimes/move_controllers.py
+++ b/jujubebarrow/runtimes/move_controllers.py
@@ -25,6 +25,7 @@
 from jujubebarrow.runtimes.owner_hooks import OwnerHooks
 from jujubebarrow.runtimes.worker_id_observers import WorkerIdObserver
 from jujubebarrow.workloads.identifiers import FenceToken, MachineId, WorkerId
+from jujubebarrow.workloads.worker_reports import WorkerEntry
 
 PLAN_PERIOD_SECONDS = 0.15
 """Time between two plans; short compared with a change of demand, which lasts several
@@ -269,7 +270,10 @@
         ]
 
     def _find_movable(self) -> list[WorkerView]:
-        """Return the workers that may be moved, fewest reserved cores first."""
+        """Return the workers that may be moved, fewest reserved cores first.
+
+        Those that may execute a start late come last.
+        """
         now = self._clock.monotonic()
         workers = [
             worker
@@ -278,7 +282,10 @@
             and not worker.has_long_running
             and not self._may_start_elsewhere(worker, now)
         ]
-        return sorted(workers, key=lambda worker: worker.reserved.cpu)
+        return sorted(
+            workers,
+            key=lambda worker: (worker.may_start_late(now), worker.reserved.cpu),
+        )
 
     def _may_start_elsewhere(self, worker: WorkerView, now: float) -> bool:
         """Return whether a worker may execute a start of this pool in another pool.
@@ -294,12 +301,24 @@
         listed = await self._machines.list_machines()
         self._listed_at = now
         self._listed_machines = listed
-        self._worker_ids.observe(listed)
+        self._observe_ids(listed)
         self._machines_by_worker = {
             machine.worker: machine for machine in listed if machine.worker
         }
         self._spare_machines = self._find_spare_machines({self._pool})
 
+    def _observe_ids(self, listed: list[Machine]) -> None:
+        may_keep_id = self._worker_ids.may_keep_id
+        self._worker_ids.observe(listed)
+        if self._worker_ids.may_keep_id != may_keep_id:
+            self._log.write(
+                "worker_ids_observed", may_keep_id=self._worker_ids.may_keep_id
+            )
+
+    def record_registration(self, entry: WorkerEntry) -> None:
+        """Record a registration, which shows whether a restarted worker kept its id."""
+        self._worker_ids.observe_registration(entry)
+
     def _find_spare_machines(self, pools: set[PoolId]) -> list[Machine]:
         """Return the machines of standby pools that this instance may move."""
         return [
@@ -357,6 +376,7 @@
         for worker, target in zip(movable, requested, strict=False):
             worker.is_cordoned = True
             self._pending_moves[worker.worker] = (target, now)
+            self._hooks.on_change()
         if self._pending_moves:
             await self._refresh_machines()
         ready = self._list_ready_moves(now)
@@ -378,6 +398,8 @@
                 continue
             machine = self._machines_by_worker.get(name)
             is_free = not worker.runs and not self._may_start_elsewhere(worker, now)
+            # Only the move of a known worker shows whether workers keep their ids.
+            is_free &= self._worker_ids.is_decided or worker.is_contact_recent(now)
             if is_free and machine is not None and self._is_movable(machine):
                 ready.append((worker, machine, target))
             elif now - planned_at > DRAIN_GRACE_SECONDS:
@@ -415,7 +437,13 @@
         for start in range(0, len(moves), MOVES_PER_CLAIM_LIMIT):
             batch = moves[start : start + MOVES_PER_CLAIM_LIMIT]
             token = await self._load_registry.claim_moves(
-                {machine.machine: target for machine, target in batch}, self._instance
+                {machine.machine: target for machine, target in batch},
+                self._instance,
+                {
+                    machine.machine: machine.worker
+                    for machine, _ in batch
+                    if self._is_worker_known(machine)
+                },
             )
             results = await gather(
                 *(self._order_move(machine, target, token) for machine, target in batch)
@@ -425,6 +453,12 @@
                     outcomes[machine.machine] = outcome
         return outcomes
 
+    def _is_worker_known(self, machine: Machine) -> bool:
+        """Return whether the listed worker of a machine has just responded."""
+        worker = self._coordinator.state.workers.get(machine.worker)
+        now = self._clock.monotonic()
+        return worker is not None and worker.is_contact_recent(now)
+
     async def _order_move(
         self, machine: Machine, target: PoolId, token: FenceToken
     ) -> MachineOrderOutcome | None:
--- a/jujubebarrow/runtimes/pool_owners.py
+++ b/jujubebarrow/runtimes/pool_owners.py
@@ -426,6 +426,7 @@
         """Apply a new or changed registration of a worker."""
         if self._is_closed:
             return
+        self._move_controller.record_registration(entry)
         if entry.pool != self.pool:
             self.coordinator.handle_deregistration(entry.worker)
             return
@@ -519,7 +520,7 @@
                 )
                 self._sessions[name] = session
                 self._tasks.start_loop(session.run)
-            elif worker.runs:
+            elif worker.runs or worker.is_cordoned:
                 session.wake()
         for name in [name for name in self._sessions if name not in workers]:
             del self._sessions[name]
--- a/jujubebarrow/runtimes/worker_sessions.py
+++ b/jujubebarrow/runtimes/worker_sessions.py
@@ -45,9 +45,9 @@
     """Loop that renews the leases on one worker while the worker has active runs.
 
     The loop also renews while finished runs of the worker are not yet stored and
-    acknowledged, until the worker has seen the owner's token, and while the worker is
-    unresponsive: such a worker gets no tasks, so nothing else would show that it
-    responds again.
+    acknowledged, until the worker has seen the owner's token, while it is cordoned, so
+    that its machine is moved with a known worker, and while it is unresponsive: such a
+    worker gets no tasks, so nothing else would show that it responds again.
 
     Args:
         worker: Coordinator's view of the worker.
@@ -103,6 +103,7 @@
             and not worker.unresponsive_since
             and not worker.runs
             and not self._may_start_late
+            and not worker.is_cordoned
             and not worker.has_orphans
             and not worker.has_unrecorded_finished_runs
             and not worker.has_unconfirmed_acknowledgement
@@ -189,7 +190,8 @@
         worker = self._worker
         if not worker.is_contact_recent(self._clock.monotonic()):
             return 0.0
-        if worker.has_seen_token and self._may_start_late and not worker.runs:
+        is_watched = self._may_start_late or worker.is_cordoned
+        if worker.has_seen_token and is_watched and not worker.runs:
             return 0.0 if worker.unresponsive_since else SHORT_WAIT_SECONDS
         has_inherited_or_stopping_run = any(
             run.stage in (RunStage.INHERITED, RunStage.STOPPING)
--- a/jujubebarrow/tests/fakes/fake_machines.py
+++ b/jujubebarrow/tests/fakes/fake_machines.py
@@ -26,6 +26,9 @@
     """Machines named after their workers; maintenance and moves restart the worker.
 
     Orders with a lower token than an earlier order for the machine are fenced.
+
+    Attributes:
+        other_machines: Machines in the list that run none of the cluster's workers.
     """
 
     def __init__(self, cluster: "JobCluster"):
@@ -37,10 +40,11 @@
         self.tokens: dict[MachineId, int] = {}
         self.killed_run_count = 0
         self.rejected_order_count = 0
+        self.other_machines: list[Machine] = []
 
     async def list_machines(self) -> list[Machine]:
         await sleep(0.01)
-        return [
+        return self.other_machines + [
             Machine(
                 machine=MachineId(f"m-{name}"),
                 pool=worker.pool,
--- a/jujubebarrow/tests/test_load_reads.py
+++ b/jujubebarrow/tests/test_load_reads.py
@@ -14,7 +14,7 @@
 from jujubebarrow.runtimes.load_registries import LoadRegistry
 from jujubebarrow.standins.emulated_stores import EmulatedStore, SharedStore
 from jujubebarrow.tests.fakes.virtual_loops import LoopClock, run_virtual
-from jujubebarrow.workloads.identifiers import MachineId
+from jujubebarrow.workloads.identifiers import MachineId, WorkerId
 
 POOL = PoolId("labels")
 LOAD = PoolLoad(pool=POOL, demand=9, capacity=8, machines=1, movable=0)
@@ -61,6 +61,31 @@
 
         run_virtual(scenario())
 
+    def test_moves_of_known_workers_are_reported_once_to_each_instance(self) -> None:
+        async def scenario() -> None:
+            shared = SharedStore(Random(1))
+            reported: list[tuple[str, ...]] = []
+            store = EmulatedStore(shared, MetricsRegistry())
+            clock = LoopClock(get_running_loop())
+            reader = LoadRegistry(
+                store, clock, MetricsRegistry(), lambda *move: reported.append(move)
+            )
+            writer, _ = self._make(shared)
+            await writer.refresh()
+            machines = {MachineId("m1"): POOL, MachineId("m2"): POOL}
+            workers = {MachineId("m1"): WorkerId("w1")}
+            await writer.claim_moves(machines, "n1", workers)
+            for _ in range(3):
+                await sleep(0.2)
+                await reader.refresh()
+            self.assertEqual(reported, [("m1", "w1", POOL)])
+            # All rows are read again.
+            await sleep(7.0)
+            await reader.refresh()
+            self.assertEqual(len(reported), 1)
+
+        run_virtual(scenario())
+
     def _make(self, shared: SharedStore) -> tuple[LoadRegistry, EmulatedStore]:
         metrics = MetricsRegistry()
         store = EmulatedStore(shared, metrics)
--- a/jujubebarrow/tests/test_machine_orders.py
+++ b/jujubebarrow/tests/test_machine_orders.py
@@ -21,7 +21,7 @@
 from jujubebarrow.tests.fakes.job_cases import JobCase
 from jujubebarrow.tests.fakes.job_clusters import POOL, Instance, JobCluster
 from jujubebarrow.tests.fakes.virtual_loops import LoopClock, run_virtual
-from jujubebarrow.workloads.identifiers import MachineId
+from jujubebarrow.workloads.identifiers import MachineId, WorkerId
 from jujubebarrow.workloads.resources import Resources
 from jujubebarrow.workloads.step_specs import StepSpec
 
@@ -250,11 +250,14 @@
         delays: list[float] = []
 
         async def record_claim(
-            registry: LoadRegistry, targets: dict[MachineId, PoolId], holder: str
+            registry: LoadRegistry,
+            targets: dict[MachineId, PoolId],
+            holder: str,
+            workers: dict[MachineId, WorkerId],
         ) -> Any:
             now = get_running_loop().time()
             claimed_at.update(dict.fromkeys(targets, now))
-            return await claim_moves(registry, targets, holder)
+            return await claim_moves(registry, targets, holder, workers)
 
         async def scenario(cluster: JobCluster) -> None:
             await sleep(3.0)
