Use a token above those of a joined worker's former pool

Cause: a worker that came to a pool under the id that it had in another one was asked with a token of the claim of its new pool. The owner of the former pool may have claimed that later. Its late starts then have a higher token, and were executed although the worker had responded to its new owner, which placed tasks as if it were empty. The class: an order of a former bearer was taken for void before anything had made it void.

The owner now confirms its claim after such a worker has registered, and asks it with a token of that revision, as it does after a refusal; its other workers go on.

--- a/jujubebarrow/coordinators/pool_states.py
+++ b/jujubebarrow/coordinators/pool_states.py
@@ -1,6 +1,7 @@
 """Jobs, workers and unstored changes of one pool."""
 
 from collections import Counter, defaultdict
+from collections.abc import Iterable
 
 from jujubebarrow.coordinators.active_runs import ActiveRun, RunStage
 from jujubebarrow.coordinators.coordinator_options import CoordinatorOptions
@@ -70,6 +71,10 @@
         self._issued_token_count = 0
         self._refusal_count = 0
         self._checked_refusal_count = 0
+        # Times at which workers were last registered in other pools.
+        self._seen_elsewhere: dict[WorkerId, float] = {}
+        self._seen_elsewhere_pruned_at = owned_since
+        self._joined_workers: set[WorkerId] = set()
         self._deferred: dict[QueueId, dict[JobId, None]] = defaultdict(dict)
         self._finished_runs: dict[JobId, list[FinishedRunRef]] = defaultdict(list)
         self._held: dict[JobId, JobProgress] = {}
@@ -192,25 +197,83 @@
         """
         return self._refusal_count > self._checked_refusal_count
 
+    @property
+    def needs_confirmation(self) -> bool:
+        """Whether the claim has to be confirmed for higher tokens."""
+        return self.is_claim_disputed or bool(self._joined_workers)
+
+    @property
+    def joined_workers(self) -> frozenset[WorkerId]:
+        """Workers that need a token above those of the pool that they have left."""
+        return frozenset(self._joined_workers)
+
+    def record_other_pool(self, worker: WorkerId, now: float) -> None:
+        """Record that a worker is registered in another pool.
+
+        Args:
+            worker: Id of the worker.
+            now: Time in seconds.
+        """
+        self._seen_elsewhere[worker] = now
+        window = self._other_pool_window
+        if now - self._seen_elsewhere_pruned_at > window:
+            self._seen_elsewhere_pruned_at = now
+            self._seen_elsewhere = {
+                name: seen_at
+                for name, seen_at in self._seen_elsewhere.items()
+                if now - seen_at <= window
+            }
+
+    @property
+    def _other_pool_window(self) -> float:
+        """Seconds for which a registration in another pool counts.
+
+        The last start there may be as much later as a registration may be old.
+        """
+        return 2 * self.options.late_order_window
+
+    def record_pool(self, worker: WorkerView, now: float) -> None:
+        """Record that a worker is registered in this pool.
+
+        A worker that has come from another pool under its id may execute a late start
+        of that pool's owner, whose token may be higher than the present one.
+        """
+        seen_at = self._seen_elsewhere.pop(worker.worker, None)
+        if seen_at is not None and now - seen_at <= self._other_pool_window:
+            worker.needs_higher_token = True
+            self._joined_workers.add(worker.worker)
+
     def record_refusal(self, worker: WorkerView, now: float) -> None:
         """Record that a worker has refused an order with its present token."""
         if not worker.is_refusing:
             self._refusal_count += 1
         worker.record_refusal(now)
 
-    def confirm_claim(self, revision: FenceToken, refusal_count: int) -> None:
-        """Record that the claim of the pool still held after refusals.
+    def confirm_claim(
+        self,
+        revision: FenceToken,
+        refusal_count: int,
+        joined_workers: Iterable[WorkerId] = (),
+    ) -> None:
+        """Record that the claim of the pool still held.
 
         Args:
             revision: Revision at which the store confirmed the claim: higher than the
                 claims of other pools before, lower than any later claim.
             refusal_count: Number of refusals before the claim was confirmed.
+            joined_workers: Workers that had joined the pool by then.
         """
         self._checked_refusal_count = refusal_count
         self._token_base = revision
         self._issued_token_count = 0
         for worker in self.workers.values():
             self.replace_refused_token(worker)
+        for name in joined_workers:
+            self._joined_workers.discard(name)
+            joined = self.workers.get(name)
+            if joined is not None and joined.needs_higher_token:
+                joined.needs_higher_token = False
+                joined.replace_token(self.issue_token())
 
     def replace_refused_token(self, worker: WorkerView) -> None:
         """Issue a higher token to a worker of this pool that refuses the present one.
--- a/jujubebarrow/coordinators/worker_views.py
+++ b/jujubebarrow/coordinators/worker_views.py
@@ -63,6 +63,7 @@
         self._leases = LeaseBook(expiry, latest_expiry)
         self.is_lease_recorded = False
         self._refused_token: FenceToken | None = None
+        self.needs_higher_token = False
         self._recorded_start_ms = 0
         self.lease_issued_at: float | None = None
         self.last_contact_at: float | None = None
--- a/jujubebarrow/runtimes/pool_owners.py
+++ b/jujubebarrow/runtimes/pool_owners.py
@@ -427,10 +427,12 @@
         if self._is_closed:
             return
         self._move_controller.record_registration(entry)
+        now = self._clock.monotonic()
         if entry.pool != self.pool:
+            self.coordinator.state.record_other_pool(entry.worker, now)
             self.coordinator.handle_deregistration(entry.worker)
             return
-        self.coordinator.handle_registration(entry, self._clock.monotonic())
+        self.coordinator.handle_registration(entry, now)
         self.on_change()
 
     def on_worker_deregistered(self, worker: WorkerId) -> None:
@@ -474,14 +476,14 @@
         self._foreign_ends.report_ends()
         self._update_sessions()
         self._plan_seconds = self._clock.monotonic() - started_at
-        if coordinator.state.is_claim_disputed and not self._is_confirming:
+        if coordinator.state.needs_confirmation and not self._is_confirming:
             self._is_confirming = True
             self._tasks.start(self._confirm_claim())
 
     async def _confirm_claim(self) -> None:
-        """Stop the owner after a refusal by a worker, unless its claim still holds."""
+        """Confirm the claim for higher tokens; stop the owner if it does not hold."""
         try:
-            while self.coordinator.state.is_claim_disputed and not self._is_closed:
+            while self.coordinator.state.needs_confirmation and not self._is_closed:
                 await self._check_claim()
         finally:
             self._is_confirming = False
@@ -490,6 +492,7 @@
     async def _check_claim(self) -> None:
         state = self.coordinator.state
         refusal_count = state.refusal_count
+        joined_workers = state.joined_workers
         try:
             revision = await self._ownership.confirm_claim(
                 DutyId(self.pool), state.token
@@ -501,8 +504,13 @@
         if revision is None:
             self.on_superseded()
             return
-        state.confirm_claim(revision, refusal_count)
-        self._log.write("claim_confirmed", pool=self.pool, revision=revision)
+        state.confirm_claim(revision, refusal_count, joined_workers)
+        self._log.write(
+            "claim_confirmed",
+            pool=self.pool,
+            revision=revision,
+            joined=len(joined_workers),
+        )
 
     def _update_sessions(self) -> None:
         workers = self.coordinator.state.workers
--- a/jujubebarrow/runtimes/worker_sessions.py
+++ b/jujubebarrow/runtimes/worker_sessions.py
@@ -115,7 +115,9 @@
 
     @property
     def _can_poll(self) -> bool:
-        return bool(self._worker.address) and not self._worker.is_refusing
+        worker = self._worker
+        is_token_valid = not worker.is_refusing and not worker.needs_higher_token
+        return bool(worker.address) and is_token_valid
 
     async def run(self) -> None:
         """Renew the leases until the coordinator removes the worker."""
