Let a team's backlog at its limit keep no other team from requesting a grant

In a plan, each request for a grant took its part of the pool's free capacity, so that a later team requested nothing if none was left. A team whose limit is used up in another pool never gets its grant, and its backlog took all of the capacity in each plan: the other teams' tasks waited for as long as the backlog did. Late jobs are ranked by value per work, so that the largest jobs were the ones that waited.

What a team requests now counts only against the capacity that the same team may request. A pool whose workers are full still requests nothing.

Failed tries: with a victim that can still finish in time, or one single job as the backlog, the fault does not show, since the victim is then ranked first.

The line configuration_in_force tells the teams' changed limits: the limits were in no log, so that a limit below a task's needs could not be ruled out.

--- a/jujubebarrow/coordinators/planners.py
+++ b/jujubebarrow/coordinators/planners.py
@@ -15,12 +15,13 @@
 from jujubebarrow.coordinators.task_states import TaskState
 from jujubebarrow.coordinators.wait_recorders import WaitReason, WaitRecorder
 from jujubebarrow.coordinators.worker_views import WorkerView
+from jujubebarrow.identifiers import TeamId
 from jujubebarrow.placements.fair_shares import FairShare
 from jujubebarrow.placements.free_rooms import FreeRoom
 from jujubebarrow.placements.job_orders import IN_TIME_GROUP, JobOrder
 from jujubebarrow.placements.placers import choose_gang, choose_worker
 from jujubebarrow.workloads.identifiers import RunNumber, WorkerId
-from jujubebarrow.workloads.resources import NO_RESOURCES
+from jujubebarrow.workloads.resources import NO_RESOURCES, Resources
 from jujubebarrow.workloads.task_keys import TaskKey
 
 ESTABLISHED_SECONDS = 5.0
@@ -56,8 +57,11 @@
         self._waits = waits
         self._late_start_wait = LateStartWait(state)
         self._room = FreeRoom([])
-        # Free capacity of the pool that no run and no request of the plan takes yet.
+        # Free capacity of the pool that no run of the plan takes yet.
         self._spare = NO_RESOURCES
+        # What runs would need that wait in this plan for a grant of their team. Another
+        # team's tasks may run there, as nobody knows when such a grant comes.
+        self._requested: dict[TeamId, Resources] = {}
 
     def plan(self, now: float, wall: float, run_limit: float = inf) -> list[ActiveRun]:
         """Plan runs for all startable tasks that fit on a worker.
@@ -73,6 +77,7 @@
         paused = [w for w in workers if not w.can_accept_tasks(now)]
         self._room = FreeRoom(unpaused)
         self._spare = NO_RESOURCES
+        self._requested.clear()
         for worker in unpaused:
             if min(worker.free) >= 0:
                 self._spare = self._spare.plus(worker.free)
@@ -338,15 +343,23 @@
             step: Step with waiting tasks.
             count: Number of waiting tasks.
         """
-        if not step.spec.long_running:
-            count = step.spec.reserved.count_fitting(self._spare, count)
         grants, team = self._state.grants, job.record.team
+        reserved = step.spec.reserved
+        if not step.spec.long_running:
+            count = reserved.count_fitting(self._compute_spare(team), count)
         count = grants.count_admissible(team, step.spec.needs, count)
         if grants.request_start(team, step.spec.needs, count):
             return True
-        self._spare = self._spare.minus(step.spec.reserved.times(count))
+        self._record_request(team, reserved.times(count))
         return False
 
+    def _compute_spare(self, team: TeamId) -> Resources:
+        """Return the free capacity that a team does not wait for a grant for yet."""
+        return self._spare.minus(self._requested.get(team, NO_RESOURCES))
+
+    def _record_request(self, team: TeamId, amount: Resources) -> None:
+        self._requested[team] = self._requested.get(team, NO_RESOURCES).plus(amount)
+
     def _record_wait(
         self,
         job: JobProgress,
@@ -408,10 +421,10 @@
         total = step.spec.needs.times(len(indexes))
         reserved = step.spec.reserved.times(len(indexes))
         grants, team = self._state.grants, job.record.team
-        count = reserved.count_fitting(self._spare, 1)
+        count = reserved.count_fitting(self._compute_spare(team), 1)
         count = grants.count_admissible(team, total, count)
         if not grants.request_start(team, total, count):
-            self._spare = self._spare.minus(reserved.times(count))
+            self._record_request(team, reserved.times(count))
             return []
         number = RunNumber(max(task.last_run for task in step.tasks) + 1)
         checkpoint = max(task.checkpoint for task in step.tasks)
--- a/jujubebarrow/runtimes/fleet_watchers.py
+++ b/jujubebarrow/runtimes/fleet_watchers.py
@@ -109,12 +109,18 @@
             if fleet.version < current_version:
                 self._metrics.count("configuration_ignored", "older")
             return
+        former_teams = self._fleet.teams if self._fleet else {}
         self._fleet = fleet
         self._log.write(
             "configuration_in_force",
             version=fleet.version,
             former=current_version,
             queues=len(fleet.queues),
+            limits={
+                team: spec.limit
+                for team, spec in fleet.teams.items()
+                if team not in former_teams or former_teams[team].limit != spec.limit
+            },
         )
         for listener in self._listeners:
             listener(fleet)
