Restart workers out of reach in the proof of the leases of late orders

The new fault restarts a worker within 2 s of a start and keeps it out of reach for 16 to 24 s, under tasks of 8 to 20 s (LONG_TASK_LOAD).

--- a/jujubebarrow/tests/fakes/late_order_faults.py
+++ b/jujubebarrow/tests/fakes/late_order_faults.py
@@ -26,6 +26,12 @@
 ORDER_PROBABILITY = 0.2
 LOSS_PROBABILITY = 0.1
 RENEWAL_PROBABILITY = 0.3
+CUT_RESTART_LOOP_COUNT = 3
+RECENT_START_SECONDS = 2.0
+"""Time since its last start in which a worker is restarted and cut off."""
+RESTART_CUT_SECONDS = (16.0, 24.0)
+"""Range of the time without contact after a restart; longer than a late order is under
+way and its lease lasts."""
 OTHER_CAPACITY = Resources(4000, 8000, 0)
 """Capacity of a worker that has been restarted on a machine of another kind."""
 KINDS = ("a", "b")
@@ -77,6 +83,12 @@
     task_limits=(1,),
     order_probability=0.4,
 )
+LONG_TASK_LOAD = LateOrderLoad(
+    cores=(0.25,),
+    gigabytes=(0.25,),
+    seconds=(8.0, 20.0),
+    order_probability=0.4,
+)
 LASTING_SPREAD_LOAD = replace(SPREAD_LOAD, lasting_share=0.3)
 LABEL_LOAD = LateOrderLoad(
     cores=(0.5, 1.0),
@@ -100,6 +112,8 @@
             registrations are removed for some time.
         postpones_leases: Whether the lease of an order that is executed late has its
             full length from then on.
+        restarts_cut_workers: Whether, instead of other restarts and cuts, workers
+            restart soon after a start and are out of reach then.
         load: Jobs that are submitted.
     """
 
@@ -112,6 +126,7 @@
         changes_kind: bool = False,
         changes_pool: bool = False,
         postpones_leases: bool = False,
+        restarts_cut_workers: bool = False,
         load: LateOrderLoad | None = None,
     ):
         self.cluster = cluster
@@ -121,6 +136,7 @@
         self._changes_kind = changes_kind
         self._changes_pool = changes_pool
         self._postpones_leases = postpones_leases
+        self._restarts_cut_workers = restarts_cut_workers
         self._load = load or LateOrderLoad()
 
     async def run(self) -> None:
@@ -131,10 +147,7 @@
             worker.late_renewal_probability = RENEWAL_PROBABILITY
             worker.late_leases_begin_on_arrival = self._postpones_leases
         loop = get_running_loop()
-        loops = [self._restart_workers, self._restart_workers, self._cut_workers]
-        loops += [self._kill_owners] if self._kills_owners else []
-        loops += [self._drop_registrations] if self._changes_pool else []
-        tasks = [loop.create_task(self._repeat(each)) for each in loops]
+        tasks = [loop.create_task(self._repeat(each)) for each in self._list_faults()]
         await self._submit_load()
         for task in tasks:
             await task
@@ -143,6 +156,15 @@
             worker.late_renewal_probability = 0.0
         await sleep(LATE_EXECUTION_SECONDS)
 
+    def _list_faults(self) -> list[Callable[[], Awaitable[None]]]:
+        """Return the faults that are repeated beside each other."""
+        if self._restarts_cut_workers:
+            return [self._restart_cut_worker] * CUT_RESTART_LOOP_COUNT
+        faults = [self._restart_workers, self._restart_workers, self._cut_workers]
+        faults += [self._kill_owners] if self._kills_owners else []
+        faults += [self._drop_registrations] if self._changes_pool else []
+        return faults
+
     async def _repeat(self, fault: Callable[[], Awaitable[None]]) -> None:
         deadline = get_running_loop().time() + FAULT_SECONDS
         while get_running_loop().time() < deadline:
@@ -221,7 +243,26 @@
 
     async def _cut_workers(self) -> None:
         names = {self._pick_worker().worker, self._pick_worker().worker}
-        deadline = get_running_loop().time() + self.random.uniform(6.0, 12.0)
+        await self._cut(names, self.random.uniform(6.0, 12.0))
+
+    async def _restart_cut_worker(self) -> None:
+        worker = self._pick_worker()
+        if not worker.is_up or not self._has_started_recently(worker):
+            return
+        worker.crash()
+        await sleep(self.random.uniform(0.1, 1.0))
+        worker.restart()
+        self.cluster.register_worker(worker.worker)
+        await self._cut({worker.worker}, self.random.uniform(*RESTART_CUT_SECONDS))
+
+    def _has_started_recently(self, worker: EmulatedWorker) -> bool:
+        if not worker.run_history:
+            return False
+        elapsed = get_running_loop().time() - worker.run_history[-1].started_at
+        return elapsed <= RECENT_START_SECONDS
+
+    async def _cut(self, names: set[WorkerId], seconds: float) -> None:
+        deadline = get_running_loop().time() + seconds
         while get_running_loop().time() < deadline:
             # Also cuts off the instances that start during the fault.
             self._set_unreachable(names, True)
--- a/jujubebarrow/tests/proof_late_order_mutations.py
+++ b/jujubebarrow/tests/proof_late_order_mutations.py
@@ -1,6 +1,8 @@
 """Mutation tests: the runs with late orders must detect each injected fault."""
 
 import unittest
+from collections.abc import Iterable
+from contextlib import ExitStack
 from dataclasses import replace
 from typing import Any
 from unittest.mock import patch
@@ -11,9 +13,10 @@
 from jujubebarrow.tests.fakes.late_order_faults import (
     LARGE_TASK_LOAD,
     LASTING_SPREAD_LOAD,
+    LONG_TASK_LOAD,
     SPREAD_LOAD,
 )
-from jujubebarrow.tests.proof_late_orders import simulate
+from jujubebarrow.tests.proof_late_orders import RESTART_SEEDS, simulate
 from jujubebarrow.workloads.resources import NO_RESOURCES
 
 LIKELY_SEEDS = (30, 72)
@@ -22,12 +25,28 @@
 
 
 class LateOrderMutationProof(unittest.TestCase):
-    def assert_detected(self, *patches: Any, **options: Any) -> None:
-        for each in patches:
-            each.start()
-            self.addCleanup(each.stop)
-        for seed in SEEDS:
-            if simulate(seed, **options):
+    def assert_detected(
+        self,
+        *patches: Any,
+        expected: str = "",
+        seeds: Iterable[int] = SEEDS,
+        **options: Any,
+    ) -> None:
+        """Require that a seed detects a fault and shows no violation without it.
+
+        Args:
+            *patches: Patches that inject the fault.
+            expected: Part of the description of a violation that the fault causes.
+            seeds: Seeds of the runs.
+            **options: Options of the runs.
+        """
+        for seed in seeds:
+            with ExitStack() as stack:
+                for each in patches:
+                    stack.enter_context(each)
+                violations = simulate(seed, **options)
+            if any(expected in violation for violation in violations):
+                self.assertEqual(simulate(seed, **options), [])
                 return
         self.fail("no seed detected the injected fault")
 
@@ -39,7 +58,11 @@
 
     def test_leases_of_late_orders_not_counted(self) -> None:
         self.assert_detected(
-            patch.object(PoolState, "find_late_expiry", lambda self, worker: 0.0)
+            patch.object(PoolState, "find_late_expiry", lambda self, worker: 0.0),
+            expected="overlap",
+            seeds=RESTART_SEEDS,
+            restarts_cut_workers=True,
+            load=LONG_TASK_LOAD,
         )
 
     def test_runs_with_late_starts_acknowledged(self) -> None:
--- a/jujubebarrow/tests/proof_late_orders.py
+++ b/jujubebarrow/tests/proof_late_orders.py
@@ -13,6 +13,7 @@
     LARGE_TASK_LOAD,
     LASTING_LATE_LOAD,
     LASTING_LOAD,
+    LONG_TASK_LOAD,
     MIXED_LOAD,
     SPREAD_LOAD,
     LateOrderFaults,
@@ -41,6 +42,8 @@
 POOL_SEEDS = (1, 2, 15)
 REPEATED_POOL_SEEDS = (22, 27, 31, 36, 42)
 REPEATED_POOL_KILL_SEEDS = (10, 12)
+RESTART_SEEDS = range(1, 16)
+"""Seeds of restarts of workers that are out of reach until late orders are over."""
 ACCEPTED_LEASE_SECONDS = 10.0
 """Longer than the leases that owners issue."""
 
@@ -50,6 +53,7 @@
     kills_owners: bool = False,
     changes_capacity: bool = False,
     postpones_leases: bool = False,
+    restarts_cut_workers: bool = False,
     load: LateOrderLoad | None = None,
 ) -> list[str]:
     """Return the violations that the workers' records show after a seeded run."""
@@ -57,6 +61,7 @@
         "kills_owners": kills_owners,
         "changes_capacity": changes_capacity,
         "postpones_leases": postpones_leases,
+        "restarts_cut_workers": restarts_cut_workers,
     }
     return run_cluster(seed, load, **options).find_violations()
 
@@ -175,6 +180,15 @@
                 violations = simulate(seed, kills_owners=True, load=SPREAD_LOAD)
                 self.assertEqual(violations, [])
 
+    def test_late_orders_repeat_no_long_task_on_workers_out_of_reach(self) -> None:
+        self._check_workers_restarted_out_of_reach(LONG_TASK_LOAD)
+
+    def _check_workers_restarted_out_of_reach(self, load: LateOrderLoad) -> None:
+        for seed in RESTART_SEEDS:
+            with self.subTest(seed=seed):
+                violations = simulate(seed, restarts_cut_workers=True, load=load)
+                self.assertEqual(violations, [])
+
     def test_late_orders_around_workers_restarted_with_another_kind(self) -> None:
         self._check_kinds(KIND_SEEDS)
 
