Keep tokens for seconds in the proof of capacity for late starts

By reading, the token that follows a late renewal makes the former late starts void once the next incarnation has seen it.

--- a/jujubebarrow/tests/fakes/late_order_faults.py
+++ b/jujubebarrow/tests/fakes/late_order_faults.py
@@ -26,6 +26,9 @@
 ORDER_PROBABILITY = 0.2
 LOSS_PROBABILITY = 0.1
 RENEWAL_PROBABILITY = 0.3
+RARE_RENEWAL_PROBABILITY = 0.02
+"""Leaves most workers the same token for seconds. A higher one, which follows a lost
+renewal, makes the former late starts void as soon as the next incarnation sees it."""
 CUT_RESTART_LOOP_COUNT = 3
 RECENT_START_SECONDS = 2.0
 """Time since its last start in which a worker is restarted and cut off."""
@@ -50,6 +53,7 @@
         task_limits: Maximum numbers of a step's tasks on one worker; 0 for no limit.
         lasting_share: Share of the jobs whose tasks last until they are cancelled.
         order_probability: Probability that an order is executed late.
+        renewal_probability: Probability that a lease renewal is executed late.
         labels: Labels that a step requires; empty for none.
     """
 
@@ -59,6 +63,7 @@
     task_limits: tuple[int, ...] = (0,)
     lasting_share: float = 0.0
     order_probability: float = ORDER_PROBABILITY
+    renewal_probability: float = RENEWAL_PROBABILITY
     labels: tuple[str, ...] = ("",)
 
 
@@ -89,6 +94,9 @@
     seconds=(8.0, 20.0),
     order_probability=0.4,
 )
+LARGE_TASK_RESTART_LOAD = replace(
+    LARGE_TASK_LOAD, renewal_probability=RARE_RENEWAL_PROBABILITY
+)
 LASTING_SPREAD_LOAD = replace(SPREAD_LOAD, lasting_share=0.3)
 LABEL_LOAD = LateOrderLoad(
     cores=(0.5, 1.0),
@@ -144,7 +152,7 @@
         for worker in self.cluster.workers.values():
             worker.late_order_probability = self._load.order_probability
             worker.response_loss_probability = LOSS_PROBABILITY
-            worker.late_renewal_probability = RENEWAL_PROBABILITY
+            worker.late_renewal_probability = self._load.renewal_probability
             worker.late_leases_begin_on_arrival = self._postpones_leases
         loop = get_running_loop()
         tasks = [loop.create_task(self._repeat(each)) for each in self._list_faults()]
--- a/jujubebarrow/tests/proof_late_order_mutations.py
+++ b/jujubebarrow/tests/proof_late_order_mutations.py
@@ -11,7 +11,7 @@
 from jujubebarrow.coordinators.pool_states import PoolState
 from jujubebarrow.coordinators.worker_views import UNKNOWN_START_MS, WorkerView
 from jujubebarrow.tests.fakes.late_order_faults import (
-    LARGE_TASK_LOAD,
+    LARGE_TASK_RESTART_LOAD,
     LASTING_SPREAD_LOAD,
     LONG_TASK_LOAD,
     SPREAD_LOAD,
@@ -78,7 +78,10 @@
     def test_capacity_for_late_starts_not_kept(self) -> None:
         self.assert_detected(
             patch.object(LateStarts, "reserved", property(lambda self: NO_RESOURCES)),
-            load=LARGE_TASK_LOAD,
+            expected="tasks need",
+            seeds=RESTART_SEEDS,
+            restarts_cut_workers=True,
+            load=LARGE_TASK_RESTART_LOAD,
         )
 
     def test_late_starts_not_counted_against_the_limit_of_a_step(self) -> None:
--- a/jujubebarrow/tests/proof_late_orders.py
+++ b/jujubebarrow/tests/proof_late_orders.py
@@ -11,6 +11,7 @@
 from jujubebarrow.tests.fakes.late_order_faults import (
     LABEL_LOAD,
     LARGE_TASK_LOAD,
+    LARGE_TASK_RESTART_LOAD,
     LASTING_LATE_LOAD,
     LASTING_LOAD,
     LONG_TASK_LOAD,
@@ -183,6 +184,9 @@
     def test_late_orders_repeat_no_long_task_on_workers_out_of_reach(self) -> None:
         self._check_workers_restarted_out_of_reach(LONG_TASK_LOAD)
 
+    def test_late_orders_overload_no_worker_restarted_out_of_reach(self) -> None:
+        self._check_workers_restarted_out_of_reach(LARGE_TASK_RESTART_LOAD)
+
     def _check_workers_restarted_out_of_reach(self, load: LateOrderLoad) -> None:
         for seed in RESTART_SEEDS:
             with self.subTest(seed=seed):
