Use wide steps in the proof that late starts count against a step's limit

By reading, steps of up to 4 tasks on 5 workers seldom get a second task to a worker. WIDE_SPREAD_LOAD has steps of 8 to 16 tasks, rare late renewals, and workers that restart out of reach. It replaces LASTING_SPREAD_LOAD, which nothing else used.

--- a/jujubebarrow/tests/fakes/late_order_faults.py
+++ b/jujubebarrow/tests/fakes/late_order_faults.py
@@ -50,6 +50,7 @@
         cores: Processor needs of a task in cores, of which one is chosen for each job.
         gigabytes: Memory needs of a task.
         seconds: Shortest and longest duration of a task.
+        counts: Smallest and largest number of a step's tasks.
         task_limits: Maximum numbers of a step's tasks on one worker; 0 for no limit.
         lasting_share: Share of the jobs whose tasks last until they are cancelled.
         order_probability: Probability that an order is executed late.
@@ -60,6 +61,7 @@
     cores: tuple[float, ...] = (1.0,)
     gigabytes: tuple[float, ...] = (0.5,)
     seconds: tuple[float, float] = (0.5, 8.0)
+    counts: tuple[int, int] = (1, 4)
     task_limits: tuple[int, ...] = (0,)
     lasting_share: float = 0.0
     order_probability: float = ORDER_PROBABILITY
@@ -97,7 +99,14 @@
 LARGE_TASK_RESTART_LOAD = replace(
     LARGE_TASK_LOAD, renewal_probability=RARE_RENEWAL_PROBABILITY
 )
-LASTING_SPREAD_LOAD = replace(SPREAD_LOAD, lasting_share=0.3)
+WIDE_SPREAD_LOAD = replace(
+    SPREAD_LOAD,
+    cores=(0.25,),
+    gigabytes=(0.25,),
+    seconds=(0.8, 2.0),
+    counts=(8, 16),
+    renewal_probability=RARE_RENEWAL_PROBABILITY,
+)
 LABEL_LOAD = LateOrderLoad(
     cores=(0.5, 1.0),
     seconds=(0.5, 4.0),
@@ -200,7 +209,7 @@
     def _draw_job(self) -> tuple[StepSpec, TaskBehaviour]:
         """Choose a job of one step and the behaviour of its tasks."""
         load = self._load
-        count = self.random.randint(1, 4)
+        count = self.random.randint(*load.counts)
         seconds = self.random.uniform(*load.seconds)
         # Nothing is drawn without a choice, so that each seed keeps its other choices.
         lasts = load.lasting_share > 0 and self.random.random() < load.lasting_share
--- a/jujubebarrow/tests/proof_late_order_mutations.py
+++ b/jujubebarrow/tests/proof_late_order_mutations.py
@@ -12,9 +12,9 @@
 from jujubebarrow.coordinators.worker_views import UNKNOWN_START_MS, WorkerView
 from jujubebarrow.tests.fakes.late_order_faults import (
     LARGE_TASK_RESTART_LOAD,
-    LASTING_SPREAD_LOAD,
     LONG_TASK_LOAD,
     SPREAD_LOAD,
+    WIDE_SPREAD_LOAD,
 )
 from jujubebarrow.tests.proof_late_orders import RESTART_SEEDS, simulate
 from jujubebarrow.workloads.resources import NO_RESOURCES
@@ -87,7 +87,10 @@
     def test_late_starts_not_counted_against_the_limit_of_a_step(self) -> None:
         self.assert_detected(
             patch.object(LateStarts, "count", lambda self, step: 0),
-            load=LASTING_SPREAD_LOAD,
+            expected="of 1 tasks",
+            seeds=RESTART_SEEDS,
+            restarts_cut_workers=True,
+            load=WIDE_SPREAD_LOAD,
         )
 
     def test_late_starts_of_former_owners_ignored(self) -> None:
--- a/jujubebarrow/tests/proof_late_orders.py
+++ b/jujubebarrow/tests/proof_late_orders.py
@@ -17,6 +17,7 @@
     LONG_TASK_LOAD,
     MIXED_LOAD,
     SPREAD_LOAD,
+    WIDE_SPREAD_LOAD,
     LateOrderFaults,
     LateOrderLoad,
 )
@@ -187,6 +188,9 @@
     def test_late_orders_overload_no_worker_restarted_out_of_reach(self) -> None:
         self._check_workers_restarted_out_of_reach(LARGE_TASK_RESTART_LOAD)
 
+    def test_late_orders_exceed_no_limit_on_workers_out_of_reach(self) -> None:
+        self._check_workers_restarted_out_of_reach(WIDE_SPREAD_LOAD)
+
     def _check_workers_restarted_out_of_reach(self, load: LateOrderLoad) -> None:
         for seed in RESTART_SEEDS:
             with self.subTest(seed=seed):
