Restart workers after takeovers in the proof of former owners' late starts

The new fault kills the owner, waits for the takeover and 0.5 to 2 s more, then restarts three workers, which are out of reach for 7 to 10 s.

--- a/jujubebarrow/tests/fakes/late_order_faults.py
+++ b/jujubebarrow/tests/fakes/late_order_faults.py
@@ -30,11 +30,17 @@
 """Leaves most workers the same token for seconds. A higher one, which follows a lost
 renewal, makes the former late starts void as soon as the next incarnation sees it."""
 CUT_RESTART_LOOP_COUNT = 3
+RESTARTED_WORKER_COUNT = 3
+"""Number of workers that are restarted together after a takeover."""
 RECENT_START_SECONDS = 2.0
 """Time since its last start in which a worker is restarted and cut off."""
 RESTART_CUT_SECONDS = (16.0, 24.0)
 """Range of the time without contact after a restart; longer than a late order is under
 way and its lease lasts."""
+TAKEOVER_CUT_SECONDS = (7.0, 10.0)
+"""Range of the time without contact after a takeover and a restart; longer than most
+late orders of the former owner are still under way."""
+TAKEOVER_LIMIT_SECONDS = 10.0
 OTHER_CAPACITY = Resources(4000, 8000, 0)
 """Capacity of a worker that has been restarted on a machine of another kind."""
 KINDS = ("a", "b")
@@ -107,6 +113,7 @@
     counts=(8, 16),
     renewal_probability=RARE_RENEWAL_PROBABILITY,
 )
+SHORT_SPREAD_LOAD = replace(WIDE_SPREAD_LOAD, seconds=(0.3, 1.5), counts=(2, 5))
 LABEL_LOAD = LateOrderLoad(
     cores=(0.5, 1.0),
     seconds=(0.5, 4.0),
@@ -131,6 +138,8 @@
             full length from then on.
         restarts_cut_workers: Whether, instead of other restarts and cuts, workers
             restart soon after a start and are out of reach then.
+        restarts_after_takeovers: Whether, instead of these, owners are killed, and
+            workers restart soon after the takeover and are out of reach then.
         load: Jobs that are submitted.
     """
 
@@ -144,6 +153,7 @@
         changes_pool: bool = False,
         postpones_leases: bool = False,
         restarts_cut_workers: bool = False,
+        restarts_after_takeovers: bool = False,
         load: LateOrderLoad | None = None,
     ):
         self.cluster = cluster
@@ -154,6 +164,7 @@
         self._changes_pool = changes_pool
         self._postpones_leases = postpones_leases
         self._restarts_cut_workers = restarts_cut_workers
+        self._restarts_after_takeovers = restarts_after_takeovers
         self._load = load or LateOrderLoad()
 
     async def run(self) -> None:
@@ -175,6 +186,8 @@
 
     def _list_faults(self) -> list[Callable[[], Awaitable[None]]]:
         """Return the faults that are repeated beside each other."""
+        if self._restarts_after_takeovers:
+            return [self._restart_workers_after_takeover]
         if self._restarts_cut_workers:
             return [self._restart_cut_worker] * CUT_RESTART_LOOP_COUNT
         faults = [self._restart_workers, self._restart_workers, self._cut_workers]
@@ -278,6 +291,23 @@
         elapsed = get_running_loop().time() - worker.run_history[-1].started_at
         return elapsed <= RECENT_START_SECONDS
 
+    async def _restart_workers_after_takeover(self) -> None:
+        owner = self.cluster.find_owner()
+        if owner is None:
+            return
+        await owner.kill()
+        await self.cluster.wait_for(self.cluster.find_owner, TAKEOVER_LIMIT_SECONDS)
+        await owner.start()
+        # The next owner reaches the workers and starts tasks.
+        await sleep(self.random.uniform(0.5, 2.0))
+        names = set(
+            self.random.sample(sorted(self.cluster.workers), RESTARTED_WORKER_COUNT)
+        )
+        for name in sorted(names):
+            self.cluster.workers[name].restart()
+            self.cluster.register_worker(name)
+        await self._cut(names, self.random.uniform(*TAKEOVER_CUT_SECONDS))
+
     async def _cut(self, names: set[WorkerId], seconds: float) -> None:
         deadline = get_running_loop().time() + seconds
         while get_running_loop().time() < deadline:
--- a/jujubebarrow/tests/proof_late_order_mutations.py
+++ b/jujubebarrow/tests/proof_late_order_mutations.py
@@ -13,6 +13,7 @@
 from jujubebarrow.tests.fakes.late_order_faults import (
     LARGE_TASK_RESTART_LOAD,
     LONG_TASK_LOAD,
+    SHORT_SPREAD_LOAD,
     SPREAD_LOAD,
     WIDE_SPREAD_LOAD,
 )
@@ -96,8 +97,10 @@
     def test_late_starts_of_former_owners_ignored(self) -> None:
         self.assert_detected(
             patch.object(PoolState, "set_former_owners_starts", lambda self, _: None),
-            kills_owners=True,
-            load=SPREAD_LOAD,
+            expected="after the end of",
+            seeds=RESTART_SEEDS,
+            restarts_after_takeovers=True,
+            load=SHORT_SPREAD_LOAD,
         )
 
     def test_registration_of_a_former_incarnation_used(self) -> None:
--- a/jujubebarrow/tests/proof_late_orders.py
+++ b/jujubebarrow/tests/proof_late_orders.py
@@ -16,6 +16,7 @@
     LASTING_LOAD,
     LONG_TASK_LOAD,
     MIXED_LOAD,
+    SHORT_SPREAD_LOAD,
     SPREAD_LOAD,
     WIDE_SPREAD_LOAD,
     LateOrderFaults,
@@ -56,6 +57,7 @@
     changes_capacity: bool = False,
     postpones_leases: bool = False,
     restarts_cut_workers: bool = False,
+    restarts_after_takeovers: bool = False,
     load: LateOrderLoad | None = None,
 ) -> list[str]:
     """Return the violations that the workers' records show after a seeded run."""
@@ -64,6 +66,7 @@
         "changes_capacity": changes_capacity,
         "postpones_leases": postpones_leases,
         "restarts_cut_workers": restarts_cut_workers,
+        "restarts_after_takeovers": restarts_after_takeovers,
     }
     return run_cluster(seed, load, **options).find_violations()
 
@@ -197,6 +200,14 @@
                 violations = simulate(seed, restarts_cut_workers=True, load=load)
                 self.assertEqual(violations, [])
 
+    def test_late_orders_around_workers_restarted_after_takeovers(self) -> None:
+        for seed in RESTART_SEEDS:
+            with self.subTest(seed=seed):
+                violations = simulate(
+                    seed, restarts_after_takeovers=True, load=SHORT_SPREAD_LOAD
+                )
+                self.assertEqual(violations, [])
+
     def test_late_orders_around_workers_restarted_with_another_kind(self) -> None:
         self._check_kinds(KIND_SEEDS)
 
