Ask workers only while a response is needed, and limit what a response shows

- An owner went on asking the workers whose machines it had lent, since they stay cordoned.
A worker is now asked only until it has responded, and only while no move has shown whether workers keep their ids.
- A renewal whose response the worker may delay was sent up to 0.6 s after the last one.
A worker that had restarted in between delayed it like the former one: starts 0.63 to 0.88 s after the last contact.
From 0.24 s on, the response may not be delayed.
- A renewal without a result counted as an open connection for as long as it hung; 2 s now.
- A response of a younger clock, less than a second below the last reading, counted as a response of the known incarnation.
- A worker that had been registered in another pool for more than 26 s without a change got no higher token.
The time counts from the end of that registration now.
- The record of a claimed move outlived the replacement of its worker and a later claim without a known worker.

--- a/jujubebarrow/coordinators/pool_coordinators.py
+++ b/jujubebarrow/coordinators/pool_coordinators.py
@@ -162,7 +162,7 @@
         worker.warmed_up_at = now + entry.warm_up
         if entry.started_at_ms > worker.started_at_ms:
             self._reconciler.handle_restart(worker, entry.started_at_ms, now)
-        self.state.record_pool(worker, now)
+        self.state.record_registration(worker, now)
         self.state.replace_refused_token(worker)
         is_draining = entry.state is WorkerState.DRAINING
         if is_draining and not worker.draining_since:
--- a/jujubebarrow/coordinators/pool_states.py
+++ b/jujubebarrow/coordinators/pool_states.py
@@ -2,6 +2,7 @@
 
 from collections import Counter, defaultdict
 from collections.abc import Iterable
+from math import inf
 
 from jujubebarrow.coordinators.active_runs import ActiveRun, RunStage
 from jujubebarrow.coordinators.coordinator_options import CoordinatorOptions
@@ -71,9 +72,9 @@
         self._issued_token_count = 0
         self._refusal_count = 0
         self._checked_refusal_count = 0
-        # Times at which workers were last registered in other pools.
-        self._seen_elsewhere: dict[WorkerId, float] = {}
-        self._seen_elsewhere_pruned_at = owned_since
+        # Workers of other pools; times at which they were deregistered, or infinity.
+        self._other_pools_workers: dict[WorkerId, float] = {}
+        self._other_pools_pruned_at = owned_since
         self._joined_workers: set[WorkerId] = set()
         self._deferred: dict[QueueId, dict[JobId, None]] = defaultdict(dict)
         self._finished_runs: dict[JobId, list[FinishedRunRef]] = defaultdict(list)
@@ -161,6 +162,7 @@
                 self.issue_token(),
                 self.former_leases_end + self.options.late_order_window,
             )
+            view.needs_higher_token = worker in self._joined_workers
             self.workers[worker] = view
             late_starts = self._former_owners_starts.get(worker)
             if late_starts is not None:
@@ -207,39 +209,41 @@
         """Workers that need a token above those of the pool that they have left."""
         return frozenset(self._joined_workers)
 
-    def record_other_pool(self, worker: WorkerId, now: float) -> None:
+    def record_other_registration(self, worker: WorkerId, now: float) -> None:
         """Record that a worker is registered in another pool.
 
         Args:
             worker: Id of the worker.
             now: Time in seconds.
         """
-        self._seen_elsewhere[worker] = now
-        window = self._other_pool_window
-        if now - self._seen_elsewhere_pruned_at > window:
-            self._seen_elsewhere_pruned_at = now
-            self._seen_elsewhere = {
-                name: seen_at
-                for name, seen_at in self._seen_elsewhere.items()
-                if now - seen_at <= window
+        self._other_pools_workers[worker] = inf
+        window = self.options.late_order_window
+        if now - self._other_pools_pruned_at > window:
+            self._other_pools_pruned_at = now
+            self._other_pools_workers = {
+                name: left_at
+                for name, left_at in self._other_pools_workers.items()
+                if now - left_at <= window
             }
 
-    @property
-    def _other_pool_window(self) -> float:
-        """Seconds for which a registration in another pool counts.
+    def record_deregistration(self, worker: WorkerId, now: float) -> None:
+        """Record that a worker is not registered any more in whichever pool.
 
-        The last start there may be as much later as a registration may be old.
+        Args:
+            worker: Id of the worker.
+            now: Time in seconds.
         """
-        return 2 * self.options.late_order_window
+        if worker in self._other_pools_workers:
+            self._other_pools_workers[worker] = now
 
-    def record_pool(self, worker: WorkerView, now: float) -> None:
+    def record_registration(self, worker: WorkerView, now: float) -> None:
         """Record that a worker is registered in this pool.
 
         A worker that has come from another pool under its id may execute a late start
         of that pool's owner, whose token may be higher than the present one.
         """
-        seen_at = self._seen_elsewhere.pop(worker.worker, None)
-        if seen_at is not None and now - seen_at <= self._other_pool_window:
+        left_at = self._other_pools_workers.pop(worker.worker, float("-inf"))
+        if now - left_at <= self.options.late_order_window:
             worker.needs_higher_token = True
             self._joined_workers.add(worker.worker)
 
--- a/jujubebarrow/coordinators/worker_views.py
+++ b/jujubebarrow/coordinators/worker_views.py
@@ -28,6 +28,9 @@
 CONTACT_AGE_LIMIT_SECONDS = 0.6
 """Age up to which a response shows that a worker has not restarted since; longer than
 the time between two responses of a worker with finite runs."""
+OPEN_RENEWAL_LIMIT_SECONDS = 2.0
+"""Time for which a renewal without a result shows that its connection is open; the
+longest wait for a run to finish, and a slow response."""
 UNKNOWN_START_MS = 0
 """Start time in the registration of a worker whose start is not known."""
 
@@ -68,6 +71,7 @@
         self.lease_issued_at: float | None = None
         self.last_contact_at: float | None = None
         self._open_renewal_at: float | None = None
+        self.needs_contact = False
         self.unresponsive_since = 0.0
         self.last_failure_at = float("-inf")
         self.acknowledged = 0
@@ -370,6 +374,7 @@
         self.score = WorkerScore()
         self.draining_since = 0.0
         self.is_cordoned = False
+        self.needs_contact = False
         self.best_effort_speed_percent = 100
 
     def extend_expiry(self, expiry: float) -> None:
@@ -412,6 +417,7 @@
         self._clock_reading = clock
         self._clock_read_at = now
         self.last_contact_at = now
+        self.needs_contact = False
         self.unresponsive_since = 0.0
 
     def begin_renewal(self, now: float) -> None:
@@ -423,13 +429,16 @@
         self._open_renewal_at = None
 
     def is_contact_recent(self, now: float) -> bool:
-        """Return whether the worker can hardly have restarted since its last response.
+        """Return whether the worker has responded shortly before.
 
-        A restart closes the connection of a renewal that is under way.
+        A response counts for as long as the next renewal is under way, since a worker
+        that crashes closes the connection.
         """
         if self.last_contact_at is None:
             return False
         checked_at = now if self._open_renewal_at is None else self._open_renewal_at
+        if now - checked_at > OPEN_RENEWAL_LIMIT_SECONDS:
+            return False
         return checked_at - self.last_contact_at <= CONTACT_AGE_LIMIT_SECONDS
 
     def record_response(self, clock: float, now: float) -> None:
@@ -442,9 +451,12 @@
             clock: Reading of the worker's clock in seconds.
             now: Time in seconds.
         """
-        self.last_contact_at = now
         if self._clock_read_at is None:
+            self.last_contact_at = now
             return
+        elapsed = CLOCK_RATE * (now - self._clock_read_at)
+        if clock >= self._clock_reading + elapsed - REORDERING_SECONDS:
+            self.last_contact_at = now
         if clock < self._clock_reading - REORDERING_SECONDS:
             self.record_failure(now)
         elif clock > self._clock_reading:
--- a/jujubebarrow/runtimes/load_registries.py
+++ b/jujubebarrow/runtimes/load_registries.py
@@ -63,8 +63,8 @@
         store: Store that holds the balance table.
         clock: Time source.
         metrics: Registry of the counters.
-        on_move: Called for each move of a known worker that any instance has claimed,
-            with the machine, the worker and the target pool.
+        on_move: Called for each move that any instance has claimed, with the machine,
+            its worker, or an empty id if that is unknown, and the target pool.
 
     Attributes:
         loads: Recent load of each pool at the last refresh; pools whose owner has not
@@ -154,8 +154,7 @@
                 )
                 target = PoolId(move.target)
                 self._moves[machine] = (row.revision, target, move.holder, ordered_at)
-                if move.worker:
-                    self._on_move(machine, WorkerId(move.worker), target)
+                self._on_move(machine, WorkerId(move.worker), target)
 
     def count_incoming(self) -> dict[PoolId, int]:
         """Return the number of incoming machines of each pool that has any."""
@@ -242,8 +241,7 @@
         for machine, target in targets.items():
             self._moves[machine] = (revision, target, holder, now)
             self._order_until[machine] = started_at + ORDER_WINDOW_SECONDS
-            if machine in workers:
-                self._on_move(machine, workers[machine], target)
+            self._on_move(machine, workers.get(machine, WorkerId("")), target)
         if now - started_at > ORDER_WINDOW_SECONDS:
             self._metrics.count("move_claimed_late")
             raise StoreError("claim of moves took too long")
--- a/jujubebarrow/runtimes/move_controllers.py
+++ b/jujubebarrow/runtimes/move_controllers.py
@@ -301,24 +301,25 @@
         listed = await self._machines.list_machines()
         self._listed_at = now
         self._listed_machines = listed
-        self._observe_ids(listed)
+        self._observe_ids(lambda: self._worker_ids.observe(listed))
         self._machines_by_worker = {
             machine.worker: machine for machine in listed if machine.worker
         }
         self._spare_machines = self._find_spare_machines({self._pool})
 
-    def _observe_ids(self, listed: list[Machine]) -> None:
+    def record_registration(self, entry: WorkerEntry) -> None:
+        """Record a registration, which shows whether a restarted worker kept its id."""
+        self._observe_ids(lambda: self._worker_ids.observe_registration(entry))
+
+    def _observe_ids(self, observe: Callable[[], None]) -> None:
+        """Log if an observation shows something new."""
         may_keep_id = self._worker_ids.may_keep_id
-        self._worker_ids.observe(listed)
+        observe()
         if self._worker_ids.may_keep_id != may_keep_id:
             self._log.write(
                 "worker_ids_observed", may_keep_id=self._worker_ids.may_keep_id
             )
 
-    def record_registration(self, entry: WorkerEntry) -> None:
-        """Record a registration, which shows whether a restarted worker kept its id."""
-        self._worker_ids.observe_registration(entry)
-
     def _find_spare_machines(self, pools: set[PoolId]) -> list[Machine]:
         """Return the machines of standby pools that this instance may move."""
         return [
@@ -376,7 +377,9 @@
         for worker, target in zip(movable, requested, strict=False):
             worker.is_cordoned = True
             self._pending_moves[worker.worker] = (target, now)
-            self._hooks.on_change()
+            if not self._worker_ids.is_decided:
+                worker.needs_contact = True
+                self._hooks.on_change()
         if self._pending_moves:
             await self._refresh_machines()
         ready = self._list_ready_moves(now)
@@ -399,8 +402,13 @@
             machine = self._machines_by_worker.get(name)
             is_free = not worker.runs and not self._may_start_elsewhere(worker, now)
             # Only the move of a known worker shows whether workers keep their ids.
-            is_free &= self._worker_ids.is_decided or worker.is_contact_recent(now)
-            if is_free and machine is not None and self._is_movable(machine):
+            is_known = self._worker_ids.is_decided or worker.is_contact_recent(now)
+            if (
+                is_free
+                and is_known
+                and machine is not None
+                and self._is_movable(machine)
+            ):
                 ready.append((worker, machine, target))
             elif now - planned_at > DRAIN_GRACE_SECONDS:
                 self._cancel_move(worker)
--- a/jujubebarrow/runtimes/pool_owners.py
+++ b/jujubebarrow/runtimes/pool_owners.py
@@ -429,7 +429,7 @@
         self._move_controller.record_registration(entry)
         now = self._clock.monotonic()
         if entry.pool != self.pool:
-            self.coordinator.state.record_other_pool(entry.worker, now)
+            self.coordinator.state.record_other_registration(entry.worker, now)
             self.coordinator.handle_deregistration(entry.worker)
             return
         self.coordinator.handle_registration(entry, now)
@@ -437,6 +437,7 @@
 
     def on_worker_deregistered(self, worker: WorkerId) -> None:
         """Mark a worker as no longer registered."""
+        self.coordinator.state.record_deregistration(worker, self._clock.monotonic())
         self.coordinator.handle_deregistration(worker)
         self.on_change()
 
@@ -528,7 +529,7 @@
                 )
                 self._sessions[name] = session
                 self._tasks.start_loop(session.run)
-            elif worker.runs or worker.is_cordoned:
+            elif worker.runs or worker.needs_contact:
                 session.wake()
         for name in [name for name in self._sessions if name not in workers]:
             del self._sessions[name]
--- a/jujubebarrow/runtimes/worker_id_observers.py
+++ b/jujubebarrow/runtimes/worker_id_observers.py
@@ -39,8 +39,17 @@
         return self._has_stayed or not self._has_changed
 
     def record_move(self, machine: MachineId, worker: WorkerId, pool: PoolId) -> None:
-        """Record a move to a pool of a machine whose worker has just responded."""
-        self._moves[machine] = (worker, pool)
+        """Record the claim of a move to a pool.
+
+        Args:
+            machine: Machine that is moved.
+            worker: Worker of the machine that has just responded; empty if unknown.
+            pool: Pool to which the machine is moved.
+        """
+        if worker:
+            self._moves[machine] = (worker, pool)
+        else:
+            self._moves.pop(machine, None)
 
     def observe_registration(self, entry: WorkerEntry) -> None:
         """Compare the start of a registered worker with the last one of that id."""
@@ -69,4 +78,7 @@
                     self._has_stayed = True
                 elif machine.pool == target:
                     self._has_changed = True
+            elif machine.worker != worker:
+                # The worker has been replaced since the claim.
+                self._moves.pop(machine.machine, None)
             self._pools[machine.machine] = (machine.pool, machine.worker)
--- a/jujubebarrow/runtimes/worker_sessions.py
+++ b/jujubebarrow/runtimes/worker_sessions.py
@@ -29,6 +29,8 @@
 RENEWAL_SPACING_SECONDS = 0.12
 """Minimum seconds between two renewals, so that runs that finish at nearly the same
 time are reported together."""
+FRESH_CONTACT_SECONDS = 2 * RENEWAL_SPACING_SECONDS
+"""Age up to which a response shows that the next one may be delayed."""
 FIRST_RETRY_SECONDS = 0.03
 """Seconds before the retry after a first failed renewal; short, because two messages in
 a row are rarely lost."""
@@ -45,9 +47,9 @@
     """Loop that renews the leases on one worker while the worker has active runs.
 
     The loop also renews while finished runs of the worker are not yet stored and
-    acknowledged, until the worker has seen the owner's token, while it is cordoned, so
-    that its machine is moved with a known worker, and while it is unresponsive: such a
-    worker gets no tasks, so nothing else would show that it responds again.
+    acknowledged, until the worker has seen the owner's token, while a response is
+    needed, and while the worker is unresponsive: such a worker gets no tasks, so
+    nothing else would show that it responds again.
 
     Args:
         worker: Coordinator's view of the worker.
@@ -103,7 +105,7 @@
             and not worker.unresponsive_since
             and not worker.runs
             and not self._may_start_late
-            and not worker.is_cordoned
+            and not worker.needs_contact
             and not worker.has_orphans
             and not worker.has_unrecorded_finished_runs
             and not worker.has_unconfirmed_acknowledgement
@@ -190,10 +192,12 @@
 
     def _choose_wait_seconds(self) -> float:
         worker = self._worker
-        if not worker.is_contact_recent(self._clock.monotonic()):
+        contact_at = worker.last_contact_at
+        now = self._clock.monotonic()
+        if contact_at is None or now - contact_at > FRESH_CONTACT_SECONDS:
+            # The worker may have restarted since and would delay its response.
             return 0.0
-        is_watched = self._may_start_late or worker.is_cordoned
-        if worker.has_seen_token and is_watched and not worker.runs:
+        if worker.has_seen_token and self._may_start_late and not worker.runs:
             return 0.0 if worker.unresponsive_since else SHORT_WAIT_SECONDS
         has_inherited_or_stopping_run = any(
             run.stage in (RunStage.INHERITED, RunStage.STOPPING)
--- a/jujubebarrow/tests/test_joined_workers.py
+++ b/jujubebarrow/tests/test_joined_workers.py
@@ -17,19 +17,28 @@
 from jujubebarrow.workloads.task_keys import TaskKey
 
 SETTLE_SECONDS = 2.0
+LONG_STAY_SECONDS = 30.0
+"""Longer than twice the time in which late orders may be executed."""
 JOINED = WorkerId("o0")
 STEP = StepSpec(count=6, needs=Resources(4000, 500))
 
 
 class JoinedWorkerTest(JobCase):
-    async def make_late_start(self, cluster: JobCluster) -> StartOrder:
-        """Return a start by an owner of the other pool that claimed it last."""
+    async def make_late_start(
+        self, cluster: JobCluster, stay_seconds: float
+    ) -> StartOrder:
+        """Return a start by an owner of the other pool that claimed it last.
+
+        Args:
+            cluster: Simulated cluster.
+            stay_seconds: Time from that claim to the start.
+        """
         owner = cluster.find_owner(OTHER_POOL)
         assert owner is not None
         await owner.kill()
         await owner.start()
         await cluster.wait_for(lambda: cluster.find_owner(OTHER_POOL), 10.0)
-        await sleep(SETTLE_SECONDS)
+        await sleep(stay_seconds)
         owner = cluster.find_owner(OTHER_POOL)
         pool_owner = owner and owner.node and owner.node.find_owner(OTHER_POOL)
         assert pool_owner
@@ -48,12 +57,12 @@
             ticket="",
         )
 
-    def test_late_start_of_the_former_pool_is_fenced_before_tasks_are_placed(
-        self,
-    ) -> None:
+    def run_move(self, stay_seconds: float) -> None:
+        """Let a worker join the pool, then execute a start of its former pool."""
+
         async def scenario(cluster: JobCluster) -> None:
             await cluster.wait_for(lambda: cluster.find_owner(POOL), 10.0)
-            late_start = await self.make_late_start(cluster)
+            late_start = await self.make_late_start(cluster, stay_seconds)
             worker = cluster.workers[JOINED]
             worker.crash()
             cluster.unregister_worker(JOINED)
@@ -67,3 +76,11 @@
             self.assertIs(result.outcome, OrderOutcome.FENCED)
 
         self.run_scenario(scenario, workers=1, others=2, has_other_queue=True)
+
+    def test_late_start_of_the_former_pool_is_fenced_before_tasks_are_placed(
+        self,
+    ) -> None:
+        self.run_move(SETTLE_SECONDS)
+
+    def test_late_start_is_fenced_after_a_long_stay_in_the_former_pool(self) -> None:
+        self.run_move(LONG_STAY_SECONDS)
--- a/jujubebarrow/tests/test_load_reads.py
+++ b/jujubebarrow/tests/test_load_reads.py
@@ -61,7 +61,7 @@
 
         run_virtual(scenario())
 
-    def test_moves_of_known_workers_are_reported_once_to_each_instance(self) -> None:
+    def test_moves_and_their_workers_are_reported_once_to_each_instance(self) -> None:
         async def scenario() -> None:
             shared = SharedStore(Random(1))
             reported: list[tuple[str, ...]] = []
@@ -78,11 +78,12 @@
             for _ in range(3):
                 await sleep(0.2)
                 await reader.refresh()
-            self.assertEqual(reported, [("m1", "w1", POOL)])
+            moves = [("m1", "w1", POOL), ("m2", "", POOL)]
+            self.assertEqual(reported, moves)
             # All rows are read again.
             await sleep(7.0)
             await reader.refresh()
-            self.assertEqual(len(reported), 1)
+            self.assertEqual(reported, moves)
 
         run_virtual(scenario())
 
--- a/jujubebarrow/tests/test_moved_workers.py
+++ b/jujubebarrow/tests/test_moved_workers.py
@@ -158,6 +158,22 @@
         self.assertTrue(self.observer.may_keep_id)
         self.assertFalse(self.observer.is_decided)
 
+    def test_worker_that_was_replaced_before_its_recorded_move_proves_nothing(
+        self,
+    ) -> None:
+        self.observe(POOL, "a")
+        self.record_move("a", OTHER_POOL)
+        self.observe(POOL, "b")
+        self.observe(OTHER_POOL, "c")
+        self.assertFalse(self.observer.is_decided)
+
+    def test_later_claim_without_a_known_worker_proves_nothing(self) -> None:
+        self.observe(POOL, "a")
+        self.record_move("a", OTHER_POOL)
+        self.record_move("", OTHER_POOL)
+        self.observe(OTHER_POOL, "b")
+        self.assertFalse(self.observer.is_decided)
+
     def test_move_to_a_third_pool_proves_nothing(self) -> None:
         self.observe(POOL, "a")
         self.record_move("a", OTHER_POOL)
