Tell in pages of the emulated platform store that rows are left

PlatformTable cut a read at its Limit, but always answered HasMore false. A new owner that read a queue's progress with a limit of 117 rows took the remaining jobs, the last by key, for jobs without progress and ran their tasks again from run 1.

--- a/jujubebarrow/tests/fakes/platform_tables.py
+++ b/jujubebarrow/tests/fakes/platform_tables.py
@@ -12,6 +12,8 @@
 Response = tuple[int, bytes]
 WireKey = tuple[str, str, str]
 WAIT_PERIOD_SECONDS = 0.02
+ROWS_LIMIT = 500
+"""Most rows of a page."""
 
 
 def encode_document(document: dict[str, Any]) -> str:
@@ -74,18 +76,19 @@
             names = {key[1] for key in self.rows if key[0] == query["Table"]}
             after = query.get("After", "")
             return 200, json.encode({"parts": sorted(n for n in names if n > after)})
-        return self._make_page(self._select(query))
+        rows = self._select(query)
+        limit = int(query.get("Limit", "0")) or ROWS_LIMIT
+        return self._make_page(rows[:limit], has_more=len(rows) > limit)
 
     def _select(self, query: dict[str, str]) -> list[dict[str, Any]]:
         scope = query["Table"], query.get("part", "")
-        rows = [
+        return [
             row
             for key, row in sorted(self.rows.items())
             if key[:2] == scope
             and key[2] >= query.get("From", "")
             and ("To" not in query or key[2] < query["To"])
         ]
-        return rows[: int(query.get("Limit", "0")) or None]
 
     async def _read_changes(self, query: dict[str, str]) -> Response:
         after = int(query["After"])
@@ -103,10 +106,12 @@
                 )
             await asyncio.sleep(WAIT_PERIOD_SECONDS)
 
-    def _make_page(self, rows: list[dict[str, Any]]) -> Response:
+    def _make_page(
+        self, rows: list[dict[str, Any]], has_more: bool = False
+    ) -> Response:
         now_ms = round(asyncio.get_running_loop().time() * 1000)
         document = {"rows": rows, "Ver": self._revision, "NowMs": now_ms}
-        return 200, json.encode(document | {"HasMore": False})
+        return 200, json.encode(document | {"HasMore": has_more})
 
 
 def _get_key(row: dict[str, Any]) -> WireKey:
