Check room, labels, limits of steps and pools in the proof of refused jobs

It now finds starts beyond the room, without the label, beyond most_per_worker, and in another pool than the queue's, from the workers' records.

--- a/jujubebarrow/tests/fakes/platform_callers.py
+++ b/jujubebarrow/tests/fakes/platform_callers.py
@@ -4,19 +4,24 @@
 from dataclasses import dataclass, field
 from enum import Enum
 from random import Random
+from typing import Any
 
 from msgspec import json
 
-from jujubebarrow.tests.fakes.platform_sites import HOST, PREFIX, SiteEntry
+from jujubebarrow.tests.fakes.platform_loads import (
+    HOST,
+    PLAIN_STEP,
+    PRINT_QUEUE,
+    QueueSpec,
+    SiteLoad,
+)
+from jujubebarrow.tests.fakes.platform_sites import SiteEntry
 
 ATTEMPT_TIMEOUT_SECONDS = 3.0
 ATTEMPTS_LIMIT = 5
 RETRY_SECONDS = 0.1
 UNKNOWN_STATUSES = frozenset({502, 504})
 """Statuses after which a caller sends the same job again, as it may be stored."""
-BODY = json.encode(
-    {"Spec": "s", "Steps": [{"Count": 2, "Cpu": 500, "MemMb": 64, "EstimateMs": 300}]}
-)
 
 
 class AttemptOutcome(Enum):
@@ -35,11 +40,15 @@
         job: Id of the job.
         outcomes: Outcome of each attempt.
         statuses: HTTP status of each attempt; 0 for none.
+        queue: Queue of the job.
+        steps: Steps of the job in their wire form.
     """
 
     job: str
     outcomes: list[AttemptOutcome] = field(default_factory=list)
     statuses: list[int] = field(default_factory=list)
+    queue: QueueSpec = PRINT_QUEUE
+    steps: list[dict[str, Any]] = field(default_factory=lambda: [PLAIN_STEP])
 
     @property
     def is_accepted(self) -> bool:
@@ -57,15 +66,22 @@
 
     Args:
         entries: Instances that get the submissions.
-        random: Random generator of the instances and pauses.
+        random: Random generator of the instances, pauses and jobs.
+        load: Jobs that the caller submits.
 
     Attributes:
         jobs: Jobs submitted so far.
     """
 
-    def __init__(self, entries: list[SiteEntry], random: Random):
+    def __init__(
+        self,
+        entries: list[SiteEntry],
+        random: Random,
+        load: SiteLoad = SiteLoad.PLAIN,
+    ):
         self._entries = entries
         self._random = random
+        self._load = load
         self._connections: dict[
             str, tuple[asyncio.StreamReader, asyncio.StreamWriter]
         ] = {}
@@ -86,6 +102,8 @@
         """
         while asyncio.get_running_loop().time() < deadline:
             job = SubmittedJob(f"{self._random.getrandbits(64):016x}")
+            job.queue = self._load.draw_queue(self._random)
+            job.steps = self._load.draw_steps(self._random)
             self.jobs.append(job)
             for _ in range(self._random.randint(1, ATTEMPTS_LIMIT)):
                 await self._attempt(self._random.choice(self._entries), job)
@@ -100,7 +118,7 @@
             async with asyncio.timeout(ATTEMPT_TIMEOUT_SECONDS):
                 reader, writer = await self._connect(entry)
                 is_sent = True
-                status = await _post(reader, writer, job.job)
+                status = await _post(reader, writer, job)
         except (OSError, EOFError, TimeoutError):
             connection = self._connections.pop(entry.name, None)
             if connection is not None:
@@ -124,15 +142,16 @@
 
 
 async def _post(
-    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, job: str
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, job: SubmittedJob
 ) -> int:
     """Send a job and return the status of the response."""
+    body = json.encode({"Spec": "s", "Steps": job.steps})
     head = (
-        f"POST {PREFIX}{job} HTTP/1.1\r\nHost: {HOST}\r\n"
-        f"Content-Type: application/json\r\nContent-Length: {len(BODY)}\r\n"
+        f"POST {job.queue.prefix}{job.job} HTTP/1.1\r\nHost: {HOST}\r\n"
+        f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n"
         f"X-Deadline-Ms: {round(ATTEMPT_TIMEOUT_SECONDS * 1000)}\r\n\r\n"
     )
-    writer.write(head.encode() + BODY)
+    writer.write(head.encode() + body)
     await writer.drain()
     response_head = (await reader.readuntil(b"\r\n\r\n")).decode()
     size = 0
--- a/jujubebarrow/tests/fakes/platform_sites.py
+++ b/jujubebarrow/tests/fakes/platform_sites.py
@@ -16,18 +16,13 @@
 from jujubebarrow.platform.stores import COMMIT_PATH
 from jujubebarrow.standins.emulated_workers import EmulatedWorker, TaskBehaviour
 from jujubebarrow.standins.processes import ChildProcess
+from jujubebarrow.tests.fakes.platform_loads import HOST, KINDS, SiteLoad
 from jujubebarrow.tests.fakes.platform_tables import PlatformTable, Response
 from jujubebarrow.tests.fakes.platform_worker_paths import WorkerPath
 from jujubebarrow.tests.fakes.resetting_servers import ResettingServer, ServerRequest
 from jujubebarrow.workloads.identifiers import WorkerId
-from jujubebarrow.workloads.resources import Resources
-
-POOL = "labels"
-QUEUE = "print"
-HOST = "labels.example"
-PREFIX = "/print/"
-CAPACITY = Resources(16000, 16000)
-RUN_SECONDS = 0.3
+
+RACK = "r1"
 LEASE_SECONDS = 6.0
 STORE_DELAY_SECONDS = 0.004
 LATE_WRITE_RANGE_SECONDS = (1.0, 3.0)
@@ -134,14 +129,16 @@
 
 @dataclass
 class PlatformSite:
-    """Entry instances, one pool of workers and the platform's services.
+    """Entry instances, a pool of workers for each queue and the platform's services.
 
     Attributes:
         random: Random generator of the faults.
         host: Loopback address of the instances, so that sites beside each other do not
             compete for ports.
         entry_count: Number of entry instances.
-        worker_count: Number of workers.
+        load: Queues and workers of the site.
+        log_folder: Directory of the instances' logs, which stay there; a temporary one
+            if None.
         table: The store.
         entries: Entry instances.
         workers: Workers.
@@ -151,20 +148,28 @@
     random: Random
     host: str = field(default_factory=lambda: draw_loopback_address())
     entry_count: int = 4
-    worker_count: int = 4
+    load: SiteLoad = SiteLoad.PLAIN
+    log_folder: Path | None = None
     table: PlatformTable = field(default_factory=PlatformTable)
     entries: list[SiteEntry] = field(default_factory=list)
     workers: list[EmulatedWorker] = field(default_factory=list)
     worker_paths: list[WorkerPath] = field(default_factory=list)
+    _worker_servers: list[ResettingServer] = field(default_factory=list)
+    _addresses: list[str] = field(default_factory=list)
     _stack: AsyncExitStack = field(default_factory=AsyncExitStack)
 
     async def __aenter__(self) -> "PlatformSite":
         """Start all servers and processes; do not wait for the instances."""
-        folder = Path(self._stack.enter_context(TemporaryDirectory()))
+        folder = self.log_folder
+        if folder is None:
+            folder = Path(self._stack.enter_context(TemporaryDirectory()))
         try:
             self._write_configuration()
-            for number in range(self.worker_count):
-                await self._add_worker(f"i-{number}")
+            for queue in self.load.queues:
+                for number in range(self.load.worker_count):
+                    name = f"i-{len(self.workers)}"
+                    kind = KINDS[number % len(KINDS)]
+                    await self._add_worker(name, queue.pool, kind)
             machine_address = await self._serve(_list_no_machines)
             for number in range(self.entry_count):
                 await self._add_entry(f"entry-{number}", folder, machine_address)
@@ -178,35 +183,68 @@
         await self._stack.aclose()
 
     async def _serve(self, respond: Any) -> str:
+        return (await self._open_server(respond))[1]
+
+    async def _open_server(self, respond: Any) -> tuple[ResettingServer, str]:
         server = ResettingServer(respond)
         address = await server.open()
         self._stack.push_async_callback(server.close)
-        return address
+        return server, address
 
     def _write_configuration(self) -> None:
-        route = {"Name": QUEUE, "Host": HOST, "Prefix": PREFIX, "Backend": POOL}
         limits = {"TimeoutMs": 3000, "SloMs": 1000, "MaxAttempts": 3, "Public": True}
-        services = [{"Name": POOL}]
-        document = {"Version": 1, "Routes": [route | limits], "Services": services}
+        routes = [
+            {"Name": queue.queue, "Prefix": queue.prefix, "Backend": queue.pool}
+            | {"Host": HOST}
+            | limits
+            for queue in self.load.queues
+        ]
+        services = [{"Name": queue.pool} for queue in self.load.queues]
+        document = {"Version": 1, "Routes": routes, "Services": services}
         self.table.write("op", "config", document)
 
-    async def _add_worker(self, name: str) -> None:
+    async def _add_worker(self, name: str, pool: str, kind: str) -> None:
         worker = EmulatedWorker(
             WorkerId(name),
-            PoolId(POOL),
-            CAPACITY,
+            PoolId(pool),
+            self.load.capacity,
             LEASE_SECONDS,
             {},
-            default_behaviour=TaskBehaviour(seconds=RUN_SECONDS),
+            labels=(kind, RACK),
+            default_behaviour=TaskBehaviour(seconds=self.load.run_seconds),
         )
         path = WorkerPath(worker, Random(self.random.random()))
-        address = await self._serve(path.respond)
-        capacity = {"Cpu": CAPACITY.cpu, "MemMb": CAPACITY.memory}
-        registration = {"Backend": POOL, "Address": address, "State": "ready"}
-        registration |= {"Zone": "z", "Capacity": capacity, "born": 1, "Machine": name}
-        self.table.write("servers", name, registration)
+        path.executes_late = self.load.executes_late
+        server, address = await self._open_server(path.respond)
         self.workers.append(worker)
         self.worker_paths.append(path)
+        self._worker_servers.append(server)
+        self._addresses.append(address)
+        self.register(len(self.workers) - 1)
+
+    def register(self, number: int) -> None:
+        """Write the registration of a worker.
+
+        Args:
+            number: Index of the worker.
+        """
+        entry = self.workers[number].entry
+        document = {
+            "Backend": entry.pool,
+            "Address": self._addresses[number],
+            "State": "ready",
+            "Zone": "z",
+            "Capacity": {"Cpu": entry.capacity.cpu, "MemMb": entry.capacity.memory},
+            "Labels": list(entry.labels),
+            "born": entry.started_at_ms,
+            "Machine": entry.worker,
+        }
+        self.table.write("servers", entry.worker, document)
+
+    def crash(self, number: int) -> None:
+        """Crash a worker, which closes all of its connections."""
+        self.worker_paths[number].crash()
+        self._worker_servers[number].abort_connections()
 
     async def _add_entry(self, name: str, folder: Path, machine_address: str) -> None:
         store_path = StorePath(self.table, Random(self.random.random()))
--- a/jujubebarrow/tests/fakes/resetting_servers.py
+++ b/jujubebarrow/tests/fakes/resetting_servers.py
@@ -52,11 +52,15 @@
         if self._server is not None:
             self._server.close()
 
+    def abort_connections(self) -> None:
+        """Close all connections without responses to their requests."""
+        for writer in list(self._writers):
+            writer.transport.abort()
+
     async def close(self) -> None:
         """Stop listening and close all connections."""
         self.stop_listening()
-        for writer in list(self._writers):
-            writer.transport.abort()
+        self.abort_connections()
         await asyncio.sleep(0)
 
     async def _serve(
