Bound the wait for a late start on a gone worker over all takeovers

A task whose start got no response waits until no worker can execute that start, and until the lease of a run that a restarted worker may have started late is over. For a worker that the owner has not reached, the latter was counted from the takeover, so that each new owner let the task wait anew, also long after the end that is stored for the start.

For a worker that is not registered, the wait now ends at a time that follows from the stored end of the start alone: that end, the time for which a superseded owner renews leases, the time in which such a renewal may be executed late, and the longest lease.

Failed try: not to prolong the stored end while a silent worker gets no order.

--- a/jujubebarrow/coordinators/late_start_waits.py
+++ b/jujubebarrow/coordinators/late_start_waits.py
@@ -4,6 +4,7 @@
 from jujubebarrow.coordinators.pool_states import PoolState
 from jujubebarrow.coordinators.step_states import StepState
 from jujubebarrow.coordinators.task_states import TaskState
+from jujubebarrow.coordinators.worker_views import CLOCK_RATE, WorkerView
 from jujubebarrow.workloads.identifiers import WorkerId
 
 ABSENCE_SECONDS = 9.0
@@ -81,7 +82,7 @@
         """
         worker = self._state.workers.get(name)
         if worker is not None and not worker.has_seen_token:
-            end = max(end, self._state.find_late_expiry(worker))
+            end = max(end, self._find_lease_end(worker, end))
         if now >= end:
             return False
         if not is_absence_limited:
@@ -93,3 +94,22 @@
             or not worker.has_seen_token
             or now - (worker.last_contact_at or 0.0) > CONTACT_SECONDS
         )
+
+    def _find_lease_end(self, worker: WorkerView, end: float) -> float:
+        """Return until when an unreached worker may run what it has started late.
+
+        Each takeover postpones the time until which former owners may have renewed the
+        worker's lease. A worker that is not registered, and has restarted before it
+        executed the start, got no renewal that was sent after that.
+
+        Args:
+            worker: Worker that has not seen the token of the orders to it.
+            end: Time in seconds until which the worker may execute the start.
+        """
+        options = self._state.options
+        expiry = self._state.find_late_expiry(worker)
+        if worker.entry is not None:
+            return expiry
+        last_renewed_at = end + options.superseded_renewal
+        last_executed_at = last_renewed_at + options.late_order_window
+        return min(expiry, last_executed_at + options.accepted_lease / CLOCK_RATE)
