--- a/jujubebarrow/tests/fakes/job_clusters.py
+++ b/jujubebarrow/tests/fakes/job_clusters.py
@@ -502,7 +502,7 @@
         violations = []
         by_gang = defaultdict(list)
         for run in self.list_runs():
-            if self._find_step(run.task).gang:
+            if self.find_step(run.task).gang:
                 by_gang[run.task[:3]].append(run)
         for runs in by_gang.values():
             done = [
@@ -526,7 +526,7 @@
         for run, active in self._iterate_starts():
             total = NO_RESOURCES
             for each in active:
-                total = total.plus(self._find_step(each.task).reserved)
+                total = total.plus(self.find_step(each.task).reserved)
             if not total.fits(run.known_capacity):
                 violations.append(
                     f"{run.worker}: {len(active)} tasks need {total} of "
@@ -538,7 +538,7 @@
         """Return the starts that the configuration or the step does not permit."""
         violations = []
         for run, active in self._iterate_starts():
-            step = self._find_step(run.task)
+            step = self.find_step(run.task)
             pool = self._find_pool(run.task)
             place = f"{run.task} on {run.worker} at {run.started_at:.3f}"
             if run.pool != pool:
@@ -558,7 +558,7 @@
         """
         violations = []
         for run in self.list_runs():
-            step = self._find_step(run.task)
+            step = self.find_step(run.task)
             pool = self._find_pool(run.task)
             known = self._list_registrations(run.worker, run.sent_at)
             if not any(
@@ -597,7 +597,7 @@
                 active.append(run)
                 yield run, active
 
-    def _find_step(self, task: TaskKey) -> StepSpec:
+    def find_step(self, task: TaskKey) -> StepSpec:
         submission = self.submissions.get(task.job)
         return submission.steps[task.step] if submission is not None else UNKNOWN_STEP
 
