--- a/jujubebarrow/runtimes/move_controllers.py
+++ b/jujubebarrow/runtimes/move_controllers.py
@@ -307,8 +307,8 @@
         }
         self._spare_machines = self._find_spare_machines({self._pool})
 
-    def record_registration(self, entry: WorkerEntry) -> None:
-        """Record a registration, which shows whether a restarted worker kept its id."""
+    def observe_registration(self, entry: WorkerEntry) -> None:
+        """Observe by a registration whether a restarted worker has kept its id."""
         self._observe_ids(lambda: self._worker_ids.observe_registration(entry))
 
     def _observe_ids(self, observe: Callable[[], None]) -> None:
--- a/jujubebarrow/runtimes/pool_owners.py
+++ b/jujubebarrow/runtimes/pool_owners.py
@@ -426,7 +426,7 @@
         """Apply a new or changed registration of a worker."""
         if self._is_closed:
             return
-        self._move_controller.record_registration(entry)
+        self._move_controller.observe_registration(entry)
         now = self._clock.monotonic()
         if entry.pool != self.pool:
             self.coordinator.state.record_other_registration(entry.worker, now)
