Repeat a start without a response only after the worker has responded again

Cause: a crash resets the connection of a start, and the start was repeated after 0.02 s, to whichever incarnation listened by then. A closed connection was taken for a lost message; the last response of the former incarnation was recent enough.

A start that gets no response now ends what the responses before have shown. A response that comes later shows the incarnation, and after a timeout there has mostly been one.

The unit test test_start_without_a_response_is_repeated_after_a_later_response failed before.

--- a/jujubebarrow/coordinators/run_orders.py
+++ b/jujubebarrow/coordinators/run_orders.py
@@ -139,6 +139,7 @@
         if outcome is not OrderOutcome.UNACKNOWLEDGED:
             worker.record_answer(sent_at)
         else:
+            worker.record_lost_start(sent_at)
             self._record_unacknowledged_start(worker, run, sent_at, now)
         worker.record_start_result(run, now)
         if (run.task, run.run) not in worker.runs or order.token != worker.token:
--- a/jujubebarrow/coordinators/worker_views.py
+++ b/jujubebarrow/coordinators/worker_views.py
@@ -71,6 +71,7 @@
         self.lease_issued_at: float | None = None
         self.last_contact_at: float | None = None
         self._open_renewal_at: float | None = None
+        self._lost_start_sent_at = float("-inf")
         self.needs_contact = False
         self.unresponsive_since = 0.0
         self.last_failure_at = float("-inf")
@@ -265,6 +266,10 @@
         self._late_starts.record_result(run, now)
         self._update_free()
 
+    def record_lost_start(self, sent_at: float) -> None:
+        """Record when a start was sent that got no response."""
+        self._lost_start_sent_at = max(self._lost_start_sent_at, sent_at)
+
     def record_unacknowledged_start(self, run: ActiveRun, now: float) -> None:
         """Record an unacknowledged start, which the worker may execute late."""
         self._late_starts.record_unacknowledged(run, now)
@@ -432,10 +437,12 @@
         """Return whether the worker has responded shortly before.
 
         A response counts for as long as the next renewal is under way, since a worker
-        that crashes closes the connection.
+        that crashes closes the connection, and until a later start gets no response.
         """
         if self.last_contact_at is None:
             return False
+        if self.last_contact_at < self._lost_start_sent_at:
+            return False
         checked_at = now if self._open_renewal_at is None else self._open_renewal_at
         if now - checked_at > OPEN_RENEWAL_LIMIT_SECONDS:
             return False
--- a/jujubebarrow/tests/test_restarted_workers.py
+++ b/jujubebarrow/tests/test_restarted_workers.py
@@ -536,6 +536,20 @@
         self.report(FIRST_START_MS, now=later)
         self.assertIsNotNone(self.coordinator.orders.make_start(run, later))
 
+    async def test_start_without_a_response_is_repeated_after_a_later_response(
+        self,
+    ) -> None:
+        [(run, _)] = self.start_tasks()
+        sent_at = NOW + 0.1
+        result = OrderResult(OrderOutcome.UNACKNOWLEDGED)
+        orders = self.coordinator.orders
+        order = orders.make_start(run, sent_at)
+        assert order is not None
+        orders.handle_start_result(run, order, result, sent_at, sent_at)
+        self.assertIsNone(orders.make_start(run, sent_at + 0.02))
+        self.report(FIRST_START_MS, now=sent_at + 0.05)
+        self.assertIsNotNone(orders.make_start(run, sent_at + 0.06))
+
     async def test_ends_of_a_worker_in_another_pool_are_not_acknowledged(self) -> None:
         task = TaskKey(JobId("1"), 0, 0, 0)
         ended = FinishedRun(1, task, RunNumber(1), RunOutcome.DONE, "")
