Log the ids of callers' requests

The lines about submissions, cancellations and refused calls have it now as `request`; the core's interface gives its own ids. At most 64 characters.

--- a/jujubebarrow/callers/job_handlers.py
+++ b/jujubebarrow/callers/job_handlers.py
@@ -12,7 +12,7 @@
 from jujubebarrow.errors.exceptions import RefusalError
 from jujubebarrow.errors.kinds import ErrorKind
 from jujubebarrow.fleets.queue_routes import QueueRoute
-from jujubebarrow.identifiers import JobId, QueueId
+from jujubebarrow.identifiers import JobId, QueueId, RequestId
 from jujubebarrow.workloads.job_phases import JobPhase
 
 JOB_ID_BYTES = 8
@@ -85,7 +85,14 @@
         job = make_job_id(caller.team, queue, key)
         intake = self.context.jobs.intake
         try:
-            await intake.submit(route, caller.team, job, submission, timeout)
+            await intake.submit(
+                route,
+                caller.team,
+                job,
+                submission,
+                timeout,
+                RequestId(self.request_id),
+            )
         except RefusalError as error:
             if error.kind is not ErrorKind.RUN_UNKNOWN:
                 raise
@@ -110,7 +117,9 @@
     async def delete(self, queue: str, job: str) -> None:
         """Cancel a job; the cancellation is stored before the response is sent."""
         caller, route = self._authorise(queue)
-        await self.context.jobs.intake.cancel(route, caller.team, JobId(job))
+        await self.context.jobs.intake.cancel(
+            route, caller.team, JobId(job), RequestId(self.request_id)
+        )
         await self._send_current_state(caller, queue, job)
 
     async def _send_current_state(self, caller: Caller, queue: str, job: str) -> None:
--- a/jujubebarrow/identifiers.py
+++ b/jujubebarrow/identifiers.py
@@ -18,3 +18,5 @@
 
 OPEN_TEAM = TeamId("")
 """Team of requests and jobs on an open queue, which callers use without a key."""
+UNNAMED_REQUEST = RequestId("")
+"""Id of a request whose caller has given it none."""
--- a/jujubebarrow/platform/callers.py
+++ b/jujubebarrow/platform/callers.py
@@ -11,7 +11,7 @@
 from jujubebarrow.errors.exceptions import RefusalError
 from jujubebarrow.errors.kinds import ErrorKind
 from jujubebarrow.fleets.queue_routes import QueueRoute
-from jujubebarrow.identifiers import OPEN_TEAM, JobId, TeamId
+from jujubebarrow.identifiers import OPEN_TEAM, JobId, RequestId, TeamId
 from jujubebarrow.logs.decision_logs import DecisionLog
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.platform.wire_jobs import SPEC_LIMIT_BYTES, WireJob
@@ -22,6 +22,9 @@
 AUTHORIZATION_SCHEME = "token"
 JOB_ID_PATTERN = re.compile(r"[0-9a-fA-F]{16}")
 DEADLINE_HEADER = "X-Deadline-Ms"
+REQUEST_HEADER = "Request-Id"
+REQUEST_ID_LENGTH_LIMIT = 64
+"""Longest id of a request in the log; the rest of a longer one is left out."""
 DEFAULT_DEADLINE_SECONDS = 3.0
 """Deadline of a request without a deadline header."""
 RESPONSE_MARGIN_SECONDS = 0.15
@@ -83,7 +86,12 @@
             # The job may or may not be stored; the caller repeats the request with
             # the same job id.
             self._metrics.count("call_failed", type(error).__name__)
-            self._log.write("call_failed", path=request.path, detail=repr(error))
+            self._log.write(
+                "call_failed",
+                request=_read_request_id(request),
+                path=request.path,
+                detail=repr(error),
+            )
             response = self._make_error_response(
                 request, RefusalError(ErrorKind.INTERNAL)
             )
@@ -101,6 +109,7 @@
         age = self._node.fleet_source.age
         self._log.write(
             "call_refused",
+            request=_read_request_id(request),
             method=request.method,
             path=request.path,
             reason=error.kind.value,
@@ -134,7 +143,7 @@
             phase = await intake.read_phase(route, team, job)
             return ServerResponse(200, json.encode({"State": PHASE_NAMES[phase]}))
         if request.method == "DELETE":
-            await intake.cancel(route, team, job)
+            await intake.cancel(route, team, job, _read_request_id(request))
             return ServerResponse(200)
         raise RefusalError(ErrorKind.BAD_REQUEST, f"method {request.method}")
 
@@ -187,7 +196,9 @@
             self._read_deadline(request) - RESPONSE_MARGIN_SECONDS,
         )
         submission = wire.to_submission()
-        await self._node.intake.submit(route, team, job, submission, timeout)
+        await self._node.intake.submit(
+            route, team, job, submission, timeout, _read_request_id(request)
+        )
 
     def _read_deadline(self, request: HTTPServerRequest) -> float:
         text = request.headers.get(DEADLINE_HEADER, "")
@@ -197,3 +208,9 @@
             return max(0.0, float(text) / 1000)
         except ValueError as error:
             raise RefusalError(ErrorKind.BAD_DEADLINE, text) from error
+
+
+def _read_request_id(request: HTTPServerRequest) -> RequestId:
+    """Return the id that the caller gave to this attempt; empty if there is none."""
+    text = request.headers.get(REQUEST_HEADER, "")
+    return RequestId(text[:REQUEST_ID_LENGTH_LIMIT])
--- a/jujubebarrow/runtimes/job_intakes.py
+++ b/jujubebarrow/runtimes/job_intakes.py
@@ -16,7 +16,7 @@
 from jujubebarrow.errors.kinds import ErrorKind
 from jujubebarrow.errors.run_states import RunState
 from jujubebarrow.fleets.queue_routes import QueueRoute
-from jujubebarrow.identifiers import JobId, TeamId
+from jujubebarrow.identifiers import UNNAMED_REQUEST, JobId, RequestId, TeamId
 from jujubebarrow.logs.decision_logs import DecisionLog
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.runtimes.job_row_keys import (
@@ -80,6 +80,7 @@
         job: JobId,
         submission: JobSubmission,
         timeout: float,
+        request: RequestId = UNNAMED_REQUEST,
     ) -> None:
         """Store a job, which thereby counts as accepted.
 
@@ -91,6 +92,7 @@
             job: Id chosen by the caller.
             submission: Steps, payload and schedule of the job.
             timeout: Longest time in seconds to wait for the store.
+            request: Id of the caller's request, for the log.
 
         Raises:
             RefusalError: The job was not accepted, or whether the job was stored is
@@ -120,19 +122,22 @@
             await wait_for(self._store.commit(transaction), timeout)
         except TransactionConflictError:
             self._metrics.count("job_repeated", route.queue)
-            self._log.write("job_repeated", job=job, queue=route.queue)
+            self._log.write("job_repeated", request=request, job=job, queue=route.queue)
             return
         except StoreError as error:
             refusal = self._make_refusal(error)
-            self._log_refusal(route, job, refusal, error.attempts, started_at)
+            self._log_refusal(request, route, job, refusal, error.attempts, started_at)
             raise refusal from error
         except TimeoutError as error:
             refusal = RefusalError(ErrorKind.RUN_UNKNOWN, "store", 0.5)
-            self._log_refusal(route, job, refusal, ("no time left",), started_at)
+            self._log_refusal(
+                request, route, job, refusal, ("no time left",), started_at
+            )
             raise refusal from error
         self._marked_uses.add(use_key)
         self._log.write(
             "job_accepted",
+            request=request,
             job=job,
             queue=route.queue,
             pool=route.pool,
@@ -142,6 +147,7 @@
 
     def _log_refusal(
         self,
+        request: RequestId,
         route: QueueRoute,
         job: JobId,
         refusal: RefusalError,
@@ -150,6 +156,7 @@
     ) -> None:
         self._log.write(
             "job_refused",
+            request=request,
             job=job,
             queue=route.queue,
             reason=refusal.kind.value,
@@ -208,16 +215,28 @@
         cancellation_key = make_cancellation_key(route.queue, job)
         return row, record, any(row.key == cancellation_key for row in found.rows)
 
-    async def cancel(self, route: QueueRoute, team: TeamId, job: JobId) -> None:
+    async def cancel(
+        self,
+        route: QueueRoute,
+        team: TeamId,
+        job: JobId,
+        request: RequestId = UNNAMED_REQUEST,
+    ) -> None:
         """Store the cancellation of a job; a closed job keeps its final phase.
 
+        Args:
+            route: Route of the queue.
+            team: Team that the caller's key belongs to.
+            job: Id of the job.
+            request: Id of the caller's request, for the log.
+
         Raises:
             RefusalError: The team has no such job, the store does not answer, or
                 whether the cancellation was stored is unknown.
         """
         for _ in range(CANCEL_ATTEMPTS):
             try:
-                if await self._try_cancel(route, team, job):
+                if await self._try_cancel(route, team, job, request):
                     return
             except TransactionConflictError:
                 self._metrics.count("retry", "cancel")
@@ -227,7 +246,9 @@
                 ) from error
         raise RefusalError(ErrorKind.RUN_UNKNOWN, job, STORE_RETRY_SECONDS)
 
-    async def _try_cancel(self, route: QueueRoute, team: TeamId, job: JobId) -> bool:
+    async def _try_cancel(
+        self, route: QueueRoute, team: TeamId, job: JobId, request: RequestId
+    ) -> bool:
         row, record, is_cancelled = await self._read_job(route, job)
         if row is None or record is None or record.team != team:
             raise RefusalError(ErrorKind.NOT_FOUND, job)
@@ -240,7 +261,9 @@
             nonce=uuid4().hex,
         )
         await self._store.commit(transaction)
-        self._log.write("job_cancel_stored", job=job, queue=route.queue)
+        self._log.write(
+            "job_cancel_stored", request=request, job=job, queue=route.queue
+        )
         return True
 
     async def count_pending(self, route: QueueRoute) -> int:
