Decode a relayed call before it is executed

Callers could be told that a job never runs although it was stored: an instance that relays a transaction answered 400, "unreadable call", to an error of the same kind that came after it had sent the transaction, and the other instance counts 400 as not applied. No such error is known. Only the decoding of the call answers 400 now; any other error is a 500, after which the transaction may be applied. The test failed before.

--- a/jujubebarrow/stores/relay_messages.py
+++ b/jujubebarrow/stores/relay_messages.py
@@ -1,5 +1,6 @@
 """CBOR messages of store calls that one instance relays for another."""
 
+from collections.abc import Awaitable, Callable
 from dataclasses import asdict
 from typing import Any, TypeVar
 
@@ -56,8 +57,9 @@
         operation = call["operation"]
     except (cbor2.CBORDecodeError, *ROW_ERRORS) as error:
         raise ValueError(f"unreadable call: {error!r}") from error
+    execute = _decode_operation(operation, call, store)
     try:
-        return cbor2.dumps({"answer": await _execute_operation(operation, call, store)})
+        return cbor2.dumps({"answer": await execute()})
     except HistoryLostError:
         return cbor2.dumps({"error": HISTORY_LOST, "may_have_applied": False})
     except InvalidCallError as error:
@@ -70,26 +72,38 @@
         )
 
 
-async def _execute_operation(operation: str, call: dict[str, Any], store: Store) -> Any:
+def _decode_operation(
+    operation: str, call: dict[str, Any], store: Store
+) -> Callable[[], Awaitable[Any]]:
+    """Return a function that executes a relayed call.
+
+    Errors of its execution say nothing about the call, which may have been sent.
+    """
     try:
         if operation == COMMIT:
             transaction = convert(call["transaction"], Transaction)
-            return asdict(await store.try_commit(transaction))
+            return lambda: _to_document(store.try_commit(transaction))
         if operation == READ:
-            return asdict(await store.read(call["prefix"], call["limit"]))
+            prefix, limit = call["prefix"], call["limit"]
+            return lambda: _to_document(store.read(prefix, limit))
         if operation == PAGE:
-            page = await store.read_page(call["prefix"], call["start"], call["limit"])
-            return asdict(page)
+            place = call["prefix"], call["start"], call["limit"]
+            return lambda: _to_document(store.read_page(*place))
         if operation == CHANGES:
-            rows = await store.read_changes(call["prefix"], call["since"], call["wait"])
-            return asdict(rows)
+            place = call["prefix"], call["since"], call["wait"]
+            return lambda: _to_document(store.read_changes(*place))
         if operation == PARTITIONS:
-            return await store.list_partitions(call["table"])
+            table = call["table"]
+            return lambda: store.list_partitions(table)
     except ROW_ERRORS as error:
         raise ValueError(f"unreadable call: {error!r}") from error
     raise ValueError(f"unknown operation {operation!r}")
 
 
+async def _to_document(result: Awaitable[Any]) -> dict[str, Any]:
+    return asdict(await result)
+
+
 def decode_response(body: bytes) -> Any:
     """Return the store's result from the response to a relayed call.
 
--- /dev/null
+++ b/jujubebarrow/tests/test_unclear_refusals.py
@@ -0,0 +1,38 @@
+"""Failures of transactions that may have been sent, and count as not applied."""
+
+import unittest
+
+from jujubebarrow.stores.relay_messages import encode_call, encode_commit, execute_call
+from jujubebarrow.stores.transactions import ABSENT_REVISION, Transaction
+
+JOB = Transaction(
+    conditions={"jobs/q/0123456789abcdef": ABSENT_REVISION},
+    writes={"jobs/q/0123456789abcdef": {}},
+    nonce="n",
+)
+
+
+class FailingStore:
+    """Fails after it has sent a transaction."""
+
+    async def try_commit(self, transaction: Transaction) -> None:
+        raise KeyError("Ver")
+
+
+class UnclearRefusalTest(unittest.IsolatedAsyncioTestCase):
+    async def test_error_after_a_relayed_transaction_is_not_an_unreadable_call(
+        self,
+    ) -> None:
+        # An unreadable call is answered 400, which tells that nothing was sent.
+        with self.assertRaises(KeyError):
+            await execute_call(encode_commit(JOB), FailingStore())  # type: ignore[arg-type]
+
+    async def test_unreadable_relayed_calls_are_still_told(self) -> None:
+        for call in (
+            encode_call("commit"),
+            encode_call("commit", transaction={"writes": 1}),
+            encode_call("page", prefix="p"),
+            encode_call("mystery"),
+        ):
+            with self.subTest(call=call), self.assertRaises(ValueError):
+                await execute_call(call, FailingStore())  # type: ignore[arg-type]
