--- a/jujubebarrow/platform/stores.py
+++ b/jujubebarrow/platform/stores.py
@@ -227,7 +227,7 @@
     if response.status in INVALID_CALL_STATUSES:
         return InvalidCallError(f"status {response.status}")
     # With one of these statuses the store applied nothing.
-    is_rejected = response.status in (404, 429, 503, 507)
+    is_rejected = response.status in (429, 503, 507)
     return StoreError(f"status {response.status}", not is_rejected)
 
 
--- a/jujubebarrow/tests/test_unclear_refusals.py
+++ b/jujubebarrow/tests/test_unclear_refusals.py
@@ -2,9 +2,19 @@
 
 import unittest
 
+from jujubebarrow.clocks.boot_clocks import BootClock
+from jujubebarrow.errors.exceptions import StoreError
+from jujubebarrow.links.link_backlogs import LinkBacklog
+from jujubebarrow.links.link_meters import LinkMeter
+from jujubebarrow.logs.event_logs import EventLog
+from jujubebarrow.metrics.registries import MetricsRegistry
+from jujubebarrow.platform.stores import PlatformStore
+from jujubebarrow.stores.read_throttles import ReadThrottle
 from jujubebarrow.stores.relay_messages import encode_call, encode_commit, execute_call
 from jujubebarrow.stores.transactions import ABSENT_REVISION, Transaction
+from jujubebarrow.tests.fakes.resetting_servers import ResettingServer
 
+LINK_MBPS = 100.0
 JOB = Transaction(
     conditions={"jobs/q/0123456789abcdef": ABSENT_REVISION},
     writes={"jobs/q/0123456789abcdef": {}},
@@ -36,3 +46,18 @@
         ):
             with self.subTest(call=call), self.assertRaises(ValueError):
                 await execute_call(call, FailingStore())  # type: ignore[arg-type]
+
+    async def test_status_that_the_store_does_not_define_leaves_a_commit_unknown(
+        self,
+    ) -> None:
+        server = ResettingServer(lambda request: (404, b""))
+        self.addAsyncCleanup(server.close)
+        metrics, clock = MetricsRegistry(), BootClock()
+        backlog = LinkBacklog(LINK_MBPS, clock)
+        meter = LinkMeter(LINK_MBPS, backlog, EventLog(clock, metrics), metrics)
+        throttle = ReadThrottle(LINK_MBPS, metrics)
+        store = PlatformStore(await server.open(), throttle, meter, metrics)
+        self.addCleanup(store.close)
+        with self.assertRaises(StoreError) as caught:
+            await store.commit(JOB)
+        self.assertTrue(caught.exception.may_have_applied)
