Send a submission again while the store fails for a short time

An instance sends the submission again every 0.2 s for 0.8 s, under the same nonce, so that five attempts last as long as the caller's deadline. A job that the instance runs is known to be stored, and its repeat needs no store.

--- a/jujubebarrow/runtimes/job_intakes.py
+++ b/jujubebarrow/runtimes/job_intakes.py
@@ -1,6 +1,6 @@
 """Accepts, reports and cancels callers' jobs on any instance."""
 
-from asyncio import wait_for
+from asyncio import sleep, wait_for
 from collections.abc import Callable
 from typing import Any
 from uuid import uuid4
@@ -38,6 +38,12 @@
 STORE_RETRY_SECONDS = 1.0
 """Value of Retry-After while the store does not answer; outages of the store last a few
 seconds."""
+SUBMIT_SECONDS = 0.8
+"""Time for which a submission is sent to a store that fails; five such attempts of a
+caller last longer than its usual deadline of 3 s."""
+SUBMIT_PAUSE_SECONDS = 0.2
+"""Pause before a submission is sent to the store again; a busy part of the store serves
+30 transactions meanwhile."""
 CANCEL_ATTEMPTS = 3
 """Attempts to cancel a job whose rows other writers change at the same time."""
 
@@ -103,6 +109,9 @@
         error_text = submission.find_error()
         if error_text:
             raise RefusalError(ErrorKind.BAD_REQUEST, error_text)
+        if self._find_phase(job) is not None:
+            self._log_repeat(request, route, job)
+            return
         record = _make_record(route, team, job, submission, self._clock.wall())
         error_text = record.find_size_error(self._row_limit)
         if error_text:
@@ -121,10 +130,9 @@
         )
         started_at = self._clock.monotonic()
         try:
-            await wait_for(self._store.commit(transaction), timeout)
+            await wait_for(self._commit(transaction), timeout)
         except TransactionConflictError:
-            self._metrics.count("job_repeated", route.queue)
-            self._log.write("job_repeated", request=request, job=job, queue=route.queue)
+            self._log_repeat(request, route, job)
             return
         except StoreError as error:
             refusal = _make_refusal(error, may_be_repeated)
@@ -147,6 +155,30 @@
             steps=[step.count for step in submission.steps],
         )
 
+    async def _commit(self, transaction: Transaction) -> None:
+        """Commit a transaction; repeat it for a short time while the store fails."""
+        deadline = self._clock.monotonic() + SUBMIT_SECONDS - SUBMIT_PAUSE_SECONDS
+        is_uncertain = False
+        failures: tuple[str, ...] = ()
+        while True:
+            try:
+                await self._store.commit(transaction)
+                return
+            except StoreError as error:
+                is_uncertain = is_uncertain or error.may_have_applied
+                failures += error.attempts
+                is_final = isinstance(error, InvalidCallError)
+                if is_final and not is_uncertain:
+                    raise
+                if is_final or self._clock.monotonic() > deadline:
+                    raise StoreError(str(error), is_uncertain, failures) from error
+                self._metrics.count("retry", "submit")
+                await sleep(SUBMIT_PAUSE_SECONDS)
+
+    def _log_repeat(self, request: RequestId, route: QueueRoute, job: JobId) -> None:
+        self._metrics.count("job_repeated", route.queue)
+        self._log.write("job_repeated", request=request, job=job, queue=route.queue)
+
     def _log_refusal(
         self,
         request: RequestId,
--- a/jujubebarrow/tests/test_refused_repeats.py
+++ b/jujubebarrow/tests/test_refused_repeats.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from jujubebarrow.errors.exceptions import RefusalError, StoreError
+from jujubebarrow.errors.exceptions import InvalidCallError, RefusalError, StoreError
 from jujubebarrow.errors.run_states import RunState
 from jujubebarrow.tests.fakes.caller_interfaces import (
     JOB,
@@ -12,6 +12,7 @@
     CallerInterface,
     make_conflict,
 )
+from jujubebarrow.workloads.job_phases import JobPhase
 from jujubebarrow.workloads.job_submissions import JobSubmission
 from jujubebarrow.workloads.step_specs import StepSpec
 
@@ -43,8 +44,27 @@
         self,
     ) -> None:
         interface = CallerInterface(UNANSWERED, make_conflict())
+        self.assertEqual(interface.submit().status, 200)
+
+    def test_submission_outlasts_a_short_refusal_of_the_store(self) -> None:
+        interface = CallerInterface(REJECTED, None)
+        self.assertEqual(interface.submit().status, 200)
+        self.assertEqual(interface.store.commit_count, 2)
+
+    def test_content_refused_after_an_unanswered_attempt_is_not_final(self) -> None:
+        interface = CallerInterface(UNANSWERED, InvalidCallError("status 403"))
         self.assertEqual(interface.submit().status, NO_ANSWER)
+
+    def test_deadline_ends_the_repeats_of_a_submission(self) -> None:
+        interface = CallerInterface(REJECTED)
+        self.assertEqual(interface.submit({"X-Deadline-Ms": "160"}).status, NO_ANSWER)
+        self.assertEqual(interface.store.commit_count, 1)
+
+    def test_repeat_of_a_job_that_the_instance_runs_needs_no_store(self) -> None:
+        interface = CallerInterface(REJECTED)
+        interface.owned_phase = JobPhase.RUNNING
         self.assertEqual(interface.submit().status, 200)
+        self.assertEqual(interface.store.commit_count, 0)
 
     def test_first_attempt_of_a_caller_is_refused_as_not_run(self) -> None:
         intake = CallerInterface(REJECTED).intake
