Answer 504 to submissions to queues that an old configuration lacks

What callers saw: an instance whose configuration was last confirmed long ago answered 404, "no such queue", to a submission to a queue that was added since. An earlier attempt, through an up-to-date instance, may have stored the job. For a queue with a key that the old configuration does name, the answer is 504 already.

Cause: the queue is looked up before the age of the configuration is checked.

The fix: a submission to an unknown queue gets 504 if the configuration is too old to check keys, and 404 only from a recent one. Other calls are answered as before. Within the time for which a configuration counts as recent a 404 may still be untrue for an added queue.

The new test failed before (404 instead of 504).

--- a/jujubebarrow/platform/callers.py
+++ b/jujubebarrow/platform/callers.py
@@ -156,20 +156,27 @@
         host = request.headers.get("Host", "").split(":")[0]
         route = fleet.match(host, request.path)
         if route is None:
+            if request.method == "POST":
+                # An up-to-date instance may know the queue.
+                self._check_freshness(request)
             raise RefusalError(ErrorKind.UNKNOWN_QUEUE, f"{host}{request.path}")
         return route
 
+    def _check_freshness(self, request: HTTPServerRequest) -> None:
+        fleet_source = self._node.fleet_source
+        if fleet_source.is_fresh:
+            return
+        detail = f"configuration confirmed {fleet_source.age:.2f} s ago"
+        # An earlier attempt may have been accepted by an up-to-date instance.
+        run = RunState.UNKNOWN if request.method == "POST" else None
+        raise RefusalError(ErrorKind.CONFIGURATION_STALE, detail, 1.0, run)
+
     def _authenticate(self, request: HTTPServerRequest, route: QueueRoute) -> TeamId:
         if route.is_open:
             return OPEN_TEAM
-        fleet_source = self._node.fleet_source
-        if not fleet_source.is_fresh:
-            detail = f"configuration confirmed {fleet_source.age:.2f} s ago"
-            # An earlier attempt may have been accepted by an up-to-date instance.
-            run = RunState.UNKNOWN if request.method == "POST" else None
-            raise RefusalError(ErrorKind.CONFIGURATION_STALE, detail, 1.0, run)
+        self._check_freshness(request)
         scheme, _, key = request.headers.get("Authorization", "").partition(" ")
-        fleet = fleet_source.fleet
+        fleet = self._node.fleet_source.fleet
         team = None
         if fleet is not None and scheme.lower() == AUTHORIZATION_SCHEME:
             team = fleet.find_team(key.strip())
--- a/jujubebarrow/tests/test_refused_repeats.py
+++ b/jujubebarrow/tests/test_refused_repeats.py
@@ -19,6 +19,7 @@
 REJECTED = StoreError("status 503", False)
 UNANSWERED = StoreError("reset", True)
 NO_ANSWER = 504
+NO_QUEUE = 404
 
 
 class RefusedRepeatTest(unittest.TestCase):
@@ -40,6 +41,18 @@
         self.assertEqual(response.status, NO_ANSWER)
         self.assertEqual(interface.store.commit_count, 0)
 
+    def test_stale_instance_does_not_tell_that_a_repeated_job_has_no_queue(
+        self,
+    ) -> None:
+        interface = CallerInterface(None)
+        path = f"/added/{JOB}"
+        interface.fleet_source.is_fresh = False
+        response = interface.submit(path=path)
+        self.assertEqual(response.status, NO_ANSWER)
+        self.assertIn("Retry-After", response.headers)
+        interface.fleet_source.is_fresh = True
+        self.assertEqual(interface.submit(path=path).status, NO_QUEUE)
+
     def test_repeat_after_an_unanswered_attempt_is_accepted_once_it_is_found(
         self,
     ) -> None:
