Look up a job that the instance runs by its queue as well

What callers saw: an owner answered 200 to a submission although it stored nothing, if it had a job with the same id of another queue; a read of the job's state gave the other job's. Every other instance answers 410 for it. Callers choose ids at random, so that this is rare.

Cause: the state of owned jobs is looked up by the id alone, while a job's row belongs to a queue. For reads this is old; since submissions are answered from it too, without the store, whose condition covers the queue's row.

The new test failed before (not-found at another instance).

The fix: only a job of the submission's queue counts.

--- a/jujubebarrow/runtimes/entry_nodes.py
+++ b/jujubebarrow/runtimes/entry_nodes.py
@@ -15,7 +15,14 @@
 from jujubebarrow.gateways.start_executors import StartExecutor
 from jujubebarrow.gateways.start_relays import StartRelay
 from jujubebarrow.gateways.worker_gateways import WorkerGateway
-from jujubebarrow.identifiers import IncarnationId, InstanceId, JobId, PoolId, ZoneId
+from jujubebarrow.identifiers import (
+    IncarnationId,
+    InstanceId,
+    JobId,
+    PoolId,
+    QueueId,
+    ZoneId,
+)
 from jujubebarrow.links.link_backlogs import LinkBacklog
 from jujubebarrow.logs.decision_logs import DecisionLog
 from jujubebarrow.metrics.registries import MetricsRegistry
@@ -245,10 +252,10 @@
         for owner in self._owners.values():
             owner.apply_fleet(fleet)
 
-    def _find_phase(self, job: JobId) -> JobPhase | None:
+    def _find_phase(self, queue: QueueId, job: JobId) -> JobPhase | None:
         for owner in self._owners.values():
             progress = owner.coordinator.state.jobs.get(job)
-            if progress is not None:
+            if progress is not None and progress.record.queue == queue:
                 return progress.stored_phase
         return None
 
--- a/jujubebarrow/runtimes/job_intakes.py
+++ b/jujubebarrow/runtimes/job_intakes.py
@@ -16,7 +16,7 @@
 from jujubebarrow.errors.kinds import ErrorKind
 from jujubebarrow.errors.run_states import RunState
 from jujubebarrow.fleets.queue_routes import QueueRoute
-from jujubebarrow.identifiers import UNNAMED_REQUEST, JobId, RequestId, TeamId
+from jujubebarrow.identifiers import UNNAMED_REQUEST, JobId, QueueId, RequestId, TeamId
 from jujubebarrow.logs.decision_logs import DecisionLog
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.runtimes.job_row_keys import (
@@ -53,8 +53,8 @@
 
     Args:
         store: Store that holds the jobs.
-        find_phase: Returns the stored phase of a job in a pool that this instance
-            owns, or None for any other job.
+        find_phase: Returns the stored phase of a queue's job in a pool that this
+            instance owns, or None for any other job.
         clock: Time source.
         log: Decision log.
         metrics: Registry of the counters.
@@ -64,7 +64,7 @@
     def __init__(
         self,
         store: Store,
-        find_phase: Callable[[JobId], JobPhase | None],
+        find_phase: Callable[[QueueId, JobId], JobPhase | None],
         clock: Clock,
         log: DecisionLog,
         metrics: MetricsRegistry,
@@ -109,7 +109,7 @@
         error_text = submission.find_error()
         if error_text:
             raise RefusalError(ErrorKind.BAD_REQUEST, error_text)
-        if self._find_phase(job) is not None:
+        if self._find_phase(route.queue, job) is not None:
             self._log_repeat(request, route, job)
             return
         record = _make_record(route, team, job, submission, self._clock.wall())
@@ -205,7 +205,7 @@
         Raises:
             RefusalError: The job does not exist, or the store does not answer.
         """
-        phase = self._find_phase(job)
+        phase = self._find_phase(route.queue, job)
         if phase is not None:
             return phase
         try:
--- a/jujubebarrow/tests/fakes/caller_interfaces.py
+++ b/jujubebarrow/tests/fakes/caller_interfaces.py
@@ -90,7 +90,7 @@
         self.fleet_source = SimpleNamespace(fleet=fleet, is_fresh=True, age=0.1)
         self.intake = JobIntake(
             self.store,  # type: ignore[arg-type]
-            lambda job: self.owned_phase,
+            lambda queue, job: self.owned_phase,
             clock,
             self.log,
             metrics,
--- a/jujubebarrow/tests/test_job_core.py
+++ b/jujubebarrow/tests/test_job_core.py
@@ -1,13 +1,20 @@
 """Tests of jobs and tasks, checked against the runs recorded by the workers."""
 
-from asyncio import sleep
+from asyncio import get_running_loop, sleep
 
 from jujubebarrow.errors.exceptions import RefusalError
 from jujubebarrow.errors.kinds import ErrorKind
 from jujubebarrow.standins.emulated_workers import TaskBehaviour
 from jujubebarrow.tests.fakes.job_cases import JobCase
-from jujubebarrow.tests.fakes.job_clusters import CAPACITY, JobCluster
+from jujubebarrow.tests.fakes.job_clusters import (
+    CAPACITY,
+    OTHER_ROUTE,
+    TEAM,
+    JobCluster,
+)
 from jujubebarrow.workloads.identifiers import WorkerId
+from jujubebarrow.workloads.job_phases import JobPhase
+from jujubebarrow.workloads.job_submissions import JobSubmission
 from jujubebarrow.workloads.resources import Resources
 from jujubebarrow.workloads.step_specs import StepSpec
 
@@ -71,6 +78,26 @@
 
         self.run_scenario(scenario)
 
+    def test_job_is_stored_though_the_owner_runs_its_id_of_another_queue(self) -> None:
+        async def scenario(cluster: JobCluster) -> None:
+            job = await cluster.submit(1)
+            self.assertTrue(await cluster.wait_for_phase(job, "completed", 10.0))
+            later = JobSubmission(
+                payload="later",
+                steps=(STEP,),
+                first_start=get_running_loop().time() + 1000.0,
+                occurrences=1,
+            )
+            owner = cluster.find_owner()
+            assert owner is not None and owner.node is not None
+            await owner.node.intake.submit(OTHER_ROUTE, TEAM, job, later, 3.0)
+            for instance in cluster.instances:
+                assert instance.node is not None
+                phase = await instance.node.intake.read_phase(OTHER_ROUTE, TEAM, job)
+                self.assertIs(phase, JobPhase.QUEUED)
+
+        self.run_scenario(scenario)
+
     def test_stalled_tasks_are_started_on_another_worker(self) -> None:
         """Guards against stalled tasks on a worker whose lease is still renewed."""
 
