Test unanswered submissions without and with rejected repeats

A transaction without an answer that is then rejected until the end leaves the job unknown. No test failed for the interface's status without that (all are 504), so that the intake is asked for a first attempt of a caller. With the uncertainty of the last attempt alone in JobIntake._commit this test and one of the others fail.

--- a/jujubebarrow/tests/test_refused_repeats.py
+++ b/jujubebarrow/tests/test_refused_repeats.py
@@ -59,6 +59,13 @@
         interface = CallerInterface(UNANSWERED, make_conflict())
         self.assertEqual(interface.submit().status, 200)
 
+    def test_submission_without_time_for_a_second_attempt_is_unknown_until_it_is_found(
+        self,
+    ) -> None:
+        interface = CallerInterface(UNANSWERED, make_conflict())
+        self.assertEqual(interface.submit({"X-Deadline-Ms": "160"}).status, NO_ANSWER)
+        self.assertEqual(interface.submit().status, 200)
+
     def test_submission_outlasts_a_short_refusal_of_the_store(self) -> None:
         interface = CallerInterface(REJECTED, None)
         self.assertEqual(interface.submit().status, 200)
@@ -80,10 +87,22 @@
         self.assertEqual(interface.store.commit_count, 0)
 
     def test_first_attempt_of_a_caller_is_refused_as_not_run(self) -> None:
-        intake = CallerInterface(REJECTED).intake
-        submission = JobSubmission(payload="", steps=(StepSpec(),))
-        with self.assertRaises(RefusalError) as caught:
-            asyncio.run(
-                intake.submit(ROUTE, TEAM, JOB, submission, 3.0, may_be_repeated=False)
-            )
-        self.assertIs(caught.exception.run, RunState.NOT_RUN)
+        self.assertIs(refuse_first_attempt(REJECTED).run, RunState.NOT_RUN)
+
+    def test_rejections_after_an_unanswered_transaction_leave_the_job_unknown(
+        self,
+    ) -> None:
+        error = refuse_first_attempt(UNANSWERED, REJECTED)
+        self.assertIs(error.run, RunState.UNKNOWN)
+
+
+def refuse_first_attempt(*results: Exception | None) -> RefusalError:
+    intake = CallerInterface(*results).intake
+    submission = JobSubmission(payload="", steps=(StepSpec(),))
+    try:
+        asyncio.run(
+            intake.submit(ROUTE, TEAM, JOB, submission, 3.0, may_be_repeated=False)
+        )
+    except RefusalError as error:
+        return error
+    raise AssertionError("accepted")
