Let the stand-ins of a site share no address with those of another

What was seen: beside another run the stand-in store of proof_refused_jobs.py once got requests without the field Table and broke their connections (KeyError in PlatformTable._select).

Cause: instances of a run that was killed go on, and call the addresses of its stand-ins. All stand-ins listened on 127.0.0.1, on ports that the system gives to the next run.

The stand-ins of a site listen on the site's own loopback address, so that the calls of other runs are refused. The store answers calls that are not its own with 404 and keeps them.

--- a/jujubebarrow/tests/fakes/platform_sites.py
+++ b/jujubebarrow/tests/fakes/platform_sites.py
@@ -186,7 +186,7 @@
         return (await self._open_server(respond))[1]
 
     async def _open_server(self, respond: Any) -> tuple[ResettingServer, str]:
-        server = ResettingServer(respond)
+        server = ResettingServer(respond, self.host)
         address = await server.open()
         self._stack.push_async_callback(server.close)
         return server, address
--- a/jujubebarrow/tests/fakes/platform_tables.py
+++ b/jujubebarrow/tests/fakes/platform_tables.py
@@ -13,6 +13,11 @@
 Response = tuple[int, bytes]
 WireKey = tuple[str, str, str]
 WAIT_PERIOD_SECONDS = 0.02
+READ_PATH = "/-/rows-get"
+PARTITIONS_PATH = "/-/rows-parts"
+READ_PATHS = (CHANGES_PATH, READ_PATH, PARTITIONS_PATH)
+FOREIGN_BODY_BYTES = 80
+"""Part of the body of a call that the store does not have, for its record."""
 ROWS_LIMIT = 500
 """Most rows of a page."""
 
@@ -29,11 +34,13 @@
         rows: Present rows in their wire form.
         written_at: Time of the first write of each row that was ever written, in
             seconds of the monotonic clock.
+        foreign_calls: Calls that the store does not have, which are answered 404.
     """
 
     def __init__(self) -> None:
         self.rows: dict[WireKey, dict[str, Any]] = {}
         self.written_at: dict[WireKey, float] = {}
+        self.foreign_calls: list[str] = []
         self._changes: list[dict[str, Any]] = []
         self._revision = 0
 
@@ -72,9 +79,12 @@
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
         if parts.path == COMMIT_PATH:
             return self.transact(json.decode(body))
+        if parts.path not in READ_PATHS or "Table" not in query:
+            self.foreign_calls.append(f"{target} {body[:FOREIGN_BODY_BYTES]!r}")
+            return 404, b"{}"
         if parts.path == CHANGES_PATH:
             return await self._read_changes(query)
-        if parts.path == "/-/rows-parts":
+        if parts.path == PARTITIONS_PATH:
             names = {key[1] for key in self.rows if key[0] == query["Table"]}
             after = query.get("After", "")
             return 200, json.encode({"parts": sorted(n for n in names if n > after)})
--- a/jujubebarrow/tests/fakes/resetting_servers.py
+++ b/jujubebarrow/tests/fakes/resetting_servers.py
@@ -35,17 +35,19 @@
     Args:
         respond: Returns the status, the body and, if there is one, a line for the
             head of the response; None resets the connection.
+        host: Address to listen on.
     """
 
-    def __init__(self, respond: Responder):
+    def __init__(self, respond: Responder, host: str = LOOPBACK):
         self._respond = respond
+        self._host = host
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
     async def open(self) -> str:
         """Listen and return the address."""
-        self._server = await asyncio.start_server(self._serve, LOOPBACK, 0)
-        return f"{LOOPBACK}:{self._server.sockets[0].getsockname()[1]}"
+        self._server = await asyncio.start_server(self._serve, self._host, 0)
+        return f"{self._host}:{self._server.sockets[0].getsockname()[1]}"
 
     def stop_listening(self) -> None:
         """Refuse new connections; those that are open stay."""
@@ -73,10 +75,7 @@
                 if isawaitable(response):
                     response = await response
                 if response is None:
-                    connection = writer.get_extra_info("socket")
-                    connection.setsockopt(
-                        socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE
-                    )
+                    reset_when_closed(writer)
                     return
                 status, body, *lines = response
                 lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}", *lines]
@@ -89,6 +88,14 @@
             writer.transport.abort()
 
 
+def reset_when_closed(writer: asyncio.StreamWriter) -> None:
+    """Let the end of a connection, if it is still open, be a reset."""
+    if writer.is_closing():
+        return
+    connection = writer.get_extra_info("socket")
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+
+
 async def _read_request(reader: asyncio.StreamReader) -> ServerRequest:
     head = (await reader.readuntil(b"\r\n\r\n")).decode()
     request_line, *lines = head.split("\r\n")
