Tell of all attempts when a keyed request or job is refused

What callers saw: a repeat with the Idempotency-Key of an attempt that ran, or of a job that is stored, was told "not-run", which is a promise: by an instance that shuts down, is not ready or can't verify keys, after the key was withdrawn or the Deadline had passed, and by a home that refused it before it had read the claim (store-unavailable, queue-full, deadline-unreachable, no-upstream, team-limit), or that reads none, since the queue's requests may run twice.

The fix: one rule where refusals become responses. Of a keyed request or job "not-run" becomes "unknown", with the same status and Retry-After, unless the content can't run in any attempt, or the refused attempt held the claim, so that none before it has run. Homes tell that by the kind: four kinds are raised only with the claim held, on queues that claim. Messages between instances stay as they are. Requests without a key stay as they are.

--- a/jujubebarrow/callers/job_handlers.py
+++ b/jujubebarrow/callers/job_handlers.py
@@ -4,11 +4,10 @@
 from uuid import uuid4
 
 from jujubebarrow.callers.authenticators import Caller
-from jujubebarrow.callers.body_handlers import BodyHandler
-from jujubebarrow.callers.caller_contexts import CallerContext
 from jujubebarrow.callers.deadlines import read_timeout
 from jujubebarrow.callers.job_documents import JobDocument
 from jujubebarrow.callers.job_requests import read_submission
+from jujubebarrow.callers.submission_handlers import SubmissionHandler
 from jujubebarrow.errors.exceptions import RefusalError
 from jujubebarrow.errors.kinds import ErrorKind
 from jujubebarrow.fleets.queue_routes import QueueRoute
@@ -30,15 +29,7 @@
     return JobId(blake2b(identity.encode(), digest_size=JOB_ID_BYTES).hexdigest())
 
 
-class _JobHandler(BodyHandler):
-    context: CallerContext
-
-    def initialize(self, context: CallerContext) -> None:  # type: ignore[override]
-        """Set the services that the handler uses."""
-        super().initialize(context.metrics)
-        self.context = context
-        self.body_limit = context.settings.body_limit
-
+class _JobHandler(SubmissionHandler):
     def _authorise(self, queue: str) -> tuple[Caller, QueueRoute]:
         caller, _ = self.context.authenticator.authorise(
             self.request.headers.get("Authorization"), queue
@@ -69,7 +60,7 @@
     async def post(self, queue: str) -> None:
         """Accept a job; the job is stored before the response is sent."""
         headers = self.request.headers
-        key = headers.get("Idempotency-Key", "")
+        key = self.idempotency_key
         if len(key) > IDEMPOTENCY_KEY_LENGTH_LIMIT:
             raise RefusalError(ErrorKind.BAD_REQUEST, "Idempotency-Key is too long")
         timeout = read_timeout(
--- a/jujubebarrow/callers/request_handlers.py
+++ b/jujubebarrow/callers/request_handlers.py
@@ -3,9 +3,8 @@
 import json
 
 from jujubebarrow.callers.authenticators import Caller
-from jujubebarrow.callers.body_handlers import BodyHandler
-from jujubebarrow.callers.caller_contexts import CallerContext
 from jujubebarrow.callers.deadlines import read_timeout
+from jujubebarrow.callers.submission_handlers import SubmissionHandler
 from jujubebarrow.configurations.queue_records import Queue
 from jujubebarrow.errors.exceptions import RefusalError
 from jujubebarrow.errors.kinds import ErrorKind
@@ -16,21 +15,14 @@
 DEFAULT_MEDIA_TYPE = "application/octet-stream"
 
 
-class QueueRequestHandler(BodyHandler):
+class QueueRequestHandler(SubmissionHandler):
     """Runs a request and sends the result."""
 
-    context: CallerContext
     caller: Caller
     queue: Queue
     timeout: float
     _received_at: float
 
-    def initialize(self, context: CallerContext) -> None:  # type: ignore[override]
-        """Set the services that the handler uses."""
-        super().initialize(context.metrics)
-        self.context = context
-        self.body_limit = context.settings.body_limit
-
     def prepare(self) -> None:
         """Check everything that does not depend on the body."""
         self._received_at = self.context.clock.monotonic()
@@ -52,7 +44,7 @@
             self.context.settings.default_deadline,
             self.context.settings.deadline_limit,
         )
-        self._check_idempotency_key(headers.get("Idempotency-Key", ""))
+        self._check_idempotency_key(self.idempotency_key)
 
     def _check_idempotency_key(self, key: str) -> None:
         if len(key) > IDEMPOTENCY_KEY_LENGTH_LIMIT:
@@ -71,7 +63,7 @@
             team=self.caller.team,
             key=self.caller.key,
             remaining=self.timeout,
-            idempotency_key=self.request.headers.get("Idempotency-Key", ""),
+            idempotency_key=self.idempotency_key,
             content_type=content_type,
             body=body,
             priority=self.queue.priority,
--- a/jujubebarrow/errors/error_responses.py
+++ b/jujubebarrow/errors/error_responses.py
@@ -126,3 +126,15 @@
         500, "An unexpected error occurred.", _UNKNOWN, False
     ),
 }
+
+CONTENT_KINDS = frozenset(
+    {
+        ErrorKind.UNAUTHENTICATED,
+        ErrorKind.BAD_REQUEST,
+        ErrorKind.BAD_JSON,
+        ErrorKind.BODY_TOO_LARGE,
+        ErrorKind.IDEMPOTENCY_KEY_REUSED,
+        ErrorKind.NEVER_RUNS,
+    }
+)
+"""Kinds of refusals for the content of a request, with which no attempt can run."""
--- a/jujubebarrow/errors/exceptions.py
+++ b/jujubebarrow/errors/exceptions.py
@@ -1,6 +1,10 @@
 """Exception classes of this package."""
 
-from jujubebarrow.errors.error_responses import ERROR_RESPONSES, ErrorResponse
+from jujubebarrow.errors.error_responses import (
+    CONTENT_KINDS,
+    ERROR_RESPONSES,
+    ErrorResponse,
+)
 from jujubebarrow.errors.kinds import ErrorKind
 from jujubebarrow.errors.run_states import RunState
 from jujubebarrow.identifiers import QueueId
@@ -30,6 +34,10 @@
         detail: Value or condition that caused the refusal; never a key or a secret.
         retry_after: Time in seconds after which the caller may retry.
         run: State of the run; None for the default state of the error kind.
+
+    Attributes:
+        is_claimed: Whether the refused attempt held the claim of its request, so that
+            no earlier attempt has run.
     """
 
     def __init__(
@@ -44,6 +52,13 @@
         self.detail = detail
         self.retry_after = retry_after
         self.run = run or self.response.run
+        self.is_claimed = False
+
+    @property
+    def holds_for_all_attempts(self) -> bool:
+        """Whether the run is known of all attempts, not of the refused one alone."""
+        is_refused = self.run is RunState.NOT_RUN
+        return not is_refused or self.is_claimed or self.kind in CONTENT_KINDS
 
     @property
     def response(self) -> ErrorResponse:
--- a/jujubebarrow/homes/home_services.py
+++ b/jujubebarrow/homes/home_services.py
@@ -36,6 +36,17 @@
 from jujubebarrow.settings.settings import Settings
 from jujubebarrow.upstreams.upstream_clients import UpstreamClient
 
+CLAIMED_KINDS = frozenset(
+    {
+        ErrorKind.KEY_WITHDRAWN,
+        ErrorKind.CONFIGURATION_STALE,
+        ErrorKind.DEADLINE_PASSED,
+        ErrorKind.UPSTREAM_REFUSED,
+    }
+)
+"""Kinds with which a home refuses a request that must run at most once only after it
+has claimed the request."""
+
 
 class HomeService:
     """Admits, queues, claims, starts and retries requests.
--- a/jujubebarrow/services/request_services.py
+++ b/jujubebarrow/services/request_services.py
@@ -5,7 +5,7 @@
 from jujubebarrow.errors.exceptions import PeerLostError, RefusalError
 from jujubebarrow.errors.kinds import ErrorKind
 from jujubebarrow.errors.run_states import RunState
-from jujubebarrow.homes.home_services import HomeService
+from jujubebarrow.homes.home_services import CLAIMED_KINDS, HomeService
 from jujubebarrow.homes.run_results import RunResult
 from jujubebarrow.invariants.monitors import InvariantMonitor
 from jujubebarrow.metrics.registries import MetricsRegistry
@@ -97,12 +97,13 @@
         deadline = self._clock.monotonic() + request.remaining
         candidates = self._homes.candidates(queue.pool)[:HOME_LIMIT]
         refusal: RefusalError | None = None
-        may_have_run = False
+        may_have_run = is_claimed = False
         for candidate in candidates:
             try:
                 return await self._run_at(request, candidate, deadline)
             except RefusalError as error:
                 may_have_run = may_have_run or error.run is not RunState.NOT_RUN
+                is_claimed = is_claimed or error.kind in CLAIMED_KINDS
                 refusal = _choose_refusal(refusal, error)
                 if not self._try_reserve_retry(error, queue.idempotent, deadline):
                     break
@@ -111,6 +112,7 @@
         )
         if may_have_run and refusal.run is RunState.NOT_RUN:
             refusal.run = RunState.UNKNOWN
+        refusal.is_claimed = is_claimed and not queue.idempotent
         raise refusal
 
     def _try_reserve_retry(
