Send each repeat of a submission to a failing store once

The first round is a whole commit as before, each later one a single attempt. The time is that of the loop now, 0.6 s, which was 0.8 s less a pause.

If the deadline ends the repeats, the log has the attempts up to then.

--- a/jujubebarrow/runtimes/job_intakes.py
+++ b/jujubebarrow/runtimes/job_intakes.py
@@ -38,12 +38,12 @@
 STORE_RETRY_SECONDS = 1.0
 """Value of Retry-After while the store does not answer; outages of the store last a few
 seconds."""
-SUBMIT_SECONDS = 0.8
+SUBMIT_SECONDS = 0.6
 """Time for which a submission is sent to a store that fails; five such attempts of a
-caller last longer than its usual deadline of 3 s."""
+caller last as long as its usual deadline of 3 s."""
 SUBMIT_PAUSE_SECONDS = 0.2
-"""Pause before a submission is sent to the store again; a busy part of the store serves
-30 transactions meanwhile."""
+"""Pause before a submission is sent to the store again, several times the store's
+usual response time."""
 CANCEL_ATTEMPTS = 3
 """Attempts to cancel a job whose rows other writers change at the same time."""
 
@@ -129,20 +129,20 @@
             nonce=uuid4().hex,
         )
         started_at = self._clock.monotonic()
+        failures: list[str] = []
         try:
-            await wait_for(self._commit(transaction), timeout)
+            await wait_for(self._commit(transaction, failures), timeout)
         except TransactionConflictError:
             self._log_repeat(request, route, job)
             return
         except StoreError as error:
             refusal = _make_refusal(error, may_be_repeated)
-            self._log_refusal(request, route, job, refusal, error.attempts, started_at)
+            self._log_refusal(request, route, job, refusal, failures, started_at)
             raise refusal from error
         except TimeoutError as error:
             refusal = RefusalError(ErrorKind.RUN_UNKNOWN, "store", 0.5)
-            self._log_refusal(
-                request, route, job, refusal, ("no time left",), started_at
-            )
+            failures.append("no time left")
+            self._log_refusal(request, route, job, refusal, failures, started_at)
             raise refusal from error
         self._marked_uses.add(use_key)
         self._log.write(
@@ -155,14 +155,19 @@
             steps=[step.count for step in submission.steps],
         )
 
-    async def _commit(self, transaction: Transaction) -> None:
-        """Commit a transaction; repeat it for a short time while the store fails."""
-        deadline = self._clock.monotonic() + SUBMIT_SECONDS - SUBMIT_PAUSE_SECONDS
+    async def _commit(self, transaction: Transaction, failures: list[str]) -> None:
+        """Commit a transaction; repeat it for a short time while the store fails.
+
+        Args:
+            transaction: Transaction that stores a job.
+            failures: Gets the results of the failed attempts.
+        """
+        deadline = self._clock.monotonic() + SUBMIT_SECONDS
         is_uncertain = False
-        failures: tuple[str, ...] = ()
+        commit = self._store.commit
         while True:
             try:
-                await self._store.commit(transaction)
+                await commit(transaction)
                 return
             except StoreError as error:
                 is_uncertain = is_uncertain or error.may_have_applied
@@ -171,9 +176,11 @@
                 if is_final and not is_uncertain:
                     raise
                 if is_final or self._clock.monotonic() > deadline:
-                    raise StoreError(str(error), is_uncertain, failures) from error
+                    raise StoreError(str(error), is_uncertain) from error
                 self._metrics.count("retry", "submit")
                 await sleep(SUBMIT_PAUSE_SECONDS)
+                # A store that fails for longer than a moment gets one call a pause.
+                commit = self._store.commit_once
 
     def _log_repeat(self, request: RequestId, route: QueueRoute, job: JobId) -> None:
         self._metrics.count("job_repeated", route.queue)
@@ -185,7 +192,7 @@
         route: QueueRoute,
         job: JobId,
         refusal: RefusalError,
-        attempts: tuple[str, ...],
+        attempts: list[str],
         started_at: float,
     ) -> None:
         self._log.write(
--- a/jujubebarrow/tests/fakes/caller_interfaces.py
+++ b/jujubebarrow/tests/fakes/caller_interfaces.py
@@ -31,16 +31,23 @@
 class ScriptedStore:
     """Ends each transaction as a script tells; the last result holds for the rest.
 
+    A commit is one attempt, unlike that of a real client.
+
     Args:
         results: None for success, or the error that ends the transaction.
 
     Attributes:
-        commit_count: Number of transactions so far.
+        commit_count: Number of commits so far.
+        single_count: Number of those that are single attempts of a real client too.
     """
 
     def __init__(self, *results: Exception | None):
         self._results = list(results)
-        self.commit_count = 0
+        self.commit_count = self.single_count = 0
+
+    async def commit_once(self, transaction: Any) -> int:
+        self.single_count += 1
+        return await self.commit(transaction)
 
     async def commit(self, transaction: Any) -> int:
         self.commit_count += 1
--- a/jujubebarrow/tests/test_refused_repeats.py
+++ b/jujubebarrow/tests/test_refused_repeats.py
@@ -71,6 +71,21 @@
         self.assertEqual(interface.submit().status, 200)
         self.assertEqual(interface.store.commit_count, 2)
 
+    def test_failing_store_gets_one_call_for_each_repeat_of_a_submission(self) -> None:
+        interface = CallerInterface(REJECTED)
+        interface.submit()
+        store = interface.store
+        self.assertGreater(store.single_count, 1)
+        self.assertEqual(store.single_count, store.commit_count - 1)
+
+    def test_deadline_that_ends_the_repeats_leaves_the_attempts_in_the_log(
+        self,
+    ) -> None:
+        interface = CallerInterface(REJECTED)
+        interface.submit({"X-Deadline-Ms": "160"})
+        attempts = interface.log.lines[0]["attempts"]
+        self.assertEqual(attempts, ["status 503", "no time left"])
+
     def test_content_refused_after_an_unanswered_attempt_is_not_final(self) -> None:
         interface = CallerInterface(UNANSWERED, InvalidCallError("status 403"))
         self.assertEqual(interface.submit().status, NO_ANSWER)
