Keep a worker free while a move without a response may be carried out

What callers saw: tasks broken off by a move that was thought to be refused. An order for a move got no response, its repeat was answered 429 or 409 (busy), the pool's owner gave the move up and started tasks on the worker, and the first order was carried out.

The orders of waves don't do that: a machine stays drained until an order succeeds.

The fix: after an order without a response no answer but success ends the move, nor does its grace, until the machine lease (the time that other holders wait for such an order) has passed. The order is repeated meanwhile, as without an answer before.

An owner that takes the pool over meanwhile does not know of the order; that is open.

--- a/jujubebarrow/runtimes/move_controllers.py
+++ b/jujubebarrow/runtimes/move_controllers.py
@@ -116,6 +116,8 @@
         self._unserved_since: float | None = None
         self._listed_at = float("-inf")
         self._pending_moves: dict[WorkerId, tuple[PoolId, float]] = {}
+        # Time until which a move may be carried out whose order got no response.
+        self._uncertain_until: dict[WorkerId, float] = {}
         self._unmovable: set[MachineId] = set()
 
     async def run(self) -> None:
@@ -387,8 +389,8 @@
         for worker, machine, _ in ready:
             outcome = outcomes.get(machine.machine)
             if outcome is MachineOrderOutcome.DONE:
-                self._pending_moves.pop(worker.worker, None)
-            elif outcome is not None:
+                self._remove_move(worker.worker)
+            elif outcome is not None and not self._may_move_late(worker):
                 self._cancel_move(worker)
 
     def _list_ready_moves(self, now: float) -> list[tuple[WorkerView, Machine, PoolId]]:
@@ -397,7 +399,7 @@
         for name, (target, planned_at) in list(self._pending_moves.items()):
             worker = self._coordinator.state.workers.get(name)
             if worker is None or worker.entry is None:
-                del self._pending_moves[name]
+                self._remove_move(name)
                 continue
             machine = self._machines_by_worker.get(name)
             is_free = not worker.runs and not self._may_start_elsewhere(worker, now)
@@ -410,7 +412,9 @@
                 and self._is_movable(machine)
             ):
                 ready.append((worker, machine, target))
-            elif now - planned_at > DRAIN_GRACE_SECONDS:
+            elif now - planned_at > DRAIN_GRACE_SECONDS and not self._may_move_late(
+                worker
+            ):
                 self._cancel_move(worker)
         return ready
 
@@ -423,9 +427,21 @@
             )
         )
 
+    def _may_move_late(self, worker: WorkerView) -> bool:
+        """Return whether an order without a response may still move a worker.
+
+        The answer to a repeat of the order tells nothing of the first one.
+        """
+        until = self._uncertain_until.get(worker.worker, float("-inf"))
+        return self._clock.monotonic() < until
+
+    def _remove_move(self, worker: WorkerId) -> None:
+        self._pending_moves.pop(worker, None)
+        self._uncertain_until.pop(worker, None)
+
     def _cancel_move(self, worker: WorkerView) -> None:
         worker.is_cordoned = False
-        self._pending_moves.pop(worker.worker, None)
+        self._remove_move(worker.worker)
         self._metrics.count("move_given_up")
         self._hooks.on_change()
 
@@ -480,6 +496,9 @@
                 lambda: self._machines.move(machine.machine, target, token),
             )
         except MachineControlError as error:
+            self._uncertain_until[machine.worker] = (
+                self._clock.monotonic() + self._machine_lease
+            )
             self._metrics.count("move_retry", type(error).__name__)
             self._log.write(
                 "move_unanswered", machine=machine.machine, detail=str(error)
--- a/jujubebarrow/tests/test_machine_orders.py
+++ b/jujubebarrow/tests/test_machine_orders.py
@@ -1,14 +1,17 @@
 """Orders for machines that are late, refused, or given by two holders in turn."""
 
 import unittest
-from asyncio import gather, get_running_loop, sleep
+from asyncio import Task, create_task, gather, get_running_loop, sleep
 from random import Random
 from typing import Any
 from unittest.mock import patch
 
 from jujubebarrow.errors.exceptions import StoreError, TransactionConflictError
 from jujubebarrow.fleets.wave_requests import WaveRequest
-from jujubebarrow.gateways.machine_controls import MachineOrderOutcome
+from jujubebarrow.gateways.machine_controls import (
+    MachineControlError,
+    MachineOrderOutcome,
+)
 from jujubebarrow.identifiers import PoolId
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.pools.pool_loads import PoolLoad
@@ -19,7 +22,12 @@
 from jujubebarrow.standins.emulated_workers import TaskBehaviour
 from jujubebarrow.tests.fakes.fake_machines import STANDBY
 from jujubebarrow.tests.fakes.job_cases import JobCase
-from jujubebarrow.tests.fakes.job_clusters import POOL, Instance, JobCluster
+from jujubebarrow.tests.fakes.job_clusters import (
+    OTHER_ROUTE,
+    POOL,
+    Instance,
+    JobCluster,
+)
 from jujubebarrow.tests.fakes.virtual_loops import LoopClock, run_virtual
 from jujubebarrow.workloads.identifiers import MachineId, WorkerId
 from jujubebarrow.workloads.resources import Resources
@@ -31,6 +39,11 @@
 MACHINE_LEASE_SECONDS = 3.0
 """Shortest time between the orders of two holders for one machine."""
 MACHINE = MachineId("m-w1")
+RESPONSE_SECONDS = 1.5
+"""Timeout of an order."""
+LATE_MOVE_SECONDS = 2.7
+"""Time after which a move without a response is carried out; less than the lease."""
+PEAK = StepSpec(count=48, needs=Resources(1000, 500), estimate=5.0)
 SUSPENSION_SECONDS = 10.0
 """Seconds that suffice for a takeover, the machine lease and an order."""
 
@@ -133,6 +146,48 @@
         self.run_scenario(scenario, workers=2, standby=2)
 
 
+class UnansweredOrderTest(JobCase):
+    def test_move_without_response_kills_no_task_after_a_repeat_was_refused(
+        self,
+    ) -> None:
+        for answer in (MachineOrderOutcome.TRY_LATER, MachineOrderOutcome.BUSY):
+
+            async def scenario(
+                cluster: JobCluster, answer: MachineOrderOutcome = answer
+            ) -> None:
+                await sleep(3.0)
+                move = cluster.machines.move
+                unanswered: dict[MachineId, Task[MachineOrderOutcome]] = {}
+
+                async def move_late(
+                    machine: MachineId, pool: PoolId, token: int
+                ) -> MachineOrderOutcome:
+                    await sleep(LATE_MOVE_SECONDS)
+                    return await move(machine, pool, token)
+
+                async def lose_first_response(
+                    machine: MachineId, pool: PoolId, token: int
+                ) -> MachineOrderOutcome:
+                    if machine in unanswered:
+                        return answer
+                    unanswered[machine] = create_task(move_late(machine, pool, token))
+                    await sleep(RESPONSE_SECONDS)
+                    raise MachineControlError("no response")
+
+                cluster.machines.move = lose_first_response
+                await cluster.submit(1, (PEAK,), behaviour=TaskBehaviour(seconds=5.0))
+                await cluster.wait_for(lambda: bool(unanswered), 5.0)
+                await sleep(RESPONSE_SECONDS + 0.5)
+                await cluster.submit(
+                    2, (PEAK,), behaviour=TaskBehaviour(seconds=5.0), route=OTHER_ROUTE
+                )
+                await gather(*unanswered.values())
+                self.assertGreater(len(cluster.machines.moves), 0)
+                self.assertEqual(cluster.machines.killed_run_count, 0, answer)
+
+            self.run_scenario(scenario, workers=2, others=6, has_other_queue=True)
+
+
 class HoldersTest(JobCase):
     def test_two_holders_cannot_both_claim_a_machine(self) -> None:
         async def scenario() -> int:
