Look for progress whose transaction got no response and was refused then

What callers saw: jobs of a pool waiting for a takeover.

Cause: a refusal of the last commit was taken for all. Store.commit keeps what it knows of its own attempts, not of those of the commit before.

The fix: after an uncertain commit a refusal for the content ends the transaction only if the fence row, which each transaction writes, does not have its nonce. One that is stored later still changes the fence, so that the owner is displaced, as before.

Evidence: the first of the two new tests failed before (fence_lost and pool_displaced, and two starts repeated by the next owner); the second one, progress that was not stored and is set aside, passed before and after. test_large_jobs, test_job_owners and test_job_core pass.

--- a/jujubebarrow/runtimes/progress_writers.py
+++ b/jujubebarrow/runtimes/progress_writers.py
@@ -271,6 +271,7 @@
     async def _commit_until_answered(
         self, queue: QueueId, transaction: Transaction
     ) -> list[str]:
+        is_uncertain = False
         while True:
             try:
                 self._fences[queue] = await self._store.commit(transaction)
@@ -279,12 +280,34 @@
                 return error.keys
             except InvalidCallError:
                 # A repeat would be refused as well and hold up all jobs of the queue.
-                raise
+                if not is_uncertain or not await self._is_stored(queue, transaction):
+                    raise
+                return []
             except StoreError as error:
+                is_uncertain = is_uncertain or error.may_have_applied
                 self._metrics.count("retry", "progress")
                 self._metrics.count("store_unanswered", str(error)[:40])
             await sleep(RETRY_SECONDS)
 
+    async def _is_stored(self, queue: QueueId, transaction: Transaction) -> bool:
+        """Return whether an earlier attempt at a refused transaction is stored.
+
+        If it is stored later, it changes the fence, so that the next transaction fails.
+        """
+        key = make_fence_key(queue, self._pool)
+        while True:
+            try:
+                found = await self._store.read(key)
+                break
+            except StoreError:
+                self._metrics.count("retry", "progress")
+                await sleep(RETRY_SECONDS)
+        for row in found.rows:
+            if row.key == key and row.nonce == transaction.nonce:
+                self._fences[queue] = row.revision
+                return True
+        return False
+
     async def delete_closed(self, closed_jobs: list[JobProgress]) -> None:
         """Delete the rows of closed jobs whose retention time has passed."""
         queues: dict[QueueId, list[JobProgress]] = {}
--- a/jujubebarrow/tests/test_unclear_refusals.py
+++ b/jujubebarrow/tests/test_unclear_refusals.py
@@ -1,17 +1,23 @@
 """Failures of transactions that may have been sent, and count as not applied."""
 
 import unittest
+from asyncio import sleep
+from unittest.mock import patch
 
 from jujubebarrow.clocks.boot_clocks import BootClock
-from jujubebarrow.errors.exceptions import StoreError
+from jujubebarrow.errors.exceptions import InvalidCallError, StoreError
 from jujubebarrow.links.link_backlogs import LinkBacklog
 from jujubebarrow.links.link_meters import LinkMeter
 from jujubebarrow.logs.event_logs import EventLog
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.platform.stores import PlatformStore
+from jujubebarrow.runtimes.job_row_keys import make_progress_key
 from jujubebarrow.stores.read_throttles import ReadThrottle
 from jujubebarrow.stores.relay_messages import encode_call, encode_commit, execute_call
+from jujubebarrow.stores.relayed_stores import RelayedStore
 from jujubebarrow.stores.transactions import ABSENT_REVISION, Transaction
+from jujubebarrow.tests.fakes.job_cases import JobCase
+from jujubebarrow.tests.fakes.job_clusters import QUEUE, JobCluster
 from jujubebarrow.tests.fakes.resetting_servers import ResettingServer
 
 LINK_MBPS = 100.0
@@ -61,3 +67,47 @@
         with self.assertRaises(StoreError) as caught:
             await store.commit(JOB)
         self.assertTrue(caught.exception.may_have_applied)
+
+
+class UnclearProgressTest(JobCase):
+    """Progress whose transaction gets no response and whose repeat is refused."""
+
+    def run_job(self, is_applied: bool) -> list[str]:
+        """Run a job whose first transaction is unclear; return the logged events."""
+        results: list[Exception] = [
+            StoreError("no response"),
+            InvalidCallError("status 413"),
+        ]
+        commit = RelayedStore.commit
+
+        async def commit_unclearly(
+            store: RelayedStore, transaction: Transaction
+        ) -> int:
+            prefix = make_progress_key(QUEUE, "")  # type: ignore[arg-type]
+            has_progress = any(key.startswith(prefix) for key in transaction.writes)
+            if not has_progress or not results:
+                return await commit(store, transaction)
+            if is_applied and len(results) == 2:
+                await commit(store, transaction)
+            raise results.pop(0)
+
+        async def scenario(cluster: JobCluster) -> None:
+            await sleep(3.0)
+            with patch.object(RelayedStore, "commit", commit_unclearly):
+                await cluster.submit(1)
+                await sleep(20.0)
+            self.assertEqual(results, [])
+            self.assertEqual(len(cluster.list_runs()), 2)
+
+        cluster = self.run_scenario(scenario)
+        return [line["event"] for log in cluster.logs for line in log.lines]
+
+    def test_stored_progress_whose_repeat_is_refused_displaces_no_owner(self) -> None:
+        events = self.run_job(is_applied=True)
+        self.assertNotIn("fence_lost", events)
+        self.assertNotIn("progress_refused", events)
+
+    def test_progress_that_was_not_stored_is_set_aside_when_it_is_refused(self) -> None:
+        events = self.run_job(is_applied=False)
+        self.assertNotIn("fence_lost", events)
+        self.assertIn("progress_refused", events)
