Add a test of a job that is stored after its cancellation was answered 410

What callers saw: a submission got no response, its cancellation was answered "not found", the store applied the submission late, and the job ran. The instance that cancels takes the present rows for the result of all attempts at the submission.

--- a/jujubebarrow/tests/test_unclear_refusals.py
+++ b/jujubebarrow/tests/test_unclear_refusals.py
@@ -1,11 +1,14 @@
 """Failures of transactions that may have been sent, and count as not applied."""
 
 import unittest
-from asyncio import sleep
+from asyncio import Task, create_task, sleep
 from unittest.mock import patch
 
 from jujubebarrow.clocks.boot_clocks import BootClock
-from jujubebarrow.errors.exceptions import InvalidCallError, StoreError
+from jujubebarrow.errors.exceptions import InvalidCallError, RefusalError, StoreError
+from jujubebarrow.errors.kinds import ErrorKind
+from jujubebarrow.errors.run_states import RunState
+from jujubebarrow.identifiers import JobId
 from jujubebarrow.links.link_backlogs import LinkBacklog
 from jujubebarrow.links.link_meters import LinkMeter
 from jujubebarrow.logs.event_logs import EventLog
@@ -17,10 +20,12 @@
 from jujubebarrow.stores.relayed_stores import RelayedStore
 from jujubebarrow.stores.transactions import ABSENT_REVISION, Transaction
 from jujubebarrow.tests.fakes.job_cases import JobCase
-from jujubebarrow.tests.fakes.job_clusters import QUEUE, JobCluster
+from jujubebarrow.tests.fakes.job_clusters import QUEUE, TEAM, JobCluster
 from jujubebarrow.tests.fakes.resetting_servers import ResettingServer
 
 LINK_MBPS = 100.0
+LATE_SECONDS = 4.0
+"""Time after which a transaction without a response is applied."""
 JOB = Transaction(
     conditions={"jobs/q/0123456789abcdef": ABSENT_REVISION},
     writes={"jobs/q/0123456789abcdef": {}},
@@ -111,3 +116,35 @@
         events = self.run_job(is_applied=False)
         self.assertNotIn("fence_lost", events)
         self.assertIn("progress_refused", events)
+
+
+class LateSubmissionTest(JobCase):
+    def test_job_that_is_stored_after_its_cancellation_does_not_run(self) -> None:
+        commit = RelayedStore.commit
+
+        async def scenario(cluster: JobCluster) -> None:
+            late: list[Task[int]] = []
+
+            async def commit_late(store: RelayedStore, transaction: Transaction) -> int:
+                async def apply() -> int:
+                    await sleep(LATE_SECONDS)
+                    return await commit(store, transaction)
+
+                if not late:
+                    late.append(create_task(apply()))
+                raise StoreError("no response")
+
+            await sleep(3.0)
+            intake = cluster.instances[0].node.intake  # type: ignore[union-attr]
+            with patch.object(RelayedStore, "commit", commit_late):
+                with self.assertRaises(RefusalError) as caught:
+                    await cluster.submit(1)
+                self.assertIs(caught.exception.run, RunState.UNKNOWN)
+            with self.assertRaises(RefusalError) as caught:
+                await intake.cancel(cluster.route, TEAM, JobId(f"{1:016x}"))
+            self.assertIs(caught.exception.kind, ErrorKind.NOT_FOUND)
+            await late[0]
+            await sleep(10.0)
+            self.assertEqual(cluster.list_runs(), [])
+
+        self.run_scenario(scenario)
