Tell exit code 4 if a change was refused after an attempt without a response

What operators saw: the response to a change was lost, the command line sent the change again, the repeat was refused (not-ready, or revision-conflict since the change itself or a later one had been made), and the command ended with 1, refused, although the change may have been made.

Cause: the refusal of the last of several sends was taken for all, by the one who knows of all.

The fix: after an attempt that was sent and got no answer, or an unknown one, a refused change ends with 4, unknown. Refused connections, reads and single attempts stay as they are.

Evidence: the first of the three new tests failed before in each of its four cases; the other two, a single refused attempt and a repeated read, passed before and after. test_command_line passes.

--- a/jujubebarrow/commands/clients.py
+++ b/jujubebarrow/commands/clients.py
@@ -81,6 +81,8 @@
             headers=headers | {"Authorization": f"Bearer {self._key}"},
             request_timeout=TIMEOUT_SECONDS,
         )
+        is_change = method != "GET"
+        may_be_made = False
         for attempt in range(REQUEST_ATTEMPTS):
             try:
                 response = self._client.fetch(request, raise_error=False)
@@ -89,11 +91,14 @@
                     raise CommandError(
                         ExitCode.UNREACHABLE, f"no response from {self._url}: {error}"
                     ) from error
+                is_unsent = isinstance(error, ConnectionRefusedError)
+                may_be_made = may_be_made or (is_change and not is_unsent)
                 continue
             # The idempotency key makes a retry safe if the outcome is unknown.
             if not _is_outcome_unknown(response) or attempt == REQUEST_ATTEMPTS - 1:
                 break
-        _raise_for_status(response)
+            may_be_made = is_change
+        _raise_for_status(response, may_be_made)
         return response
 
 
@@ -107,7 +112,7 @@
     return response.code >= 400 and response.headers.get("Run-State") == "unknown"
 
 
-def _raise_for_status(response: HTTPResponse) -> None:
+def _raise_for_status(response: HTTPResponse, may_be_made: bool) -> None:
     if response.code < 400:
         return
     try:
@@ -115,5 +120,6 @@
         text = f"{problem['title']} {problem['detail']}".strip()
     except (ValueError, KeyError):
         text = f"status {response.code}"
-    code = ExitCode.UNKNOWN if _is_outcome_unknown(response) else ExitCode.REFUSED
-    raise CommandError(code, text)
+    # The refusal of the last attempt tells nothing of those before.
+    is_unknown = may_be_made or _is_outcome_unknown(response)
+    raise CommandError(ExitCode.UNKNOWN if is_unknown else ExitCode.REFUSED, text)
