Play keys, leaving callers and relays in the proof of refused jobs

New checks: nothing of a job starts 3 s after its acknowledged cancellation, 410 never answers for a stored job, and no call of another interface reaches the store. 401 and 404 are known statuses of the queue that needs a key, 410 of a cancellation.

--- a/jujubebarrow/tests/fakes/platform_loads.py
+++ b/jujubebarrow/tests/fakes/platform_loads.py
@@ -12,8 +12,17 @@
 from jujubebarrow.workloads.step_specs import StepSpec
 
 HOST = "labels.example"
+TENANT = "longliners"
+KEY = "k-1"
+"""Key of the tenant while it is not withdrawn."""
 LARGEST_JOB_STEPS = 2
 PLAIN_STEP = {"Count": 2, "Cpu": 500, "MemMb": 64, "EstimateMs": 300}
+CHAIN_LENGTH = 20
+CHAIN_STEPS = [
+    PLAIN_STEP | ({"After": [number - 1]} if number else {})
+    for number in range(CHAIN_LENGTH)
+]
+"""Steps that last longer than the time within which a cancelled job must end."""
 KINDS = ("a", "b")
 """Hardware kinds of the workers, which are labels."""
 MIXED_STEPS: tuple[dict[str, Any], ...] = (
@@ -42,24 +51,46 @@
         queue: Name of the queue.
         prefix: Path of the queue's jobs.
         pool: Pool that runs the queue's tasks.
+        needs_key: Whether calls need the tenant's key.
     """
 
     queue: str
     prefix: str
     pool: str
+    needs_key: bool = False
 
 
 PRINT_QUEUE = QueueSpec("print", "/print/", "labels")
 CERTIFY_QUEUE = QueueSpec("certify", "/certify/", "certificates")
+SEALED_QUEUE = QueueSpec("sealed", "/sealed/", "seals", needs_key=True)
 
 
 class SiteLoad(Enum):
-    """What callers submit and whether workers change."""
+    """What callers submit and do, and what changes beside the store and the starts."""
 
     PLAIN = "plain"
     MIXED = "mixed"
     CHANGING = "changing"
     LATE = "late"
+    KEYED = "keyed"
+    LEAVING = "leaving"
+    RELAYED = "relayed"
+    COMBINED = "combined"
+
+    @property
+    def has_keys(self) -> bool:
+        """Whether a queue needs a key, and the configuration changes and lapses."""
+        return self in (SiteLoad.KEYED, SiteLoad.COMBINED)
+
+    @property
+    def has_leaving_callers(self) -> bool:
+        """Whether callers leave, stop when refused, submit again late and cancel."""
+        return self in (SiteLoad.KEYED, SiteLoad.LEAVING, SiteLoad.COMBINED)
+
+    @property
+    def has_relay_faults(self) -> bool:
+        """Whether calls between instances fail and instances end with held calls."""
+        return self in (SiteLoad.RELAYED, SiteLoad.COMBINED)
 
     @property
     def has_mixed_steps(self) -> bool:
@@ -67,7 +98,7 @@
 
         The site has two pools then; otherwise all tasks are alike and small.
         """
-        return self is not SiteLoad.PLAIN
+        return self in (SiteLoad.MIXED, SiteLoad.CHANGING, SiteLoad.LATE)
 
     @property
     def changes_workers(self) -> bool:
@@ -87,6 +118,8 @@
         """Queues, each with a pool of its own."""
         if self.has_mixed_steps:
             return PRINT_QUEUE, CERTIFY_QUEUE
+        if self.has_keys:
+            return PRINT_QUEUE, SEALED_QUEUE
         return (PRINT_QUEUE,)
 
     @property
@@ -108,7 +141,7 @@
 
     def draw_queue(self, random: Random) -> QueueSpec:
         """Return the queue of the next job."""
-        return random.choice(self.queues) if self.has_mixed_steps else PRINT_QUEUE
+        return random.choice(self.queues) if len(self.queues) > 1 else PRINT_QUEUE
 
     def draw_steps(self, random: Random) -> list[dict[str, Any]]:
         """Return the steps of the next job in their wire form."""
--- a/jujubebarrow/tests/fakes/platform_sites.py
+++ b/jujubebarrow/tests/fakes/platform_sites.py
@@ -1,6 +1,7 @@
 """Entry instances as separate processes, between callers and stand-ins with faults."""
 
 import asyncio
+from base64 import b64decode, b64encode
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
 from enum import Enum
@@ -16,7 +17,14 @@
 from jujubebarrow.platform.stores import COMMIT_PATH
 from jujubebarrow.standins.emulated_workers import EmulatedWorker, TaskBehaviour
 from jujubebarrow.standins.processes import ChildProcess
-from jujubebarrow.tests.fakes.platform_loads import HOST, KINDS, SiteLoad
+from jujubebarrow.tests.fakes.platform_loads import (
+    HOST,
+    KEY,
+    KINDS,
+    TENANT,
+    SiteLoad,
+)
+from jujubebarrow.tests.fakes.platform_relay_paths import RelayPath
 from jujubebarrow.tests.fakes.platform_tables import PlatformTable, Response
 from jujubebarrow.tests.fakes.platform_worker_paths import WorkerPath
 from jujubebarrow.tests.fakes.resetting_servers import ResettingServer, ServerRequest
@@ -30,7 +38,11 @@
 RESTART_SECONDS = 0.3
 FIRST_PORT = 20_000
 PORTS_COUNT = 10
-"""Ports of an instance, of which the first ones are used."""
+"""Ports of an instance: for callers, readiness, metrics, and peers; the last but one is
+for a relay path, so that its address is as long as the one of the peers."""
+PEER_PORT_OFFSET = 3
+RELAY_PORT_OFFSET = 8
+HOLD_PERIOD_SECONDS = 0.01
 LOG_LINES_COUNT = 20
 """Lines of an instance's log that explain a failure."""
 REFUSED_CALLS_LIMIT = 3
@@ -60,17 +72,29 @@
 
     Attributes:
         fault: Present fault of the calls.
+        refuses_configuration: Whether reads of the operator's documents are refused.
+        holds_transactions: Whether transactions wait; they are applied afterwards.
     """
 
-    def __init__(self, table: PlatformTable, random: Random):
+    def __init__(
+        self, table: PlatformTable, random: Random, peer_addresses: dict[bytes, bytes]
+    ):
         self._table = table
+        self._peer_addresses = peer_addresses
         self._random = random
         self._refused_calls = 0
         self.fault = StoreFault.NONE
+        self.refuses_configuration = False
+        self.holds_transactions = False
 
     async def respond(self, request: ServerRequest) -> Response | None:
         """Return the response to a call; None resets the connection."""
         await asyncio.sleep(STORE_DELAY_SECONDS)
+        is_transaction = request.target.startswith(COMMIT_PATH)
+        if is_transaction:
+            request = await self._take_transaction(request)
+        elif self.refuses_configuration and "Table=op&" in f"{request.target}&":
+            return 503, b"{}"
         if self._refused_calls:
             self._refused_calls -= 1
             return self._random.choice((429, 503)), b"{}"
@@ -81,7 +105,6 @@
         if self.fault is StoreFault.SILENT:
             await asyncio.sleep(SILENCE_SECONDS)
             return None
-        is_transaction = request.target.startswith(COMMIT_PATH)
         if is_transaction and self._random.random() < RESET_SHARE:
             if self.fault is StoreFault.APPLY_AND_RESET:
                 await self._table.respond(request.target, request.body)
@@ -94,6 +117,12 @@
                 return self._reset_and_refuse()
         return await self._table.respond(request.target, request.body)
 
+    async def _take_transaction(self, request: ServerRequest) -> ServerRequest:
+        while self.holds_transactions:
+            await asyncio.sleep(HOLD_PERIOD_SECONDS)
+        body = replace_addresses(request.body, self._peer_addresses)
+        return ServerRequest(request.target, body)
+
     def _reset_and_refuse(self) -> None:
         self._refused_calls = self._random.randint(1, REFUSED_CALLS_LIMIT)
 
@@ -109,6 +138,8 @@
         settings_path: Path of the settings file.
         store_path: The instance's connections to the store.
         process: Present process of the instance; None before the first start.
+        relay_path: Connections from other instances; None if they have no faults.
+        is_restarting: Held while the process ends and the next one starts.
     """
 
     name: str
@@ -117,6 +148,8 @@
     settings_path: Path
     store_path: StorePath
     process: ChildProcess | None = None
+    relay_path: RelayPath | None = None
+    is_restarting: asyncio.Lock = field(default_factory=asyncio.Lock)
 
     @property
     def log(self) -> str:
@@ -154,6 +187,8 @@
     entries: list[SiteEntry] = field(default_factory=list)
     workers: list[EmulatedWorker] = field(default_factory=list)
     worker_paths: list[WorkerPath] = field(default_factory=list)
+    _version: int = 0
+    _peer_addresses: dict[bytes, bytes] = field(default_factory=dict)
     _worker_servers: list[ResettingServer] = field(default_factory=list)
     _addresses: list[str] = field(default_factory=list)
     _stack: AsyncExitStack = field(default_factory=AsyncExitStack)
@@ -164,7 +199,7 @@
         if folder is None:
             folder = Path(self._stack.enter_context(TemporaryDirectory()))
         try:
-            self._write_configuration()
+            self.write_configuration()
             for queue in self.load.queues:
                 for number in range(self.load.worker_count):
                     name = f"i-{len(self.workers)}"
@@ -191,16 +226,29 @@
         self._stack.push_async_callback(server.close)
         return server, address
 
-    def _write_configuration(self) -> None:
-        limits = {"TimeoutMs": 3000, "SloMs": 1000, "MaxAttempts": 3, "Public": True}
+    def write_configuration(
+        self, has_key: bool = True, has_keyed_queues: bool = True
+    ) -> None:
+        """Write the next configuration.
+
+        Args:
+            has_key: Whether the tenant has its key.
+            has_keyed_queues: Whether the queues that need it are there.
+        """
+        self._version += 1
+        limits = {"TimeoutMs": 3000, "SloMs": 1000, "MaxAttempts": 3}
         routes = [
             {"Name": queue.queue, "Prefix": queue.prefix, "Backend": queue.pool}
-            | {"Host": HOST}
+            | {"Host": HOST, "Public": not queue.needs_key}
             | limits
             for queue in self.load.queues
+            if has_keyed_queues or not queue.needs_key
         ]
         services = [{"Name": queue.pool} for queue in self.load.queues]
-        document = {"Version": 1, "Routes": routes, "Services": services}
+        document = {"Version": self._version, "Routes": routes, "Services": services}
+        if self.load.has_keys:
+            tenant = {"Name": TENANT, "ApiKeys": [KEY] if has_key else []}
+            document["Tenants"] = [tenant]
         self.table.write("op", "config", document)
 
     async def _add_worker(self, name: str, pool: str, kind: str) -> None:
@@ -247,7 +295,9 @@
         self._worker_servers[number].abort_connections()
 
     async def _add_entry(self, name: str, folder: Path, machine_address: str) -> None:
-        store_path = StorePath(self.table, Random(self.random.random()))
+        store_path = StorePath(
+            self.table, Random(self.random.random()), self._peer_addresses
+        )
         store_address = await self._serve(store_path.respond)
         port = FIRST_PORT + PORTS_COUNT * len(self.entries)
         settings = {
@@ -265,9 +315,21 @@
         path.write_text("".join(f"{key}={text}\n" for key, text in settings.items()))
         entry = SiteEntry(name, self.host, port, path, store_path)
         self.entries.append(entry)
+        if self.load.has_relay_faults or self.load.has_keys:
+            await self._add_relay_path(entry)
         self._stack.callback(lambda: entry.process and entry.process.kill())
         self.start(entry)
 
+    async def _add_relay_path(self, entry: SiteEntry) -> None:
+        peer_port = entry.caller_port + PEER_PORT_OFFSET
+        port = entry.caller_port + RELAY_PORT_OFFSET
+        random = Random(f"relays {entry.name}")
+        entry.relay_path = RelayPath(self.host, port, peer_port, random)
+        await entry.relay_path.open()
+        self._stack.push_async_callback(entry.relay_path.close)
+        peer_address = f"{self.host}:{peer_port}".encode()
+        self._peer_addresses[peer_address] = f"{self.host}:{port}".encode()
+
     def start(self, entry: SiteEntry) -> None:
         """Start the process of an instance."""
         entry.process = ChildProcess(
@@ -280,15 +342,29 @@
 
     async def restart(self, entry: SiteEntry, is_graceful: bool) -> None:
         """End the process of an instance by SIGTERM or SIGKILL and start another."""
-        process = entry.process
-        if process is None:
-            return
-        if is_graceful:
-            await asyncio.to_thread(process.stop, 8.0)
-        else:
-            await asyncio.to_thread(process.kill)
-        await asyncio.sleep(RESTART_SECONDS)
-        self.start(entry)
+        async with entry.is_restarting:
+            process = entry.process
+            if process is None:
+                return
+            if is_graceful:
+                await asyncio.to_thread(process.stop, 8.0)
+            else:
+                await asyncio.to_thread(process.kill)
+            await asyncio.sleep(RESTART_SECONDS)
+            self.start(entry)
+
+
+def replace_addresses(body: bytes, addresses: dict[bytes, bytes]) -> bytes:
+    """Return a transaction whose values have other addresses of the same length."""
+    if not addresses:
+        return body
+    call = json.decode(body)
+    for row in call["Upserts"]:
+        value = b64decode(row["Value"])
+        for former, address in addresses.items():
+            value = value.replace(former, address)
+        row["Value"] = b64encode(value).decode()
+    return json.encode(call)
 
 
 def draw_loopback_address() -> str:
--- a/jujubebarrow/tests/proof_refused_jobs.py
+++ b/jujubebarrow/tests/proof_refused_jobs.py
@@ -13,10 +13,12 @@
 from collections import Counter, defaultdict
 from contextlib import ExitStack
 from functools import cache
+from math import inf
 from pathlib import Path
 from random import Random
 from shutil import rmtree
 
+from jujubebarrow.errors.kinds import ErrorKind
 from jujubebarrow.identifiers import PoolId
 from jujubebarrow.standins.emulated_workers import EmulatedRun
 from jujubebarrow.tests.fakes.platform_callers import (
@@ -24,6 +26,7 @@
     PlatformCaller,
     SubmittedJob,
 )
+from jujubebarrow.tests.fakes.platform_faults import SiteFaults
 from jujubebarrow.tests.fakes.platform_loads import KINDS, SiteLoad
 from jujubebarrow.tests.fakes.platform_sites import (
     RACK,
@@ -40,6 +43,8 @@
     (SiteLoad.PLAIN, 2),
     (SiteLoad.MIXED, 2),
     (SiteLoad.MIXED, 3),
+    (SiteLoad.KEYED, 1),
+    (SiteLoad.COMBINED, 1),
 )
 START_SECONDS = 30.0
 """Longest time until the instances accept jobs."""
@@ -50,7 +55,13 @@
 LONGEST_PAUSE_SECONDS = 0.3
 LOG_SAMPLE_SECONDS = 0.05
 """Time between two records of the logs' sizes, which give their lines a time."""
+ENTRY_COUNT = 4
+CANCEL_SECONDS = 3.0
+"""Time from the acknowledged cancellation of a job after which nothing of it starts."""
 KNOWN_STATUSES = frozenset({0, 200, 429, 502, 503, 504})
+NO_JOB_STATUS = 410
+KEY_STATUSES = frozenset({401, 404})
+"""Statuses of calls whose key or queue a configuration has removed."""
 
 
 class RefusedJobRun:
@@ -62,6 +73,7 @@
         has_process_faults: Whether instances are stopped, killed and frozen.
         log_folder: Directory of the instances' logs, which stay there; None to discard
             the logs.
+        entry_count: Number of instances.
     """
 
     def __init__(
@@ -70,12 +82,16 @@
         load: SiteLoad = SiteLoad.PLAIN,
         has_process_faults: bool = True,
         log_folder: Path | None = None,
+        entry_count: int = ENTRY_COUNT,
     ):
+        self._seed = seed
         self._random = Random(seed)
         self._worker_random = Random(f"workers {seed}")
         self._load = load
         self._has_process_faults = has_process_faults
-        self._site = PlatformSite(self._random, load=load, log_folder=log_folder)
+        self._site = PlatformSite(
+            self._random, entry_count=entry_count, load=load, log_folder=log_folder
+        )
         self._callers: list[PlatformCaller] = []
         self._early_jobs: list[SubmittedJob] = []
         self._events: list[str] = []
@@ -98,11 +114,12 @@
         with ExitStack() as stack:
             async with self._site:
                 await self._wait_until_accepting()
-                for _ in range(CALLER_COUNT):
+                for number in range(CALLER_COUNT):
                     caller = PlatformCaller(
                         self._site.entries,
                         Random(self._random.random()),
                         self._load,
+                        Random(f"habits {self._seed} {number}"),
                     )
                     stack.callback(caller.close)
                     self._callers.append(caller)
@@ -115,6 +132,13 @@
                     faults += [self._restart_entries, self._freeze_entries]
                 if self._load.changes_workers:
                     faults.append(self._change_workers)
+                site_faults = SiteFaults(self._site, self._seed, self._record)
+                if self._load.has_keys:
+                    faults.append(site_faults.change_configurations)
+                    faults.append(site_faults.lapse_configurations)
+                if self._load.has_relay_faults:
+                    faults.append(site_faults.disturb_relays)
+                    faults.append(site_faults.end_waiting_entries)
                 await asyncio.gather(
                     *(fault(deadline) for fault in faults),
                     *(
@@ -238,11 +262,26 @@
                 violations.append(f"refused, but stored: {job.job} {job.statuses}")
             if job.is_accepted and not is_stored:
                 violations.append(f"accepted, but not stored: {job.job}")
-            unknown = set(job.statuses) - KNOWN_STATUSES
+            known = KNOWN_STATUSES | (KEY_STATUSES if job.queue.needs_key else set())
+            unknown = set(job.statuses) - known
+            unknown |= set(job.cancel_statuses) - known - {NO_JOB_STATUS}
             if unknown:
                 violations.append(f"unexpected status: {job.job} {unknown}")
+            cancels = zip(job.cancels_sent_at, job.cancel_statuses, strict=True)
+            for sent_at, status in cancels:
+                if is_stored and stored_at < sent_at and status == NO_JOB_STATUS:
+                    violations.append(f"stored, but told to be absent: {job.job}")
         return violations
 
+    def find_starts_after_cancellation(self) -> list[str]:
+        """Return the runs that started long after their job's cancellation."""
+        cancelled_at = {job.job: job.cancelled_at for job in self.jobs}
+        return [
+            f"cancelled at {cancelled_at[run.task.job]}: {run}"
+            for run in self._runs
+            if run.started_at > cancelled_at.get(run.task.job, inf) + CANCEL_SECONDS
+        ]
+
     def find_refusals_of_stored_jobs(self) -> list[str]:
         """Return the jobs that were refused after an attempt that stored them."""
         written_at = self._site.table.written_at
@@ -254,6 +293,11 @@
                 violations.append(f"refused as stored: {job.job} {answers}")
         return violations
 
+    @property
+    def foreign_calls(self) -> list[str]:
+        """Calls that reached the store and are none of its own."""
+        return list(self._site.table.foreign_calls)
+
     def find_repeated_tasks(self) -> list[str]:
         """Return runs of a task beside another one or after its acknowledged end."""
         by_task: dict[TaskKey, list[EmulatedRun]] = defaultdict(list)
@@ -282,6 +326,8 @@
             "untrue-response": self.find_untrue_responses(),
             "refused-as-stored": self.find_refusals_of_stored_jobs(),
             "repeated-task": self.find_repeated_tasks(),
+            "started-when-cancelled": self.find_starts_after_cancellation(),
+            "foreign-call": self.foreign_calls,
         }
         audit = self.audit
         found |= {rule.value: audit.find_violations(rule) for rule in StartRule}
@@ -317,9 +363,15 @@
         answered = {kind.value: attempts[kind] for kind in AttemptOutcome}
         tight = self.audit.count_tight_starts()
         starts = {rule.value: count for rule, count in tight.items()}
+        statuses = Counter(status for job in self.jobs for status in job.statuses)
+        cancels = Counter(code for job in self.jobs for code in job.cancel_statuses)
+        relays = [entry.relay_path for entry in self._site.entries if entry.relay_path]
+        lost_count = sum(relay.lost_count for relay in relays)
         return (
             f"jobs {dict(outcomes)}, attempts with a response {answered}, "
-            f"{len(self._runs)} starts, at a bound {starts}"
+            f"{len(self._runs)} starts, at a bound {starts}, "
+            f"statuses {dict(statuses)}, "
+            f"cancels {dict(cancels)}, lost responses of relays {lost_count}"
         )
 
 
@@ -346,6 +398,30 @@
                 self.assertEqual(run.find_refusals_of_stored_jobs(), [], seed)
                 self.assertTrue(any(len(job.statuses) > 1 for job in run.jobs))
 
+    def test_cancelled_jobs_start_nothing_between_resets_and_refusals(self) -> None:
+        for load, seed in CI_RUNS:
+            with self.subTest(load=load, seed=seed):
+                run = play(load, seed)
+                self.assertEqual(run.find_starts_after_cancellation(), [], seed)
+                has_cancelled = any(job.cancelled_at < inf for job in run.jobs)
+                self.assertEqual(has_cancelled, load.has_leaving_callers)
+
+    def test_keys_are_refused_and_configurations_lapse_between_attempts(self) -> None:
+        for load, seed in CI_RUNS:
+            if load is not SiteLoad.KEYED:
+                continue
+            with self.subTest(load=load, seed=seed):
+                jobs = [job for job in play(load, seed).jobs if job.queue.needs_key]
+                statuses = {status for job in jobs for status in job.statuses}
+                reasons = {reason for job in jobs for reason in job.reasons}
+                self.assertLessEqual({200, 401}, statuses)
+                self.assertIn(ErrorKind.CONFIGURATION_STALE.value, reasons)
+
+    def test_stand_in_store_gets_no_calls_of_other_interfaces(self) -> None:
+        for load, seed in CI_RUNS:
+            with self.subTest(load=load, seed=seed):
+                self.assertEqual(play(load, seed).foreign_calls, [], seed)
+
     def test_tasks_run_once_between_resets_and_refusals(self) -> None:
         for load, seed in CI_RUNS:
             with self.subTest(load=load, seed=seed):
@@ -383,6 +459,7 @@
     parser.add_argument(
         "--logs", type=Path, help="keep the logs of failed runs in this folder"
     )
+    parser.add_argument("--instances", type=int, default=ENTRY_COUNT)
     options = parser.parse_args()
     failed = 0
     for seed in range(options.first_seed, options.first_seed + options.count):
@@ -390,7 +467,10 @@
         if options.logs is not None:
             folder = options.logs / f"{options.load}-{seed}"
             folder.mkdir(parents=True)
-        run = RefusedJobRun(seed, SiteLoad(options.load), log_folder=folder)
+        load = SiteLoad(options.load)
+        run = RefusedJobRun(
+            seed, load, log_folder=folder, entry_count=options.instances
+        )
         asyncio.run(run.play())
         violations = run.find_violations()
         failed += bool(violations)
