Check in the system proof that a refusal is true of all attempts

A request whose last attempt is told that no attempt has run must not have been started, whatever the others were told. The former check stays.

--- a/jujubebarrow/tests/fakes/cluster_runs.py
+++ b/jujubebarrow/tests/fakes/cluster_runs.py
@@ -321,6 +321,10 @@
             )
         if call.outcome == "not-run" and not call.may_have_run and start_count:
             self.cluster.record_violation(f"{name} was started, but told not run")
+        if call.was_told_of_all and start_count:
+            self.cluster.record_violation(
+                f"{name} was started, but told that no attempt had run"
+            )
 
     def _check_usable_limit(self, team: str) -> None:
         """Check that the hosts can use a team's whole upper limit after recovery."""
--- a/jujubebarrow/tests/fakes/simulated_callers.py
+++ b/jujubebarrow/tests/fakes/simulated_callers.py
@@ -24,6 +24,7 @@
         error: Kind of the last error response to any attempt; empty without an error
             response.
         may_have_run: Whether an attempt left open whether the request had run.
+        was_told_of_all: Whether the last attempt was told that no attempt had run.
         attempts: Number of attempts.
     """
 
@@ -33,6 +34,7 @@
     outcome: str = "silent"
     error: str = ""
     may_have_run: bool = False
+    was_told_of_all: bool = False
     attempts: int = 0
 
 
@@ -71,6 +73,7 @@
         random = self.cluster.random
         while call.attempts < CALL_ATTEMPTS:
             call.attempts += 1
+            call.was_told_of_all = False
             hosts = self.cluster.live_hosts()
             if hosts and await self._send_once(call, random.choice(hosts)):
                 return
@@ -103,6 +106,8 @@
         call.outcome = error.run.value
         if error.run is not RunState.NOT_RUN:
             call.may_have_run = True
+        elif error.holds_for_all_attempts:
+            call.was_told_of_all = True
         if error.kind is ErrorKind.INVARIANT_BROKEN:
             self.cluster.record_violation(str(error))
         return not error.response.is_retryable
