--- a/jujubebarrow/tests/fakes/mutations.py
+++ b/jujubebarrow/tests/fakes/mutations.py
@@ -153,6 +153,13 @@
         "told not run",
         tuple(Fault(1.0, "worker_truncate", n, 20.0) for n in range(8)),
     ),
+    Mutation(
+        6,
+        "a refusal of the last attempt speaks for those before",
+        _replace("errors.exceptions.RefusalError.holds_for_all_attempts", True),
+        "told that no attempt had run",
+        tuple(Fault(1.0, "worker_truncate", n, 20.0) for n in range(8)),
+    ),
     Mutation(
         7,
         "an existing claim is replaced",
