--- a/jujubebarrow/coordinators/pool_coordinators.py
+++ b/jujubebarrow/coordinators/pool_coordinators.py
@@ -57,6 +57,7 @@
         options: Durations that the decisions depend on.
         owned_since: Time in seconds at which this instance took over the pool.
         log: Decision log.
+        former_owner_until: Time in seconds until which a former owner may send orders.
     """
 
     def __init__(
@@ -66,8 +67,9 @@
         options: CoordinatorOptions,
         owned_since: float,
         log: DecisionLog,
+        former_owner_until: float = float("-inf"),
     ):
-        self.state = PoolState(pool, token, options, owned_since)
+        self.state = PoolState(pool, token, options, owned_since, former_owner_until)
         self._log = log
         self._order = JobOrder()
         self._waits = WaitRecorder(log)
--- a/jujubebarrow/coordinators/pool_states.py
+++ b/jujubebarrow/coordinators/pool_states.py
@@ -38,6 +38,7 @@
         token: Fencing token of the claim of the pool.
         options: Durations that the decisions depend on.
         owned_since: Time in seconds at which this instance took over the pool.
+        former_owner_until: Time in seconds until which a former owner may send orders.
     """
 
     def __init__(
@@ -46,11 +47,13 @@
         token: FenceToken,
         options: CoordinatorOptions,
         owned_since: float,
+        former_owner_until: float = float("-inf"),
     ):
         self.pool = pool
         self.token = token
         self.options = options
         self.owned_since = owned_since
+        self._former_owner_until = former_owner_until
         self.jobs: dict[JobId, JobProgress] = {}
         self._open_jobs: dict[JobId, JobProgress] = {}
         self.workers: dict[WorkerId, WorkerView] = {}
@@ -81,19 +84,24 @@
         self._held: dict[JobId, JobProgress] = {}
         self._former_owners_starts: dict[WorkerId, LateStartRecord] = {}
 
+    @property
+    def _last_former_order_at(self) -> float:
+        """Time in seconds until which a former owner may have sent orders."""
+        return max(self.owned_since, self._former_owner_until)
+
     @property
     def former_starts_end(self) -> float:
         """Time in seconds until which workers may execute starts of former owners.
 
         A former owner may have been killed before it recorded its last starts.
         """
-        return self.owned_since + self.options.late_order_window
+        return self._last_former_order_at + self.options.late_order_window
 
     @property
     def former_leases_end(self) -> float:
         """Time in seconds at which the leases of former owners have expired."""
         options = self.options
-        last_renewed_at = self.owned_since + options.superseded_renewal
+        last_renewed_at = self._last_former_order_at + options.superseded_renewal
         return last_renewed_at + options.longest_lease / CLOCK_RATE
 
     def record_fault(self, time: float) -> None:
@@ -357,7 +365,8 @@
         """
         options = self.options
         last_sent_at = max(
-            worker.lease_issued_at or 0.0, self.owned_since + options.superseded_renewal
+            worker.lease_issued_at or 0.0,
+            self._last_former_order_at + options.superseded_renewal,
         )
         last_executed_at = last_sent_at + options.late_order_window
         return last_executed_at + options.accepted_lease / CLOCK_RATE
--- a/jujubebarrow/daemons/job_nodes.py
+++ b/jujubebarrow/daemons/job_nodes.py
@@ -14,6 +14,7 @@
 from jujubebarrow.links.link_backlogs import LinkBacklog
 from jujubebarrow.logs.event_logs import EventLog
 from jujubebarrow.metrics.registries import MetricsRegistry
+from jujubebarrow.ownerships.null_peer_probes import NullPeerProbe
 from jujubebarrow.runtimes.entry_nodes import EntryNode, EntryOptions
 from jujubebarrow.runtimes.job_accesses import JobAccess
 from jujubebarrow.runtimes.job_browsers import JobBrowser
@@ -76,6 +77,7 @@
                 machine_lease=0.0,
             ),
             store,
+            NullPeerProbe(),
             fleet,
             self._workers,
             StoredWaveReporter(),
--- a/jujubebarrow/ownerships/lease_observers.py
+++ b/jujubebarrow/ownerships/lease_observers.py
@@ -86,6 +86,16 @@
         if seen is not None and seen.row.revision < revision:
             del self._seen[instance]
 
+    def record_revocation(self, row: InstanceRow) -> None:
+        """Record that a lease was revoked.
+
+        Args:
+            row: Heartbeat as written by the revocation.
+        """
+        seen = self._seen.get(row.instance)
+        if seen is not None and seen.row.revision < row.revision:
+            self._seen[row.instance] = replace(seen, row=row)
+
     def _add_grace(self, sighting: _Sighting, now: float) -> _Sighting:
         """Return a sighting whose lease is valid for the grace after a gap."""
         earliest = now - self._longest_silence + GAP_GRACE_SECONDS
@@ -97,13 +107,25 @@
         return seen.row if seen else None
 
     def is_alive(self, instance: InstanceId, now: float) -> bool:
-        """Return whether an instance's lease may still be valid."""
+        """Return whether an instance's lease may still be valid and be renewed."""
         seen = self._seen.get(instance)
-        if seen is None:
+        if seen is None or seen.row.is_revoked:
             return False
         silence = self.seconds_since_heartbeat(instance, now)
         return silence <= self._longest_silence
 
+    def find_revoked_leases_end(self) -> float:
+        """Return the local time in seconds at which all revoked leases have ended.
+
+        Returns minus infinity if no lease is revoked.
+        """
+        ends = [
+            seen.at + self._longest_silence
+            for seen in self._seen.values()
+            if seen.row.is_revoked
+        ]
+        return max(ends, default=float("-inf"))
+
     def is_current(self, now: float) -> bool:
         """Return whether the heartbeats were read recently enough to claim duties."""
         return self._read_at is not None and now - self._read_at <= READ_GAP_SECONDS
--- a/jujubebarrow/ownerships/ownership_rows.py
+++ b/jujubebarrow/ownerships/ownership_rows.py
@@ -29,6 +29,7 @@
         sent_at: Time of the store's clock in seconds at which the heartbeat was sent,
             never too early; None if the instance did not know it.
         owns_duties: Whether the instance owned duties when it sent the heartbeat.
+        is_revoked: Whether another instance has revoked the lease of the heartbeat.
     """
 
     instance: InstanceId
@@ -41,6 +42,7 @@
     renewal_count: int = 0
     sent_at: float | None = None
     owns_duties: bool = False
+    is_revoked: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/jujubebarrow/platform/main.py
+++ b/jujubebarrow/platform/main.py
@@ -41,6 +41,11 @@
 from jujubebarrow.stores.relay_selectors import RelaySelector
 from jujubebarrow.stores.relayed_stores import RelayedStore
 from jujubebarrow.stores.stores import Store
+from jujubebarrow.transports.http_probes import (
+    PROBE_PATH,
+    HttpPeerProbe,
+    ProbeHandler,
+)
 from jujubebarrow.transports.http_relays import HttpRelayClient, RelayHandler
 from jujubebarrow.transports.http_servers import HttpListener, HttpRequestHandler
 from jujubebarrow.transports.http_start_relays import (
@@ -131,6 +136,8 @@
                 settings.machine_address, settings.instance, self._metrics
             )
             stack.callback(machines.close)
+            probe = HttpPeerProbe(meter)
+            stack.callback(probe.close)
             advisor = PlatformAdvisor(settings.advice_address, self._metrics)
             stack.callback(advisor.close)
 
@@ -144,6 +151,7 @@
             node = EntryNode(
                 make_entry_options(settings, incarnation),
                 store,
+                probe,
                 FleetWatcher(
                     *store_and_reader,
                     settings.key_revocation_delay - KEY_REVOCATION_MARGIN_SECONDS,
@@ -165,7 +173,9 @@
                 set_peers,
             )
             await node.open(stack)
-            caller_listener = self._listen(stack, node, store.peer_call_store, meter)
+            caller_listener = self._listen(
+                stack, node, incarnation, store.peer_call_store, meter
+            )
             self._log.write(
                 "started", instance=settings.instance, incarnation=incarnation
             )
@@ -177,7 +187,12 @@
         self._log.write("stopped", instance=settings.instance)
 
     def _listen(
-        self, stack: AsyncExitStack, node: EntryNode, store: Store, meter: LinkMeter
+        self,
+        stack: AsyncExitStack,
+        node: EntryNode,
+        incarnation: IncarnationId,
+        store: Store,
+        meter: LinkMeter,
     ) -> HttpListener:
         settings, metrics = self._settings, self._metrics
         host = settings.readiness_address.rsplit(":", 1)[0]
@@ -185,6 +200,7 @@
             {
                 RELAY_PATH: RelayHandler(store, metrics),
                 STARTS_PATH: StartRelayHandler(node.start_executor, metrics),
+                PROBE_PATH: ProbeHandler(incarnation, lambda: node.fails_to_renew),
             }
         )
         addresses: list[tuple[str, HttpRequestHandler, TrafficKind]] = [
--- a/jujubebarrow/runtimes/entry_nodes.py
+++ b/jujubebarrow/runtimes/entry_nodes.py
@@ -32,6 +32,7 @@
     DutyId,
     InstanceRow,
 )
+from jujubebarrow.ownerships.peer_probes import PeerProbe
 from jujubebarrow.ownerships.service_obstacles import ServiceObstacle
 from jujubebarrow.runtimes.advice_controllers import AdviceController
 from jujubebarrow.runtimes.duty_listeners import DutyListener
@@ -90,6 +91,7 @@
     Args:
         options: Settings of the instance.
         store: Store shared by all instances.
+        probe: Asks other instances whether they can keep their leases.
         fleet_source: Source of the fleet's configuration.
         worker_source: Source of the workers' registrations.
         reporter: Creates the documents that show operators the status of a wave.
@@ -115,6 +117,7 @@
         self,
         options: EntryOptions,
         store: Store,
+        probe: PeerProbe,
         fleet_source: FleetSource,
         worker_source: WorkerSource,
         reporter: WaveReporter,
@@ -164,6 +167,7 @@
                 pool_capacity=options.pool_capacity,
             ),
             store,
+            probe,
             self,
             random,
             clock,
@@ -190,6 +194,11 @@
         """Whether the instance is shutting down."""
         return self._is_stopping
 
+    @property
+    def fails_to_renew(self) -> bool:
+        """Whether the instance owns or may claim pools and cannot renew its lease."""
+        return self._ownership.is_failing
+
     async def open(self, stack: AsyncExitStack) -> None:
         """Start all components and register their shutdown with the stack.
 
--- a/jujubebarrow/runtimes/heartbeat_watchers.py
+++ b/jujubebarrow/runtimes/heartbeat_watchers.py
@@ -51,6 +51,7 @@
     renewals: int = 0
     sent: float | None = None
     owner: bool = False
+    revoked: bool = False
 
 
 def make_heartbeat_key(instance: InstanceId) -> str:
@@ -73,6 +74,7 @@
         "renewals": row.renewal_count,
         "sent": row.sent_at,
         "owner": row.owns_duties,
+        "revoked": row.is_revoked,
     }
 
 
@@ -94,6 +96,7 @@
         heartbeat.renewals,
         heartbeat.sent,
         heartbeat.owner,
+        heartbeat.revoked,
     )
 
 
@@ -104,6 +107,7 @@
         store: Store that holds the heartbeats.
         observer: Observer that tracks which instances are alive.
         is_claimant: Returns whether this instance may claim duties.
+        on_read: Called with the changed heartbeats after each read.
         clock: Time source.
         log: Decision log.
         metrics: Registry of the counters.
@@ -114,6 +118,7 @@
         store: Store,
         observer: LeaseObserver,
         is_claimant: Callable[[], bool],
+        on_read: Callable[[list[InstanceRow]], None],
         clock: Clock,
         log: DecisionLog,
         metrics: MetricsRegistry,
@@ -124,6 +129,7 @@
         )
         self._observer = observer
         self._is_claimant = is_claimant
+        self._on_read = on_read
         self._created_at = clock.monotonic()
 
     @property
@@ -184,3 +190,4 @@
             if row.sent_at is not None
         }
         self._observer.observe(heartbeats, now, sent_times)
+        self._on_read(heartbeats)
--- a/jujubebarrow/runtimes/lease_renewers.py
+++ b/jujubebarrow/runtimes/lease_renewers.py
@@ -4,6 +4,8 @@
 from dataclasses import replace
 from uuid import uuid4
 
+from msgspec import ValidationError
+
 from jujubebarrow.background_loops import BackgroundLoop
 from jujubebarrow.clocks.clocks import Clock
 from jujubebarrow.errors.exceptions import StoreError, TransactionConflictError
@@ -16,7 +18,10 @@
     FEED_SPACING_SECONDS,
     make_heartbeat,
     make_heartbeat_key,
+    read_heartbeat,
 )
+from jujubebarrow.stores.row_keys import TableName
+from jujubebarrow.stores.rows import Row
 from jujubebarrow.stores.stores import Store
 from jujubebarrow.stores.transactions import ABSENT_REVISION, Transaction
 
@@ -32,6 +37,8 @@
 """Seconds after a delayed renewal of the lease in which the instance claims no duty, as
 other instances may have had the same difficulty: the time in which they renew their
 leases, and until their heartbeats are read."""
+LOGGED_ATTEMPTS_LIMIT = 8
+"""Most attempts of a failed call that its log line names."""
 DELAY_RATIO = 2.0
 DELAY_SECONDS = 0.3
 """A renewal is delayed if it takes this much longer than that ratio to the usual time;
@@ -89,6 +96,8 @@
         self._renewed_until = float("-inf")
         self._valid_until = float("-inf")
         self._is_confirmed = True
+        self._is_revoked = False
+        self._is_failing = False
         self._lapse_count = 0
         self._may_claim_from = float("-inf")
 
@@ -116,6 +125,11 @@
         """
         return self._is_confirmed
 
+    @property
+    def is_failing(self) -> bool:
+        """Whether the last attempt to renew the lease got no response."""
+        return self._is_claimant and self._is_failing
+
     @property
     def lapse_count(self) -> int:
         """Number of renewals of a lapsed lease."""
@@ -175,12 +189,17 @@
         """
         return Transaction(writes={self._key: self._make_heartbeat()}, nonce=_nonce())
 
-    def record_failure(self, event: str, detail: str) -> None:
+    def record_failure(self, event: str, error: StoreError) -> None:
         """Count a failed call to the store, and log it while duties are owned."""
         self._metrics.count(event)
         if self._owns_duties():
             lease_left = round(self._valid_until - self._clock.monotonic(), 3)
-            self._log.write(event, detail=detail, lease_left=lease_left)
+            self._log.write(
+                event,
+                detail=str(error),
+                attempts=error.attempts[:LOGGED_ATTEMPTS_LIMIT],
+                lease_left=lease_left,
+            )
 
     async def _run(self) -> None:
         await self._join_again()
@@ -219,7 +238,7 @@
         try:
             self._revision = await self._read_revision()
         except StoreError as error:
-            self.record_failure("heartbeat_failed", str(error))
+            self.record_failure("heartbeat_failed", error)
             return
         if self._revision != ABSENT_REVISION:
             self.join()
@@ -229,6 +248,9 @@
         try:
             if self._revision is None:
                 self._revision = await self._read_revision()
+                if self._is_revoked:
+                    # Others may claim the duties until the lease is renewed.
+                    self._valid_until = min(self._valid_until, sent_at)
             transaction = Transaction(
                 conditions={self._key: self._revision},
                 writes={self._key: self._make_heartbeat()},
@@ -236,19 +258,22 @@
             )
             self._revision = await self._store.commit(transaction)
         except StoreError as error:
-            self.record_failure("heartbeat_failed", str(error))
+            self.record_failure("heartbeat_failed", error)
             self._revision = None
+            self._is_failing = True
             self._wait_for_others()
             return
         except TransactionConflictError:
             # An earlier heartbeat whose response was lost has taken effect late, after
-            # the revision was read.
+            # the revision was read; or another instance has revoked the lease.
             self._revision = None
             self._metrics.count("heartbeat_conflict")
             return
         now = self._clock.monotonic()
         self._renewal_count += 1
-        has_lapsed = float("-inf") < self._renewed_until < now
+        self._is_failing = False
+        has_lapsed = self._is_revoked or float("-inf") < self._renewed_until < now
+        self._is_revoked = False
         self._renewed_until = max(self._renewed_until, sent_at + LEASE_SECONDS)
         self._record_duration(now - sent_at)
         if has_lapsed:
@@ -297,9 +322,26 @@
         found = await self._store.read(self._key)
         for row in found.rows:
             if row.key == self._key:
+                self._note_revocation(row)
                 return row.revision
         return ABSENT_REVISION
 
+    def _note_revocation(self, row: Row) -> None:
+        """Note that another instance has revoked the lease of this run."""
+        try:
+            heartbeat = read_heartbeat(row)
+        except ValidationError:
+            self._metrics.count("row_unreadable", TableName.HEARTBEATS.value)
+            return
+        if (
+            heartbeat.is_revoked
+            and heartbeat.incarnation == self._identity.incarnation
+            and not self._is_revoked
+        ):
+            self._is_revoked = True
+            self._metrics.count("own_lease_revoked")
+            self._log.write("own_lease_revoked", owns_duties=self._owns_duties())
+
 
 def _nonce() -> str:
     return uuid4().hex
--- a/jujubebarrow/runtimes/move_controllers.py
+++ b/jujubebarrow/runtimes/move_controllers.py
@@ -173,6 +173,8 @@
         targets = [target for source, target in moves if source == self._pool]
         self._log_load(load, incoming.get(self._pool, 0))
         self._log_shortage(load, moves, incoming.get(self._pool, 0))
+        if not self._hooks.can_order_machines():
+            return
         if self._is_standby:
             await self._move_spare_machines(targets)
             return
@@ -490,7 +492,7 @@
         try:
             outcome = await self._gate.send(
                 lambda: (
-                    self._hooks.can_send_orders()
+                    self._hooks.can_order_machines()
                     and self._load_registry.is_order_timely(machine.machine)
                 ),
                 lambda: self._machines.move(machine.machine, target, token),
--- a/jujubebarrow/runtimes/owner_hooks.py
+++ b/jujubebarrow/runtimes/owner_hooks.py
@@ -12,6 +12,14 @@
     def can_send_orders(self) -> bool:
         """Return whether orders may be sent, since the pool certainly is owned."""
 
+    @abstractmethod
+    def can_order_machines(self) -> bool:
+        """Return whether orders for machines may be sent.
+
+        Not every machine service checks fencing tokens, so that no former owner may
+        send orders any more.
+        """
+
     @abstractmethod
     def can_renew_leases(self) -> bool:
         """Return whether leases of runs may still be renewed."""
--- a/jujubebarrow/runtimes/ownership_services.py
+++ b/jujubebarrow/runtimes/ownership_services.py
@@ -15,6 +15,7 @@
 from jujubebarrow.ownerships.claimant_policies import ClaimantPolicy
 from jujubebarrow.ownerships.lease_observers import LeaseObserver
 from jujubebarrow.ownerships.ownership_rows import DutyId, DutyRow, InstanceRow
+from jujubebarrow.ownerships.peer_probes import PeerProbe
 from jujubebarrow.ownerships.peer_progresses import PeerProgress
 from jujubebarrow.ownerships.service_gaps import ServiceGaps
 from jujubebarrow.pauses import Pause
@@ -31,6 +32,7 @@
     RENEW_PERIOD_SECONDS,
     LeaseRenewer,
 )
+from jujubebarrow.runtimes.loss_detectors import LossDetector
 from jujubebarrow.stores.stores import Store
 from jujubebarrow.stores.transactions import Transaction
 from jujubebarrow.workloads.identifiers import FenceToken
@@ -59,6 +61,7 @@
     Args:
         identity: This instance as its heartbeats show it to the others.
         store: Store shared by all instances.
+        probe: Asks other instances whether they can keep their leases.
         listener: Receives claimed and lost duties.
         random: Random generator of the times at which instances become claimants.
         clock: Time source; must keep running while a machine is suspended.
@@ -73,6 +76,7 @@
         self,
         identity: InstanceRow,
         store: Store,
+        probe: PeerProbe,
         listener: DutyListener,
         random: Random,
         clock: Clock,
@@ -91,6 +95,7 @@
         self._planner = ClaimPlanner(identity.instance, self._observer)
         self._duty_rows: dict[DutyId, DutyRow] = {}
         self._owned_duties: dict[DutyId, FenceToken] = {}
+        self._former_leases_end: dict[DutyId, float] = {}
         self._gaps = ServiceGaps()
         self._peer_progress = PeerProgress(
             identity.instance, self._observer, RENEW_PERIOD_SECONDS
@@ -103,6 +108,7 @@
             store,
             self._observer,
             lambda: self._renewer.is_claimant,
+            self._handle_heartbeats,
             clock,
             log,
             metrics,
@@ -136,10 +142,22 @@
             clock,
             metrics,
         )
+        self._loss_detector = LossDetector(
+            identity.instance,
+            store,
+            self._observer,
+            probe,
+            self._may_revoke,
+            self._check_soon,
+            clock,
+            log,
+            metrics,
+        )
         self._loops: list[BackgroundLoop] = [
             self._heartbeat_watcher,
             self._renewer,
             self._directory,
+            self._loss_detector,
             _PeriodicLoop(self._check, self._choose_check_period, self._pause),
         ]
         self.duties: list[DutyId] = []
@@ -149,6 +167,11 @@
         """Monotonic time in seconds until which no other instance takes over duties."""
         return self._renewer.valid_until
 
+    @property
+    def is_failing(self) -> bool:
+        """Whether this instance should renew a lease and cannot."""
+        return self._renewer.is_failing
+
     @property
     def is_claimant(self) -> bool:
         """Whether this instance renews a lease and may claim duties."""
@@ -174,6 +197,18 @@
         """Rows of all duties as last read."""
         return self._duty_rows
 
+    def find_former_lease_end(self, duty: DutyId) -> float:
+        """Return the monotonic time in seconds until which a former owner may act.
+
+        A duty is claimed before that if the lease of its owner was revoked. Fencing
+        tokens protect the store and the workers from then on; what is not fenced has to
+        wait.
+
+        Args:
+            duty: Id of an owned duty.
+        """
+        return self._former_leases_end.get(duty, float("-inf"))
+
     async def confirm_claim(self, duty: DutyId, token: FenceToken) -> FenceToken | None:
         """Write the row of a duty anew if this instance's claim still holds.
 
@@ -236,6 +271,22 @@
     def _check_soon(self) -> None:
         self._pause.interrupt()
 
+    def _handle_heartbeats(self, rows: list[InstanceRow]) -> None:
+        """Claim duties of revoked leases at once, and look for lost instances."""
+        if any(row.is_revoked for row in rows):
+            self._check_soon()
+        self._loss_detector.check()
+
+    def _may_revoke(self) -> bool:
+        """Return whether this instance reaches the store like a healthy claimant."""
+        now = self._clock.monotonic()
+        return (
+            self._renewer.is_claimant
+            and not self._renewer.is_stopping
+            and self._renewer.may_claim_from <= now <= self._renewer.valid_until
+            and self._observer.is_current(now)
+        )
+
     def _choose_check_period(self) -> float:
         if not self._renewer.is_claimant:
             return self._membership.seconds_to_check
@@ -283,7 +334,7 @@
         try:
             self._duty_rows = await self._duty_store.read()
         except StoreError as error:
-            self._renewer.record_failure("owners_unread", str(error))
+            self._renewer.record_failure("owners_unread", error)
             return
         now = self._clock.monotonic()
         serviceable_seconds = self._peer_progress.measure(
@@ -394,6 +445,7 @@
             await self._end_duty(duty, "claimed again")
         self._duty_rows[duty] = claimed
         self._owned_duties[duty] = token
+        self._former_leases_end[duty] = self._observer.find_revoked_leases_end()
         self._gaps.start(duty)
         silence_seconds = None
         if row and row.holder:
--- a/jujubebarrow/runtimes/pool_owners.py
+++ b/jujubebarrow/runtimes/pool_owners.py
@@ -144,7 +144,10 @@
         self._is_confirming = False
         now = clock.monotonic()
         self._claimed_at = now
-        self.coordinator = PoolCoordinator(pool, token, options, now, log)
+        self._former_lease_end = ownership.find_former_lease_end(DutyId(pool))
+        self.coordinator = PoolCoordinator(
+            pool, token, options, now, log, self._former_lease_end
+        )
         reports = LoadReports(pool, self.coordinator, self._find_count_time, clock)
         self._writer = ProgressWriter(
             pool,
@@ -253,6 +256,11 @@
         is_owned = self._clock.monotonic() < self._ownership.lease_valid_until
         return is_owned and not self.coordinator.state.is_claim_disputed
 
+    def can_order_machines(self) -> bool:
+        """Return whether orders may be sent that no fencing token protects."""
+        has_former_owner = self._clock.monotonic() < self._former_lease_end
+        return self.can_send_orders() and not has_former_owner
+
     def can_renew_leases(self) -> bool:
         """Return whether leases of runs may still be renewed."""
         deadline = self._ownership.lease_valid_until + self._options.superseded_renewal
--- a/jujubebarrow/runtimes/wave_controllers.py
+++ b/jujubebarrow/runtimes/wave_controllers.py
@@ -304,7 +304,7 @@
         token = self._tokens[key]
         try:
             outcome = await self._gate.send(
-                self._hooks.can_send_orders,
+                self._hooks.can_order_machines,
                 lambda: self._machines.maintain(machine.machine, wave.wave, token),
             )
         except MachineControlError as error:
--- a/jujubebarrow/tests/fakes/job_clusters.py
+++ b/jujubebarrow/tests/fakes/job_clusters.py
@@ -34,6 +34,8 @@
 )
 from jujubebarrow.links.link_backlogs import BYTES_PER_MEGABIT, LinkBacklog
 from jujubebarrow.metrics.registries import MetricsRegistry
+from jujubebarrow.ownerships.ownership_rows import InstanceRow
+from jujubebarrow.ownerships.peer_probes import PeerProbe, ProbeOutcome
 from jujubebarrow.runtimes.entry_nodes import EntryNode, EntryOptions
 from jujubebarrow.runtimes.fleet_watchers import FleetWatcher
 from jujubebarrow.runtimes.worker_watchers import WorkerWatcher
@@ -106,6 +108,29 @@
         raise StoreError("instance unreachable", True)
 
 
+class FakePeerProbe(PeerProbe):
+    """Probes the other instances within the test process."""
+
+    def __init__(self, cluster: "JobCluster", instance: "Instance"):
+        self._cluster = cluster
+        self._instance = instance
+
+    async def probe(self, row: InstanceRow) -> ProbeOutcome:
+        await sleep(0.002)
+        for other in self._cluster.instances:
+            if other.name == row.instance and other.node is not None:
+                if other.incarnation != row.incarnation:
+                    return ProbeOutcome.GONE
+                if not self._instance.is_isolated and not other.is_isolated:
+                    return (
+                        ProbeOutcome.FAILS_TO_RENEW
+                        if other.node.fails_to_renew
+                        else ProbeOutcome.RENEWS
+                    )
+        await sleep(0.2)
+        return ProbeOutcome.UNANSWERED
+
+
 class FakeStartRelay(StartRelay):
     """Relays starts to the other instances within the test process, in turn."""
 
@@ -171,9 +196,10 @@
             self.log,
             self.metrics,
         )
+        self.incarnation = IncarnationId(f"{self.name}-{self.start_count}")
         options = EntryOptions(
             instance=self.name,
-            incarnation=IncarnationId(f"{self.name}-{self.start_count}"),
+            incarnation=self.incarnation,
             address=self.name,
             coordinator_options=CoordinatorOptions(
                 lease=LEASE_SECONDS,
@@ -189,6 +215,7 @@
         self.node = EntryNode(
             options,
             relayed,
+            FakePeerProbe(cluster, self),
             FleetWatcher(
                 relayed,
                 cluster.reader,
--- a/jujubebarrow/tests/fakes/ownership_fleets.py
+++ b/jujubebarrow/tests/fakes/ownership_fleets.py
@@ -7,6 +7,7 @@
 from jujubebarrow.identifiers import IncarnationId, InstanceId, ZoneId
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.ownerships.ownership_rows import DutyId, InstanceRow
+from jujubebarrow.ownerships.peer_probes import PeerProbe, ProbeOutcome
 from jujubebarrow.ownerships.service_obstacles import ServiceObstacle
 from jujubebarrow.runtimes.duty_listeners import DutyListener
 from jujubebarrow.runtimes.ownership_services import OwnershipService
@@ -18,6 +19,8 @@
 from jujubebarrow.tests.fakes.virtual_loops import LoopClock
 from jujubebarrow.workloads.identifiers import FenceToken
 
+PROBE_SECONDS = 0.002
+PROBE_TIMEOUT_SECONDS = 0.2
 START_RANGE_SECONDS = 0.3
 """Range of the times at which instances start that are started together."""
 
@@ -51,6 +54,28 @@
         return rows
 
 
+class FleetProbe(PeerProbe):
+    """Probes the other members of a fleet."""
+
+    def __init__(self, fleet: "OwnershipFleet"):
+        self._fleet = fleet
+
+    async def probe(self, row: InstanceRow) -> ProbeOutcome:
+        await sleep(PROBE_SECONDS)
+        for member in self._fleet.members:
+            if member.name == row.instance and member.service is not None:
+                if member.incarnation != row.incarnation:
+                    return ProbeOutcome.GONE
+                if not member.is_isolated:
+                    return (
+                        ProbeOutcome.FAILS_TO_RENEW
+                        if member.service.is_failing
+                        else ProbeOutcome.RENEWS
+                    )
+        await sleep(PROBE_TIMEOUT_SECONDS)
+        return ProbeOutcome.UNANSWERED
+
+
 class Member(DutyListener):
     """Instance that serves its duties as long as its lease is valid."""
 
@@ -61,6 +86,7 @@
         self.capacity = 2.0 if number // fleet.zone_count % 5 == 0 else 0.5
         self.start_count = 0
         self._is_starting = False
+        self.is_isolated = False
         self.service: OwnershipService | None = None
         self.peers: list[str] = []
 
@@ -75,9 +101,10 @@
         metrics = MetricsRegistry()
         self.log = ListLog(self.name)
         self.store = CountingStore(self._fleet.shared, metrics)
+        self.incarnation = IncarnationId(f"{self.name}-{self.start_count}")
         identity = InstanceRow(
             self.name,
-            IncarnationId(f"{self.name}-{self.start_count}"),
+            self.incarnation,
             is_stopping=False,
             address=self.name,
             revision=0,
@@ -85,7 +112,14 @@
             pool_capacity=self.capacity,
         )
         self.service = OwnershipService(
-            identity, self.store, self, self._fleet.random, clock, self.log, metrics
+            identity,
+            self.store,
+            FleetProbe(self._fleet),
+            self,
+            self._fleet.random,
+            clock,
+            self.log,
+            metrics,
         )
         self.service.duties = self._fleet.duties
         self.service.open()
@@ -98,11 +132,24 @@
 
     @property
     def duties(self) -> list[DutyId]:
-        """Duties under which this instance may act at present."""
+        """Duties under which this instance may act at present without a fence."""
         now = get_running_loop().time()
-        if self.service is None or now >= self.service.lease_valid_until:
+        service = self.service
+        if service is None or now >= service.lease_valid_until:
+            return []
+        return [
+            duty
+            for duty in service.owned_duties
+            if now >= service.find_former_lease_end(duty)
+        ]
+
+    @property
+    def fenced_duties(self) -> list[DutyId]:
+        """Duties under which this instance may act at present with its tokens."""
+        service = self.service
+        if service is None or get_running_loop().time() >= service.lease_valid_until:
             return []
-        return list(self.service.owned_duties)
+        return list(service.owned_duties)
 
     @property
     def is_claimant(self) -> bool:
--- a/jujubebarrow/tests/test_fleet_sizes.py
+++ b/jujubebarrow/tests/test_fleet_sizes.py
@@ -11,6 +11,7 @@
 from unittest.mock import patch
 
 from jujubebarrow.ownerships import lease_observers
+from jujubebarrow.ownerships.lease_observers import LeaseObserver
 from jujubebarrow.runtimes import lease_renewers
 from jujubebarrow.tests.fakes.ownership_fleets import Member, OwnershipFleet
 from jujubebarrow.tests.fakes.virtual_loops import run_virtual
@@ -33,6 +34,7 @@
 RESTART_LIMIT_SECONDS = 1.0
 SEEDS = range(1, 13)
 FAULT_ROUNDS_COUNT = 12
+ISOLATED_SHARE = 0.4
 WATCH_SECONDS = 8.0
 """Time after the faults; the last late write takes effect after 6 s."""
 
@@ -126,14 +128,19 @@
 class SingleOwnerTest(unittest.TestCase):
     """Random faults; each duty has at most one owner that may act."""
 
-    def _run_faults(self, seed: int, size: int) -> list[object]:
+    def _run_faults(self, seed: int, size: int, isolates: bool = False) -> list[object]:
         async def scenario() -> list[object]:
             fleet = OwnershipFleet(size, seed)
             random = Random(seed)
+            other_random = Random(seed)
             await fleet.start()
             doubled: list[object] = []
             for _ in range(FAULT_ROUNDS_COUNT):
                 await self._change_faults(fleet, random)
+                if isolates:
+                    # Live members that do not answer the probes of the others.
+                    for member in fleet.members:
+                        member.is_isolated = other_random.random() < ISOLATED_SHARE
                 doubled += await fleet.watch(random.uniform(0.2, 4.0))
             self._end_faults(fleet)
             await fleet.start([one for one in fleet.members if one.service is None])
@@ -174,6 +181,17 @@
         for seed in SEEDS:
             self.assertEqual(self._run_faults(seed, 24), [], seed)
 
+    def test_no_duty_has_two_owners_that_may_act_beside_unanswered_probes(self) -> None:
+        for seed in SEEDS:
+            self.assertEqual(self._run_faults(seed, 24, isolates=True), [], seed)
+
+    def test_proof_fails_if_the_end_of_a_revoked_lease_is_not_waited_for(self) -> None:
+        with patch.object(
+            LeaseObserver, "find_revoked_leases_end", lambda self: float("-inf")
+        ):
+            found = (self._run_faults(seed, 24, isolates=True) for seed in SEEDS)
+            self.assertTrue(any(found))
+
     def test_proof_fails_if_the_lease_outlasts_the_observed_silence(self) -> None:
         with patch.object(lease_renewers, "LEASE_SECONDS", 4.0):
             self.assertTrue(any(self._run_faults(seed, 24) for seed in SEEDS))
--- a/jujubebarrow/tests/test_takeover_times.py
+++ b/jujubebarrow/tests/test_takeover_times.py
@@ -17,7 +17,7 @@
     STARTUP_POLL_SECONDS,
 )
 from jujubebarrow.tests.fakes.job_cases import JobCase
-from jujubebarrow.tests.fakes.job_clusters import Instance, JobCluster
+from jujubebarrow.tests.fakes.job_clusters import POOL, Instance, JobCluster
 
 TAKEOVER_LIMIT_SECONDS = (
     LEASE_SECONDS
@@ -44,6 +44,7 @@
 last read, and polls of the owners until the second instance in the order claims."""
 INSTANCE_COUNT = 10
 RESTARTED_COUNT = 7
+CHECK_SECONDS = 0.02
 SEEDS = range(1, 6)
 
 
@@ -54,6 +55,13 @@
     return get_running_loop().time() - began_at
 
 
+def _can_order_machines(cluster: JobCluster) -> bool:
+    owner = cluster.find_owner()
+    assert owner is not None and owner.node is not None
+    pool_owner = owner.node.find_owner(POOL)
+    return pool_owner is not None and pool_owner.can_order_machines()
+
+
 def _count_claims(cluster: JobCluster) -> int:
     lines = [line for log in cluster.logs for line in log.lines]
     return sum(line["event"] == "duty_claimed" for line in lines)
@@ -102,11 +110,12 @@
         for seed in SEEDS:
             self.run_scenario(scenario, seed=seed, instances=INSTANCE_COUNT)
 
-    def test_lease_of_an_owner_that_does_not_return_is_waited_for_and_not_longer(
+    def test_lease_of_an_owner_that_does_not_return_is_waited_for_by_machine_orders(
         self,
     ) -> None:
         # Three instances do not come back, the former owner among them. It might have
-        # been cut off only, so that it may act until its lease ends.
+        # been cut off only, so that it may act until its lease ends. Fencing tokens
+        # protect the workers and the store from it, but not every machine service.
         async def scenario(cluster: JobCluster) -> None:
             await sleep(5.0)
             owner = cluster.find_owner()
@@ -122,7 +131,12 @@
             began_at = get_running_loop().time()
             seconds = await _wait_for_owner(cluster)
             self.assertLess(seconds, LOST_OWNER_LIMIT_SECONDS)
-            self.assertGreater(began_at + seconds, lease_end)
+            while get_running_loop().time() <= lease_end:
+                self.assertFalse(_can_order_machines(cluster))
+                await sleep(CHECK_SECONDS)
+            rest = began_at + LOST_OWNER_LIMIT_SECONDS - get_running_loop().time()
+            await sleep(rest)
+            self.assertTrue(_can_order_machines(cluster))
 
         for seed in SEEDS:
             self.run_scenario(scenario, seed=seed, instances=INSTANCE_COUNT)
--- a/jujubebarrow/transports/http_clients.py
+++ b/jujubebarrow/transports/http_clients.py
@@ -43,6 +43,7 @@
         received_bytes: Size of the part of the response body that arrived.
         has_timed_out: Whether the timeout ended the call.
         was_resent: Whether the request was sent again after a reset.
+        is_refused: Whether nothing listens at the address.
     """
 
     def __init__(
@@ -52,12 +53,14 @@
         received_bytes: int = 0,
         has_timed_out: bool = False,
         was_resent: bool = False,
+        is_refused: bool = False,
     ):
         super().__init__(detail)
         self.may_have_arrived = may_have_arrived
         self.received_bytes = received_bytes
         self.has_timed_out = has_timed_out
         self.was_resent = was_resent
+        self.is_refused = is_refused
 
     @property
     def is_response_incomplete(self) -> bool:
@@ -227,7 +230,8 @@
 def _make_call_error(
     error: BaseException | None, sent: RequestBody, received: _ResponseBody
 ) -> HttpCallError:
-    has_timed_out = isinstance(error, CurlError) and error.errno == E_OPERATION_TIMEDOUT
+    errno = error.errno if isinstance(error, CurlError) else None
+    has_timed_out = errno == E_OPERATION_TIMEDOUT
     # If a kept connection is reset, curl repeats the request on a new connection and
     # reports only the failure of the latter.
     may_have_arrived = sent.was_read or _may_have_arrived(error)
@@ -237,6 +241,7 @@
         received.size_bytes,
         has_timed_out,
         sent.was_reread,
+        errno == E_COULDNT_CONNECT,
     )
 
 
