--- a/jujubebarrow/ownerships/lease_observers.py
+++ b/jujubebarrow/ownerships/lease_observers.py
@@ -50,7 +50,7 @@
         self,
         rows: list[InstanceRow],
         now: float,
-        sent_times: dict[InstanceId, float] | None = None,
+        sent_times: dict[int, float] | None = None,
     ) -> None:
         """Record a read of the store.
 
@@ -58,8 +58,8 @@
             rows: Heartbeats that the read returned; may be empty or contain heartbeats
                 that were seen before.
             now: Monotonic time in seconds.
-            sent_times: Monotonic time in seconds at which the heartbeats were sent,
-                never too early, as far as known.
+            sent_times: Monotonic time in seconds at which the heartbeats were sent, by
+                their revisions, never too early, as far as known.
         """
         if self._read_at is None or now - self._read_at > READ_GAP_SECONDS:
             self._seen = {
@@ -69,9 +69,11 @@
         self._read_at = now
         for row in rows:
             previous = self._seen.get(row.instance)
-            if previous is not None and previous.row.revision >= row.revision:
+            if row.is_blocked:
                 continue
-            sent_at = (sent_times or {}).get(row.instance)
+            if previous is not None and not _is_newer(row, previous.row):
+                continue
+            sent_at = (sent_times or {}).get(row.revision)
             at = now if sent_at is None else min(now, sent_at)
             self._seen[row.instance] = _Sighting(row, at)
 
@@ -155,3 +157,15 @@
         rows = [seen.row for seen in self._seen.values()]
         rows = [row for row in rows if self.is_alive(row.instance, now)]
         return sorted(rows, key=lambda row: row.instance)
+
+
+def _is_newer(row: InstanceRow, seen: InstanceRow) -> bool:
+    """Return whether a heartbeat tells something new.
+
+    A heartbeat in one partition may be stored after a later one in the other partition.
+    """
+    if row.revision <= seen.revision:
+        return False
+    if row.incarnation != seen.incarnation:
+        return True
+    return row.sent_at is None or seen.sent_at is None or row.sent_at >= seen.sent_at
--- a/jujubebarrow/ownerships/ownership_rows.py
+++ b/jujubebarrow/ownerships/ownership_rows.py
@@ -30,6 +30,8 @@
             never too early; None if the instance did not know it.
         owns_duties: Whether the instance owned duties when it sent the heartbeat.
         is_revoked: Whether another instance has revoked the lease of the heartbeat.
+        is_blocked: Whether the row is no heartbeat: another instance has written it, so
+            that the lease cannot be renewed there unnoticed.
     """
 
     instance: InstanceId
@@ -43,6 +45,7 @@
     sent_at: float | None = None
     owns_duties: bool = False
     is_revoked: bool = False
+    is_blocked: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/jujubebarrow/runtimes/heartbeat_watchers.py
+++ b/jujubebarrow/runtimes/heartbeat_watchers.py
@@ -40,6 +40,8 @@
 CONCURRENT_READS_LIMIT = 16
 """Most heartbeats read concurrently; a part of the connections to the store."""
 ROW_NAME = "heartbeat"
+SPARE_SUFFIX = ":spare"
+"""Suffix of the partition with the heartbeat of an instance whose usual one fails."""
 
 
 class _Heartbeat(Struct):
@@ -52,6 +54,7 @@
     sent: float | None = None
     owner: bool = False
     revoked: bool = False
+    blocked: bool = False
 
 
 def make_heartbeat_key(instance: InstanceId) -> str:
@@ -63,6 +66,33 @@
     return make_key(TableName.HEARTBEATS, instance, ROW_NAME)
 
 
+def make_spare_key(instance: InstanceId) -> str:
+    """Return the key of the heartbeat in an instance's second partition.
+
+    A part of the store may not answer. A lease must not depend on a single partition.
+    """
+    return make_key(TableName.HEARTBEATS, instance + SPARE_SUFFIX, ROW_NAME)
+
+
+def parse_instance(partition: str) -> InstanceId:
+    """Return the instance whose heartbeat a partition holds."""
+    return InstanceId(partition.removesuffix(SPARE_SUFFIX))
+
+
+async def read_heartbeats(store: Store, instance: InstanceId) -> dict[str, Row | None]:
+    """Return the rows of both partitions of an instance by their keys.
+
+    Raises:
+        StoreError: A partition could not be read.
+    """
+    keys = (make_heartbeat_key(instance), make_spare_key(instance))
+    found = await gather(*(store.read(key) for key in keys))
+    return {
+        key: next((row for row in rows.rows if row.key == key), None)
+        for key, rows in zip(keys, found, strict=True)
+    }
+
+
 def make_heartbeat(row: InstanceRow) -> dict[str, Any]:
     """Return the stored value of a heartbeat."""
     return {
@@ -75,6 +105,7 @@
         "sent": row.sent_at,
         "owner": row.owns_duties,
         "revoked": row.is_revoked,
+        "blocked": row.is_blocked,
     }
 
 
@@ -86,7 +117,7 @@
     """
     heartbeat = convert(row.value, _Heartbeat)
     return InstanceRow(
-        InstanceId(RowKey.parse(row.key).partition),
+        parse_instance(RowKey.parse(row.key).partition),
         IncarnationId(heartbeat.incarnation),
         heartbeat.stopping,
         heartbeat.address,
@@ -97,6 +128,7 @@
         heartbeat.sent,
         heartbeat.owner,
         heartbeat.revoked,
+        heartbeat.blocked,
     )
 
 
@@ -162,7 +194,7 @@
         for start in range(0, len(names), CONCURRENT_READS_LIMIT):
             found = await gather(
                 *(
-                    self._store.read(make_heartbeat_key(InstanceId(name)))
+                    self._store.read(make_key(TableName.HEARTBEATS, name, ROW_NAME))
                     for name in names[start : start + CONCURRENT_READS_LIMIT]
                 )
             )
@@ -177,7 +209,7 @@
             if key.name != ROW_NAME:
                 continue
             if row.value is None:
-                self._observer.forget(InstanceId(key.partition), row.revision)
+                self._observer.forget(parse_instance(key.partition), row.revision)
                 continue
             try:
                 heartbeats.append(read_heartbeat(row))
@@ -185,7 +217,7 @@
                 self._metrics.count("row_unreadable", TableName.HEARTBEATS.value)
         now = self._clock.monotonic()
         sent_times = {
-            row.instance: self.to_local_time(row.sent_at)
+            row.revision: self.to_local_time(row.sent_at)
             for row in heartbeats
             if row.sent_at is not None
         }
--- a/jujubebarrow/runtimes/lease_renewers.py
+++ b/jujubebarrow/runtimes/lease_renewers.py
@@ -18,6 +18,7 @@
     FEED_SPACING_SECONDS,
     make_heartbeat,
     make_heartbeat_key,
+    make_spare_key,
     read_heartbeat,
 )
 from jujubebarrow.stores.row_keys import TableName
@@ -37,6 +38,9 @@
 """Seconds after a delayed renewal of the lease in which the instance claims no duty, as
 other instances may have had the same difficulty: the time in which they renew their
 leases, and until their heartbeats are read."""
+FAILING_COUNT = 2
+"""Failed attempts in a row, one in each partition, from which an instance tells others
+that it cannot renew its lease."""
 LOGGED_ATTEMPTS_LIMIT = 8
 """Most attempts of a failed call that its log line names."""
 DELAY_RATIO = 2.0
@@ -78,6 +82,8 @@
         super().__init__()
         self._identity = identity
         self._key = make_heartbeat_key(identity.instance)
+        self._other_key = make_spare_key(identity.instance)
+        self._has_switched = False
         self._store = store
         self._to_store_time = to_store_time
         self._owns_duties = owns_duties
@@ -97,7 +103,7 @@
         self._valid_until = float("-inf")
         self._is_confirmed = True
         self._is_revoked = False
-        self._is_failing = False
+        self._failure_count = 0
         self._lapse_count = 0
         self._may_claim_from = float("-inf")
 
@@ -127,8 +133,8 @@
 
     @property
     def is_failing(self) -> bool:
-        """Whether the last attempt to renew the lease got no response."""
-        return self._is_claimant and self._is_failing
+        """Whether the last attempts to renew the lease got no response."""
+        return self._is_claimant and self._failure_count >= FAILING_COUNT
 
     @property
     def lapse_count(self) -> int:
@@ -236,7 +242,7 @@
         The others take over the duties of its former run when they read the heartbeat.
         """
         try:
-            self._revision = await self._read_revision()
+            self._revision = await self._read_revision(self._key)
         except StoreError as error:
             self.record_failure("heartbeat_failed", error)
             return
@@ -247,7 +253,7 @@
         sent_at = self._clock.monotonic()
         try:
             if self._revision is None:
-                self._revision = await self._read_revision()
+                self._revision = await self._read_revision(self._key)
                 if self._is_revoked:
                     # Others may claim the duties until the lease is renewed.
                     self._valid_until = min(self._valid_until, sent_at)
@@ -259,8 +265,8 @@
             self._revision = await self._store.commit(transaction)
         except StoreError as error:
             self.record_failure("heartbeat_failed", error)
-            self._revision = None
-            self._is_failing = True
+            self._switch_partition()
+            self._failure_count += 1
             self._wait_for_others()
             return
         except TransactionConflictError:
@@ -271,7 +277,7 @@
             return
         now = self._clock.monotonic()
         self._renewal_count += 1
-        self._is_failing = False
+        self._failure_count = 0
         has_lapsed = self._is_revoked or float("-inf") < self._renewed_until < now
         self._is_revoked = False
         self._renewed_until = max(self._renewed_until, sent_at + LEASE_SECONDS)
@@ -283,6 +289,12 @@
         elif self._is_confirmed:
             self._valid_until = self._renewed_until
 
+    def _switch_partition(self) -> None:
+        """Renew the lease in the other partition, as this one may not answer."""
+        self._key, self._other_key = self._other_key, self._key
+        self._revision = None
+        self._has_switched = True
+
     def _record_duration(self, seconds: float) -> None:
         if seconds > DELAY_RATIO * self._usual_seconds + DELAY_SECONDS:
             self._wait_for_others()
@@ -306,22 +318,24 @@
             # Without the condition, a deletion that takes effect late could delete a
             # later heartbeat. The others notice the silence instead.
             return
+        revisions = {self._key: revision}
         try:
-            await self._store.commit(
-                Transaction(
-                    conditions={self._key: revision},
-                    writes={self._key: None},
-                    nonce=_nonce(),
+            if self._has_switched:
+                revisions[self._other_key] = await self._read_revision(self._other_key)
+            for key, found in revisions.items():
+                await self._store.commit(
+                    Transaction(
+                        conditions={key: found}, writes={key: None}, nonce=_nonce()
+                    )
                 )
-            )
         except (StoreError, TransactionConflictError) as error:
             # The others notice the silence instead.
             self._metrics.count("heartbeat_undeleted", type(error).__name__)
 
-    async def _read_revision(self) -> int:
-        found = await self._store.read(self._key)
+    async def _read_revision(self, key: str) -> int:
+        found = await self._store.read(key)
         for row in found.rows:
-            if row.key == self._key:
+            if row.key == key:
                 self._note_revocation(row)
                 return row.revision
         return ABSENT_REVISION
@@ -334,7 +348,7 @@
             self._metrics.count("row_unreadable", TableName.HEARTBEATS.value)
             return
         if (
-            heartbeat.is_revoked
+            (heartbeat.is_revoked or heartbeat.is_blocked)
             and heartbeat.incarnation == self._identity.incarnation
             and not self._is_revoked
         ):
--- a/jujubebarrow/runtimes/loss_detectors.py
+++ b/jujubebarrow/runtimes/loss_detectors.py
@@ -15,9 +15,10 @@
 from jujubebarrow.ownerships.ownership_rows import InstanceRow
 from jujubebarrow.ownerships.peer_probes import PeerProbe, ProbeOutcome
 from jujubebarrow.pauses import Pause
-from jujubebarrow.runtimes.heartbeat_watchers import make_heartbeat, make_heartbeat_key
+from jujubebarrow.runtimes.heartbeat_watchers import make_heartbeat, read_heartbeats
+from jujubebarrow.stores.rows import Row
 from jujubebarrow.stores.stores import Store
-from jujubebarrow.stores.transactions import Transaction
+from jujubebarrow.stores.transactions import ABSENT_REVISION, Transaction
 
 OVERDUE_SECONDS = 0.6
 """Silence from which an instance is probed: the period of the heartbeats, and the time
@@ -31,8 +32,9 @@
 
     A revocation is a write of the instance's heartbeat under the condition that the
     instance has not renewed it since. A revoked lease cannot be renewed unnoticed: the
-    next renewal finds another revision. The lease still ends only when it would have
-    ended without the revocation, and until then the instance may act under it.
+    next renewal finds another revision. For the same reason the row of the other
+    partition is written first. The lease still ends only when it would have ended
+    without the revocation, and until then the instance may act under it.
 
     Args:
         instance: Id of this instance.
@@ -106,15 +108,17 @@
             await self._revoke(row, outcome)
 
     async def _revoke(self, row: InstanceRow, outcome: ProbeOutcome) -> None:
-        key = make_heartbeat_key(row.instance)
         revoked = replace(row, is_revoked=True)
-        transaction = Transaction(
-            conditions={key: row.revision},
-            writes={key: make_heartbeat(revoked)},
-            nonce=uuid4().hex,
-        )
         try:
-            revision = await self._store.commit(transaction)
+            rows = await read_heartbeats(self._store, row.instance)
+            key = _find_latest(rows)
+            [other_key] = rows.keys() - {key}
+            if _get_revision(rows[key]) != row.revision:
+                self._metrics.count("lease_unrevoked", "renewed")
+                return
+            blocked = replace(row, is_blocked=True)
+            await self._write(other_key, _get_revision(rows[other_key]), blocked)
+            revision = await self._write(key, row.revision, revoked)
         except (StoreError, TransactionConflictError) as error:
             # The instance has renewed its lease, or another one has revoked it.
             self._metrics.count("lease_unrevoked", type(error).__name__)
@@ -128,3 +132,27 @@
             silence=round(self._observer.seconds_since_heartbeat(row.instance, now), 2),
         )
         self._on_revoked()
+
+    async def _write(self, key: str, revision: int, heartbeat: InstanceRow) -> int:
+        return await self._store.commit(
+            Transaction(
+                conditions={key: revision},
+                writes={key: make_heartbeat(heartbeat)},
+                nonce=uuid4().hex,
+            )
+        )
+
+
+def _find_latest(rows: dict[str, Row | None]) -> str:
+    """Return the key of an instance's latest heartbeat."""
+    return max(
+        rows, key=lambda key: (not _is_blocked(rows[key]), _get_revision(rows[key]))
+    )
+
+
+def _is_blocked(row: Row | None) -> bool:
+    return row is not None and bool((row.value or {}).get("blocked"))
+
+
+def _get_revision(row: Row | None) -> int:
+    return ABSENT_REVISION if row is None else row.revision
--- a/jujubebarrow/runtimes/ownership_services.py
+++ b/jujubebarrow/runtimes/ownership_services.py
@@ -24,7 +24,7 @@
 from jujubebarrow.runtimes.duty_stores import DutyStore
 from jujubebarrow.runtimes.heartbeat_watchers import (
     HeartbeatWatcher,
-    make_heartbeat_key,
+    read_heartbeats,
 )
 from jujubebarrow.runtimes.instance_directories import InstanceDirectory
 from jujubebarrow.runtimes.lease_renewers import (
@@ -32,9 +32,9 @@
     RENEW_PERIOD_SECONDS,
     LeaseRenewer,
 )
-from jujubebarrow.runtimes.loss_detectors import LossDetector
+from jujubebarrow.runtimes.loss_detectors import OVERDUE_SECONDS, LossDetector
 from jujubebarrow.stores.stores import Store
-from jujubebarrow.stores.transactions import Transaction
+from jujubebarrow.stores.transactions import ABSENT_REVISION, Transaction
 from jujubebarrow.workloads.identifiers import FenceToken
 
 OWNER_POLL_SECONDS = 0.4
@@ -278,12 +278,16 @@
         self._loss_detector.check()
 
     def _may_revoke(self) -> bool:
-        """Return whether this instance reaches the store like a healthy claimant."""
+        """Return whether this instance reaches the store well enough to judge others.
+
+        An instance whose own heartbeat is overdue may share the difficulty of others.
+        """
         now = self._clock.monotonic()
         return (
             self._renewer.is_claimant
             and not self._renewer.is_stopping
-            and self._renewer.may_claim_from <= now <= self._renewer.valid_until
+            and now >= self._renewer.may_claim_from
+            and self._renewer.valid_until - now >= LEASE_SECONDS - OVERDUE_SECONDS
             and self._observer.is_current(now)
         )
 
@@ -314,15 +318,26 @@
             return
         self._purged_at = now
         for row in self._observer.list_silent(SILENT_HEARTBEAT_SECONDS, now):
-            key = make_heartbeat_key(row.instance)
-            transaction = Transaction(
-                conditions={key: row.revision}, writes={key: None}, nonce=uuid4().hex
-            )
             try:
-                await self._store.commit(transaction)
+                await self._delete_heartbeats(row)
             except (StoreError, TransactionConflictError) as error:
                 self._metrics.count("heartbeat_undeleted", type(error).__name__)
 
+    async def _delete_heartbeats(self, row: InstanceRow) -> None:
+        """Delete the rows of a lost instance, the latest heartbeat last."""
+        rows = await read_heartbeats(self._store, row.instance)
+        revisions = {key: found.revision for key, found in rows.items() if found}
+        if max(revisions.values(), default=ABSENT_REVISION) > row.revision:
+            return
+        for key in sorted(revisions, key=revisions.__getitem__):
+            await self._store.commit(
+                Transaction(
+                    conditions={key: revisions[key]},
+                    writes={key: None},
+                    nonce=uuid4().hex,
+                )
+            )
+
     def _report_peers(self) -> None:
         addresses = self.peer_addresses
         if self._peers != frozenset(addresses):
--- a/jujubebarrow/standins/emulated_stores.py
+++ b/jujubebarrow/standins/emulated_stores.py
@@ -1,6 +1,7 @@
 """In-memory store with one client for each instance and with injected faults."""
 
 from asyncio import Event, get_running_loop, sleep
+from collections.abc import Iterable
 from random import Random
 
 import cbor2
@@ -44,6 +45,8 @@
         random: Random generator that selects the commits that fail and the delays of
             late writes.
         is_down: Whether all calls time out.
+        unavailable_partitions: Partitions whose reads and transactions fail at once,
+            whoever calls; the change feeds still report their rows.
         extra_delay_seconds: Additional delay of each call in seconds.
         commit_seconds: Time in seconds that a partition takes for one transaction; the
             transactions of a partition follow one another.
@@ -65,6 +68,7 @@
         self.table = Table(clock=lambda: get_running_loop().time())
         self.random = random
         self.is_down = False
+        self.unavailable_partitions: set[str] = set()
         self.extra_delay_seconds = 0.0
         self.commit_seconds = 0.0
         self.response_loss_probability = 0.0
@@ -95,6 +99,16 @@
             self.refusal_count += 1
             raise InvalidCallError("status 413")
 
+    def check_partitions(self, keys: Iterable[str]) -> None:
+        """Fail a call that concerns an unavailable partition.
+
+        Raises:
+            StoreError: The connection was reset.
+        """
+        partitions = {RowKey.parse(key).partition for key in keys}
+        if not partitions.isdisjoint(self.unavailable_partitions):
+            raise StoreError("connection reset", True)
+
     async def wait_for_turn(self, transaction: Transaction) -> None:
         """Wait until the partitions of a transaction have completed it."""
         if not self.commit_seconds:
@@ -185,6 +199,7 @@
             await sleep(RESPONSE_TIMEOUT_SECONDS)
             raise StoreError("no answer", True)
         shared = self._shared
+        shared.check_partitions(transaction.writes)
         shared.check_limits(transaction)
         await shared.wait_for_turn(transaction)
         draw = shared.random.random()
@@ -216,6 +231,7 @@
         self.read_prefixes.append(prefix)
         await self._deliver_request()
         await self._check_readable(prefix)
+        self._shared.check_partitions([prefix])
         rows = self._shared.table.read(prefix, limit)
         await sleep(ONE_WAY_DELAY_SECONDS)
         await self.is_running.wait()
--- a/jujubebarrow/tests/test_fleet_sizes.py
+++ b/jujubebarrow/tests/test_fleet_sizes.py
@@ -13,6 +13,7 @@
 from jujubebarrow.ownerships import lease_observers
 from jujubebarrow.ownerships.lease_observers import LeaseObserver
 from jujubebarrow.runtimes import lease_renewers
+from jujubebarrow.runtimes.heartbeat_watchers import SPARE_SUFFIX
 from jujubebarrow.tests.fakes.ownership_fleets import Member, OwnershipFleet
 from jujubebarrow.tests.fakes.virtual_loops import run_virtual
 
@@ -35,6 +36,7 @@
 SEEDS = range(1, 13)
 FAULT_ROUNDS_COUNT = 12
 ISOLATED_SHARE = 0.4
+UNAVAILABLE_SHARE = 0.2
 WATCH_SECONDS = 8.0
 """Time after the faults; the last late write takes effect after 6 s."""
 
@@ -138,9 +140,14 @@
             for _ in range(FAULT_ROUNDS_COUNT):
                 await self._change_faults(fleet, random)
                 if isolates:
-                    # Live members that do not answer the probes of the others.
+                    # Live members that do not answer the probes of the others, and
+                    # partitions of heartbeats that do not answer.
+                    fleet.shared.unavailable_partitions.clear()
                     for member in fleet.members:
                         member.is_isolated = other_random.random() < ISOLATED_SHARE
+                        for name in (member.name, member.name + SPARE_SUFFIX):
+                            if other_random.random() < UNAVAILABLE_SHARE:
+                                fleet.shared.unavailable_partitions.add(name)
                 doubled += await fleet.watch(random.uniform(0.2, 4.0))
             self._end_faults(fleet)
             await fleet.start([one for one in fleet.members if one.service is None])
@@ -173,6 +180,7 @@
         shared.extra_delay_seconds = shared.response_loss_probability = 0.0
         shared.late_write_probability = 0.0
         shared.is_down = False
+        shared.unavailable_partitions.clear()
         for member in fleet.members:
             if member.service is not None:
                 member.store.is_disconnected = False
