--- a/jujubebarrow/errors/exceptions.py
+++ b/jujubebarrow/errors/exceptions.py
@@ -93,6 +93,24 @@
         return self._attempts or (str(self),)
 
 
+class NoDirectPathError(StoreError):
+    """This instance has no direct path to the store, and relays no calls."""
+
+
+class RelayedStoreError(StoreError):
+    """A call to the store failed on the instance that relayed it.
+
+    Args:
+        detail: Cause of the failure.
+        may_have_applied: Whether a write may have been applied.
+        has_path: Whether the other instance has a direct path to the store.
+    """
+
+    def __init__(self, detail: str, may_have_applied: bool, has_path: bool):
+        super().__init__(detail, may_have_applied)
+        self.has_path = has_path
+
+
 class InvalidCallError(StoreError):
     """The store refuses a call for its content; a repeat would be refused as well.
 
--- a/jujubebarrow/stores/direct_paths.py
+++ b/jujubebarrow/stores/direct_paths.py
@@ -44,6 +44,10 @@
         """Wait until a direct call fails; return at once if the path is down."""
         await self._down.wait()
 
+    def request_probe(self) -> None:
+        """Let the path be probed soon, as the last failure may have another cause."""
+        self._probe_at = min(self._probe_at, self._clock.monotonic())
+
     def record_failure(self) -> bool:
         """Record a failed direct call; return whether the path has gone down."""
         now = self._clock.monotonic()
--- a/jujubebarrow/stores/peer_call_stores.py
+++ b/jujubebarrow/stores/peer_call_stores.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, TypeVar
 
-from jujubebarrow.errors.exceptions import StoreError
+from jujubebarrow.errors.exceptions import NoDirectPathError
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.stores.commit_results import CommitResult
 from jujubebarrow.stores.direct_paths import DirectPath
@@ -38,12 +38,12 @@
     ) -> Result:
         if self._path.is_down:
             self._metrics.count("store_relay_rejected")
-            raise StoreError("no direct path", False)
+            raise NoDirectPathError("no direct path", False)
         async with run_until_down(call(), self._path) as task:
             if task.done():
                 return await task
             self._metrics.count("store_relay_rejected")
-            raise StoreError("direct path lost", is_write)
+            raise NoDirectPathError("direct path lost", is_write)
 
     async def try_commit(self, transaction: Transaction) -> CommitResult:
         """Send a transaction once and return the result."""
--- a/jujubebarrow/stores/relay_messages.py
+++ b/jujubebarrow/stores/relay_messages.py
@@ -10,6 +10,8 @@
 from jujubebarrow.errors.exceptions import (
     HistoryLostError,
     InvalidCallError,
+    NoDirectPathError,
+    RelayedStoreError,
     StoreError,
 )
 from jujubebarrow.stores.commit_results import CommitResult
@@ -28,6 +30,7 @@
 PARTITIONS = "partitions"
 HISTORY_LOST = "history-lost"
 INVALID_CALL = "is_invalid"
+NO_PATH = "has_no_path"
 
 Result = TypeVar("Result")
 
@@ -68,7 +71,11 @@
         )
     except StoreError as error:
         return cbor2.dumps(
-            {"error": str(error), "may_have_applied": error.may_have_applied}
+            {
+                "error": str(error),
+                "may_have_applied": error.may_have_applied,
+                NO_PATH: isinstance(error, NoDirectPathError),
+            }
         )
 
 
@@ -126,7 +133,8 @@
     if is_invalid:
         raise InvalidCallError(f"relayed: {error}")
     if error is not None:
-        raise StoreError(f"relayed: {error}", may_have_applied)
+        has_path = not document.get(NO_PATH, False)
+        raise RelayedStoreError(f"relayed: {error}", may_have_applied, has_path)
     return answer
 
 
--- a/jujubebarrow/stores/relayed_stores.py
+++ b/jujubebarrow/stores/relayed_stores.py
@@ -16,6 +16,7 @@
 from jujubebarrow.errors.exceptions import (
     HistoryLostError,
     InvalidCallError,
+    RelayedStoreError,
     SlowResponseError,
     StoreError,
 )
@@ -25,6 +26,7 @@
 from jujubebarrow.stores.direct_paths import DirectPath
 from jujubebarrow.stores.instance_lists import InstanceList
 from jujubebarrow.stores.paged_readers import PagedReader
+from jujubebarrow.stores.partition_failures import PartitionFailures
 from jujubebarrow.stores.path_races import run_until_down
 from jujubebarrow.stores.peer_call_stores import PeerCallStore
 from jujubebarrow.stores.read_throttles import ReadThrottle
@@ -40,7 +42,7 @@
     encode_commit,
 )
 from jujubebarrow.stores.relay_selectors import RelaySelector
-from jujubebarrow.stores.row_keys import TableName, make_key
+from jujubebarrow.stores.row_keys import RowKey, TableName, make_key
 from jujubebarrow.stores.row_pages import RowPage
 from jujubebarrow.stores.rows import RowSet
 from jujubebarrow.stores.stores import Store
@@ -112,6 +114,7 @@
         self._clock = clock
         self._log = log
         self._path = DirectPath(clock)
+        self._partitions = PartitionFailures(clock)
         self._selector = RelaySelector(random, clock)
         self._probe_task: Task[None] | None = None
         self._peer_addresses: list[str] = []
@@ -168,7 +171,9 @@
                 "store_direct", detail="", instances=len(self._peer_addresses)
             )
 
-    async def _call_direct(self, call: Callable[[], Awaitable[Result]]) -> Result:
+    async def _call_direct(
+        self, call: Callable[[], Awaitable[Result]], partition: str | None = None
+    ) -> Result:
         sent_at = self._clock.monotonic()
         try:
             result = await call()
@@ -177,25 +182,57 @@
             self._record_success(sent_at)
             raise
         except StoreError as error:
-            self._record_failure(error)
+            if partition is not None and self._partitions.is_failing(partition):
+                self._partitions.record_failure(partition)
+                self._metrics.count("store_partition_failed")
+            else:
+                self._record_failure(error)
             raise
         self._record_success(sent_at)
+        if partition is not None:
+            self._partitions.record_success(partition)
         return result
 
-    async def _call_relay(self, address: str, body: bytes, wait: float = 0.0) -> Any:
+    async def _call_relay(
+        self,
+        address: str,
+        body: bytes,
+        wait: float = 0.0,
+        partition: str | None = None,
+    ) -> Any:
         self._metrics.count("store_relay")
         try:
             result = await self._relay.call(address, body, wait)
         except (HistoryLostError, InvalidCallError, SlowResponseError):
             self._selector.record_success(address)
             raise
-        except StoreError:
+        except StoreError as error:
             self._metrics.count("store_relay_failed")
-            self._selector.record_failure(address)
+            if not self._is_partition_failure(error, partition):
+                self._selector.record_failure(address)
             raise
         self._selector.record_success(address)
+        if partition is not None:
+            self._partitions.record_success(partition)
         return result
 
+    def _is_partition_failure(self, error: StoreError, partition: str | None) -> bool:
+        """Return whether a partition fails for instances that reach the store.
+
+        The direct path may then have been taken for down because of the partition.
+        """
+        if (
+            partition is None
+            or not isinstance(error, RelayedStoreError)
+            or not error.has_path
+        ):
+            return False
+        was_failing = self._partitions.is_failing(partition)
+        self._partitions.record_failure(partition)
+        if not was_failing:
+            self._path.request_probe()
+        return was_failing
+
     async def _call_readonly(
         self,
         body: bytes,
@@ -237,10 +274,14 @@
     async def try_commit(self, transaction: Transaction) -> CommitResult:
         """Send a transaction once and return the result."""
         failures: tuple[str, ...] = ()
+        keys = [*transaction.writes, *transaction.conditions]
+        partition = RowKey.parse(keys[0]).partition if keys else None
         for address in self._choose_relays():
             body = encode_commit(transaction)
             try:
-                return decode_commit(await self._call_relay(address, body))
+                return decode_commit(
+                    await self._call_relay(address, body, partition=partition)
+                )
             except InvalidCallError:
                 raise
             except StoreError as error:
@@ -249,7 +290,9 @@
                     raise StoreError(str(error), True, failures) from error
                 self._metrics.count("retry", "relay")
         try:
-            return await self._call_direct(lambda: self._direct.try_commit(transaction))
+            return await self._call_direct(
+                lambda: self._direct.try_commit(transaction), partition
+            )
         except InvalidCallError:
             raise
         except StoreError as error:
@@ -262,11 +305,14 @@
 
     async def read_page(self, prefix: str, start: str, limit: int) -> RowPage:
         """Return a part of the rows whose key starts with a prefix."""
+        partition = RowKey.parse(prefix).partition
 
         async def call_relay(address: str) -> RowPage:
             async def fetch(row_limit: int) -> RowPage:
                 body = encode_call(PAGE, prefix=prefix, start=start, limit=row_limit)
-                return decode_page(await self._call_relay(address, body))
+                return decode_page(
+                    await self._call_relay(address, body, partition=partition)
+                )
 
             return await self._throttle.read_page(prefix, start, limit, fetch)
 
@@ -274,7 +320,7 @@
             return await self._direct.read_page(prefix, start, limit)
 
         return await self._choose_route(
-            call_relay, lambda: self._call_direct(call_direct)
+            call_relay, lambda: self._call_direct(call_direct, partition)
         )
 
     async def read_changes(self, prefix: str, since: int, wait: float) -> RowSet:
