--- a/jujubebarrow/runtimes/heartbeat_watchers.py
+++ b/jujubebarrow/runtimes/heartbeat_watchers.py
@@ -20,6 +20,7 @@
 from jujubebarrow.stores.row_keys import RowKey, TableName, make_key
 from jujubebarrow.stores.rows import Row
 from jujubebarrow.stores.stores import Store
+from jujubebarrow.stores.transactions import ABSENT_REVISION
 
 FEED_WAIT_SECONDS = 0.5
 """Longest time that the store may delay the response to a request for changes; limits
@@ -93,6 +94,22 @@
     }
 
 
+def find_latest_key(rows: dict[str, Row | None]) -> str:
+    """Return the key of an instance's latest heartbeat, which no other has blocked."""
+
+    def rank(key: str) -> tuple[bool, int]:
+        row = rows[key]
+        is_blocked = row is not None and bool((row.value or {}).get("blocked"))
+        return not is_blocked, get_revision(row)
+
+    return max(rows, key=rank)
+
+
+def get_revision(row: Row | None) -> int:
+    """Return the revision of a row that may not exist."""
+    return ABSENT_REVISION if row is None else row.revision
+
+
 def make_heartbeat(row: InstanceRow) -> dict[str, Any]:
     """Return the stored value of a heartbeat."""
     return {
--- a/jujubebarrow/runtimes/loss_detectors.py
+++ b/jujubebarrow/runtimes/loss_detectors.py
@@ -15,10 +15,14 @@
 from jujubebarrow.ownerships.ownership_rows import InstanceRow
 from jujubebarrow.ownerships.peer_probes import PeerProbe, ProbeOutcome
 from jujubebarrow.pauses import Pause
-from jujubebarrow.runtimes.heartbeat_watchers import make_heartbeat, read_heartbeats
-from jujubebarrow.stores.rows import Row
+from jujubebarrow.runtimes.heartbeat_watchers import (
+    find_latest_key,
+    get_revision,
+    make_heartbeat,
+    read_heartbeats,
+)
 from jujubebarrow.stores.stores import Store
-from jujubebarrow.stores.transactions import ABSENT_REVISION, Transaction
+from jujubebarrow.stores.transactions import Transaction
 
 OVERDUE_SECONDS = 0.6
 """Silence from which an instance is probed: the period of the heartbeats, and the time
@@ -111,13 +115,13 @@
         revoked = replace(row, is_revoked=True)
         try:
             rows = await read_heartbeats(self._store, row.instance)
-            key = _find_latest(rows)
+            key = find_latest_key(rows)
             [other_key] = rows.keys() - {key}
-            if _get_revision(rows[key]) != row.revision:
+            if get_revision(rows[key]) != row.revision:
                 self._metrics.count("lease_unrevoked", "renewed")
                 return
             blocked = replace(row, is_blocked=True)
-            await self._write(other_key, _get_revision(rows[other_key]), blocked)
+            await self._write(other_key, get_revision(rows[other_key]), blocked)
             revision = await self._write(key, row.revision, revoked)
         except (StoreError, TransactionConflictError) as error:
             # The instance has renewed its lease, or another one has revoked it.
@@ -141,18 +145,3 @@
                 nonce=uuid4().hex,
             )
         )
-
-
-def _find_latest(rows: dict[str, Row | None]) -> str:
-    """Return the key of an instance's latest heartbeat."""
-    return max(
-        rows, key=lambda key: (not _is_blocked(rows[key]), _get_revision(rows[key]))
-    )
-
-
-def _is_blocked(row: Row | None) -> bool:
-    return row is not None and bool((row.value or {}).get("blocked"))
-
-
-def _get_revision(row: Row | None) -> int:
-    return ABSENT_REVISION if row is None else row.revision
--- a/jujubebarrow/runtimes/ownership_services.py
+++ b/jujubebarrow/runtimes/ownership_services.py
@@ -24,6 +24,8 @@
 from jujubebarrow.runtimes.duty_stores import DutyStore
 from jujubebarrow.runtimes.heartbeat_watchers import (
     HeartbeatWatcher,
+    find_latest_key,
+    get_revision,
     read_heartbeats,
 )
 from jujubebarrow.runtimes.instance_directories import InstanceDirectory
@@ -34,7 +36,7 @@
 )
 from jujubebarrow.runtimes.loss_detectors import OVERDUE_SECONDS, LossDetector
 from jujubebarrow.stores.stores import Store
-from jujubebarrow.stores.transactions import ABSENT_REVISION, Transaction
+from jujubebarrow.stores.transactions import Transaction
 from jujubebarrow.workloads.identifiers import FenceToken
 
 OWNER_POLL_SECONDS = 0.4
@@ -326,9 +328,9 @@
     async def _delete_heartbeats(self, row: InstanceRow) -> None:
         """Delete the rows of a lost instance, the latest heartbeat last."""
         rows = await read_heartbeats(self._store, row.instance)
-        revisions = {key: found.revision for key, found in rows.items() if found}
-        if max(revisions.values(), default=ABSENT_REVISION) > row.revision:
+        if get_revision(rows[find_latest_key(rows)]) > row.revision:
             return
+        revisions = {key: found.revision for key, found in rows.items() if found}
         for key in sorted(revisions, key=revisions.__getitem__):
             await self._store.commit(
                 Transaction(
--- a/jujubebarrow/tests/test_partition_failures.py
+++ b/jujubebarrow/tests/test_partition_failures.py
@@ -3,14 +3,18 @@
 from asyncio import get_running_loop, sleep
 
 from jujubebarrow.errors.exceptions import StoreError
+from jujubebarrow.identifiers import JobId
+from jujubebarrow.standins.emulated_workers import TaskBehaviour
 from jujubebarrow.stores.row_keys import TableName, make_key
 from jujubebarrow.tests.fakes.job_cases import JobCase
-from jujubebarrow.tests.fakes.job_clusters import OTHER_ROUTE, JobCluster
+from jujubebarrow.tests.fakes.job_clusters import OTHER_ROUTE, QUEUE, JobCluster
 from jujubebarrow.tests.test_takeover_times import TAKEOVER_LIMIT_SECONDS
 
 PARTITION = "unavailable"
 CALL_SPACING_SECONDS = 0.1
 OUTAGE_SECONDS = 5.0
+TASK_SECONDS = 12.0
+"""Longer than the outage and the takeover."""
 NOTICED_SECONDS = 2.0
 """Time in which an instance finds that its direct path is not the cause."""
 
@@ -62,6 +66,46 @@
 
         self.run_scenario(scenario, instances=8, others=2, has_other_queue=True)
 
+    def test_takeover_waits_for_a_queue_that_may_have_runs_of_the_pool(self) -> None:
+        async def scenario(cluster: JobCluster) -> None:
+            await cluster.submit(1, behaviour=TaskBehaviour(TASK_SECONDS))
+            await sleep(3.0)
+            owner = cluster.find_owner()
+            assert owner is not None
+            cluster.store.unavailable_partitions.add(QUEUE)
+            await owner.kill()
+            await sleep(OUTAGE_SECONDS)
+            self.assertIsNone(cluster.find_owner())
+            cluster.store.unavailable_partitions.clear()
+            number = cluster.instances.index(
+                next(one for one in cluster.instances if one.node is not None)
+            )
+            job = JobId(f"{1:016x}")
+            self.assertTrue(
+                await cluster.wait_for_phase(job, "completed", 30.0, number)
+            )
+            self.assertEqual(set(cluster.count_starts().values()), {1})
+
+        self.run_scenario(scenario, instances=8)
+
+    def test_first_job_of_a_queue_whose_owner_was_lost_before_it_heard_of_it_runs(
+        self,
+    ) -> None:
+        async def scenario(cluster: JobCluster) -> None:
+            await sleep(3.0)
+            owner = cluster.find_owner()
+            assert owner is not None
+            others = [one for one in cluster.instances if one is not owner]
+            number = cluster.instances.index(others[0])
+            submission = get_running_loop().create_task(
+                cluster.submit(1, instance=number)
+            )
+            await owner.kill()
+            job = await submission
+            self.assertTrue(await cluster.wait_for_phase(job, "completed", 8.0, number))
+
+        self.run_scenario(scenario, instances=8)
+
     def test_path_that_is_down_is_noticed_beside_a_failing_partition(self) -> None:
         async def scenario(cluster: JobCluster) -> None:
             await sleep(2.0)
