--- /dev/null
+++ b/review/standins2/fleets.py
@@ -0,0 +1,275 @@
+"""Stand-ins for workers and the machine service; they have no faults."""
+
+import asyncio
+import time
+from collections import defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from stores import RowStore
+from wire import Response, serve
+
+CAPACITY = {"Cpu": 32000, "MemMb": 65536, "Gpus": 0}
+LONGEST_LEASE_SECONDS = 6.0
+STOP_SECONDS = 0.1
+MOVE_SECONDS = 1.5
+HEARTBEAT_SECONDS = 1.5
+RunKey = tuple[str, int]
+
+
+@dataclass
+class Job:
+    """Job as a client has sent it: one step of finite tasks."""
+
+    name: str
+    count: int
+    seconds: float
+    is_gang: bool
+
+
+@dataclass
+class Life:
+    """State of a worker between two starts."""
+
+    born_ms: int = field(default_factory=lambda: round(time.time() * 1000))
+    began: float = field(default_factory=time.monotonic)
+    token: int = 0
+    running: dict[RunKey, str] = field(default_factory=dict)
+    ends: list[list[Any]] = field(default_factory=list)
+    end_count: int = 0
+    over: dict[str, int] = field(default_factory=dict)
+    lease_end: float = 0.0
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    @property
+    def clock_ms(self) -> int:
+        """The worker's steady clock."""
+        return int((time.monotonic() - self.began) * 1000)
+
+
+class Fleet:
+    """Workers, their machines and the service that moves these between pools.
+
+    Args:
+        store: Store in which the workers register.
+        jobs: Jobs that clients have sent, by id.
+        write: Writes a line to the record.
+    """
+
+    def __init__(
+        self, store: RowStore, jobs: dict[str, Job], write: Callable[[str], None]
+    ):
+        self.store = store
+        self.jobs = jobs
+        self.write = write
+        self.workers: list[Worker] = []
+        self.gangs: dict[tuple[str, int], set[str]] = defaultdict(set)
+        self._life_count = 0
+
+    async def add(self, pool: str) -> None:
+        """Add a machine with its worker."""
+        worker = Worker(self, f"m-{len(self.workers):02d}", pool)
+        worker.address = await serve(worker.handle)
+        self.workers.append(worker)
+        worker.boot()
+
+    def next_id(self) -> str:
+        """Return the id of a worker's next life."""
+        self._life_count += 1
+        return f"i-{self._life_count:08x}"
+
+    def list_up(self, pool: str) -> list["Worker"]:
+        """Return the workers of a pool that are up."""
+        return [w for w in self.workers if w.pool == pool and w.state == "up"]
+
+    def finish_gang(self, job: Job, run: int) -> None:
+        """End all tasks of a gang's run together."""
+        for worker in self.workers:
+            for task, number in list(worker.life.running):
+                if number == run and task.startswith(job.name):
+                    worker.finish(task, run, "done")
+
+    async def beat(self) -> None:
+        """Renew the registrations until cancelled."""
+        while True:
+            for worker in self.workers:
+                if worker.state == "up":
+                    worker.register()
+            await asyncio.sleep(HEARTBEAT_SECONDS)
+
+    async def handle_machines(
+        self, method: str, target: str, headers: dict[str, str], document: Any
+    ) -> Response:
+        """Answer a call to the machine service."""
+        if target.startswith("/-/machines"):
+            return 200, {
+                "Machines": [worker.describe() for worker in self.workers],
+                "NextToken": None,
+            }
+        found = [w for w in self.workers if w.machine == document["Machine"]]
+        if not found or target != "/-/machine-move":
+            return 400, {}
+        worker, token = found[0], int(headers["x-fencing-token"])
+        if token < worker.machine_token:
+            return 409, {"Reason": "fence"}
+        worker.machine_token = token
+        if worker.pool == document["Pool"]:
+            return 200, {}
+        if worker.state != "up":
+            return 409, {"Reason": "busy"}
+        worker.move(document["Pool"])
+        return 200, {}
+
+
+class Worker:
+    """Worker of one machine.
+
+    Args:
+        fleet: Fleet that the worker belongs to.
+        machine: Name of the machine.
+        pool: Pool that the machine is in.
+    """
+
+    def __init__(self, fleet: Fleet, machine: str, pool: str):
+        self._fleet = fleet
+        self.machine = machine
+        self.pool = pool
+        self.address = ""
+        self.state = "down"
+        self.name = ""
+        self.machine_token = 0
+        self.life = Life()
+
+    def boot(self) -> None:
+        """Begin a new life under a new id."""
+        self.name = self._fleet.next_id()
+        self.life = Life()
+        self.state = "up"
+        self.register()
+
+    def register(self) -> None:
+        """Write the registration."""
+        document = {
+            "Backend": self.pool,
+            "Address": self.address,
+            "Zone": "z1",
+            "Version": "v1",
+            "Slots": 8,
+            "State": "ready",
+            "ColdLeftMs": 0,
+            "Capacity": CAPACITY,
+            "Labels": ["a", "r1-0"],
+            "ClockMs": self.life.clock_ms,
+            "Machine": self.machine,
+            "born": self.life.born_ms,
+        }
+        self._fleet.store.put("servers", self.name, document)
+
+    def describe(self) -> dict[str, Any]:
+        """Return the machine's row in the list of machines."""
+        return {
+            "Machine": self.machine,
+            "Pool": self.pool,
+            "State": self.state,
+            "Zone": "z1",
+            "Labels": ["a", "r1-0"],
+            "Capacity": CAPACITY,
+            "Id": self.name if self.state == "up" else "",
+        }
+
+    def move(self, pool: str) -> None:
+        """End all runs; begin a new life in another pool after the move."""
+        runs = len(self.life.running)
+        self._fleet.write(f"machine {self.machine} {self.pool} to {pool}, {runs} runs")
+        self.state, self.pool = "moving", pool
+        self._fleet.store.drop("servers", self.name)
+        self.life = Life()
+        asyncio.get_running_loop().call_later(MOVE_SECONDS, self.boot)
+
+    async def handle(
+        self, method: str, target: str, headers: dict[str, str], document: Any
+    ) -> Response:
+        """Answer a call."""
+        if target == "/healthz":
+            return 200, {}
+        life = self.life
+        if self.state != "up" or headers.get("x-target-instance", "") != self.name:
+            return 421, {"ClockMs": life.clock_ms}
+        if document["FencingToken"] < life.token:
+            return 409, {"ClockMs": life.clock_ms, "Reason": "fence"}
+        life.token = document["FencingToken"]
+        if target == "/-/hold":
+            return await self._hold(life, document)
+        if target == "/-/run-start":
+            reason = self._start(document)
+            if reason:
+                return 409, {"ClockMs": life.clock_ms, "Reason": reason}
+        if target == "/-/run-stop":
+            task, run = document["Task"], document["Run"]
+            life.over[task] = max(life.over.get(task, 0), run)
+            loop = asyncio.get_running_loop()
+            loop.call_later(STOP_SECONDS, self.finish, task, run, "stopped")
+        return 200, {"ClockMs": life.clock_ms}
+
+    def _extend(self, document: dict[str, Any]) -> None:
+        if "DeadlineMs" in document:
+            end = self.life.began + document["DeadlineMs"] / 1000
+            end = min(end, time.monotonic() + LONGEST_LEASE_SECONDS)
+            self.life.lease_end = max(self.life.lease_end, end)
+
+    async def _hold(self, life: Life, document: dict[str, Any]) -> Response:
+        life.ends = [end for end in life.ends if end[0] > document.get("LastSeen", 0)]
+        if life.running and time.monotonic() > life.lease_end:
+            for task, run in list(life.running):
+                self.finish(task, run, "lapsed")
+        self._extend(document)
+        wait = document.get("WaitMs", 0) / 1000
+        if not life.ends and wait:
+            life.changed.clear()
+            try:
+                await asyncio.wait_for(life.changed.wait(), wait)
+            except TimeoutError:
+                pass
+        running = [[task, run, "", 50, 100] for task, run in life.running]
+        return 200, {
+            "ClockMs": life.clock_ms,
+            "born": life.born_ms,
+            "Running": running,
+            "Finished": life.ends[:500],
+        }
+
+    def _start(self, document: dict[str, Any]) -> str:
+        task, run, life = document["Task"], document["Run"], self.life
+        if (task, run) in life.running:
+            return ""
+        if run <= life.over.get(task, 0):
+            return "old"
+        if document["DeadlineMs"] <= life.clock_ms:
+            return "late"
+        self._extend(document)
+        life.running[task, run] = document["Spec"]
+        self._fleet.write(f"start {task} run {run} on {self.name} of {self.pool}")
+        self._work(self._fleet.jobs[task.split(".")[0]], task, run)
+        return ""
+
+    def _work(self, job: Job, task: str, run: int) -> None:
+        loop = asyncio.get_running_loop()
+        if not job.is_gang:
+            loop.call_later(job.seconds, self.finish, task, run, "done")
+            return
+        present = self._fleet.gangs[job.name, run]
+        present.add(task)
+        if len(present) == job.count:
+            loop.call_later(job.seconds, self._fleet.finish_gang, job, run)
+
+    def finish(self, task: str, run: int, how: str) -> None:
+        """End a run, unless it has ended or its life is over."""
+        life = self.life
+        if life.running.pop((task, run), None) is None:
+            return
+        life.end_count += 1
+        life.over[task] = max(life.over.get(task, 0), run)
+        life.ends.append([life.end_count, task, run, how, ""])
+        life.changed.set()
+        self._fleet.write(f"end {task} run {run} on {self.name}: {how}")
