--- a/review/standins2/fleets.py
+++ b/review/standins2/fleets.py
@@ -35,7 +35,8 @@
     born_ms: int = field(default_factory=lambda: round(time.time() * 1000))
     began: float = field(default_factory=time.monotonic)
     token: int = 0
-    running: dict[RunKey, str] = field(default_factory=dict)
+    # Time at which each run has started.
+    running: dict[RunKey, float] = field(default_factory=dict)
     ends: list[list[Any]] = field(default_factory=list)
     end_count: int = 0
     over: dict[str, int] = field(default_factory=dict)
@@ -64,12 +65,14 @@
         self.jobs = jobs
         self.write = write
         self.workers: list[Worker] = []
+        # Ends that LastSeen has reached.
+        self.noted: list[tuple[Any, ...]] = []
+        self.starts: list[RunKey] = []
         self.gangs: dict[tuple[str, int], set[str]] = defaultdict(set)
         self._life_count = 0
 
-    async def add(self, pool: str) -> None:
+    async def add(self, worker: "Worker") -> None:
         """Add a machine with its worker."""
-        worker = Worker(self, f"m-{len(self.workers):02d}", pool)
         worker.address = await serve(worker.handle)
         self.workers.append(worker)
         worker.boot()
@@ -79,6 +82,10 @@
         self._life_count += 1
         return f"i-{self._life_count:08x}"
 
+    def next_machine(self) -> str:
+        """Return the name of the next machine."""
+        return f"m-{len(self.workers):02d}"
+
     def list_up(self, pool: str) -> list["Worker"]:
         """Return the workers of a pool that are up."""
         return [w for w in self.workers if w.pool == pool and w.state == "up"]
@@ -132,18 +139,19 @@
     """
 
     def __init__(self, fleet: Fleet, machine: str, pool: str):
-        self._fleet = fleet
+        self.fleet = fleet
         self.machine = machine
         self.pool = pool
         self.address = ""
         self.state = "down"
         self.name = ""
         self.machine_token = 0
+        self.labels = ["a", "r1-0"]
         self.life = Life()
 
-    def boot(self) -> None:
-        """Begin a new life under a new id."""
-        self.name = self._fleet.next_id()
+    def boot(self, name: str = "") -> None:
+        """Begin a new life under a new id, or under the given one."""
+        self.name = name or self.fleet.next_id()
         self.life = Life()
         self.state = "up"
         self.register()
@@ -159,12 +167,12 @@
             "State": "ready",
             "ColdLeftMs": 0,
             "Capacity": CAPACITY,
-            "Labels": ["a", "r1-0"],
+            "Labels": self.labels,
             "ClockMs": self.life.clock_ms,
             "Machine": self.machine,
             "born": self.life.born_ms,
         }
-        self._fleet.store.put("servers", self.name, document)
+        self.fleet.store.put("servers", self.name, document)
 
     def describe(self) -> dict[str, Any]:
         """Return the machine's row in the list of machines."""
@@ -173,7 +181,7 @@
             "Pool": self.pool,
             "State": self.state,
             "Zone": "z1",
-            "Labels": ["a", "r1-0"],
+            "Labels": self.labels,
             "Capacity": CAPACITY,
             "Id": self.name if self.state == "up" else "",
         }
@@ -181,9 +189,9 @@
     def move(self, pool: str) -> None:
         """End all runs; begin a new life in another pool after the move."""
         runs = len(self.life.running)
-        self._fleet.write(f"machine {self.machine} {self.pool} to {pool}, {runs} runs")
+        self.fleet.write(f"machine {self.machine} {self.pool} to {pool}, {runs} runs")
         self.state, self.pool = "moving", pool
-        self._fleet.store.drop("servers", self.name)
+        self.fleet.store.drop("servers", self.name)
         self.life = Life()
         asyncio.get_running_loop().call_later(MOVE_SECONDS, self.boot)
 
@@ -219,7 +227,12 @@
             self.life.lease_end = max(self.life.lease_end, end)
 
     async def _hold(self, life: Life, document: dict[str, Any]) -> Response:
-        life.ends = [end for end in life.ends if end[0] > document.get("LastSeen", 0)]
+        position = document.get("LastSeen", 0)
+        for end in life.ends:
+            if end[0] <= position:
+                self.fleet.write(f"noted by {self.name}: {end}")
+                self.fleet.noted.append(tuple(end))
+        life.ends = [end for end in life.ends if end[0] > position]
         if life.running and time.monotonic() > life.lease_end:
             for task, run in list(life.running):
                 self.finish(task, run, "lapsed")
@@ -231,7 +244,10 @@
                 await asyncio.wait_for(life.changed.wait(), wait)
             except TimeoutError:
                 pass
-        running = [[task, run, "", 50, 100] for task, run in life.running]
+        running = [
+            [task, run, "", self._measure_percent(task, began), 100]
+            for (task, run), began in life.running.items()
+        ]
         return 200, {
             "ClockMs": life.clock_ms,
             "born": life.born_ms,
@@ -239,6 +255,10 @@
             "Finished": life.ends[:500],
         }
 
+    def _measure_percent(self, task: str, began: float) -> int:
+        job = self.fleet.jobs[task.split(".")[0]]
+        return min(99, int(100 * (time.monotonic() - began) / job.seconds))
+
     def _start(self, document: dict[str, Any]) -> str:
         task, run, life = document["Task"], document["Run"], self.life
         if (task, run) in life.running:
@@ -248,9 +268,10 @@
         if document["DeadlineMs"] <= life.clock_ms:
             return "late"
         self._extend(document)
-        life.running[task, run] = document["Spec"]
-        self._fleet.write(f"start {task} run {run} on {self.name} of {self.pool}")
-        self._work(self._fleet.jobs[task.split(".")[0]], task, run)
+        life.running[task, run] = time.monotonic()
+        self.fleet.starts.append((task, run))
+        self.fleet.write(f"start {task} run {run} on {self.name} of {self.pool}")
+        self._work(self.fleet.jobs[task.split(".")[0]], task, run)
         return ""
 
     def _work(self, job: Job, task: str, run: int) -> None:
@@ -258,10 +279,10 @@
         if not job.is_gang:
             loop.call_later(job.seconds, self.finish, task, run, "done")
             return
-        present = self._fleet.gangs[job.name, run]
+        present = self.fleet.gangs[job.name, run]
         present.add(task)
         if len(present) == job.count:
-            loop.call_later(job.seconds, self._fleet.finish_gang, job, run)
+            loop.call_later(job.seconds, self.fleet.finish_gang, job, run)
 
     def finish(self, task: str, run: int, how: str) -> None:
         """End a run, unless it has ended or its life is over."""
@@ -272,4 +293,4 @@
         life.over[task] = max(life.over.get(task, 0), run)
         life.ends.append([life.end_count, task, run, how, ""])
         life.changed.set()
-        self._fleet.write(f"end {task} run {run} on {self.name}: {how}")
+        self.fleet.write(f"end {task} run {run} on {self.name}: {how}")
