--- a/review/6/case.py
+++ b/review/6/case.py
@@ -18,8 +18,10 @@
 TASK_SECONDS = 0.05
 CRASH_AFTER_SECONDS = 0.05
 LATE_SECONDS = 2.1
-AFTER_END_SECONDS = 0.15
-OBSERVED_SECONDS = 30.0
+AFTER_END_SECONDS = 0.06
+REGISTRATION_SECONDS = 0.3
+"""Time from the start of the worker to its first registration."""
+OBSERVED_SECONDS = 20.0
 STEP = {
     "Count": 1,
     "Cpu": 1000,
@@ -33,6 +35,7 @@
     """Holds a renewal that acknowledges an end, and the next start."""
 
     is_armed = False
+    is_registered = True
 
     def __init__(self, *arguments: Any):
         super().__init__(*arguments)
@@ -53,6 +56,21 @@
             return True
         return False
 
+    def register(self) -> None:
+        """Write the registration, unless the worker has just started again."""
+        if self.is_registered:
+            super().register()
+
+    def restart(self) -> None:
+        """Begin a new life, and register a little later."""
+        self.is_registered = False
+        super().restart()
+        asyncio.get_running_loop().call_later(REGISTRATION_SECONDS, self._resume)
+
+    def _resume(self) -> None:
+        self.is_registered = True
+        self.register()
+
 
 class LateRenewalCase(BaseCase):
     """Plays the restart of a worker between two late orders."""
@@ -95,20 +113,19 @@
         await worker.execute(*start)
         await asyncio.sleep(AFTER_END_SECONDS)
         await worker.execute(*renewal)
-        worker.is_dark = False
 
     def _judge(self, job: str) -> int:
         """Apply the rule: no start after an end `done` that is taken note of."""
         task = f"{job}.0.0.0"
-        runs = [run for name, run in self.fleet.starts if name == task]
-        noted = [end[2] for end in self.fleet.noted if end[1] == task]
-        self.write(f"runs of {task}: {runs}, ends taken note of: {noted}")
-        if not runs or not noted:
-            return NOT_RUN
-        if max(runs) > min(noted):
+        start_count = sum(name == task for name, _ in self.fleet.starts)
+        repeated = self.fleet.find_repeated(
+            lambda ended, started: ended == started == task
+        )
+        self.write(f"{start_count} starts, after an end taken note of: {repeated}")
+        if repeated:
             self.write("TWICE: a start after an end done that was taken note of")
             return BROKEN
-        return HELD
+        return HELD if start_count else NOT_RUN
 
 
 if __name__ == "__main__":
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -65,21 +65,18 @@
             await asyncio.sleep(DOWN_SECONDS)
             worker.restart()
             await worker.execute(*worker.held[0])
-            worker.is_dark = False
         await asyncio.sleep(OBSERVED_SECONDS)
         return self._judge()
 
     def _judge(self) -> int:
         """Apply the rule: an end of a gang's task represents all of them."""
-        starts = list(self.fleet.starts)
-        noted = [end for end in self.fleet.noted if end[3] == "done"]
-        self.write(f"starts {starts}, ends taken note of {noted}")
-        if len(starts) < GANG_COUNT or not noted:
-            return NOT_RUN
-        if len(starts) > GANG_COUNT:
+        start_count = len(self.fleet.starts)
+        repeated = self.fleet.find_repeated(lambda ended, started: True)
+        self.write(f"{start_count} starts, after an end taken note of: {repeated}")
+        if repeated:
             self.write("TWICE: a start after an end done that was taken note of")
             return BROKEN
-        return HELD
+        return HELD if start_count == GANG_COUNT else NOT_RUN
 
 
 if __name__ == "__main__":
--- a/review/standins2/cases.py
+++ b/review/standins2/cases.py
@@ -7,6 +7,7 @@
 import time
 from abc import ABC, abstractmethod
 from pathlib import Path
+from signal import SIGTERM
 from typing import Any
 
 from fleets import Fleet, Job
@@ -83,7 +84,10 @@
             instance = Instance(name, host, self._settings_folder, store, machines)
             self.instances.append(instance)
             instance.start()
-        self._beat = asyncio.create_task(self.fleet.beat())
+        self._loops = [
+            asyncio.create_task(self.fleet.beat()),
+            asyncio.create_task(self.fleet.expire()),
+        ]
         if not await wait_until_ready(self.instances):
             return False
         await asyncio.sleep(SETTLE_SECONDS)
@@ -164,9 +168,12 @@
     """Run a case and end the process with its exit code."""
     with tempfile.TemporaryDirectory(prefix="review-") as settings_folder:
         case = case_type(folder, Path(settings_folder))
+        task = asyncio.create_task(case.run())
+        # The processes are ended after a SIGTERM as well.
+        asyncio.get_running_loop().add_signal_handler(SIGTERM, task.cancel)
         try:
-            exit_code = await asyncio.wait_for(case.run(), LIMIT_SECONDS)
-        except (TimeoutError, RuntimeError) as error:
+            exit_code = await asyncio.wait_for(task, LIMIT_SECONDS)
+        except (TimeoutError, RuntimeError, asyncio.CancelledError) as error:
             case.write(f"not run: {error!r}")
             exit_code = NOT_RUN
     # Open connections of the stand-ins need no orderly end.
--- a/review/standins2/fleets.py
+++ b/review/standins2/fleets.py
@@ -15,6 +15,8 @@
 STOP_SECONDS = 0.1
 MOVE_SECONDS = 1.5
 HEARTBEAT_SECONDS = 1.5
+GANG_TIMEOUT_SECONDS = 3.0
+CHECK_SECONDS = 0.02
 RunKey = tuple[str, int]
 
 
@@ -41,6 +43,8 @@
     end_count: int = 0
     over: dict[str, int] = field(default_factory=dict)
     lease_end: float = 0.0
+    lease_lapsed_at: float = 0.0
+    end_times: dict[int, float] = field(default_factory=dict)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
     @property
@@ -65,9 +69,13 @@
         self.jobs = jobs
         self.write = write
         self.workers: list[Worker] = []
-        # Ends that LastSeen has reached.
-        self.noted: list[tuple[Any, ...]] = []
-        self.starts: list[RunKey] = []
+        # Task and time of the end of each run that has ended `done`, once LastSeen has
+        # reached that end while the worker's lease was valid.
+        self.noted: list[tuple[str, float]] = []
+        # Task and time of each start.
+        self.starts: list[tuple[str, float]] = []
+        # Times of all orders to all workers.
+        self.orders: list[float] = []
         self.gangs: dict[tuple[str, int], set[str]] = defaultdict(set)
         self._life_count = 0
 
@@ -97,6 +105,26 @@
                 if number == run and task.startswith(job.name):
                     worker.finish(task, run, "done")
 
+    def find_repeated(self, represents: Callable[[str, str], bool]) -> list[str]:
+        """Return the tasks that were started after an end `done` was taken note of.
+
+        Args:
+            represents: Returns whether the end of the first task is one of the second.
+        """
+        return [
+            task
+            for task, started in self.starts
+            for ended_task, ended in self.noted
+            if represents(ended_task, task) and started > ended
+        ]
+
+    async def expire(self) -> None:
+        """End runs whose lease is over until cancelled."""
+        while True:
+            for worker in self.workers:
+                worker.check_lease()
+            await asyncio.sleep(CHECK_SECONDS)
+
     async def beat(self) -> None:
         """Renew the registrations until cancelled."""
         while True:
@@ -201,6 +229,7 @@
         """Answer a call."""
         if target == "/healthz":
             return 200, {}
+        self.fleet.orders.append(time.monotonic())
         life = self.life
         if self.state != "up" or headers.get("x-target-instance", "") != self.name:
             return 421, {"ClockMs": life.clock_ms}
@@ -230,12 +259,8 @@
         position = document.get("LastSeen", 0)
         for end in life.ends:
             if end[0] <= position:
-                self.fleet.write(f"noted by {self.name}: {end}")
-                self.fleet.noted.append(tuple(end))
+                self._note(end)
         life.ends = [end for end in life.ends if end[0] > position]
-        if life.running and time.monotonic() > life.lease_end:
-            for task, run in list(life.running):
-                self.finish(task, run, "lapsed")
         self._extend(document)
         wait = document.get("WaitMs", 0) / 1000
         if not life.ends and wait:
@@ -255,6 +280,22 @@
             "Finished": life.ends[:500],
         }
 
+    def _note(self, end: list[Any]) -> None:
+        ended = self.life.end_times[end[0]]
+        has_lapsed = self.life.lease_lapsed_at > ended
+        has_lapsed = has_lapsed or time.monotonic() > self.life.lease_end
+        self.fleet.write(f"noted by {self.name}: {end}, lease lapsed: {has_lapsed}")
+        if end[3] == "done" and not has_lapsed:
+            self.fleet.noted.append((end[1], ended))
+
+    def check_lease(self) -> None:
+        """End all runs if the lease is over."""
+        life, now = self.life, time.monotonic()
+        if life.lease_end and now > life.lease_end:
+            life.lease_lapsed_at = now
+            for task, run in list(life.running):
+                self.finish(task, run, "lapsed")
+
     def _measure_percent(self, task: str, began: float) -> int:
         job = self.fleet.jobs[task.split(".")[0]]
         return min(99, int(100 * (time.monotonic() - began) / job.seconds))
@@ -264,12 +305,13 @@
         if (task, run) in life.running:
             return ""
         if run <= life.over.get(task, 0):
+            self._extend(document)
             return "old"
         if document["DeadlineMs"] <= life.clock_ms:
             return "late"
         self._extend(document)
         life.running[task, run] = time.monotonic()
-        self.fleet.starts.append((task, run))
+        self.fleet.starts.append((task, time.monotonic()))
         self.fleet.write(f"start {task} run {run} on {self.name} of {self.pool}")
         self._work(self.fleet.jobs[task.split(".")[0]], task, run)
         return ""
@@ -281,15 +323,22 @@
             return
         present = self.fleet.gangs[job.name, run]
         present.add(task)
+        loop.call_later(GANG_TIMEOUT_SECONDS, self._give_up_gang, job, task, run)
         if len(present) == job.count:
             loop.call_later(job.seconds, self.fleet.finish_gang, job, run)
 
+    def _give_up_gang(self, job: Job, task: str, run: int) -> None:
+        if len(self.fleet.gangs[job.name, run]) < job.count:
+            self.finish(task, run, "alone")
+
     def finish(self, task: str, run: int, how: str) -> None:
         """End a run, unless it has ended or its life is over."""
         life = self.life
         if life.running.pop((task, run), None) is None:
             return
+        self.fleet.gangs[task.split(".")[0], run].discard(task)
         life.end_count += 1
+        life.end_times[life.end_count] = time.monotonic()
         life.over[task] = max(life.over.get(task, 0), run)
         life.ends.append([life.end_count, task, run, how, ""])
         life.changed.set()
