Fence open acknowledgements with the token of the next start

Cause: a renewal with a position and a start that is sent while it is open had the same token. The worker restarts under its id, executes the start and then the renewal, whose position acknowledges the new incarnation's end, which no owner has seen.

Why this works: a start beside an open renewal with a position carries a higher token. An incarnation that executes the start rejects the renewal. Results of orders with any token of the incarnation count; an order that the owner's own higher token has overtaken is sent again and disputes no claim. The claim is confirmed for further tokens before they are used up.

--- a/jujubebarrow/coordinators/pool_coordinators.py
+++ b/jujubebarrow/coordinators/pool_coordinators.py
@@ -433,6 +433,8 @@
         # response may acknowledge ends of the next incarnation that nobody has seen.
         is_needed = worker.has_unconfirmed_acknowledgement and not is_withheld
         acknowledged = worker.acknowledged if is_needed else 0
+        if acknowledged:
+            worker.record_acknowledgement_sent(now)
         deadline = None
         if not worker.unresponsive_since:
             # A renewal for an unresponsive worker would only delay the lease expiry.
@@ -452,7 +454,7 @@
     ) -> list[StopOrder]:
         """Apply a worker's report; return stop orders for its orphaned runs."""
         if not report.has_open_copy:
-            worker.record_answer(sent_at)
+            worker.record_renewal_answer(sent_at)
         orphans = self._reconciler.reconcile(worker, report, sent_at, now)
         self._stall_detector.check_worker(worker, now)
         self.state.speed_changes.extend(self._throttler.adjust_speed(worker))
--- a/jujubebarrow/coordinators/pool_states.py
+++ b/jujubebarrow/coordinators/pool_states.py
@@ -193,6 +193,24 @@
             self._token_base * TOKENS_PER_CLAIM_COUNT + self._issued_token_count
         )
 
+    def fence_open_acknowledgements(self, worker: WorkerView) -> bool:
+        """Let the next start to a worker fence the renewals that are still open.
+
+        Otherwise, the next incarnation might execute the start and then such a renewal,
+        which would acknowledge the end of the started run before anyone has seen it.
+
+        Returns:
+            Whether a start may be sent; False until the claim is confirmed if it has no
+            higher token left.
+        """
+        if not worker.has_open_acknowledgement:
+            return True
+        token = self.issue_token()
+        if token <= worker.token:
+            return False
+        worker.raise_token(token)
+        return True
+
     @property
     def refusal_count(self) -> int:
         """Number of refusals by workers that have seen a higher token."""
@@ -210,7 +228,8 @@
     @property
     def needs_confirmation(self) -> bool:
         """Whether the claim has to be confirmed for higher tokens."""
-        return self.is_claim_disputed or bool(self._joined_workers)
+        has_few_tokens = 2 * self._issued_token_count > TOKENS_PER_CLAIM_COUNT
+        return self.is_claim_disputed or bool(self._joined_workers) or has_few_tokens
 
     @property
     def joined_workers(self) -> frozenset[WorkerId]:
@@ -255,11 +274,25 @@
             worker.needs_higher_token = True
             self._joined_workers.add(worker.worker)
 
-    def record_refusal(self, worker: WorkerView, now: float) -> None:
-        """Record that a worker has refused an order with its present token."""
+    def record_refusal(self, worker: WorkerView, token: FenceToken, now: float) -> bool:
+        """Record that a worker has refused an order for its present incarnation.
+
+        Args:
+            worker: Worker that has seen a higher token.
+            token: Token of the order. An order with a lower token than the present one
+                may have been overtaken by a start with that one.
+            now: Time in seconds.
+
+        Returns:
+            Whether the token is the present one, so that another owner has used the
+            higher one.
+        """
+        if token != worker.token:
+            return False
         if not worker.is_refusing:
             self._refusal_count += 1
         worker.record_refusal(now)
+        return True
 
     def confirm_claim(
         self,
--- a/jujubebarrow/coordinators/run_orders.py
+++ b/jujubebarrow/coordinators/run_orders.py
@@ -87,6 +87,8 @@
             return None
         if not _is_present(worker, now):
             return None
+        if not self._state.fence_open_acknowledgements(worker):
+            return None
         options = self._state.options
         deadline = worker.issue_lease(now, options.lease, options.late_order_window)
         if deadline is None:
@@ -142,7 +144,8 @@
             worker.record_lost_start(sent_at)
             self._record_unacknowledged_start(worker, run, sent_at, now)
         worker.record_start_result(run, now)
-        if (run.task, run.run) not in worker.runs or order.token != worker.token:
+        is_present = worker.is_present_token(order.token)
+        if (run.task, run.run) not in worker.runs or not is_present:
             return
         if outcome in (OrderOutcome.ACCEPTED, OrderOutcome.OUTDATED):
             job = self._state.jobs.get(run.task.job)
@@ -156,7 +159,7 @@
                 run.confirm(now)
                 worker.record_known_run(run, now)
         elif outcome is OrderOutcome.FENCED:
-            self._state.record_refusal(worker, now)
+            self._state.record_refusal(worker, order.token, now)
         elif outcome not in (
             OrderOutcome.UNACKNOWLEDGED,
             OrderOutcome.LEASE_DEADLINE_PASSED,
@@ -222,11 +225,10 @@
     ) -> bool:
         """Handle the result of a stop order; return whether no retry is needed."""
         worker = self._handle_response(order, result, now)
-        if worker is None or order.token != worker.token:
+        if worker is None or not worker.is_present_token(order.token):
             return False
         if result.outcome is OrderOutcome.FENCED:
-            self._state.record_refusal(worker, now)
-            return True
+            return self._state.record_refusal(worker, order.token, now)
         if result.outcome is not OrderOutcome.ACCEPTED:
             return False
         run.stop_acknowledged_at = now
@@ -254,13 +256,13 @@
     def is_to_present_incarnation(self, order: ThrottleOrder) -> bool:
         """Return whether an order was made for a worker's present incarnation."""
         worker = self._state.workers.get(order.worker)
-        return worker is not None and order.token == worker.token
+        return worker is not None and worker.is_present_token(order.token)
 
     def _handle_response(
         self, order: StartOrder | StopOrder, result: OrderResult, now: float
     ) -> WorkerView | None:
         worker = self._state.workers.get(order.worker)
-        if worker is None or order.token != worker.token:
+        if worker is None or not worker.is_present_token(order.token):
             return worker
         if result.outcome is OrderOutcome.UNREACHED:
             worker.record_failure(now)
--- a/jujubebarrow/coordinators/worker_views.py
+++ b/jujubebarrow/coordinators/worker_views.py
@@ -58,6 +58,8 @@
     ):
         self.worker = worker
         self.token = token
+        self._first_token = token
+        self._open_acknowledgements: set[float] = set()
         self._entry: WorkerEntry | None = None
         self.started_at_ms = 0
         self.address = ""
@@ -177,6 +179,19 @@
         """Whether the present incarnation has seen the token of the orders to it."""
         return self._clock_read_at is not None
 
+    def is_present_token(self, token: FenceToken) -> bool:
+        """Return whether orders with a token were made for the present incarnation."""
+        return self._first_token <= token <= self.token
+
+    @property
+    def has_open_acknowledgement(self) -> bool:
+        """Whether a later incarnation may execute a renewal with the present token.
+
+        Only renewals that acknowledge ends count: their position is that of the present
+        incarnation, and a later one would apply it to its own ends.
+        """
+        return bool(self._open_acknowledgements)
+
     @property
     def is_refusing(self) -> bool:
         """Whether the worker has seen a higher token than that of the orders to it."""
@@ -362,7 +377,7 @@
                 new incarnation have expired.
             token: Fencing token of the orders to the new incarnation.
         """
-        self.token = token
+        self._set_first_token(token)
         if self.is_lease_recorded:
             self._leases = LeaseBook(self.timely_lease_end, self.lease_end)
         elif self.started_at_ms:
@@ -516,9 +531,22 @@
 
     def replace_token(self, token: FenceToken) -> None:
         """Set a higher token, which the present incarnation has not seen yet."""
-        self.token = token
+        self._set_first_token(token)
         self._clock_read_at = None
 
+    def raise_token(self, token: FenceToken) -> None:
+        """Set a higher token for the next orders to the present incarnation.
+
+        Orders with the former token still are for this incarnation. The worker rejects
+        those that it executes after an order with the higher one.
+        """
+        self.token = token
+        self._open_acknowledgements.clear()
+
+    def _set_first_token(self, token: FenceToken) -> None:
+        self.token = self._first_token = token
+        self._open_acknowledgements.clear()
+
     def record_failure(self, now: float) -> None:
         """Record that the worker did not respond."""
         self.unresponsive_since = self.unresponsive_since or now
@@ -570,6 +598,23 @@
         """Whether the incarnation may still list ends that may be acknowledged."""
         return self.acknowledged > self._confirmed_acknowledgement
 
+    def record_acknowledgement_sent(self, sent_at: float) -> None:
+        """Record that a renewal is sent that acknowledges ends.
+
+        Args:
+            sent_at: Time in seconds.
+        """
+        self._open_acknowledgements.add(sent_at)
+
+    def record_renewal_answer(self, sent_at: float) -> None:
+        """Record that a renewal got its response and that no copy of it is open.
+
+        Args:
+            sent_at: Time in seconds at which the renewal was sent.
+        """
+        self.record_answer(sent_at)
+        self._open_acknowledgements.discard(sent_at)
+
     def confirm_acknowledgement(self, position: int) -> None:
         """Record that the incarnation has received an acknowledged position."""
         self._confirmed_acknowledgement = max(self._confirmed_acknowledgement, position)
--- a/jujubebarrow/runtimes/worker_sessions.py
+++ b/jujubebarrow/runtimes/worker_sessions.py
@@ -90,8 +90,9 @@
         return workers.get(self._worker.worker) is self._worker
 
     def _is_outdated(self, renewal: RenewalOrder) -> bool:
-        """Return whether the token of a renewal is not the present one any more."""
-        return not self._serves_present_worker or renewal.token != self._worker.token
+        """Return whether a renewal was not made for the present incarnation."""
+        is_present = self._worker.is_present_token(renewal.token)
+        return not self._serves_present_worker or not is_present
 
     def wake(self) -> None:
         """End the wait of an idle session, because the worker has active runs."""
@@ -149,7 +150,7 @@
         except WorkerFencedError:
             if not self._is_outdated(renewal):
                 self._coordinator.state.record_refusal(
-                    self._worker, self._clock.monotonic()
+                    self._worker, renewal.token, self._clock.monotonic()
                 )
                 self._hooks.on_change()
             return
--- a/jujubebarrow/tests/proof_late_orders.py
+++ b/jujubebarrow/tests/proof_late_orders.py
@@ -39,7 +39,7 @@
 LARGE_TASK_KILL_SEEDS = (1, 2, 3, 50)
 SPREAD_KILL_SEEDS = (1, 10, 15, 24, 28, 31, 48, 54, 55, 58)
 SPREAD_KILL_OPEN_SEEDS = (39,)
-"""Seeds in which a task is executed again after its end, see KNOWN-RED.txt."""
+"""Seeds in which a late renewal acknowledged an end that no owner had seen."""
 KIND_SEEDS = (8, 9, 15)
 """Seeds in which no late start is executed by an incarnation of another kind."""
 KIND_OPEN_SEEDS = (13,)
@@ -52,7 +52,7 @@
 RESTART_SEEDS = range(1, 16)
 """Seeds of restarts of workers that are out of reach until late orders are over."""
 BRIEF_OPEN_SEEDS = (6, 17, 20, 39, 48)
-"""Seeds in which a task is executed again after its end, see KNOWN-RED.txt."""
+"""Seeds in which a late renewal acknowledged an end that no owner had seen."""
 ACCEPTED_LEASE_SECONDS = 10.0
 """Longer than the leases that owners issue."""
 
--- a/jujubebarrow/tests/test_refused_owners.py
+++ b/jujubebarrow/tests/test_refused_owners.py
@@ -138,9 +138,9 @@
     ) -> None:
         first = self.make_worker("w0", True)
         second = self.make_worker("w1", True)
-        self.state.record_refusal(first, NOW)
+        self.state.record_refusal(first, first.token, NOW)
         count = self.state.refusal_count
-        self.state.record_refusal(second, NOW)
+        self.state.record_refusal(second, second.token, NOW)
         self.state.confirm_claim(REVISION, count)
         self.assertTrue(self.state.is_claim_disputed)
         self.state.confirm_claim(REVISION, self.state.refusal_count)
@@ -150,7 +150,7 @@
         self,
     ) -> None:
         worker = self.make_worker("w0", True)
-        self.state.record_refusal(worker, NOW)
+        self.state.record_refusal(worker, worker.token, NOW)
         self.state.confirm_claim(REVISION, self.state.refusal_count)
         self.assertFalse(worker.is_refusing)
         self.assertFalse(worker.has_seen_token)
@@ -163,7 +163,7 @@
         """Guards against two owners that raise their tokens in turn."""
         worker = self.make_worker("w0", False)
         token = worker.token
-        self.state.record_refusal(worker, NOW)
+        self.state.record_refusal(worker, worker.token, NOW)
         self.state.confirm_claim(REVISION, self.state.refusal_count)
         self.assertEqual(worker.token, token)
         self.assertTrue(worker.is_unreachable_after_lease)
--- a/jujubebarrow/tests/test_restarted_workers.py
+++ b/jujubebarrow/tests/test_restarted_workers.py
@@ -49,7 +49,9 @@
 NOW = 100.0
 
 
-class RestartedWorkerTest(unittest.IsolatedAsyncioTestCase):
+class WorkerOrderCase(unittest.IsolatedAsyncioTestCase):
+    """Owner of a pool with a worker whose reports and responses a test writes."""
+
     async def asyncSetUp(self) -> None:
         self.coordinator = self.make_coordinator(FenceToken(7))
         self.register(FIRST_START_MS)
@@ -115,6 +117,12 @@
             started.append((run, order))
         return started
 
+    def finish(self, run: ActiveRun, order: StartOrder, outcome: OrderOutcome) -> None:
+        result = OrderResult(outcome, 50.0)
+        self.coordinator.orders.handle_start_result(run, order, result, NOW, NOW)
+
+
+class RestartedWorkerTest(WorkerOrderCase):
     def plan_labelled_task(self) -> ActiveRun:
         """Return a recorded run whose step requires a label that its worker has."""
         self.register(FIRST_START_MS, labels=(LABEL,))
@@ -160,10 +168,6 @@
         self.register(SECOND_START_MS, labels=(LABEL,))
         self.assertIsNotNone(self.coordinator.orders.make_start(run, NOW))
 
-    def finish(self, run: ActiveRun, order: StartOrder, outcome: OrderOutcome) -> None:
-        result = OrderResult(outcome, 50.0)
-        self.coordinator.orders.handle_start_result(run, order, result, NOW, NOW)
-
     async def test_orders_after_a_restart_fence_orders_to_the_former_incarnation(
         self,
     ) -> None:
