Store the cancellation of a job that is not stored yet

Its submission had got 504 and was applied by the store 6 s later.

Cause: that the job's row was absent was taken for "no such job", while the only condition of the submission under way was that absence.

Why this works: a cancellation of an unknown job is stored, under the condition that the job's row is absent, before 410; a submission has the absence of the cancellation as a condition. The store applies one of the two first. The row is the team's own, a submission that finds it is refused as cancelled (503 on the platform: never runs), owners delete it after 60 s, and a team can store 100 of them in that time through an instance.

--- a/jujubebarrow/platform/callers.py
+++ b/jujubebarrow/platform/callers.py
@@ -36,6 +36,8 @@
     ErrorKind.NOT_FOUND: 410,
     ErrorKind.INTERNAL: 502,
     ErrorKind.QUEUE_FULL: 429,
+    # 503 tells that the job was not accepted and never runs.
+    ErrorKind.CANCELLED: 503,
 }
 UNKNOWN_RUN_STATUS = 504
 """Status after which a caller sends the same job id again, since it may be stored; 429
--- a/jujubebarrow/runtimes/job_intakes.py
+++ b/jujubebarrow/runtimes/job_intakes.py
@@ -1,6 +1,7 @@
 """Accepts, reports and cancels callers' jobs on any instance."""
 
 from asyncio import sleep, wait_for
+from collections import defaultdict, deque
 from collections.abc import Callable
 from typing import Any
 from uuid import uuid4
@@ -19,11 +20,13 @@
 from jujubebarrow.identifiers import UNNAMED_REQUEST, JobId, QueueId, RequestId, TeamId
 from jujubebarrow.logs.decision_logs import DecisionLog
 from jujubebarrow.metrics.registries import MetricsRegistry
+from jujubebarrow.runtimes.cancellation_sweepers import RETENTION_SECONDS
 from jujubebarrow.runtimes.job_row_keys import (
     make_cancellation_key,
     make_job_key,
     make_load_use_key,
     make_progress_key,
+    make_unknown_cancellation_key,
     make_use_key,
 )
 from jujubebarrow.runtimes.job_watchers import read_job
@@ -46,6 +49,9 @@
 usual response time."""
 CANCEL_ATTEMPTS = 3
 """Attempts to cancel a job whose rows other writers change at the same time."""
+UNKNOWN_CANCEL_LIMIT = 100
+"""Cancellations of unknown jobs that an instance stores for a team in the time for
+which they are kept; more than callers give up while the store fails."""
 
 
 class JobIntake:
@@ -78,6 +84,8 @@
         self._metrics = metrics
         self._pending_counter = PendingCounter(store, clock, log, metrics)
         self._marked_uses: set[str] = set()
+        # Times in seconds of each team's recent cancellations of unknown jobs.
+        self._unknown_cancels: dict[TeamId, deque[float]] = defaultdict(deque)
 
     async def submit(
         self,
@@ -123,8 +131,10 @@
         if use_key not in self._marked_uses:
             writes[use_key] = {}
             writes[make_load_use_key(route.queue, route.pool)] = {}
+        job_key = make_job_key(route.queue, job)
+        cancellation_key = make_unknown_cancellation_key(route.queue, job, team)
         transaction = Transaction(
-            conditions={make_job_key(route.queue, job): ABSENT_REVISION},
+            conditions=dict.fromkeys((job_key, cancellation_key), ABSENT_REVISION),
             writes=writes,
             nonce=uuid4().hex,
         )
@@ -132,7 +142,11 @@
         failures: list[str] = []
         try:
             await wait_for(self._commit(transaction, failures), timeout)
-        except TransactionConflictError:
+        except TransactionConflictError as error:
+            if job_key not in error.keys:
+                refusal = RefusalError(ErrorKind.CANCELLED, "before it was stored")
+                self._log_refusal(request, route, job, refusal, failures, started_at)
+                raise refusal from error
             self._log_repeat(request, route, job)
             return
         except StoreError as error:
@@ -253,6 +267,10 @@
     ) -> None:
         """Store the cancellation of a job; a closed job keeps its final phase.
 
+        The cancellation of an unknown job is stored as well before the caller is told
+        that there is none: an earlier submission without a response may still be
+        applied by the store.
+
         Args:
             route: Route of the queue.
             team: Team that the caller's key belongs to.
@@ -260,8 +278,9 @@
             request: Id of the caller's request, for the log.
 
         Raises:
-            RefusalError: The team has no such job, the store does not answer, or
-                whether the cancellation was stored is unknown.
+            RefusalError: The team has no such job, and none will be stored; the store
+                does not answer; whether the cancellation was stored is unknown; or the
+                team cancels too many unknown jobs.
         """
         for _ in range(CANCEL_ATTEMPTS):
             try:
@@ -279,7 +298,10 @@
         self, route: QueueRoute, team: TeamId, job: JobId, request: RequestId
     ) -> bool:
         row, record, is_cancelled = await self._read_job(route, job)
-        if row is None or record is None or record.team != team:
+        if row is None:
+            await self._cancel_unknown(route, team, job, request)
+            raise RefusalError(ErrorKind.NOT_FOUND, job)
+        if record is None or record.team != team:
             raise RefusalError(ErrorKind.NOT_FOUND, job)
         if is_cancelled or record.outcome is not None:
             return True
@@ -295,6 +317,50 @@
         )
         return True
 
+    async def _cancel_unknown(
+        self, route: QueueRoute, team: TeamId, job: JobId, request: RequestId
+    ) -> None:
+        """Keep a job of a team from being stored for some time."""
+        self._check_unknown_cancels(team)
+        key = make_unknown_cancellation_key(route.queue, job, team)
+        found = await self._store.read(key)
+        revision = next(
+            (row.revision for row in found.rows if row.key == key), ABSENT_REVISION
+        )
+        transaction = Transaction(
+            conditions={
+                make_job_key(route.queue, job): ABSENT_REVISION,
+                key: revision,
+            },
+            writes={key: {}},
+            nonce=uuid4().hex,
+        )
+        await self._store.commit(transaction)
+        self._unknown_cancels[team].append(self._clock.monotonic())
+        self._metrics.count("unknown_job_cancelled", route.queue)
+        self._log.write(
+            "unknown_job_cancelled",
+            request=request,
+            job=job,
+            queue=route.queue,
+            team=team,
+        )
+
+    def _check_unknown_cancels(self, team: TeamId) -> None:
+        """Refuse to cancel an unknown job while a team's recent ones fill the store.
+
+        Raises:
+            RefusalError: The team has cancelled too many unknown jobs.
+        """
+        now = self._clock.monotonic()
+        times = self._unknown_cancels[team]
+        while times and now - times[0] > RETENTION_SECONDS:
+            times.popleft()
+        if len(times) >= UNKNOWN_CANCEL_LIMIT:
+            wait = times[0] + RETENTION_SECONDS - now
+            detail = f"{len(times)} unknown jobs cancelled"
+            raise RefusalError(ErrorKind.TEAM_LIMIT, detail, wait)
+
     async def count_pending(self, route: QueueRoute) -> int:
         """Return the number of a queue's accepted jobs without a started task.
 
--- a/jujubebarrow/runtimes/job_row_keys.py
+++ b/jujubebarrow/runtimes/job_row_keys.py
@@ -1,6 +1,6 @@
 """Keys of the rows of jobs, fences and loads."""
 
-from jujubebarrow.identifiers import JobId, PoolId, QueueId
+from jujubebarrow.identifiers import JobId, PoolId, QueueId, TeamId
 from jujubebarrow.stores.row_keys import TableName, make_key
 from jujubebarrow.workloads.task_keys import TaskKey
 
@@ -26,6 +26,15 @@
     return make_key(TableName.JOBS, queue, job + CANCELLED_SUFFIX)
 
 
+def make_unknown_cancellation_key(queue: QueueId, job: JobId, team: TeamId) -> str:
+    """Return the key of the row by which a team has cancelled a job that is not stored.
+
+    The row keeps a late submission of that team from being stored; it is in the same
+    partition as the job's row, so that one transaction can require its absence.
+    """
+    return make_key(TableName.CANCELLATIONS, queue, f"{job}/{team}")
+
+
 def make_end_key(queue: QueueId, task: TaskKey) -> str:
     """Return the key of the row by which another pool's owner reports a task's end."""
     name = f"{task.job}{END_MARK}{task.occurrence}.{task.step}.{task.index}"
--- a/jujubebarrow/runtimes/pool_owners.py
+++ b/jujubebarrow/runtimes/pool_owners.py
@@ -21,6 +21,7 @@
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.ownerships.ownership_rows import DutyId
 from jujubebarrow.runtimes.advice_controllers import AdviceController
+from jujubebarrow.runtimes.cancellation_sweepers import CancellationSweeper
 from jujubebarrow.runtimes.foreign_end_reporters import ForeignEndReporter
 from jujubebarrow.runtimes.grant_controllers import GrantController
 from jujubebarrow.runtimes.grant_watchers import GrantWatcher
@@ -204,6 +205,7 @@
             self.coordinator, self, self._wave_controller
         )
         self._advice_controller = make_advice_controller(self.coordinator, self)
+        self._cancellation_sweeper = CancellationSweeper(store, clock, log, metrics)
         self._load_reporter = LoadReporter(reports, self._writer, self._tasks)
 
     def open(self, fleet: FleetMap) -> None:
@@ -298,6 +300,7 @@
         self._tasks.start_loop(self._grant_controller.run)
         self._tasks.start_loop(self._lease_recorder.run)
         self._tasks.start_loop(self._load_reporter.run)
+        self._tasks.start_loop(self._cancellation_sweeper.run)
         self._tasks.start_loop(self._wave_controller.run)
         self._tasks.start_loop(self._move_controller.run)
         self._tasks.start_loop(self._advice_controller.run)
--- a/jujubebarrow/stores/row_keys.py
+++ b/jujubebarrow/stores/row_keys.py
@@ -11,6 +11,7 @@
     HEARTBEATS = "heartbeats"
     INSTANCES = "instances"
     JOBS = "jobs"
+    CANCELLATIONS = "cancellations"
     PROGRESS = "progress"
     FENCES = "fences"
     GRANTS = "grants"
--- a/jujubebarrow/tests/test_unclear_refusals.py
+++ b/jujubebarrow/tests/test_unclear_refusals.py
@@ -15,6 +15,7 @@
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.platform.stores import PlatformStore
 from jujubebarrow.runtimes.job_row_keys import make_progress_key
+from jujubebarrow.stores.commit_results import CommitResult
 from jujubebarrow.stores.read_throttles import ReadThrottle
 from jujubebarrow.stores.relay_messages import encode_call, encode_commit, execute_call
 from jujubebarrow.stores.relayed_stores import RelayedStore
@@ -120,13 +121,16 @@
 
 class LateSubmissionTest(JobCase):
     def test_job_that_is_stored_after_its_cancellation_does_not_run(self) -> None:
-        commit = RelayedStore.commit
+        """Guards against a cancellation that forgets a submission under way."""
+        commit = RelayedStore.try_commit
 
         async def scenario(cluster: JobCluster) -> None:
-            late: list[Task[int]] = []
+            late: list[Task[CommitResult]] = []
 
-            async def commit_late(store: RelayedStore, transaction: Transaction) -> int:
-                async def apply() -> int:
+            async def commit_late(
+                store: RelayedStore, transaction: Transaction
+            ) -> CommitResult:
+                async def apply() -> CommitResult:
                     await sleep(LATE_SECONDS)
                     return await commit(store, transaction)
 
@@ -136,7 +140,7 @@
 
             await sleep(3.0)
             intake = cluster.instances[0].node.intake  # type: ignore[union-attr]
-            with patch.object(RelayedStore, "commit", commit_late):
+            with patch.object(RelayedStore, "try_commit", commit_late):
                 with self.assertRaises(RefusalError) as caught:
                     await cluster.submit(1)
                 self.assertIs(caught.exception.run, RunState.UNKNOWN)
