Detect starts that leave acknowledgements open in the mutation tests

test_incarnations_share_a_token found its fault with no seed any more: it lets all incarnations share a token, and a start beside an open renewal now waits if it can have no higher token, which hides the fault. The injected fault sends such starts as before. A second test injects only that.

--- a/jujubebarrow/tests/proof_late_order_mutations.py
+++ b/jujubebarrow/tests/proof_late_order_mutations.py
@@ -24,6 +24,10 @@
 """Seeds that have detected an injected fault where most others do not."""
 SEEDS = (*LIKELY_SEEDS, *range(1, 41))
 TOKEN_SEEDS = (17, 24, *range(1, 16))
+ACKNOWLEDGEMENT_SEEDS = (6, 36, 37, 47, *range(1, 60))
+UNFENCED_ACKNOWLEDGEMENTS = patch.object(
+    PoolState, "fence_open_acknowledgements", lambda self, worker: True
+)
 
 
 class LateOrderMutationProof(unittest.TestCase):
@@ -55,11 +59,22 @@
     def test_incarnations_share_a_token(self) -> None:
         self.assert_detected(
             patch.object(PoolState, "issue_token", lambda self: self.token),
+            # Without a higher token, starts would wait, which hides the fault.
+            UNFENCED_ACKNOWLEDGEMENTS,
             seeds=TOKEN_SEEDS,
             restarts_cut_workers=True,
             load=BRIEF_SPREAD_LOAD,
         )
 
+    def test_starts_do_not_fence_open_acknowledgements(self) -> None:
+        self.assert_detected(
+            UNFENCED_ACKNOWLEDGEMENTS,
+            expected="after the end",
+            seeds=ACKNOWLEDGEMENT_SEEDS,
+            restarts_cut_workers=True,
+            load=BRIEF_SPREAD_LOAD,
+        )
+
     def test_leases_of_late_orders_not_counted(self) -> None:
         self.assert_detected(
             patch.object(PoolState, "find_late_expiry", lambda self, worker: 0.0),
