Compare a failing job with others before its failures pause workers

Cause: WorkerScore counts the failures of tasks that last, never their successes, so that jobs that fail everywhere pause each worker anew, and nothing bounds what pauses take. Finite jobs that always fail do the same while their attempts last.

Why this works: a failure, a refused start or a stall speaks against a worker unless the task, or all tasks of its step, have failed on two other workers and never succeeded. A task that lasts counts as a success once it has been at work for 5 s. If more than half of the workers that suit a waiting step are paused, or the others can't hold a gang, the pauses are ignored for it, with a log line.

The other form, not counting failures of tasks that last, leaves such failures of a faulty worker unseen and finite jobs as they were.

--- a/jujubebarrow/coordinators/active_runs.py
+++ b/jujubebarrow/coordinators/active_runs.py
@@ -60,6 +60,7 @@
         is_proven: Whether the worker has responded long enough after the start of the
             run to show that the start did not crash it.
         is_loss_recorded: Whether the loss of the worker counts against the task.
+        has_succeeded: Whether the long-running task has been at work for some time.
         ticket: Grant of the placement advice; empty if the queue needs no advice.
         progress_percent: Progress in percent that the worker last reported.
         progressed_at: Time in seconds at which the progress last changed; before the
@@ -89,6 +90,7 @@
     is_isolated: bool = False
     is_proven: bool = False
     is_loss_recorded: bool = False
+    has_succeeded: bool = False
     ticket: str = ""
     progress_percent: int = 0
     progressed_at: float = 0.0
@@ -106,6 +108,7 @@
         self.is_listed = False
         self.is_proven = False
         self.is_loss_recorded = False
+        self.has_succeeded = False
         self.confirmed_at = 0.0
         self.progress_percent = 0
         self.speed_percent = 100
--- a/jujubebarrow/coordinators/job_demands.py
+++ b/jujubebarrow/coordinators/job_demands.py
@@ -110,8 +110,9 @@
     def list_incarnations(self, now: float) -> list[WorkerIncarnation]:
         """Return the workers that accept tasks, most free processor capacity first.
 
-        Each worker is named by its incarnation.
+        Each worker is named by its incarnation. Those that recent failures pause come
+        last, since tasks may have to run there all the same.
         """
-        workers = [w for w in self._state.workers.values() if w.can_accept_tasks(now)]
-        workers.sort(key=lambda worker: -worker.free.cpu)
+        workers = [w for w in self._state.workers.values() if w.is_available]
+        workers.sort(key=lambda w: (w.score.is_paused(now), -w.free.cpu))
         return [worker.incarnation for worker in workers]
--- a/jujubebarrow/coordinators/planners.py
+++ b/jujubebarrow/coordinators/planners.py
@@ -16,9 +16,11 @@
 from jujubebarrow.coordinators.wait_recorders import WaitReason, WaitRecorder
 from jujubebarrow.coordinators.worker_views import WorkerView
 from jujubebarrow.identifiers import TeamId
+from jujubebarrow.logs.decision_logs import DecisionLog
 from jujubebarrow.placements.fair_shares import FairShare
 from jujubebarrow.placements.free_rooms import FreeRoom
 from jujubebarrow.placements.job_orders import IN_TIME_GROUP, JobOrder
+from jujubebarrow.placements.pause_limits import find_needed_workers
 from jujubebarrow.placements.placers import choose_gang, choose_worker
 from jujubebarrow.workloads.identifiers import RunNumber, WorkerId
 from jujubebarrow.workloads.resources import NO_RESOURCES, Resources
@@ -42,6 +44,7 @@
         order: Ranking of the jobs.
         fair_share: Finds the jobs beyond their team's share.
         waits: Records why long-running tasks wait.
+        log: Decision log.
     """
 
     def __init__(
@@ -50,11 +53,14 @@
         order: JobOrder,
         fair_share: FairShare,
         waits: WaitRecorder,
+        log: DecisionLog,
     ):
         self._state = state
         self._order = order
         self._fair_share = fair_share
         self._waits = waits
+        self._log = log
+        self._needed_workers: frozenset[WorkerId] = frozenset()
         self._late_start_wait = LateStartWait(state)
         self._room = FreeRoom([])
         # Free capacity of the pool that no run of the plan takes yet.
@@ -73,14 +79,6 @@
         """
         self._state.grants.clear_requests()
         workers = [w for w in self._state.workers.values() if w.is_available]
-        unpaused = [w for w in workers if w.can_accept_tasks(now)]
-        paused = [w for w in workers if not w.can_accept_tasks(now)]
-        self._room = FreeRoom(unpaused)
-        self._spare = NO_RESOURCES
-        self._requested.clear()
-        for worker in unpaused:
-            if min(worker.free) >= 0:
-                self._spare = self._spare.plus(worker.free)
         jobs = [
             job
             for job in self._state.list_open_jobs()
@@ -89,6 +87,13 @@
         for job in jobs:
             options = self._state.options
             job.open_due_occurrences(wall, options.early_start, options.row_limit)
+        unpaused, paused = self._divide_by_pause(workers, jobs, now)
+        self._room = FreeRoom(unpaused)
+        self._spare = NO_RESOURCES
+        self._requested.clear()
+        for worker in unpaused:
+            if min(worker.free) >= 0:
+                self._spare = self._spare.plus(worker.free)
         jobs = self._sort_jobs(jobs, unpaused, now)
         planned: list[ActiveRun] = []
         for job, position, step in self._order_steps(jobs):
@@ -98,6 +103,35 @@
             planned += self._plan_step(job, position, step, allowed, paused, now, wall)
         return planned
 
+    def _divide_by_pause(
+        self, workers: list[WorkerView], jobs: list[JobProgress], now: float
+    ) -> tuple[list[WorkerView], list[WorkerView]]:
+        """Return the workers that get new tasks, and those that recent failures pause.
+
+        Args:
+            workers: Workers that accept tasks unless they are paused.
+            jobs: Jobs that may have startable steps.
+            now: Time in seconds.
+        """
+        unpaused = [worker for worker in workers if not worker.score.is_paused(now)]
+        paused = [worker for worker in workers if worker.score.is_paused(now)]
+        if not paused:
+            return unpaused, paused
+        steps = (step.spec for job in jobs for _, _, step in job.startable_steps())
+        needed = find_needed_workers(unpaused, paused, steps)
+        names = frozenset(worker.worker for worker in needed)
+        if names and names != self._needed_workers:
+            self._log.write(
+                "pauses_ignored",
+                pool=self._state.pool,
+                ignored=sorted(names),
+                paused=len(paused),
+                workers=len(workers),
+            )
+        self._needed_workers = names
+        still_paused = [worker for worker in paused if worker.worker not in names]
+        return unpaused + needed, still_paused
+
     def _sort_jobs(
         self, jobs: list[JobProgress], workers: list[WorkerView], now: float
     ) -> list[JobProgress]:
--- a/jujubebarrow/coordinators/pool_coordinators.py
+++ b/jujubebarrow/coordinators/pool_coordinators.py
@@ -77,7 +77,7 @@
         self._late_start_wait = LateStartWait(self.state)
         self.fair_share = FairShare()
         self._planner = TaskPlanner(
-            self.state, self._order, self.fair_share, self._waits
+            self.state, self._order, self.fair_share, self._waits, log
         )
         self._losses = LossRecorder(self.state, log)
         self._holds = AcknowledgementHolds(self.state, log)
--- a/jujubebarrow/coordinators/reconcilers.py
+++ b/jujubebarrow/coordinators/reconcilers.py
@@ -2,6 +2,7 @@
 
 from jujubebarrow.coordinators.acknowledgement_holds import AcknowledgementHolds
 from jujubebarrow.coordinators.active_runs import ActiveRun, RunStage
+from jujubebarrow.coordinators.evacuations import OPERATING_PERCENT
 from jujubebarrow.coordinators.foreign_ends import ForeignEnd
 from jujubebarrow.coordinators.job_changes import FinishedRunRef
 from jujubebarrow.coordinators.job_progresses import JobProgress
@@ -9,6 +10,7 @@
 from jujubebarrow.coordinators.orders import StopOrder
 from jujubebarrow.coordinators.overload_recorders import OverloadRecorder
 from jujubebarrow.coordinators.pool_states import PoolState
+from jujubebarrow.coordinators.step_states import StepState
 from jujubebarrow.coordinators.task_states import TaskState
 from jujubebarrow.coordinators.worker_views import CLOCK_RATE, WorkerView
 from jujubebarrow.logs.decision_logs import DecisionLog
@@ -20,6 +22,9 @@
 ORPHAN_BLOCK_SECONDS = 2.5
 """Time for which a task does not start after a worker has listed a run of it that is to
 be stopped; longer than the time between two of the worker's reports."""
+LASTING_SUCCESS_SECONDS = 5.0
+"""Time at work after which a run of a long-running task counts as a success; such tasks
+may fail at any time, so that a later failure does not speak against the worker."""
 SURVIVAL_SECONDS = 0.5
 """Time after the start of a run at which a response of its worker shows that the start
 did not crash the worker."""
@@ -422,6 +427,12 @@
         if not run.is_proven and now - started_at >= SURVIVAL_SECONDS:
             worker.prove_run(run)
             task.crashes = 0
+        is_at_work = run.is_long_running and running.percent >= OPERATING_PERCENT
+        worked_since = max(run.confirmed_at, run.progressed_at)
+        if is_at_work and now - worked_since >= LASTING_SUCCESS_SECONDS:
+            if not run.has_succeeded:
+                run.has_succeeded = True
+                _record_success(worker, job.find_step(run.task), run.task, now)
         if job.phase.is_final:
             self._state.request_stop(run)
         return True
@@ -463,6 +474,7 @@
             self._handle_unrecorded_end(worker, finished, now)
             return
         self._state.mark_started(job)
+        step = job.find_step(finished.task)
         self._state.release_run(job, task, now)
         self.block_late_starts(worker, run, task)
         if finished.checkpoint:
@@ -470,10 +482,10 @@
         if finished.outcome is RunOutcome.DONE and not run.is_long_running:
             self._holds.hold_end(worker, finished, job, now)
             job.record_done(finished.task)
-            worker.score.record_run(finished.task.job, True, now)
+            _record_success(worker, step, finished.task, now)
         elif finished.outcome is RunOutcome.FAILED:
             job.record_failure(finished.task, worker.worker)
-            is_paused = worker.score.record_run(finished.task.job, False, now)
+            is_paused = self._record_failure(worker, step, run, now)
             self._log.write(
                 "run_failed",
                 task=str(finished.task),
@@ -487,6 +499,22 @@
             job, FinishedRunRef(worker.incarnation, finished.number)
         )
 
+    def _record_failure(
+        self, worker: WorkerView, step: StepState | None, run: ActiveRun, now: float
+    ) -> bool:
+        """Record a failed run; return whether its worker is paused for it.
+
+        A long-running task that was at work has counted as a success.
+        """
+        if step is None or run.has_succeeded:
+            return False
+        speaks_against_worker = step.evidence.record_failure(
+            run.task.index, worker.worker
+        )
+        return speaks_against_worker and worker.score.record_run(
+            run.task.job, False, now
+        )
+
     def _handle_unrecorded_end(
         self, worker: WorkerView, finished: FinishedRun, now: float
     ) -> None:
@@ -552,6 +580,15 @@
         return True
 
 
+def _record_success(
+    worker: WorkerView, step: StepState | None, task: TaskKey, now: float
+) -> None:
+    """Record a successful run of a task in the evidence on its worker and its step."""
+    if step is not None:
+        step.evidence.record_success(task.index)
+    worker.score.record_run(task.job, True, now)
+
+
 def _is_repeated(run: ActiveRun) -> bool:
     """Return whether the start of a run is sent to the next incarnation again."""
     return run.has_moved and run.stage is RunStage.RECORDED
--- a/jujubebarrow/coordinators/run_orders.py
+++ b/jujubebarrow/coordinators/run_orders.py
@@ -199,8 +199,11 @@
             return
         if result.outcome is OrderOutcome.TICKET_INVALID:
             self._state.advice.drop_ticket(run.task[:3], run.incarnation)
-        if result.outcome is OrderOutcome.REFUSED:
-            worker.score.record_run(run.task.job, False, now)
+        job = self._state.jobs.get(run.task.job)
+        step = job.find_step(run.task) if job is not None else None
+        if result.outcome is OrderOutcome.REFUSED and step is not None:
+            if step.evidence.record_failure(run.task.index, worker.worker):
+                worker.score.record_run(run.task.job, False, now)
         if run.unacknowledged_starts:
             self._state.request_stop(run)
         else:
--- a/jujubebarrow/coordinators/stall_detectors.py
+++ b/jujubebarrow/coordinators/stall_detectors.py
@@ -34,7 +34,7 @@
     def check_worker(self, worker: WorkerView, now: float) -> None:
         """Stop the stalled tasks of a worker that has just reported.
 
-        Pauses the worker if one of its tasks has stalled.
+        Pauses the worker if one of its tasks has stalled that does better elsewhere.
         """
         for run in list(worker.runs.values()):
             estimate = self._find_estimate(run)
@@ -46,8 +46,8 @@
                 + worker.remaining_warmup(now)
             )
             if now - run.progressed_at > grace_period:
-                self._stop_stalled_run(worker, run, now)
-                worker.score.pause(now + WORKER_PAUSE_SECONDS)
+                if self._stop_stalled_run(worker, run, now):
+                    worker.score.pause(now + WORKER_PAUSE_SECONDS)
 
     def _find_estimate(self, run: ActiveRun) -> float | None:
         job = self._state.jobs.get(run.task.job)
@@ -58,7 +58,8 @@
             return None
         return step.spec.estimate or None
 
-    def _stop_stalled_run(self, worker: WorkerView, run: ActiveRun, now: float) -> None:
+    def _stop_stalled_run(self, worker: WorkerView, run: ActiveRun, now: float) -> bool:
+        """Stop a stalled run; return whether it speaks against the worker."""
         self._log.write(
             "task_stands_still",
             task=str(run.task),
@@ -69,6 +70,10 @@
         )
         job = self._state.jobs.get(run.task.job)
         task = job.find_task(run.task) if job is not None else None
+        step = job.find_step(run.task) if job is not None else None
         if task is not None:
             task.avoided_worker = worker.worker
         self._state.request_stop(run)
+        return step is not None and step.evidence.record_failure(
+            run.task.index, worker.worker
+        )
--- a/jujubebarrow/coordinators/step_states.py
+++ b/jujubebarrow/coordinators/step_states.py
@@ -1,6 +1,7 @@
 """State of the tasks of one step in one occurrence of a job."""
 
 from jujubebarrow.coordinators.task_states import TaskState
+from jujubebarrow.placements.run_evidence import RunEvidence
 from jujubebarrow.workloads.step_specs import (
     CHECKPOINT_BYTES,
     STEP_BYTES,
@@ -23,6 +24,7 @@
         self.spec = spec
         self.tasks = [TaskState() for _ in range(spec.count)]
         self.done_count = 0
+        self.evidence = RunEvidence()
 
     @property
     def is_done(self) -> bool:
