Let waves interrupt tasks that can move nowhere, and keep a worker

Cause: a lasting task is stopped only if another worker has room for it, for as long as that takes, and an urgent wave cordons up to its own limit, whatever the pool has left.

Evidence: test_wave_of_all_machines_of_a_pool_keeps_no_job_from_starting failed before, with no machine maintained.

Why this works: a task that no other worker can ever have is interrupted after the grace period, within its step's tolerated absences, and comes back with its machine. A wave leaves a worker that accepts tasks, except in a pool of one and near the end of the wave's time.

--- a/jujubebarrow/coordinators/evacuations.py
+++ b/jujubebarrow/coordinators/evacuations.py
@@ -2,6 +2,7 @@
 
 from jujubebarrow.coordinators.active_runs import ActiveRun, RunStage
 from jujubebarrow.coordinators.job_progresses import JobProgress
+from jujubebarrow.coordinators.planners import count_runs_by_worker
 from jujubebarrow.coordinators.pool_states import PoolState
 from jujubebarrow.coordinators.step_states import StepState
 from jujubebarrow.coordinators.worker_views import WorkerView
@@ -27,10 +28,11 @@
     def evacuate(self, worker_id: WorkerId, is_grace_period_over: bool) -> bool:
         """Stop the tasks that may be moved; return whether the worker has no runs.
 
-        A long-running task is stopped if another worker has free capacity for the task
-        and fewer tasks of the step are absent than the step tolerates; a step that
-        states no tolerated absences has no such limit. Finite tasks may run until the
-        grace period is over.
+        A long-running task is stopped if fewer tasks of the step are absent than the
+        step tolerates (a step that states no tolerated absences has no such limit) and
+        another worker has free capacity for the task. If no other worker can ever have
+        it, the task is interrupted after the grace period, until the worker is back.
+        Finite tasks may run until the grace period is over.
 
         Args:
             worker_id: Id of the worker.
@@ -44,22 +46,28 @@
             if job is None or run.stage is RunStage.STOPPING:
                 continue
             if run.is_long_running:
-                if self._can_stop(job, run, worker):
+                if self._can_stop(job, run, worker, is_grace_period_over):
                     self._state.request_stop(run)
             elif is_grace_period_over:
                 self._state.request_stop(run)
         return not worker.runs
 
-    def _can_stop(self, job: JobProgress, run: ActiveRun, worker: WorkerView) -> bool:
+    def _can_stop(
+        self,
+        job: JobProgress,
+        run: ActiveRun,
+        worker: WorkerView,
+        is_grace_period_over: bool,
+    ) -> bool:
         step = job.find_step(run.task)
         if step is None:
             return True
-        if not step.spec.tolerated_absences:
-            return self._has_free_capacity(step, worker)
-        absent_count = self._count_absent(step, run)
-        return absent_count < step.spec.tolerated_absences and self._has_free_capacity(
-            step, worker
-        )
+        limit = step.spec.tolerated_absences
+        if limit and self._count_absent(step, run) >= limit:
+            return False
+        if self._has_free_capacity(step, worker):
+            return True
+        return is_grace_period_over and not self._may_get_capacity(step, worker)
 
     def _count_absent(self, step: StepState, run: ActiveRun) -> int:
         """Return how many other tasks of a step are not known to be operating."""
@@ -77,6 +85,20 @@
             return False
         return run.progress_percent >= OPERATING_PERCENT
 
+    def _may_get_capacity(self, step: StepState, excluded: WorkerView) -> bool:
+        """Return whether another worker has room for a task once finite runs end."""
+        run_counts = count_runs_by_worker(step)
+        limit = step.spec.most_per_worker
+        return any(
+            worker is not excluded
+            and not worker.is_cordoned
+            and worker.entry is not None
+            and worker.has_label(step.spec.label)
+            and not (limit and run_counts[worker.worker] >= limit)
+            and step.spec.reserved.fits(worker.capacity_for_finite_runs)
+            for worker in self._state.workers.values()
+        )
+
     def _has_free_capacity(self, step: StepState, excluded: WorkerView) -> bool:
         """Return whether another worker has free capacity for a task of a step."""
         for worker in self._state.workers.values():
--- a/jujubebarrow/coordinators/worker_views.py
+++ b/jujubebarrow/coordinators/worker_views.py
@@ -96,7 +96,7 @@
         self._reserved = NO_RESOURCES
         self._free = NO_RESOURCES
         self._long_running_count = 0
-        self._long_running_cpu = 0
+        self._long_running = NO_RESOURCES
         self._unproven_suspects: set[tuple[TaskKey, RunNumber]] = set()
 
     @property
@@ -161,7 +161,12 @@
     @property
     def capacity_for_finite_cpu(self) -> int:
         """Capacity in thousandths of a core that long-running tasks leave."""
-        return max(0, self.capacity.cpu - self._long_running_cpu)
+        return max(0, self.capacity.cpu - self._long_running.cpu)
+
+    @property
+    def capacity_for_finite_runs(self) -> Resources:
+        """Resources that long-running tasks leave."""
+        return self.capacity.minus(self._long_running)
 
     @property
     def has_long_running(self) -> bool:
@@ -249,7 +254,7 @@
         self._update_free()
         if run.is_long_running:
             self._long_running_count += 1
-            self._long_running_cpu += run.reserved.cpu
+            self._long_running = self._long_running.plus(run.reserved)
         if run.is_suspect and not run.is_proven:
             self._unproven_suspects.add((run.task, run.run))
 
@@ -261,7 +266,7 @@
             self._update_free()
             if run.is_long_running:
                 self._long_running_count -= 1
-                self._long_running_cpu -= run.reserved.cpu
+                self._long_running = self._long_running.minus(run.reserved)
             self._unproven_suspects.discard((run.task, run.run))
 
     def _update_free(self) -> None:
--- a/jujubebarrow/runtimes/wave_controllers.py
+++ b/jujubebarrow/runtimes/wave_controllers.py
@@ -418,19 +418,36 @@
         )
         workers = list(self._coordinator.state.workers.values())
         registered = [worker for worker in workers if worker.entry is not None]
+        accepting = {worker.worker for worker in workers if worker.is_available}
         usage_ratio = _compute_cpu_usage_ratio(registered)
         remaining = stored.deadline - self._clock.monotonic()
+        # The other workers may not come back before the time of the wave is over.
+        may_take_last = (
+            len(registered) <= 1 or remaining < DRAIN_GRACE_SECONDS + self._downtime
+        )
         claimed: list[MachineId] = []
         while record.in_maintenance_count < wave.max_concurrent:
-            candidates = [load for load in loads.values() if step_drains.admits(load)]
+            candidates = [
+                load
+                for load in loads.values()
+                if step_drains.admits(load)
+                and (may_take_last or accepting != {pool_machines[load.machine].worker})
+            ]
             slow = [
                 load for load in candidates if step_drains.is_urgent(load, remaining)
             ]
-            is_urgent = bool(slow) or is_wave_urgent(
-                len(waiting) - len(claimed),
-                wave.max_concurrent,
-                remaining,
-                self._downtime,
+            is_urgent = (
+                bool(slow)
+                or is_wave_urgent(
+                    len(waiting) - len(claimed),
+                    wave.max_concurrent,
+                    remaining,
+                    self._downtime,
+                )
+                # One worker of the pool goes on.
+                or is_wave_urgent(
+                    len(loads), len(registered) - 1, remaining, self._downtime
+                )
             )
             chosen = choose_machine(
                 slow or candidates,
@@ -444,6 +461,7 @@
             self._set_state(record, chosen, MachineMaintenanceState.DRAINING)
             claimed.append(chosen)
             load = loads.pop(chosen)
+            accepting.discard(pool_machines[chosen].worker)
             step_drains.add(load)
             if load.long_running_count and not slow:
                 # Their tasks move one after the other, while the machine is no use.
--- a/jujubebarrow/tests/test_maintained_machines.py
+++ b/jujubebarrow/tests/test_maintained_machines.py
@@ -31,6 +31,12 @@
 """Time for the moves of half the tasks of a wide step, one after the other."""
 BUSY_TASKS_COUNT = 100
 """Tasks of three seconds, submitted each second, that fill most of sixty workers."""
+FULL_POOL_COUNT = 5
+FULL_POOL_WAVE_SECONDS = 24.0
+HALF_WORKER = Resources(1000, 9000)
+"""Needs of a task of which a worker has room for one."""
+LATEST_JOB_SECONDS = 3.0
+"""Time after which a job of 0.5 s has ended while one worker accepts tasks."""
 STARTUP_SECONDS = 1.2
 """Time from the start of a long-running task until the task is operating."""
 COMMIT_SECONDS = 0.008
@@ -58,6 +64,55 @@
 
         self.run_scenario(scenario, workers=1)
 
+    def test_wave_of_all_machines_of_a_pool_keeps_no_job_from_starting(self) -> None:
+        """Guards against a wave that closes all workers and never empties one."""
+
+        async def scenario(cluster: JobCluster) -> None:
+            await sleep(3.0)
+            lasting = StepSpec(
+                count=FULL_POOL_COUNT,
+                needs=HALF_WORKER,
+                long_running=True,
+                most_per_worker=1,
+            )
+            behaviour = TaskBehaviour(is_long_running=True)
+            await cluster.submit(1, (lasting,), behaviour=behaviour)
+            await sleep(3.0)
+            wave = WaveRequest(
+                wave=7,
+                machines=tuple(MachineId(f"m-{name}") for name in cluster.workers),
+                duration=FULL_POOL_WAVE_SECONDS,
+                max_concurrent=FULL_POOL_COUNT,
+            )
+            cluster.write_wave(wave)
+            jobs = []
+            for number in range(int(2 * FULL_POOL_WAVE_SECONDS)):
+                jobs.append(await cluster.submit(100 + number))
+                await sleep(0.5)
+            self.assertEqual(len(cluster.machines.maintenance_orders), FULL_POOL_COUNT)
+            await sleep(LATEST_JOB_SECONDS)
+            phases = [await cluster.read_phase(job) for job in jobs]
+            self.assertEqual(phases, ["completed"] * len(jobs))
+
+        self.run_scenario(scenario, workers=FULL_POOL_COUNT)
+
+    def test_only_worker_of_a_pool_is_maintained(self) -> None:
+        """Guards against a wave that waits for another worker that does not exist."""
+
+        async def scenario(cluster: JobCluster) -> None:
+            await sleep(3.0)
+            wave = WaveRequest(
+                wave=7,
+                machines=(MachineId("m-w0"),),
+                duration=WAVE_SECONDS,
+                max_concurrent=1,
+            )
+            cluster.write_wave(wave)
+            await sleep(WAVE_SECONDS)
+            self.assertEqual(len(cluster.machines.maintenance_orders), 1)
+
+        self.run_scenario(scenario, workers=1)
+
     def test_machines_of_a_completed_wave_can_be_lent_again(self) -> None:
         async def scenario(cluster: JobCluster) -> None:
             names = (MachineId("m-w2"), MachineId("m-w3"))
