Keep the first part of a pause even if the worker is needed

While more than half of a pool's workers refuse their starts, their pauses were ignored at once, so that refused starts, each stored before, followed each other without a break (seen in the log of a soak: pauses_ignored 11 times in 12 s). The first 0.5 s of a pause are kept now.

test_first_part_of_a_pause_is_kept failed before, as the limit had no such part.

--- a/jujubebarrow/coordinators/planners.py
+++ b/jujubebarrow/coordinators/planners.py
@@ -118,7 +118,7 @@
         if not paused:
             return unpaused, paused
         steps = (step.spec for job in jobs for _, _, step in job.startable_steps())
-        needed = find_needed_workers(unpaused, paused, steps)
+        needed = find_needed_workers(unpaused, paused, steps, now)
         names = frozenset(worker.worker for worker in needed)
         if names and names != self._needed_workers:
             self._log.write(
--- a/jujubebarrow/placements/pause_limits.py
+++ b/jujubebarrow/placements/pause_limits.py
@@ -12,14 +12,20 @@
 
 
 def find_needed_workers(
-    unpaused: list[WorkerView], paused: list[WorkerView], steps: Iterable[StepSpec]
+    unpaused: list[WorkerView],
+    paused: list[WorkerView],
+    steps: Iterable[StepSpec],
+    now: float,
 ) -> list[WorkerView]:
     """Return the paused workers that get new tasks all the same.
 
+    The first part of a pause is kept in any case.
+
     Args:
         unpaused: Workers that accept tasks.
         paused: Workers that would accept tasks if they were not paused.
         steps: Steps with waiting tasks.
+        now: Time in seconds.
     """
     needed: dict[str, WorkerView] = {}
     checked: set[tuple[str, Resources, int, int]] = set()
@@ -35,7 +41,7 @@
         room = sum(_count_places(step, worker, count) for worker in suited)
         if len(others) > limit or room < count:
             needed.update((worker.worker, worker) for worker in others)
-    return list(needed.values())
+    return [worker for worker in needed.values() if worker.score.may_end_pause(now)]
 
 
 def _suits(step: StepSpec, worker: WorkerView) -> bool:
--- a/jujubebarrow/placements/worker_scores.py
+++ b/jujubebarrow/placements/worker_scores.py
@@ -14,6 +14,9 @@
 worker."""
 FIRST_PAUSE_SECONDS = 2.0
 """Length of the first pause; each further pause is twice as long."""
+SHORTEST_PAUSE_SECONDS = 0.5
+"""Part of a pause that is kept even if the worker is needed, so that starts to workers
+that refuse all of them do not follow each other without a break."""
 MAX_PAUSE_SECONDS = 16.0
 """Longest pause; some seconds longer than a restart of a worker."""
 
@@ -29,6 +32,7 @@
     def __init__(self) -> None:
         self.is_maintenance_due = False
         self._outcomes: deque[tuple[JobId, bool]] = deque(maxlen=WINDOW_COUNT)
+        self._paused_at = float("-inf")
         self._paused_until = 0.0
         self._pause_seconds = FIRST_PAUSE_SECONDS
 
@@ -46,6 +50,7 @@
             return False
         if len(failed_jobs) < FAILURE_SHARE * len(self._outcomes):
             return False
+        self._paused_at = now
         self._paused_until = now + self._pause_seconds
         self._pause_seconds = min(MAX_PAUSE_SECONDS, 2 * self._pause_seconds)
         self._outcomes.clear()
@@ -55,6 +60,10 @@
         """Pause the worker until a time in seconds."""
         self._paused_until = max(self._paused_until, until)
 
+    def may_end_pause(self, now: float) -> bool:
+        """Return whether a needed worker may get new tasks although it is paused."""
+        return now - self._paused_at >= SHORTEST_PAUSE_SECONDS
+
     def is_paused(self, now: float) -> bool:
         """Return whether the worker is paused and gets no new tasks."""
         return now < self._paused_until
--- a/jujubebarrow/tests/test_failing_jobs.py
+++ b/jujubebarrow/tests/test_failing_jobs.py
@@ -13,7 +13,11 @@
 from jujubebarrow.coordinators.worker_views import WorkerView
 from jujubebarrow.placements.pause_limits import find_needed_workers
 from jujubebarrow.placements.run_evidence import RunEvidence
-from jujubebarrow.placements.worker_scores import WorkerScore
+from jujubebarrow.placements.worker_scores import (
+    FAILED_JOBS_COUNT,
+    SHORTEST_PAUSE_SECONDS,
+    WorkerScore,
+)
 from jujubebarrow.standins.emulated_workers import TaskBehaviour
 from jujubebarrow.tests.fakes.job_cases import JobCase
 from jujubebarrow.tests.fakes.job_clusters import JobCluster
@@ -151,30 +155,43 @@
 
     def test_pause_takes_at_most_half_of_the_workers(self) -> None:
         workers = self.make_workers(6)
-        self.assertEqual(find_needed_workers(workers[3:], workers[:3], [FINITE]), [])
-        needed = find_needed_workers(workers[4:], workers[:4], [FINITE])
+        self.assertEqual(
+            find_needed_workers(workers[3:], workers[:3], [FINITE], NOW), []
+        )
+        needed = find_needed_workers(workers[4:], workers[:4], [FINITE], NOW)
         self.assertEqual(needed, workers[:4])
 
+    def test_first_part_of_a_pause_is_kept(self) -> None:
+        """Guards against starts without a break to workers that refuse them all."""
+        workers = self.make_workers(3)
+        for worker in workers:
+            for number in range(FAILED_JOBS_COUNT):
+                worker.score.record_run(make_record(number, 1).job, False, NOW)
+        self.assertEqual(find_needed_workers([], workers, [FINITE], NOW), [])
+        later = NOW + SHORTEST_PAUSE_SECONDS
+        self.assertTrue(all(worker.score.is_paused(later) for worker in workers))
+        self.assertEqual(find_needed_workers([], workers, [FINITE], later), workers)
+
     def test_pause_takes_not_all_workers_with_a_label(self) -> None:
         labelled = self.make_workers(2, ("b",))
         others = self.make_workers(8)
-        self.assertEqual(find_needed_workers(others, labelled, [FINITE]), [])
+        self.assertEqual(find_needed_workers(others, labelled, [FINITE], NOW), [])
         step = replace(FINITE, label="b")
-        self.assertEqual(find_needed_workers(others, labelled, [step]), labelled)
+        self.assertEqual(find_needed_workers(others, labelled, [step], NOW), labelled)
 
     def test_pause_takes_not_all_workers_that_are_large_enough(self) -> None:
         large = self.make_workers(2, cores=32)
         small = self.make_workers(8)
         step = replace(FINITE, needs=Resources(20000, 500))
-        self.assertEqual(find_needed_workers(small, large, [FINITE, step]), large)
+        self.assertEqual(find_needed_workers(small, large, [FINITE, step], NOW), large)
 
     def test_pause_leaves_room_for_a_gang(self) -> None:
         workers = self.make_workers(6)
         gang = StepSpec(count=5, needs=SMALL, gang=True, most_per_worker=1)
-        needed = find_needed_workers(workers[2:], workers[:2], [gang])
+        needed = find_needed_workers(workers[2:], workers[:2], [gang], NOW)
         self.assertEqual(needed, workers[:2])
         gang = replace(gang, count=4)
-        self.assertEqual(find_needed_workers(workers[2:], workers[:2], [gang]), [])
+        self.assertEqual(find_needed_workers(workers[2:], workers[:2], [gang], NOW), [])
 
 
 class LastingEvidenceTest(WorkerOrderCase):
