Send no start before the registration of a worker's incarnation is known

Cause: such a run moves to the new incarnation while a start of a former owner may come late, and only runs with a label, or that had been sent before, waited for the registration.

Why this works: each start waits until the registration is that of the incarnation it is for; a worker that has left the pool gets none.

test_no_start_is_sent_before_the_pool_of_an_incarnation_is_known failed before.

--- a/jujubebarrow/coordinators/run_orders.py
+++ b/jujubebarrow/coordinators/run_orders.py
@@ -76,8 +76,8 @@
         if obstacle:
             self._give_up_start(worker, run, obstacle, now)
             return None
-        if (label or run.has_moved) and not worker.is_entry_present:
-            # The present incarnation may have other labels or another capacity.
+        if not worker.is_entry_present:
+            # The present incarnation may be in another pool, or of another kind.
             return None
         if worker.is_over_capacity and (run.has_moved or not run.is_start_sent):
             self._give_up_start(worker, run, "capacity reduced before the start", now)
--- a/jujubebarrow/tests/test_restarted_workers.py
+++ b/jujubebarrow/tests/test_restarted_workers.py
@@ -156,6 +156,21 @@
         self.assertIsNone(self.coordinator.orders.make_start(run, NOW))
         self.assertFalse(self.coordinator.orders.is_active(run))
 
+    async def test_no_start_is_sent_before_the_pool_of_an_incarnation_is_known(
+        self,
+    ) -> None:
+        """Guards against a planned run that follows its worker into another pool."""
+        self.coordinator.add_job(make_record(0, 1), None, NOW)
+        (run,) = self.coordinator.plan(NOW, NOW)
+        record = LateStartRecord(NOW + 10.0, NO_RESOURCES, {})
+        self.worker.set_former_owners_starts(record)
+        self.report(SECOND_START_MS)
+        self.report(SECOND_START_MS)
+        run.stage = RunStage.RECORDED
+        self.assertIsNone(self.coordinator.orders.make_start(run, NOW))
+        self.register(SECOND_START_MS)
+        self.assertIsNotNone(self.coordinator.orders.make_start(run, NOW))
+
     async def test_no_start_is_sent_before_the_labels_of_an_incarnation_are_known(
         self,
     ) -> None:
