Log what holds the drain of a machine

A wave that cordons workers and never empties one left only maintenance_claimed in the log. Whether its tasks had no other worker, or their step tolerated no further absence, could not be told apart. drain_held tells it for each drain, at each change, with the workers that still accept tasks. No decision changes.

The test fails without the event.

--- a/jujubebarrow/coordinators/evacuations.py
+++ b/jujubebarrow/coordinators/evacuations.py
@@ -1,5 +1,8 @@
 """Evacuation of workers whose machine is about to be shut down."""
 
+from collections import Counter
+from enum import Enum
+
 from jujubebarrow.coordinators.active_runs import ActiveRun, RunStage
 from jujubebarrow.coordinators.job_progresses import JobProgress
 from jujubebarrow.coordinators.planners import count_runs_by_worker
@@ -12,6 +15,23 @@
 """Progress that a long-running task reports once the task is operating."""
 
 
+class DrainHold(Enum):
+    """Why a run is still on a worker that is evacuated.
+
+    ENDING runs finish or have been asked to stop. The others are long-running tasks
+    that must not be stopped: the step tolerates no further ABSENCES, or the task waits
+    for the CAPACITY of another worker.
+    """
+
+    ENDING = "ending"
+    ABSENCES = "absences"
+    CAPACITY = "capacity"
+
+
+LASTING_HOLDS = (DrainHold.ABSENCES, DrainHold.CAPACITY)
+"""Holds that may last, and keep the worker from being empty."""
+
+
 class Evacuator:
     """Moves tasks off workers; finite tasks may finish first.
 
@@ -25,8 +45,12 @@
     def __init__(self, state: PoolState):
         self._state = state
 
-    def evacuate(self, worker_id: WorkerId, is_grace_period_over: bool) -> bool:
-        """Stop the tasks that may be moved; return whether the worker has no runs.
+    def evacuate(
+        self, worker_id: WorkerId, is_grace_period_over: bool
+    ) -> Counter[DrainHold]:
+        """Stop the tasks that may be moved; return the number of runs by their hold.
+
+        The worker has no runs if there are no holds.
 
         A long-running task is stopped if fewer tasks of the step are absent than the
         step tolerates (a step that states no tolerated absences has no such limit) and
@@ -38,36 +62,40 @@
             worker_id: Id of the worker.
             is_grace_period_over: Whether finite tasks are stopped as well.
         """
+        holds: Counter[DrainHold] = Counter()
         worker = self._state.workers.get(worker_id)
         if worker is None:
-            return True
+            return holds
         for run in list(worker.runs.values()):
             job = self._state.jobs.get(run.task.job)
-            if job is None or run.stage is RunStage.STOPPING:
-                continue
-            if run.is_long_running:
-                if self._can_stop(job, run, worker, is_grace_period_over):
+            hold = None
+            if job is not None and run.stage is not RunStage.STOPPING:
+                if run.is_long_running:
+                    hold = self._find_hold(job, run, worker, is_grace_period_over)
+                if not hold and (run.is_long_running or is_grace_period_over):
                     self._state.request_stop(run)
-            elif is_grace_period_over:
-                self._state.request_stop(run)
-        return not worker.runs
+            holds[hold or DrainHold.ENDING] += 1
+        return holds if worker.runs else Counter()
 
-    def _can_stop(
+    def _find_hold(
         self,
         job: JobProgress,
         run: ActiveRun,
         worker: WorkerView,
         is_grace_period_over: bool,
-    ) -> bool:
+    ) -> DrainHold | None:
+        """Return why a long-running task must not be stopped; None if it may be."""
         step = job.find_step(run.task)
         if step is None:
-            return True
+            return None
         limit = step.spec.tolerated_absences
         if limit and self._count_absent(step, run) >= limit:
-            return False
+            return DrainHold.ABSENCES
         if self._has_free_capacity(step, worker):
-            return True
-        return is_grace_period_over and not self._may_get_capacity(step, worker)
+            return None
+        if is_grace_period_over and not self._may_get_capacity(step, worker):
+            return None
+        return DrainHold.CAPACITY
 
     def _count_absent(self, step: StepState, run: ActiveRun) -> int:
         """Return how many other tasks of a step are not known to be operating."""
--- a/jujubebarrow/runtimes/wave_controllers.py
+++ b/jujubebarrow/runtimes/wave_controllers.py
@@ -1,10 +1,11 @@
 """Maintains the machines of one pool for the active maintenance waves."""
 
 from asyncio import gather, sleep
+from collections import Counter
 from collections.abc import Callable
 
 from jujubebarrow.clocks.clocks import Clock
-from jujubebarrow.coordinators.evacuations import Evacuator
+from jujubebarrow.coordinators.evacuations import LASTING_HOLDS, DrainHold, Evacuator
 from jujubebarrow.coordinators.pool_coordinators import PoolCoordinator
 from jujubebarrow.coordinators.worker_views import WorkerView
 from jujubebarrow.errors.exceptions import StoreError, TransactionConflictError
@@ -121,6 +122,7 @@
         # Machines whose maintenance has begun or ended, which is not stored yet.
         self._unstored: dict[tuple[int, MachineId], MachineMaintenanceState] = {}
         self._machines_under_maintenance: dict[int, set[MachineId]] = {}
+        self._holds: dict[tuple[int, MachineId], Counter[DrainHold]] = {}
         # Incarnation of each worker that this controller has cordoned.
         self._cordoned: dict[tuple[int, MachineId], WorkerIncarnation] = {}
 
@@ -292,13 +294,38 @@
             return False
         self._cordon(key, machine.worker)
         waited_seconds = self._clock.monotonic() - self._claimed_at[key]
-        if self._evacuator.evacuate(
+        holds = self._evacuator.evacuate(
             machine.worker, waited_seconds > DRAIN_GRACE_SECONDS
-        ):
+        )
+        self._log_holds(key, machine.worker, holds, waited_seconds)
+        if not holds:
             return True
         self._hooks.on_change()
         return False
 
+    def _log_holds(
+        self,
+        key: tuple[int, MachineId],
+        worker: WorkerId,
+        holds: Counter[DrainHold],
+        waited_seconds: float,
+    ) -> None:
+        """Log why long-running tasks stay on a machine, whenever that changes."""
+        lasting = Counter({hold: holds[hold] for hold in LASTING_HOLDS if holds[hold]})
+        if lasting == self._holds.get(key, Counter()):
+            return
+        self._holds[key] = lasting
+        workers = self._coordinator.state.workers.values()
+        self._log.write(
+            "drain_held",
+            wave=key[0],
+            machine=key[1],
+            worker=worker,
+            runs={hold.value: count for hold, count in holds.items()},
+            accepting=sum(worker.is_available for worker in workers),
+            waited=round(waited_seconds, 2),
+        )
+
     async def _order_maintenance(self, wave: WaveRequest, machine: Machine) -> None:
         key = (wave.wave, machine.machine)
         token = self._tokens[key]
--- a/jujubebarrow/tests/test_maintained_machines.py
+++ b/jujubebarrow/tests/test_maintained_machines.py
@@ -10,6 +10,7 @@
 
 from jujubebarrow.fleets.wave_requests import WaveRequest
 from jujubebarrow.gateways.machine_controls import MachineOrderOutcome
+from jujubebarrow.runtimes.wave_controllers import DRAIN_GRACE_SECONDS
 from jujubebarrow.standins.emulated_workers import TaskBehaviour
 from jujubebarrow.tests.fakes.fake_machines import FakeMachines
 from jujubebarrow.tests.fakes.job_cases import JobCase
@@ -113,6 +114,42 @@
 
         self.run_scenario(scenario, workers=1)
 
+    def test_log_tells_what_holds_a_drain(self) -> None:
+        """Guards against drains that stand still without a reason in the log."""
+
+        async def scenario(cluster: JobCluster) -> None:
+            await sleep(3.0)
+            step = StepSpec(
+                count=3,
+                needs=HALF_WORKER,
+                long_running=True,
+                most_per_worker=1,
+                tolerated_absences=1,
+            )
+            await cluster.submit(
+                1, (step,), behaviour=TaskBehaviour(is_long_running=True)
+            )
+            await sleep(3.0)
+            wave = WaveRequest(
+                wave=7,
+                machines=(MachineId("m-w0"),),
+                duration=WAVE_SECONDS,
+                max_concurrent=1,
+            )
+            cluster.write_wave(wave)
+            await sleep(DRAIN_GRACE_SECONDS)
+            held = [
+                line
+                for log in cluster.logs
+                for line in log.lines
+                if line["event"] == "drain_held"
+            ]
+            self.assertEqual([line["runs"] for line in held], [{"absences": 1}])
+            self.assertEqual(held[0]["machine"], "m-w0")
+            self.assertEqual(held[0]["accepting"], 1)
+
+        self.run_scenario(scenario, workers=2)
+
     def test_machines_of_a_completed_wave_can_be_lent_again(self) -> None:
         async def scenario(cluster: JobCluster) -> None:
             names = (MachineId("m-w2"), MachineId("m-w3"))
