--- a/jujubebarrow/maintenance/wave_choices.py
+++ b/jujubebarrow/maintenance/wave_choices.py
@@ -9,6 +9,9 @@
 """Processor usage of a pool above which a wave that is not urgent drains no machine."""
 URGENT_FACTOR = 1.6
 """A wave is urgent if less than this multiple of the needed time remains."""
+DRAIN_GRACE_SECONDS = 4.0
+"""Time that tasks, except long-running ones, have to finish by themselves on a machine
+that is drained for maintenance; those that still run are then stopped."""
 DRAIN_SECONDS = 2.5
 """Typical time until all tasks of a draining machine have finished or moved."""
 
--- a/jujubebarrow/runtimes/wave_controllers.py
+++ b/jujubebarrow/runtimes/wave_controllers.py
@@ -7,7 +7,6 @@
 from jujubebarrow.clocks.clocks import Clock
 from jujubebarrow.coordinators.evacuations import LASTING_HOLDS, DrainHold, Evacuator
 from jujubebarrow.coordinators.pool_coordinators import PoolCoordinator
-from jujubebarrow.coordinators.worker_views import WorkerView
 from jujubebarrow.errors.exceptions import StoreError, TransactionConflictError
 from jujubebarrow.fleets.wave_requests import WaveRequest
 from jujubebarrow.gateways.machine_controls import (
@@ -19,12 +18,7 @@
 )
 from jujubebarrow.identifiers import InstanceId
 from jujubebarrow.logs.decision_logs import DecisionLog
-from jujubebarrow.maintenance.step_drains import StepDrains
-from jujubebarrow.maintenance.wave_choices import (
-    MachineLoad,
-    choose_machine,
-    is_wave_urgent,
-)
+from jujubebarrow.maintenance.wave_choices import DRAIN_GRACE_SECONDS
 from jujubebarrow.maintenance.wave_records import (
     MachineMaintenance,
     MachineMaintenanceState,
@@ -34,11 +28,11 @@
 from jujubebarrow.runtimes.fleet_sources import FleetSource
 from jujubebarrow.runtimes.order_gates import OrderGate
 from jujubebarrow.runtimes.owner_hooks import OwnerHooks
+from jujubebarrow.runtimes.wave_claims import WaveClaims
 from jujubebarrow.runtimes.wave_stores import StoredWave, WaveStore
 from jujubebarrow.workloads.identifiers import (
     FenceToken,
     MachineId,
-    StepKey,
     WorkerId,
     WorkerIncarnation,
 )
@@ -47,9 +41,6 @@
 """Seconds between two polls of an active wave."""
 IDLE_POLL_SECONDS = 0.5
 """Seconds between two polls for new waves."""
-DRAIN_GRACE_SECONDS = 4.0
-"""Time that tasks, except long-running ones, have to finish by themselves on a machine
-that is drained for maintenance; those that still run are then stopped."""
 CONFLICT_ATTEMPTS = 5
 """Attempts to change the row of a wave in a round, since the owners of all pools change
 it."""
@@ -107,9 +98,8 @@
         self._machines = machines
         self._gate = gate
         self._hooks = hooks
-        self._downtime = downtime
         self._machine_lease = machine_lease
-        self._can_order = can_order
+        self._claims = WaveClaims(coordinator, downtime, can_order, clock)
         self._clock = clock
         self._log = log
         self._metrics = metrics
@@ -191,7 +181,9 @@
         self._finish_vanished(wave, record, set(machines_by_id))
         await self._advance_machines(wave, record, pool_machines)
         reclaimed = self._reclaim_machines(wave, record, pool_machines)
-        claimed = self._claim_machines(wave, stored, record, pool_machines)
+        claimed = self._claims.choose(wave, stored.deadline, record, pool_machines)
+        for name in claimed:
+            self._set_state(record, name, MachineMaintenanceState.DRAINING)
         if record.machines == stored.record.machines and not reclaimed:
             return
         await self._write(wave, stored, record, reclaimed + claimed)
@@ -388,10 +380,6 @@
                 reclaimed.append(name)
         return reclaimed
 
-    def _is_cordoned(self, machine: Machine) -> bool:
-        worker = self._coordinator.state.workers.get(machine.worker)
-        return worker is not None and worker.is_cordoned
-
     def _cordon(self, key: tuple[int, MachineId], name: WorkerId) -> None:
         worker = self._coordinator.state.workers.get(name)
         if worker is not None:
@@ -415,110 +403,3 @@
             if worker is not None and worker.incarnation == incarnation:
                 worker.is_cordoned = False
                 self._hooks.on_change()
-
-    def _claim_machines(
-        self,
-        wave: WaveRequest,
-        stored: StoredWave,
-        record: WaveRecord,
-        pool_machines: dict[MachineId, Machine],
-    ) -> list[MachineId]:
-        """Mark the machines to drain next, as many as the wave and the pool allow."""
-        waiting = set(record.waiting)
-        loads = {
-            name: self._measure_load(machine)
-            for name, machine in pool_machines.items()
-            if name in waiting
-            and machine.state is MachineState.UP
-            and not self._is_cordoned(machine)
-            and self._can_order(name)
-        }
-        states = {name: record.machines[name].state for name in pool_machines}
-        draining = [
-            self._measure_load(machine)
-            for name, machine in pool_machines.items()
-            if states[name] is MachineMaintenanceState.DRAINING
-        ]
-        step_drains = StepDrains(draining, list(loads.values()))
-        in_maintenance_count = len(draining) + sum(
-            state is MachineMaintenanceState.DOWN for state in states.values()
-        )
-        workers = list(self._coordinator.state.workers.values())
-        registered = [worker for worker in workers if worker.entry is not None]
-        accepting = {worker.worker for worker in workers if worker.is_available}
-        usage_ratio = _compute_cpu_usage_ratio(registered)
-        remaining = stored.deadline - self._clock.monotonic()
-        # The other workers may not come back before the time of the wave is over.
-        may_take_last = (
-            len(registered) <= 1 or remaining < DRAIN_GRACE_SECONDS + self._downtime
-        )
-        claimed: list[MachineId] = []
-        while record.in_maintenance_count < wave.max_concurrent:
-            candidates = [
-                load
-                for load in loads.values()
-                if step_drains.admits(load)
-                and (may_take_last or accepting != {pool_machines[load.machine].worker})
-            ]
-            slow = [
-                load for load in candidates if step_drains.is_urgent(load, remaining)
-            ]
-            is_urgent = (
-                bool(slow)
-                or is_wave_urgent(
-                    len(waiting) - len(claimed),
-                    wave.max_concurrent,
-                    remaining,
-                    self._downtime,
-                )
-                # One worker of the pool goes on.
-                or is_wave_urgent(
-                    len(loads), len(registered) - 1, remaining, self._downtime
-                )
-            )
-            chosen = choose_machine(
-                slow or candidates,
-                usage_ratio,
-                in_maintenance_count + len(claimed),
-                len(registered),
-                is_urgent,
-            )
-            if chosen is None:
-                break
-            self._set_state(record, chosen, MachineMaintenanceState.DRAINING)
-            claimed.append(chosen)
-            load = loads.pop(chosen)
-            accepting.discard(pool_machines[chosen].worker)
-            step_drains.add(load)
-            if load.long_running_count and not slow:
-                # Their tasks move one after the other, while the machine is no use.
-                break
-        return claimed
-
-    def _measure_load(self, machine: Machine) -> MachineLoad:
-        worker = self._coordinator.state.workers.get(machine.worker)
-        if worker is None:
-            return MachineLoad(machine.machine, 0.0, 0)
-        long_running_count = 0
-        tolerated_absences: dict[StepKey, int] = {}
-        for run in worker.runs.values():
-            job = self._coordinator.state.jobs.get(run.task.job)
-            if job is None or not run.is_long_running:
-                continue
-            long_running_count += 1
-            step = job.find_step(run.task)
-            if step is not None and step.spec.tolerated_absences:
-                key = StepKey(run.task[:3])
-                tolerated_absences[key] = step.spec.tolerated_absences
-        return MachineLoad(
-            machine.machine,
-            _compute_cpu_usage_ratio([worker]),
-            long_running_count,
-            tolerated_absences,
-        )
-
-
-def _compute_cpu_usage_ratio(workers: list[WorkerView]) -> float:
-    total = sum(worker.capacity.cpu for worker in workers)
-    used = sum(worker.reserved.cpu for worker in workers)
-    return used / total if total else 0.0
--- a/jujubebarrow/tests/test_maintained_machines.py
+++ b/jujubebarrow/tests/test_maintained_machines.py
@@ -10,7 +10,7 @@
 
 from jujubebarrow.fleets.wave_requests import WaveRequest
 from jujubebarrow.gateways.machine_controls import MachineOrderOutcome
-from jujubebarrow.runtimes.wave_controllers import DRAIN_GRACE_SECONDS
+from jujubebarrow.maintenance.wave_choices import DRAIN_GRACE_SECONDS
 from jujubebarrow.standins.emulated_workers import TaskBehaviour
 from jujubebarrow.tests.fakes.fake_machines import FakeMachines
 from jujubebarrow.tests.fakes.job_cases import JobCase
