Take back a drain whose tasks can't be stopped

What callers saw: accepted jobs never start although their pool has capacity, while a wave keeps workers from new tasks whose machines it never maintains.

Cause: a claim was final. A long-running step tolerated one absent task, and the lost worker had used it up, so that neither of the other two tasks may be stopped, which is right. But StepDrains counted only the machines that drain, and admitted both; their workers were cordoned, and nothing ever took a cordon back. The log shows both drains held by absences until the end, and no order.

Change: no drain begins for a step whose tolerated absences are used up, by whatever cause, while no machine of the step drains. Finite tasks are not stopped for a drain that is held. The claim's token is dropped before the row is written, so that a late write can't free the wave's slot of a machine whose maintenance is ordered; a machine that was ordered is never taken back.

--- a/jujubebarrow/coordinators/evacuations.py
+++ b/jujubebarrow/coordinators/evacuations.py
@@ -9,7 +9,7 @@
 from jujubebarrow.coordinators.pool_states import PoolState
 from jujubebarrow.coordinators.step_states import StepState
 from jujubebarrow.coordinators.worker_views import WorkerView
-from jujubebarrow.workloads.identifiers import WorkerId
+from jujubebarrow.workloads.identifiers import StepKey, WorkerId
 
 OPERATING_PERCENT = 100
 """Progress that a long-running task reports once the task is operating."""
@@ -56,7 +56,8 @@
         step tolerates (a step that states no tolerated absences has no such limit) and
         another worker has free capacity for the task. If no other worker can ever have
         it, the task is interrupted after the grace period, until the worker is back.
-        Finite tasks may run until the grace period is over.
+        Finite tasks may run until the grace period is over, and as long as a
+        long-running task has to stay.
 
         Args:
             worker_id: Id of the worker.
@@ -66,17 +67,45 @@
         worker = self._state.workers.get(worker_id)
         if worker is None:
             return holds
+        finite: list[ActiveRun] = []
         for run in list(worker.runs.values()):
             job = self._state.jobs.get(run.task.job)
             hold = None
             if job is not None and run.stage is not RunStage.STOPPING:
                 if run.is_long_running:
                     hold = self._find_hold(job, run, worker, is_grace_period_over)
-                if not hold and (run.is_long_running or is_grace_period_over):
-                    self._state.request_stop(run)
+                    if hold is None:
+                        self._state.request_stop(run)
+                else:
+                    finite.append(run)
             holds[hold or DrainHold.ENDING] += 1
+        if is_grace_period_over and not any(holds[hold] for hold in LASTING_HOLDS):
+            for run in finite:
+                self._state.request_stop(run)
         return holds if worker.runs else Counter()
 
+    def can_empty(self, worker_id: WorkerId) -> bool:
+        """Return whether a task of each long-running step on a worker may be stopped.
+
+        Args:
+            worker_id: Id of the worker.
+        """
+        worker = self._state.workers.get(worker_id)
+        if worker is None:
+            return True
+        steps: dict[StepKey, bool] = {}
+        for run in worker.runs.values():
+            job = self._state.jobs.get(run.task.job)
+            if job is None or not run.is_long_running:
+                continue
+            key = StepKey(run.task[:3])
+            steps[key] = (
+                steps.get(key, False)
+                or run.stage is RunStage.STOPPING
+                or self._find_hold(job, run, worker, True) is None
+            )
+        return all(steps.values())
+
     def _find_hold(
         self,
         job: JobProgress,
@@ -89,7 +118,7 @@
         if step is None:
             return None
         limit = step.spec.tolerated_absences
-        if limit and self._count_absent(step, run) >= limit:
+        if limit and self.count_absent(step, run) >= limit:
             return DrainHold.ABSENCES
         if self._has_free_capacity(step, worker):
             return None
@@ -97,12 +126,17 @@
             return None
         return DrainHold.CAPACITY
 
-    def _count_absent(self, step: StepState, run: ActiveRun) -> int:
-        """Return how many other tasks of a step are not known to be operating."""
+    def count_absent(self, step: StepState, excluded: ActiveRun | None = None) -> int:
+        """Return how many tasks of a step are not known to be operating.
+
+        Args:
+            step: Long-running step.
+            excluded: Run whose task does not count.
+        """
         return sum(
             not self._is_operating(task.active)
             for task in step.tasks
-            if task.active is not run and not task.is_done
+            if not task.is_done and (excluded is None or task.active is not excluded)
         )
 
     def _is_operating(self, run: ActiveRun | None) -> bool:
--- a/jujubebarrow/maintenance/step_drains.py
+++ b/jujubebarrow/maintenance/step_drains.py
@@ -17,6 +17,7 @@
 
     A machine that drains while such a step tolerates no further absence accepts no
     tasks, and uses up the wave's limit, without getting any closer to its maintenance.
+    That holds whatever the cause of the absences is. Those of a drain end soon.
 
     Args:
         draining: Loads of the pool's machines that are draining.
@@ -39,6 +40,7 @@
         """Return whether the long-running tasks of a machine can move soon."""
         return all(
             self._draining[step] < tolerated + READY_COUNT
+            and (self._draining[step] > 0 or load.absences.get(step, 0) < tolerated)
             for step, tolerated in load.tolerated_absences.items()
         )
 
--- a/jujubebarrow/maintenance/wave_choices.py
+++ b/jujubebarrow/maintenance/wave_choices.py
@@ -27,12 +27,14 @@
             has to move.
         tolerated_absences: For each long-running step with a task on the machine that
             limits its absent tasks, that limit.
+        absences: For each of these steps, the number of its absent tasks.
     """
 
     machine: MachineId
     cpu_usage_ratio: float
     long_running_count: int
     tolerated_absences: Mapping[StepKey, int] = field(default_factory=dict)
+    absences: Mapping[StepKey, int] = field(default_factory=dict)
 
 
 def is_wave_urgent(
--- a/jujubebarrow/runtimes/wave_claims.py
+++ b/jujubebarrow/runtimes/wave_claims.py
@@ -3,10 +3,12 @@
 from collections.abc import Callable
 
 from jujubebarrow.clocks.clocks import Clock
+from jujubebarrow.coordinators.evacuations import Evacuator
 from jujubebarrow.coordinators.pool_coordinators import PoolCoordinator
 from jujubebarrow.coordinators.worker_views import WorkerView
 from jujubebarrow.fleets.wave_requests import WaveRequest
 from jujubebarrow.gateways.machine_controls import Machine, MachineState
+from jujubebarrow.maintenance.blocked_drains import BlockedDrains, DrainKey
 from jujubebarrow.maintenance.step_drains import StepDrains
 from jujubebarrow.maintenance.wave_choices import (
     DRAIN_GRACE_SECONDS,
@@ -26,6 +28,8 @@
 
     Args:
         coordinator: Makes the scheduling decisions of the pool.
+        evacuator: Tells which tasks of the pool's workers may be moved.
+        blocked_drains: Drains that have been taken back.
         downtime: Usual duration of a machine's maintenance in seconds.
         can_order: Returns whether a machine may be ordered by this instance now.
         clock: Time source.
@@ -34,11 +38,15 @@
     def __init__(
         self,
         coordinator: PoolCoordinator,
+        evacuator: Evacuator,
+        blocked_drains: BlockedDrains,
         downtime: float,
         can_order: Callable[[MachineId], bool],
         clock: Clock,
     ):
         self._coordinator = coordinator
+        self._evacuator = evacuator
+        self._blocked_drains = blocked_drains
         self._downtime = downtime
         self._can_order = can_order
         self._clock = clock
@@ -60,17 +68,19 @@
             pool_machines: Machines of the wave that belong to the pool.
         """
         waiting = set(record.waiting)
+        absences: dict[StepKey, int] = {}
         loads = {
-            name: self._measure_load(machine)
+            name: self._measure_load(machine, absences)
             for name, machine in pool_machines.items()
             if name in waiting
             and machine.state is MachineState.UP
             and not self._is_cordoned(machine)
             and self._can_order(name)
+            and self._may_be_emptied((wave.wave, name), machine)
         }
         states = {name: record.machines[name].state for name in pool_machines}
         draining = [
-            self._measure_load(machine)
+            self._measure_load(machine, absences)
             for name, machine in pool_machines.items()
             if states[name] is MachineMaintenanceState.DRAINING
         ]
@@ -133,7 +143,21 @@
         worker = self._coordinator.state.workers.get(machine.worker)
         return worker is not None and worker.is_cordoned
 
-    def _measure_load(self, machine: Machine) -> MachineLoad:
+    def _may_be_emptied(self, key: DrainKey, machine: Machine) -> bool:
+        """Return whether a drain that was taken back would get further now."""
+        return not self._blocked_drains.was_taken_back(
+            key
+        ) or self._evacuator.can_empty(machine.worker)
+
+    def _measure_load(
+        self, machine: Machine, absences: dict[StepKey, int]
+    ) -> MachineLoad:
+        """Return the load of a machine.
+
+        Args:
+            machine: Machine of the pool.
+            absences: Absent tasks of the steps that have been counted; updated.
+        """
         worker = self._coordinator.state.workers.get(machine.worker)
         if worker is None:
             return MachineLoad(machine.machine, 0.0, 0)
@@ -148,11 +172,14 @@
             if step is not None and step.spec.tolerated_absences:
                 key = StepKey(run.task[:3])
                 tolerated_absences[key] = step.spec.tolerated_absences
+                if key not in absences:
+                    absences[key] = self._evacuator.count_absent(step)
         return MachineLoad(
             machine.machine,
             _compute_cpu_usage_ratio([worker]),
             long_running_count,
             tolerated_absences,
+            absences,
         )
 
 
--- a/jujubebarrow/runtimes/wave_controllers.py
+++ b/jujubebarrow/runtimes/wave_controllers.py
@@ -18,6 +18,7 @@
 )
 from jujubebarrow.identifiers import InstanceId
 from jujubebarrow.logs.decision_logs import DecisionLog
+from jujubebarrow.maintenance.blocked_drains import BlockedDrains
 from jujubebarrow.maintenance.wave_choices import DRAIN_GRACE_SECONDS
 from jujubebarrow.maintenance.wave_records import (
     MachineMaintenance,
@@ -99,7 +100,15 @@
         self._gate = gate
         self._hooks = hooks
         self._machine_lease = machine_lease
-        self._claims = WaveClaims(coordinator, downtime, can_order, clock)
+        self._blocked_drains = BlockedDrains()
+        self._claims = WaveClaims(
+            coordinator,
+            self._evacuator,
+            self._blocked_drains,
+            downtime,
+            can_order,
+            clock,
+        )
         self._clock = clock
         self._log = log
         self._metrics = metrics
@@ -109,6 +118,8 @@
         self._tokens: dict[tuple[int, MachineId], FenceToken] = {}
         self._claimed_at: dict[tuple[int, MachineId], float] = {}
         self._first_seen_at: dict[tuple[int, MachineId], float] = {}
+        # Machines that may go down at any time, whatever the answer to the order was.
+        self._ordered: set[tuple[int, MachineId]] = set()
         # Machines whose maintenance has begun or ended, which is not stored yet.
         self._unstored: dict[tuple[int, MachineId], MachineMaintenanceState] = {}
         self._machines_under_maintenance: dict[int, set[MachineId]] = {}
@@ -156,6 +167,7 @@
         """
         await self._refresh_list()
         stored = await self._store.read(wave)
+        self._forget_taken_back(wave, stored.record)
         self._uncordon_finished(wave, stored.record)
         machines_by_id = {machine.machine: machine for machine in self._listed}
         pool_machines = {
@@ -263,10 +275,11 @@
                 and machine.state is MachineState.UP
             ):
                 self._set_state(record, name, MachineMaintenanceState.DONE)
-            elif state is MachineMaintenanceState.DRAINING and self._drain(
-                wave, machine
-            ):
-                drained.append(machine)
+            elif state is MachineMaintenanceState.DRAINING:
+                if self._drain(wave, machine):
+                    drained.append(machine)
+                elif self._blocked_drains.is_unstored((wave.wave, name)):
+                    record.machines[name] = MachineMaintenance()
         await gather(*(self._order_maintenance(wave, machine) for machine in drained))
         for name in pool_machines:
             state = record.machines[name].state
@@ -292,9 +305,44 @@
         self._log_holds(key, machine.worker, holds, waited_seconds)
         if not holds:
             return True
+        held_count = sum(holds[hold] for hold in LASTING_HOLDS)
+        is_blocked = self._blocked_drains.record_held(
+            key, held_count, self._clock.monotonic()
+        )
+        if is_blocked and key not in self._ordered:
+            self._take_back(key, machine.worker, waited_seconds)
         self._hooks.on_change()
         return False
 
+    def _take_back(
+        self, key: tuple[int, MachineId], worker: WorkerId, waited_seconds: float
+    ) -> None:
+        """Let a machine wait again whose maintenance has not been ordered.
+
+        The worker accepts tasks as soon as that is stored. Without the token, the
+        maintenance can't be ordered even if the write is executed late.
+        """
+        del self._tokens[key]
+        self._first_seen_at.pop(key, None)
+        self._blocked_drains.take_back(key)
+        self._log.write(
+            "drain_taken_back",
+            wave=key[0],
+            machine=key[1],
+            worker=worker,
+            waited=round(waited_seconds, 2),
+        )
+        self._metrics.count("drain", "taken back")
+
+    def _forget_taken_back(self, wave: WaveRequest, record: WaveRecord) -> None:
+        """Note which drains are stored as taken back, or are those of another owner."""
+        for name, maintenance in record.machines.items():
+            if (
+                maintenance.state is not MachineMaintenanceState.DRAINING
+                or maintenance.holder != self._instance
+            ):
+                self._blocked_drains.mark_stored((wave.wave, name))
+
     def _log_holds(
         self,
         key: tuple[int, MachineId],
@@ -321,6 +369,7 @@
     async def _order_maintenance(self, wave: WaveRequest, machine: Machine) -> None:
         key = (wave.wave, machine.machine)
         token = self._tokens[key]
+        self._ordered.add(key)
         try:
             outcome = await self._gate.send(
                 self._hooks.can_order_machines,
@@ -387,14 +436,15 @@
             self._cordoned[key] = worker.incarnation
 
     def _uncordon_finished(self, wave: WaveRequest, record: WaveRecord) -> None:
-        """Let workers accept tasks again whose machines are no longer maintained.
+        """Let workers accept tasks again whose machines are not being maintained.
 
         Most workers have restarted by then, which has reset them.
         """
         for key, incarnation in list(self._cordoned.items()):
             maintenance = record.machines.get(key[1])
-            is_finished = (
-                maintenance is None or maintenance.state is MachineMaintenanceState.DONE
+            is_finished = maintenance is None or maintenance.state in (
+                MachineMaintenanceState.WAITING,
+                MachineMaintenanceState.DONE,
             )
             if key[0] != wave.wave or not is_finished:
                 continue
--- a/jujubebarrow/tests/test_maintained_machines.py
+++ b/jujubebarrow/tests/test_maintained_machines.py
@@ -120,7 +120,7 @@
         async def scenario(cluster: JobCluster) -> None:
             await sleep(3.0)
             step = StepSpec(
-                count=3,
+                count=2,
                 needs=HALF_WORKER,
                 long_running=True,
                 most_per_worker=1,
@@ -137,14 +137,14 @@
                 max_concurrent=1,
             )
             cluster.write_wave(wave)
-            await sleep(DRAIN_GRACE_SECONDS)
+            await sleep(DRAIN_GRACE_SECONDS - 1.0)
             held = [
                 line
                 for log in cluster.logs
                 for line in log.lines
                 if line["event"] == "drain_held"
             ]
-            self.assertEqual([line["runs"] for line in held], [{"absences": 1}])
+            self.assertEqual([line["runs"] for line in held], [{"capacity": 1}])
             self.assertEqual(held[0]["machine"], "m-w0")
             self.assertEqual(held[0]["accepting"], 1)
 
