Skip kinds that no waiting machine serves when a wave's drains are timed

The number of workers that a kind of step can spare was computed for each kind in each round of a wave, also when no machine of the wave waited for its drain.

--- a/jujubebarrow/placements/drain_limits.py
+++ b/jujubebarrow/placements/drain_limits.py
@@ -136,6 +136,8 @@
         urgent: set[WorkerId] = set()
         for kind in self._kinds:
             suited = [worker for worker in waiting if kind.count_places(worker)]
+            if not suited:
+                continue
             spare_count = kind.count_spare(members)
             if spare_count and is_urgent(len(suited), spare_count):
                 urgent.update(worker.worker for worker in suited)
--- a/jujubebarrow/runtimes/wave_claims.py
+++ b/jujubebarrow/runtimes/wave_claims.py
@@ -210,7 +210,7 @@
             self._waits[wave] = counts
             self._log.write("machines_wait", wave=wave, **counts)
 
-    def _survey_pool(self, listed: list[Machine], is_late: bool) -> "PoolSurvey":
+    def _survey_pool(self, listed: list[Machine], is_late: bool) -> PoolSurvey:
         """Return the pool's workers, and those that may come back.
 
         Args:
