Ask for the machines that a gang needs to spread its tasks

What callers saw: an accepted gang never starts in an idle fleet. Two pools have four machines each; one lends two for a demand peak of the other.

Cause: a pool's demand is an amount of processor capacity. Only long-running steps counted the workers over which their tasks are spread, so that the pool never was short, and while no pool is short, machines are evened out only if a pool lacks more than two of an equal part.

Change: gangs that wait count their workers as well, by the number of their tasks that fit on each of the pool's workers, whether a limit for each worker or the size of the tasks spreads them. Jobs without remaining value count in the backlog only, for which a pool gets machines that no other pool needs, so that a gang that can never start keeps no machines from a peak. The demand is the pool's capacity and that of the missing workers; with unequal workers it was the largest worker's for all of them.

Another form does not help here: that the lending pool keeps the machines that its recent gangs need. No gang was submitted before the peak.

--- a/jujubebarrow/coordinators/job_demands.py
+++ b/jujubebarrow/coordinators/job_demands.py
@@ -5,7 +5,10 @@
 from jujubebarrow.coordinators.pool_states import PoolState
 from jujubebarrow.coordinators.worker_views import WorkerView
 from jujubebarrow.placements.job_orders import LATE_VALUE_SHARE, JobOrder
+from jujubebarrow.placements.step_kinds import StepKind
 from jujubebarrow.workloads.identifiers import WorkerIncarnation
+from jujubebarrow.workloads.resources import NO_RESOURCES, Resources
+from jujubebarrow.workloads.step_specs import StepSpec
 
 RANK_GROUP_WEIGHTS = (1.0, 1.0, LATE_VALUE_SHARE, 0.0)
 """Factor of a job's requests in the demand, by the group of the job's rank."""
@@ -38,15 +41,17 @@
 
         The demand is the greatest of three amounts: the requests of startable and
         running tasks, the capacity that runs the started long-running tasks and keeps
-        up with arriving jobs, and the capacity that long-running steps need to spread
-        their tasks. Tasks count even if their team is at its upper limit. The requests
-        of a job are weighted by its remaining value: a late backlog must not keep
-        machines from a pool whose callers can still be served in time.
+        up with arriving jobs, and the capacity that long-running steps and gangs need
+        to spread their tasks. Tasks count even if their team is at its upper limit. The
+        requests of a job are weighted by its remaining value: a late backlog must not
+        keep machines from a pool whose callers can still be served in time.
         """
-        requested = sum(
-            RANK_GROUP_WEIGHTS[self._order.rank(job, now).group]
-            * self._sum_requested_cpu(job)
+        weights = [
+            (job, RANK_GROUP_WEIGHTS[self._order.rank(job, now).group])
             for job in self._state.list_open_jobs()
+        ]
+        requested = sum(
+            weight * self._sum_requested_cpu(job) for job, weight in weights
         )
         long_running_cpu = sum(
             run.reserved.cpu
@@ -57,23 +62,30 @@
         arrival_demand = (
             long_running_cpu + 1000 * self._arrivals.compute_required_cores(now)
         )
-        return max(
-            round(requested), round(arrival_demand), self._compute_spread_demand()
+        spread_demand = self._compute_spread_demand(
+            [job for job, weight in weights if weight]
         )
+        return max(round(requested), round(arrival_demand), spread_demand)
 
     def count_backlog(self) -> int:
         """Return the unweighted requests of startable and running tasks.
 
-        The unit is thousandths of a core.
+        Like the demand, it is at least the capacity that steps need to spread their
+        tasks. The unit is thousandths of a core.
         """
-        return sum(map(self._sum_requested_cpu, self._state.list_open_jobs()))
+        jobs = self._state.list_open_jobs()
+        requested = sum(map(self._sum_requested_cpu, jobs))
+        return max(requested, self._compute_spread_demand(jobs))
 
     def _sum_requested_cpu(self, job: JobProgress) -> int:
         running = sum(run.reserved.cpu for run in job.active_runs())
         return job.sum_waiting_cpu() + running
 
-    def _compute_spread_demand(self) -> int:
-        """Return the capacity that long-running steps need to spread their tasks.
+    def _compute_spread_demand(self, jobs: list[JobProgress]) -> int:
+        """Return the capacity that steps need to spread their tasks over workers.
+
+        These are the tasks of long-running steps and of gangs. A machine that joins the
+        pool may lack the label that a step requires, so that none is asked for then.
 
         Returns:
             Thousandths of a core; 0 if the pool has enough workers or none.
@@ -83,16 +95,27 @@
             for worker in self._state.workers.values()
             if worker.entry is not None and not worker.unresponsive_since
         ]
-        needed_workers = 0
-        for job in self._state.list_open_jobs():
-            for _, _, step in job.startable_steps():
-                if step.spec.long_running and step.spec.most_per_worker:
-                    step_workers = -(-step.spec.count // step.spec.most_per_worker)
-                    needed_workers = max(needed_workers, step_workers)
-        if needed_workers <= len(workers):
+        kinds = {
+            kind
+            for job in jobs
+            if job.has_spread_steps
+            for _, _, step in job.startable_steps()
+            if (kind := _find_spread_kind(step.spec)) is not None
+        }
+        if not workers or not kinds:
             return 0
-        largest_cpu = max((worker.capacity.cpu for worker in workers), default=0)
-        return needed_workers * largest_cpu
+        capacities = [worker.capacity for worker in workers]
+        smallest = Resources(*map(min, zip(*capacities, strict=True)))
+        missing = max(
+            0
+            if kind.count_fitting(smallest) * len(workers) >= kind.count
+            else kind.count_missing(workers)
+            for kind in kinds
+        )
+        if not missing:
+            return 0
+        cores = [capacity.cpu for capacity in capacities]
+        return sum(cores) + missing * max(cores)
 
     def count_pending(self) -> dict[str, int]:
         """Return the number of unfinished jobs without a started task, by queue."""
@@ -116,3 +139,16 @@
         workers = [w for w in self._state.workers.values() if w.is_available]
         workers.sort(key=lambda w: (w.score.is_paused(now), -w.free.cpu))
         return [worker.incarnation for worker in workers]
+
+
+def _find_spread_kind(spec: StepSpec) -> StepKind | None:
+    """Return the kind of a step whose tasks need several workers at the same time."""
+    if spec.long_running:
+        is_spread = spec.most_per_worker > 0
+        reserved = NO_RESOURCES
+    else:
+        is_spread = spec.gang and not spec.label
+        reserved = spec.reserved
+    if not is_spread:
+        return None
+    return StepKind("", spec.count, spec.most_per_worker, reserved)
