Lend a machine for its label to a pool whose jobs wait for it

What callers saw: a job that requires a label never starts in an idle fleet, after its pool has lent the only worker with the label for another pool's demand peak, or if only a machine that is switched off has the label.

Pools lend machines and get them back by their processor capacity, and nothing says which machines a waiting step needs.

Change: a pool's load names the labels that startable steps have waited for for 5 s and that no worker of the pool has. Other pools name those of them that a worker has which may move, unless their own jobs require the label and only one worker has it. One of the pools, a running one first, lends one machine with the label, if it goes on with one machine less. The wait is longer than the restart of a worker, and the fields are empty otherwise, so that nothing changes while no job waits for a label.

Earlier builds ignore the new fields of the row; a load without them is read as before.

--- a/jujubebarrow/coordinators/job_demands.py
+++ b/jujubebarrow/coordinators/job_demands.py
@@ -117,6 +117,35 @@
         cores = [capacity.cpu for capacity in capacities]
         return sum(cores) + missing * max(cores)
 
+    def find_lacking_labels(self) -> set[str]:
+        """Return the labels that startable steps require and no worker has."""
+        required = {
+            step.spec.label
+            for job in self._state.list_open_jobs()
+            if job.has_labels
+            for _, _, step in job.startable_steps()
+            if step.spec.label
+        }
+        return {label for label in required if not self._count_workers_with(label)}
+
+    def find_scarce_labels(self) -> set[str]:
+        """Return the labels that open jobs require and only one worker has."""
+        required = {
+            step.spec.label
+            for job in self._state.list_open_jobs()
+            if job.has_labels
+            for _, _, step in job.steps()
+            if step.spec.label and not step.is_done
+        }
+        return {label for label in required if self._count_workers_with(label) <= 1}
+
+    def _count_workers_with(self, label: str) -> int:
+        """Return the number of registered workers that have a label."""
+        return sum(
+            worker.entry is not None and worker.has_label(label)
+            for worker in self._state.workers.values()
+        )
+
     def count_pending(self) -> dict[str, int]:
         """Return the number of unfinished jobs without a started task, by queue."""
         pending: dict[str, int] = {}
--- a/jujubebarrow/pools/pool_loads.py
+++ b/jujubebarrow/pools/pool_loads.py
@@ -25,6 +25,8 @@
             standby pool, whose other numbers are 0, the number of such machines.
         is_standby: Whether the pool's machines are switched off and cost nothing.
         is_used: Whether the pool has had jobs lately; other pools only lend.
+        wanted_labels: Labels that steps wait for and no worker of the pool has.
+        offered_labels: Labels that other pools want and one of the movable has.
     """
 
     pool: PoolId
@@ -36,6 +38,8 @@
     recent_demand: int = 0
     is_standby: bool = False
     is_used: bool = True
+    wanted_labels: tuple[str, ...] = ()
+    offered_labels: tuple[str, ...] = ()
 
     @property
     def machine_size(self) -> float:
@@ -53,6 +57,8 @@
             "recent": self.recent_demand,
             "standby": self.is_standby,
             "used": self.is_used,
+            "wanted": list(self.wanted_labels),
+            "offered": list(self.offered_labels),
         }
 
     @classmethod
@@ -73,6 +79,8 @@
             "recent_demand": document.get("recent", 0),
             "is_standby": document["standby"],
             "is_used": document.get("used", True),
+            "wanted_labels": document.get("wanted", ()),
+            "offered_labels": document.get("offered", ()),
         }
         return convert(fields, cls)
 
@@ -82,11 +90,7 @@
         Args:
             other: Load that was reported last.
         """
-        if (self.machines, self.movable, self.is_used) != (
-            other.machines,
-            other.movable,
-            other.is_used,
-        ):
+        if self._get_states() != other._get_states():
             return True
         step = max(1, self.capacity // REPORT_STEP_COUNT)
         return (
@@ -94,6 +98,16 @@
             or abs(self.backlog - other.backlog) > step
         )
 
+    def _get_states(self) -> tuple[Any, ...]:
+        """Return what is reported at each change."""
+        return (
+            self.machines,
+            self.movable,
+            self.is_used,
+            self.wanted_labels,
+            self.offered_labels,
+        )
+
 
 REPORT_STEP_COUNT = 10
 """A changed demand or backlog is reported if the difference is more than the pool's
