Lend further machines for a label that a gang needs on several workers

What callers saw: a gang of two tasks that require a label, one a worker, never starts while its pool has one worker with the label and other pools have more.

Cause: a pool named a label as wanted only while none of its workers had it.

Change: a label is wanted as well while the workers that have it lack places for a gang. The machines come one after the other.

--- a/jujubebarrow/coordinators/job_demands.py
+++ b/jujubebarrow/coordinators/job_demands.py
@@ -118,15 +118,28 @@
         return sum(cores) + missing * max(cores)
 
     def find_lacking_labels(self) -> set[str]:
-        """Return the labels that startable steps require and no worker has."""
-        required = {
-            step.spec.label
+        """Return the labels that startable steps require and too few workers have.
+
+        One worker is enough for a step that is no gang, whatever its tasks need.
+        """
+        kinds = {
+            StepKind(
+                step.spec.label,
+                step.spec.count if step.spec.gang else 1,
+                step.spec.most_per_worker,
+                step.spec.reserved,
+            )
             for job in self._state.list_open_jobs()
             if job.has_labels
             for _, _, step in job.startable_steps()
             if step.spec.label
         }
-        return {label for label in required if not self._count_workers_with(label)}
+        workers = [w for w in self._state.workers.values() if w.entry is not None]
+        return {
+            kind.label
+            for kind in kinds
+            if not self._count_workers_with(kind.label) or kind.count_missing(workers)
+        }
 
     def find_scarce_labels(self) -> set[str]:
         """Return the labels that open jobs require and only one worker has."""
--- a/jujubebarrow/pools/pool_loads.py
+++ b/jujubebarrow/pools/pool_loads.py
@@ -25,7 +25,7 @@
             standby pool, whose other numbers are 0, the number of such machines.
         is_standby: Whether the pool's machines are switched off and cost nothing.
         is_used: Whether the pool has had jobs lately; other pools only lend.
-        wanted_labels: Labels that steps wait for and no worker of the pool has.
+        wanted_labels: Labels that steps wait for and too few workers of the pool have.
         offered_labels: Labels that other pools want and one of the movable has.
     """
 
--- a/jujubebarrow/runtimes/label_moves.py
+++ b/jujubebarrow/runtimes/label_moves.py
@@ -35,7 +35,7 @@
         self._lent_at: dict[tuple[PoolId, str], float] = {}
 
     def find_wanted(self) -> tuple[str, ...]:
-        """Return the labels that steps have waited for and that no worker has."""
+        """Return the labels that steps wait for and that too few workers have."""
         now = self._clock.monotonic()
         lacking = self._coordinator.demand.find_lacking_labels()
         self._lacking_since = {
--- a/jujubebarrow/tests/test_lent_kinds.py
+++ b/jujubebarrow/tests/test_lent_kinds.py
@@ -65,15 +65,22 @@
 
     def test_job_gets_a_standby_machine_with_its_label(self) -> None:
         """Guards against the same if a machine that is switched off has the label."""
+        self._check_standby(StepSpec(needs=SMALL, label=LABEL), 1)
 
+    def test_gang_gets_all_machines_with_its_label(self) -> None:
+        """Guards against a gang that waits since the pool has one such worker."""
+        gang = StepSpec(count=2, needs=SMALL, gang=True, most_per_worker=1, label=LABEL)
+        self._check_standby(gang, 2)
+
+    def _check_standby(self, step: StepSpec, machine_count: int) -> None:
         async def scenario(cluster: JobCluster) -> None:
-            name = list(cluster.workers)[-1]
-            cluster.workers[name].labels = (LABEL, "r1")
+            names = list(cluster.workers)[-machine_count:]
+            for name in names:
+                cluster.workers[name].labels = (LABEL, "r1")
             await sleep(4.0)
-            step = StepSpec(needs=SMALL, label=LABEL)
-            await self._check_job(cluster, step, LABEL_SECONDS)
+            await self._check_job(cluster, step, machine_count * LABEL_SECONDS)
             machines = [m for m, pool, _ in cluster.machines.moves if pool == STANDBY]
-            self.assertEqual(machines, [f"m-{name}"])
+            self.assertEqual(sorted(machines), [f"m-{name}" for name in names])
 
         self._run(scenario, standby=3)
 
