--- a/jujubebarrow/placements/drain_limits.py
+++ b/jujubebarrow/placements/drain_limits.py
@@ -92,11 +92,29 @@
                 in maintenance at the same time, has to be drained from now on.
         """
         urgent: set[WorkerId] = set()
+        rows = [(worker.worker, worker.labels, worker.capacity) for worker in waiting]
+        member_rows = [(worker.labels, worker.capacity) for worker in members]
+        capacities = {capacity for *_, capacity in [*rows, *member_rows]}
         for kind in self._kinds:
-            suited = [worker for worker in waiting if kind.count_places(worker)]
+            label = kind.label
+            # There are many kinds and workers, but few capacities.
+            fitting = {
+                capacity: kind.count_fitting(capacity) for capacity in capacities
+            }
+            suited = [
+                worker
+                for worker, labels, capacity in rows
+                if fitting[capacity] and (not label or label in labels)
+            ]
             if not suited:
                 continue
-            spare_count = kind.count_spare(members)
+            spare_count = kind.count_spare(
+                [
+                    fitting[capacity]
+                    for labels, capacity in member_rows
+                    if fitting[capacity] and (not label or label in labels)
+                ]
+            )
             if spare_count and is_urgent(len(suited), spare_count):
-                urgent.update(worker.worker for worker in suited)
+                urgent.update(suited)
         return urgent
--- a/jujubebarrow/placements/step_kinds.py
+++ b/jujubebarrow/placements/step_kinds.py
@@ -52,11 +52,14 @@
         most = max(places, default=0)
         return max(0, -((sum(places) - self.count) // most)) if most else 0
 
-    def count_spare(self, workers: Iterable[WorkerView]) -> int:
-        """Return how many of the workers that have places may be away at a time."""
-        places = sorted(filter(None, map(self.count_places, workers)), reverse=True)
+    def count_spare(self, places: list[int]) -> int:
+        """Return how many workers that have places may be away at a time.
+
+        Args:
+            places: Number of places on each of the workers.
+        """
         total = 0
-        for number, count in enumerate(places):
+        for number, count in enumerate(sorted(places, reverse=True)):
             total += count
             if total >= self.count:
                 return len(places) - number - 1
