Count the workers that gangs lack in the backlog only

A pool gets machines for its backlog while no other pool is short. As demand, gangs could have kept machines from a peak of another pool, and loads wrote two empty fields each second; these are left out now.

--- a/jujubebarrow/coordinators/job_demands.py
+++ b/jujubebarrow/coordinators/job_demands.py
@@ -1,5 +1,7 @@
 """Demand of a pool's jobs and the workers that can accept tasks."""
 
+from collections.abc import Callable
+
 from jujubebarrow.coordinators.arrival_rates import ArrivalRate
 from jujubebarrow.coordinators.job_progresses import JobProgress
 from jujubebarrow.coordinators.pool_states import PoolState
@@ -41,17 +43,16 @@
 
         The demand is the greatest of three amounts: the requests of startable and
         running tasks, the capacity that runs the started long-running tasks and keeps
-        up with arriving jobs, and the capacity that long-running steps and gangs need
-        to spread their tasks. Tasks count even if their team is at its upper limit. The
-        requests of a job are weighted by its remaining value: a late backlog must not
-        keep machines from a pool whose callers can still be served in time.
+        up with arriving jobs, and the capacity that long-running steps need to spread
+        their tasks. Tasks count even if their team is at its upper limit. The requests
+        of a job are weighted by its remaining value: a late backlog must not keep
+        machines from a pool whose callers can still be served in time.
         """
-        weights = [
-            (job, RANK_GROUP_WEIGHTS[self._order.rank(job, now).group])
-            for job in self._state.list_open_jobs()
-        ]
+        jobs = self._state.list_open_jobs()
         requested = sum(
-            weight * self._sum_requested_cpu(job) for job, weight in weights
+            RANK_GROUP_WEIGHTS[self._order.rank(job, now).group]
+            * self._sum_requested_cpu(job)
+            for job in jobs
         )
         long_running_cpu = sum(
             run.reserved.cpu
@@ -62,30 +63,34 @@
         arrival_demand = (
             long_running_cpu + 1000 * self._arrivals.compute_required_cores(now)
         )
-        spread_demand = self._compute_spread_demand(
-            [job for job, weight in weights if weight]
-        )
+        spread_demand = self._compute_spread_demand(jobs, _find_lasting_kind)
         return max(round(requested), round(arrival_demand), spread_demand)
 
     def count_backlog(self) -> int:
         """Return the unweighted requests of startable and running tasks.
 
-        Like the demand, it is at least the capacity that steps need to spread their
-        tasks. The unit is thousandths of a core.
+        It is at least the capacity that gangs need to spread their tasks: for a gang, a
+        pool gets machines that no other pool needs. The unit is thousandths of a core.
         """
         jobs = self._state.list_open_jobs()
         requested = sum(map(self._sum_requested_cpu, jobs))
-        return max(requested, self._compute_spread_demand(jobs))
+        return max(requested, self._compute_spread_demand(jobs, _find_gang_kind))
 
     def _sum_requested_cpu(self, job: JobProgress) -> int:
         running = sum(run.reserved.cpu for run in job.active_runs())
         return job.sum_waiting_cpu() + running
 
-    def _compute_spread_demand(self, jobs: list[JobProgress]) -> int:
+    def _compute_spread_demand(
+        self,
+        jobs: list[JobProgress],
+        find_kind: Callable[[StepSpec], StepKind | None],
+    ) -> int:
         """Return the capacity that steps need to spread their tasks over workers.
 
-        These are the tasks of long-running steps and of gangs. A machine that joins the
-        pool may lack the label that a step requires, so that none is asked for then.
+        Args:
+            jobs: Open jobs.
+            find_kind: Returns what a step asks of the workers; None if the step does
+                not count.
 
         Returns:
             Thousandths of a core; 0 if the pool has enough workers or none.
@@ -100,7 +105,7 @@
             for job in jobs
             if job.has_spread_steps
             for _, _, step in job.startable_steps()
-            if (kind := _find_spread_kind(step.spec)) is not None
+            if (kind := find_kind(step.spec)) is not None
         }
         missing = _count_missing(kinds, workers)
         if not missing:
@@ -171,13 +176,18 @@
         return [worker.incarnation for worker in workers]
 
 
-def _find_spread_kind(spec: StepSpec) -> StepKind | None:
-    """Return the kind of a step whose tasks need several workers at the same time."""
-    if spec.long_running:
-        if not spec.most_per_worker:
-            return None
-        return StepKind("", spec.count, spec.most_per_worker)
-    return _make_gang_kind(spec) if spec.gang and not spec.label else None
+def _find_lasting_kind(spec: StepSpec) -> StepKind | None:
+    """Return the kind of a long-running step that limits its tasks on a worker."""
+    if not spec.long_running or not spec.most_per_worker:
+        return None
+    return StepKind("", spec.count, spec.most_per_worker)
+
+
+def _find_gang_kind(spec: StepSpec) -> StepKind | None:
+    """Return the kind of a gang that may run on any machine that joins the pool."""
+    if spec.long_running or not spec.gang or spec.label:
+        return None
+    return _make_gang_kind(spec)
 
 
 def _make_gang_kind(spec: StepSpec) -> StepKind:
--- a/jujubebarrow/pools/pool_loads.py
+++ b/jujubebarrow/pools/pool_loads.py
@@ -48,7 +48,7 @@
 
     def to_document(self) -> dict[str, Any]:
         """Return the document to store."""
-        return {
+        document: dict[str, Any] = {
             "demand": self.demand,
             "capacity": self.capacity,
             "machines": self.machines,
@@ -57,9 +57,12 @@
             "recent": self.recent_demand,
             "standby": self.is_standby,
             "used": self.is_used,
-            "wanted": list(self.wanted_labels),
-            "offered": list(self.offered_labels),
         }
+        if self.wanted_labels:
+            document["wanted"] = list(self.wanted_labels)
+        if self.offered_labels:
+            document["offered"] = list(self.offered_labels)
+        return document
 
     @classmethod
     def from_document(cls, pool: PoolId, document: dict[str, Any]) -> "PoolLoad":
