--- a/jujubebarrow/coordinators/job_demands.py
+++ b/jujubebarrow/coordinators/job_demands.py
@@ -1,7 +1,5 @@
 """Demand of a pool's jobs and the workers that can accept tasks."""
 
-from collections.abc import Callable
-
 from jujubebarrow.coordinators.arrival_rates import ArrivalRate
 from jujubebarrow.coordinators.job_progresses import JobProgress
 from jujubebarrow.coordinators.pool_states import PoolState
@@ -63,8 +61,9 @@
         arrival_demand = (
             long_running_cpu + 1000 * self._arrivals.compute_required_cores(now)
         )
-        spread_demand = self._compute_spread_demand(jobs, _find_lasting_kind)
-        return max(round(requested), round(arrival_demand), spread_demand)
+        return max(
+            round(requested), round(arrival_demand), self._compute_spread_demand(jobs)
+        )
 
     def count_backlog(self) -> int:
         """Return the unweighted requests of startable and running tasks.
@@ -74,38 +73,48 @@
         """
         jobs = self._state.list_open_jobs()
         requested = sum(map(self._sum_requested_cpu, jobs))
-        return max(requested, self._compute_spread_demand(jobs, _find_gang_kind))
+        return max(requested, self._compute_gang_demand(jobs))
 
     def _sum_requested_cpu(self, job: JobProgress) -> int:
         running = sum(run.reserved.cpu for run in job.active_runs())
         return job.sum_waiting_cpu() + running
 
-    def _compute_spread_demand(
-        self,
-        jobs: list[JobProgress],
-        find_kind: Callable[[StepSpec], StepKind | None],
-    ) -> int:
-        """Return the capacity that steps need to spread their tasks over workers.
+    def _compute_spread_demand(self, jobs: list[JobProgress]) -> int:
+        """Return the capacity that long-running steps need to spread their tasks.
+
+        Returns:
+            Thousandths of a core; 0 if the pool has enough workers or none.
+        """
+        workers = self._list_responsive()
+        needed_workers = 0
+        for job in jobs:
+            if not job.has_spread_steps:
+                continue
+            for _, _, step in job.startable_steps():
+                if step.spec.long_running and step.spec.most_per_worker:
+                    step_workers = -(-step.spec.count // step.spec.most_per_worker)
+                    needed_workers = max(needed_workers, step_workers)
+        if needed_workers <= len(workers):
+            return 0
+        largest_cpu = max((worker.capacity.cpu for worker in workers), default=0)
+        return needed_workers * largest_cpu
+
+    def _compute_gang_demand(self, jobs: list[JobProgress]) -> int:
+        """Return the capacity that gangs need to spread their tasks over workers.
 
-        Args:
-            jobs: Open jobs.
-            find_kind: Returns what a step asks of the workers; None if the step does
-                not count.
+        A machine that joins the pool may lack the label that a gang requires, so that
+        none is asked for then.
 
         Returns:
             Thousandths of a core; 0 if the pool has enough workers or none.
         """
-        workers = [
-            worker
-            for worker in self._state.workers.values()
-            if worker.entry is not None and not worker.unresponsive_since
-        ]
+        workers = self._list_responsive()
         kinds = {
-            kind
+            _make_gang_kind(step.spec)
             for job in jobs
             if job.has_spread_steps
             for _, _, step in job.startable_steps()
-            if (kind := find_kind(step.spec)) is not None
+            if step.spec.gang and not step.spec.long_running and not step.spec.label
         }
         missing = _count_missing(kinds, workers)
         if not missing:
@@ -113,6 +122,14 @@
         cores = [worker.capacity.cpu for worker in workers]
         return sum(cores) + missing * max(cores)
 
+    def _list_responsive(self) -> list[WorkerView]:
+        """Return the registered workers that respond."""
+        return [
+            worker
+            for worker in self._state.workers.values()
+            if worker.entry is not None and not worker.unresponsive_since
+        ]
+
     def find_lacking_labels(self) -> set[str]:
         """Return the labels that startable steps require and too few workers have.
 
@@ -176,20 +193,6 @@
         return [worker.incarnation for worker in workers]
 
 
-def _find_lasting_kind(spec: StepSpec) -> StepKind | None:
-    """Return the kind of a long-running step that limits its tasks on a worker."""
-    if not spec.long_running or not spec.most_per_worker:
-        return None
-    return StepKind("", spec.count, spec.most_per_worker)
-
-
-def _find_gang_kind(spec: StepSpec) -> StepKind | None:
-    """Return the kind of a gang that may run on any machine that joins the pool."""
-    if spec.long_running or not spec.gang or spec.label:
-        return None
-    return _make_gang_kind(spec)
-
-
 def _make_gang_kind(spec: StepSpec) -> StepKind:
     return StepKind(spec.label, spec.count, spec.most_per_worker, spec.reserved)
 
