--- a/jujubebarrow/coordinators/job_demands.py
+++ b/jujubebarrow/coordinators/job_demands.py
@@ -5,10 +5,7 @@
 from jujubebarrow.coordinators.pool_states import PoolState
 from jujubebarrow.coordinators.worker_views import WorkerView
 from jujubebarrow.placements.job_orders import LATE_VALUE_SHARE, JobOrder
-from jujubebarrow.placements.step_kinds import StepKind
 from jujubebarrow.workloads.identifiers import WorkerIncarnation
-from jujubebarrow.workloads.resources import Resources
-from jujubebarrow.workloads.step_specs import StepSpec
 
 RANK_GROUP_WEIGHTS = (1.0, 1.0, LATE_VALUE_SHARE, 0.0)
 """Factor of a job's requests in the demand, by the group of the job's rank."""
@@ -46,11 +43,10 @@
         of a job are weighted by its remaining value: a late backlog must not keep
         machines from a pool whose callers can still be served in time.
         """
-        jobs = self._state.list_open_jobs()
         requested = sum(
             RANK_GROUP_WEIGHTS[self._order.rank(job, now).group]
             * self._sum_requested_cpu(job)
-            for job in jobs
+            for job in self._state.list_open_jobs()
         )
         long_running_cpu = sum(
             run.reserved.cpu
@@ -62,34 +58,33 @@
             long_running_cpu + 1000 * self._arrivals.compute_required_cores(now)
         )
         return max(
-            round(requested), round(arrival_demand), self._compute_spread_demand(jobs)
+            round(requested), round(arrival_demand), self._compute_spread_demand()
         )
 
     def count_backlog(self) -> int:
         """Return the unweighted requests of startable and running tasks.
 
-        It is at least the capacity that gangs need to spread their tasks: for a gang, a
-        pool gets machines that no other pool needs. The unit is thousandths of a core.
+        The unit is thousandths of a core.
         """
-        jobs = self._state.list_open_jobs()
-        requested = sum(map(self._sum_requested_cpu, jobs))
-        return max(requested, self._compute_gang_demand(jobs))
+        return sum(map(self._sum_requested_cpu, self._state.list_open_jobs()))
 
     def _sum_requested_cpu(self, job: JobProgress) -> int:
         running = sum(run.reserved.cpu for run in job.active_runs())
         return job.sum_waiting_cpu() + running
 
-    def _compute_spread_demand(self, jobs: list[JobProgress]) -> int:
+    def _compute_spread_demand(self) -> int:
         """Return the capacity that long-running steps need to spread their tasks.
 
         Returns:
             Thousandths of a core; 0 if the pool has enough workers or none.
         """
-        workers = self._list_responsive()
+        workers = [
+            worker
+            for worker in self._state.workers.values()
+            if worker.entry is not None and not worker.unresponsive_since
+        ]
         needed_workers = 0
-        for job in jobs:
-            if not job.has_spread_steps:
-                continue
+        for job in self._state.list_open_jobs():
             for _, _, step in job.startable_steps():
                 if step.spec.long_running and step.spec.most_per_worker:
                     step_workers = -(-step.spec.count // step.spec.most_per_worker)
@@ -99,76 +94,6 @@
         largest_cpu = max((worker.capacity.cpu for worker in workers), default=0)
         return needed_workers * largest_cpu
 
-    def _compute_gang_demand(self, jobs: list[JobProgress]) -> int:
-        """Return the capacity that gangs need to spread their tasks over workers.
-
-        A machine that joins the pool may lack the label that a gang requires, so that
-        none is asked for then.
-
-        Returns:
-            Thousandths of a core; 0 if the pool has enough workers or none.
-        """
-        workers = self._list_responsive()
-        kinds = {
-            _make_gang_kind(step.spec)
-            for job in jobs
-            if job.has_spread_steps
-            for _, _, step in job.startable_steps()
-            if step.spec.gang and not step.spec.long_running and not step.spec.label
-        }
-        missing = _count_missing(kinds, workers)
-        if not missing:
-            return 0
-        cores = [worker.capacity.cpu for worker in workers]
-        return sum(cores) + missing * max(cores)
-
-    def _list_responsive(self) -> list[WorkerView]:
-        """Return the registered workers that respond."""
-        return [
-            worker
-            for worker in self._state.workers.values()
-            if worker.entry is not None and not worker.unresponsive_since
-        ]
-
-    def find_lacking_labels(self) -> set[str]:
-        """Return the labels that startable steps require and too few workers have.
-
-        One worker is enough for a step that is no gang, whatever its tasks need.
-        """
-        gangs: dict[str, set[StepKind]] = {}
-        for job in self._state.list_open_jobs():
-            if not job.has_labels:
-                continue
-            for _, _, step in job.startable_steps():
-                if step.spec.label:
-                    kinds = gangs.setdefault(step.spec.label, set())
-                    if step.spec.gang:
-                        kinds.add(_make_gang_kind(step.spec))
-        return {label for label, kinds in gangs.items() if self._lacks(label, kinds)}
-
-    def _lacks(self, label: str, gangs: set[StepKind]) -> bool:
-        workers = self._list_workers_with(label)
-        return not workers or _count_missing(gangs, workers) > 0
-
-    def find_scarce_labels(self) -> set[str]:
-        """Return the labels that open jobs require and only one worker has."""
-        required = {
-            step.spec.label
-            for job in self._state.list_open_jobs()
-            if job.has_labels
-            for _, _, step in job.steps()
-            if step.spec.label and not step.is_done
-        }
-        return {label for label in required if len(self._list_workers_with(label)) <= 1}
-
-    def _list_workers_with(self, label: str) -> list[WorkerView]:
-        """Return the registered workers that have a label."""
-        return [
-            worker
-            for worker in self._state.workers.values()
-            if worker.entry is not None and label in worker.entry.labels
-        ]
-
     def count_pending(self) -> dict[str, int]:
         """Return the number of unfinished jobs without a started task, by queue."""
         pending: dict[str, int] = {}
@@ -191,25 +116,3 @@
         workers = [w for w in self._state.workers.values() if w.is_available]
         workers.sort(key=lambda w: (w.score.is_paused(now), -w.free.cpu))
         return [worker.incarnation for worker in workers]
-
-
-def _make_gang_kind(spec: StepSpec) -> StepKind:
-    return StepKind(spec.label, spec.count, spec.most_per_worker, spec.reserved)
-
-
-def _count_missing(kinds: set[StepKind], workers: list[WorkerView]) -> int:
-    """Return how many workers the kind lacks that lacks most.
-
-    Most kinds fit on the smallest workers, which takes no look at each worker.
-    """
-    if not kinds or not workers:
-        return 0
-    capacities = [worker.capacity for worker in workers]
-    smallest = Resources(*map(min, zip(*capacities, strict=True)))
-    return max(
-        kind.count_missing(workers)
-        if kind.count_fitting(smallest) * len(workers) < kind.count
-        and not kind.is_served(workers)
-        else 0
-        for kind in kinds
-    )
--- a/jujubebarrow/coordinators/job_progresses.py
+++ b/jujubebarrow/coordinators/job_progresses.py
@@ -47,9 +47,6 @@
         objective: Time in seconds from its acceptance in which the job should complete.
         estimated_work: Estimated work of one occurrence in core-seconds.
         is_long_running: Whether a step runs until the job is cancelled.
-        has_spread_steps: Whether the tasks of a step run at the same time, so that they
-            may need several workers.
-        has_labels: Whether a step requires a label.
         has_started_tasks: Whether a worker has acknowledged the start of a task or has
             listed a run; a planned run need not have started.
         held_until: Time in seconds until which the job's progress is not stored, since
@@ -63,8 +60,6 @@
         self.objective = record.objective
         self.estimated_work = record.estimated_work
         self.is_long_running = record.is_long_running
-        self.has_spread_steps = any(step.starts_together for step in record.steps)
-        self.has_labels = any(step.label for step in record.steps)
         self.phase = JobPhase.QUEUED
         self.stored_phase: JobPhase | None = None
         self.has_started_tasks = False
--- a/jujubebarrow/placements/step_kinds.py
+++ b/jujubebarrow/placements/step_kinds.py
@@ -42,16 +42,6 @@
                 return True
         return False
 
-    def count_missing(self, workers: Iterable[WorkerView]) -> int:
-        """Return how many workers a step lacks on workers if they were empty.
-
-        Those that are missing are taken to be like the best of the workers. If none of
-        these has a place, what the step lacks is not known, and 0 is returned.
-        """
-        places = list(map(self.count_places, workers))
-        most = max(places, default=0)
-        return max(0, -((sum(places) - self.count) // most)) if most else 0
-
     def count_spare(self, places: list[int]) -> int:
         """Return how many workers that have places may be away at a time.
 
--- a/jujubebarrow/pools/pool_loads.py
+++ b/jujubebarrow/pools/pool_loads.py
@@ -25,8 +25,6 @@
             standby pool, whose other numbers are 0, the number of such machines.
         is_standby: Whether the pool's machines are switched off and cost nothing.
         is_used: Whether the pool has had jobs lately; other pools only lend.
-        wanted_labels: Labels that steps wait for and too few workers of the pool have.
-        offered_labels: Labels that other pools want and one of the movable has.
     """
 
     pool: PoolId
@@ -38,8 +36,6 @@
     recent_demand: int = 0
     is_standby: bool = False
     is_used: bool = True
-    wanted_labels: tuple[str, ...] = ()
-    offered_labels: tuple[str, ...] = ()
 
     @property
     def machine_size(self) -> float:
@@ -48,7 +44,7 @@
 
     def to_document(self) -> dict[str, Any]:
         """Return the document to store."""
-        document: dict[str, Any] = {
+        return {
             "demand": self.demand,
             "capacity": self.capacity,
             "machines": self.machines,
@@ -58,11 +54,6 @@
             "standby": self.is_standby,
             "used": self.is_used,
         }
-        if self.wanted_labels:
-            document["wanted"] = list(self.wanted_labels)
-        if self.offered_labels:
-            document["offered"] = list(self.offered_labels)
-        return document
 
     @classmethod
     def from_document(cls, pool: PoolId, document: dict[str, Any]) -> "PoolLoad":
@@ -82,8 +73,6 @@
             "recent_demand": document.get("recent", 0),
             "is_standby": document["standby"],
             "is_used": document.get("used", True),
-            "wanted_labels": document.get("wanted", ()),
-            "offered_labels": document.get("offered", ()),
         }
         return convert(fields, cls)
 
@@ -93,7 +82,11 @@
         Args:
             other: Load that was reported last.
         """
-        if self._get_states() != other._get_states():
+        if (self.machines, self.movable, self.is_used) != (
+            other.machines,
+            other.movable,
+            other.is_used,
+        ):
             return True
         step = max(1, self.capacity // REPORT_STEP_COUNT)
         return (
@@ -101,16 +94,6 @@
             or abs(self.backlog - other.backlog) > step
         )
 
-    def _get_states(self) -> tuple[Any, ...]:
-        """Return what is reported at each change."""
-        return (
-            self.machines,
-            self.movable,
-            self.is_used,
-            self.wanted_labels,
-            self.offered_labels,
-        )
-
 
 REPORT_STEP_COUNT = 10
 """A changed demand or backlog is reported if the difference is more than the pool's
--- a/jujubebarrow/runtimes/move_controllers.py
+++ b/jujubebarrow/runtimes/move_controllers.py
@@ -20,7 +20,6 @@
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.pools.pool_loads import PoolLoad
 from jujubebarrow.pools.surplus_planners import plan_moves
-from jujubebarrow.runtimes.label_moves import LabelMoves
 from jujubebarrow.runtimes.load_registries import MOVES_PER_CLAIM_LIMIT, LoadRegistry
 from jujubebarrow.runtimes.order_gates import OrderGate
 from jujubebarrow.runtimes.owner_hooks import OwnerHooks
@@ -104,7 +103,6 @@
         self._clock = clock
         self._log = log
         self._metrics = metrics
-        self._label_moves = LabelMoves(coordinator, clock)
         self._written_load: PoolLoad | None = None
         self._load_written_at = float("-inf")
         # Times of measurement and demands of the last seconds.
@@ -177,11 +175,9 @@
         self._log_shortage(load, moves, incoming.get(self._pool, 0))
         if not self._hooks.can_order_machines():
             return
-        label_moves = self._label_moves.choose(loads)
         if self._is_standby:
-            await self._move_spare_machines(targets, label_moves)
+            await self._move_spare_machines(targets)
             return
-        self._drain_labelled_workers(label_moves)
         await self._move_workers(targets)
         sources = [source for source, target in moves if target == self._pool]
         await self._take_spare_machines([s for s in sources if loads[s].is_standby])
@@ -250,10 +246,6 @@
                 machines=0,
                 movable=len(self._spare_machines),
                 is_standby=True,
-                offered_labels=self._label_moves.find_offered(
-                    self._load_registry.loads,
-                    [machine.labels for machine in self._spare_machines],
-                ),
             )
         workers = [worker for worker in self._list_workers() if not worker.is_cordoned]
         now = self._clock.monotonic()
@@ -261,7 +253,6 @@
         self._recent_demands.append((now, demand))
         while now - self._recent_demands[0][0] > RECENT_SECONDS:
             self._recent_demands.popleft()
-        movable = self._find_movable()
         return PoolLoad(
             pool=self._pool,
             backlog=self._coordinator.demand.count_backlog(),
@@ -269,12 +260,8 @@
             recent_demand=max(demand for _, demand in self._recent_demands),
             capacity=sum(worker.capacity.cpu for worker in workers),
             machines=len(workers),
-            movable=len(movable),
+            movable=len(self._find_movable()),
             is_used=bool(self._coordinator.state.jobs),
-            wanted_labels=self._label_moves.find_wanted(),
-            offered_labels=self._label_moves.find_offered(
-                self._load_registry.loads, [worker.labels for worker in movable]
-            ),
         )
 
     def _list_workers(self) -> list[WorkerView]:
@@ -376,47 +363,13 @@
         )
         await self._move([(machine, self._pool) for machine in machines])
 
-    async def _move_spare_machines(
-        self, targets: list[PoolId], label_moves: list[tuple[PoolId, str]]
-    ) -> None:
-        """Move standby machines.
-
-        Args:
-            targets: Pool that each machine moves to.
-            label_moves: Pool and required label of further machines.
-        """
-        moves = []
-        for target, label in label_moves:
-            machine = next((m for m in self._spare_machines if label in m.labels), None)
-            if machine is not None:
-                self._spare_machines.remove(machine)
-                if not self._is_under_maintenance(machine.machine):
-                    moves.append((machine, target))
-                    self._log_label_move(machine.worker, target, label)
+    async def _move_spare_machines(self, targets: list[PoolId]) -> None:
         machines = []
         while self._spare_machines and len(machines) < len(targets):
             machine = self._spare_machines.pop()
             if not self._is_under_maintenance(machine.machine):
                 machines.append(machine)
-        await self._move(moves + list(zip(machines, targets, strict=False)))
-
-    def _drain_labelled_workers(self, label_moves: list[tuple[PoolId, str]]) -> None:
-        """Begin to move a worker with each label to the pool that lacks it."""
-        for target, label in label_moves:
-            for worker in self._find_movable():
-                if worker.has_label(label):
-                    self._log_label_move(worker.worker, target, label)
-                    self._begin_move(worker, target)
-                    break
-
-    def _log_label_move(self, worker: WorkerId, target: PoolId, label: str) -> None:
-        self._log.write(
-            "machine_lent_for_label",
-            pool=self._pool,
-            worker=worker,
-            target=target,
-            label=label,
-        )
+        await self._move(list(zip(machines, targets, strict=False)))
 
     async def _move_workers(self, targets: list[PoolId]) -> None:
         now = self._clock.monotonic()
@@ -426,7 +379,11 @@
                 requested.remove(target)
         movable = self._find_movable()
         for worker, target in zip(movable, requested, strict=False):
-            self._begin_move(worker, target)
+            worker.is_cordoned = True
+            self._pending_moves[worker.worker] = (target, now)
+            if not self._worker_ids.is_decided:
+                worker.needs_contact = True
+                self._hooks.on_change()
         if self._pending_moves:
             await self._refresh_machines()
         ready = self._list_ready_moves(now)
@@ -438,14 +395,6 @@
             elif outcome is not None and not self._may_move_late(worker):
                 self._cancel_move(worker)
 
-    def _begin_move(self, worker: WorkerView, target: PoolId) -> None:
-        """Keep a worker from new tasks, so that its machine can move."""
-        worker.is_cordoned = True
-        self._pending_moves[worker.worker] = (target, self._clock.monotonic())
-        if not self._worker_ids.is_decided:
-            worker.needs_contact = True
-            self._hooks.on_change()
-
     def _list_ready_moves(self, now: float) -> list[tuple[WorkerView, Machine, PoolId]]:
         """Return the pending moves of drained workers; cancel overdue moves."""
         ready = []
