--- a/jujubebarrow/placements/drain_limits.py
+++ b/jujubebarrow/placements/drain_limits.py
@@ -1,17 +1,59 @@
 """Limit on how many workers drains may keep from new tasks."""
 
 from collections.abc import Callable, Iterable
+from typing import NamedTuple
 
 from jujubebarrow.coordinators.worker_views import WorkerView
-from jujubebarrow.placements.step_kinds import StepKind
 from jujubebarrow.workloads.identifiers import WorkerId
-from jujubebarrow.workloads.resources import Resources
+from jujubebarrow.workloads.resources import NO_RESOURCES, Resources
 from jujubebarrow.workloads.step_specs import StepSpec
 
 MEMORY_SECONDS = 60.0
 """Time for which a kind of step counts after the last step of that kind."""
 
 
+class StepKind(NamedTuple):
+    """What the steps of a kind ask of the workers.
+
+    Attributes:
+        label: Label that the workers must have; empty if any worker will do.
+        count: Number of tasks that have to start together.
+        most_per_worker: Maximum number of a step's tasks on one worker; 0 for no limit.
+        reserved: Resources of one task.
+    """
+
+    label: str = ""
+    count: int = 1
+    most_per_worker: int = 0
+    reserved: Resources = NO_RESOURCES
+
+    def count_places(self, worker: WorkerView) -> int:
+        """Return how many tasks fit on a worker if it were empty, at most `count`."""
+        if not worker.has_label(self.label):
+            return 0
+        limit = min(self.count, self.most_per_worker or self.count)
+        return self.reserved.count_fitting(worker.capacity, limit)
+
+    def is_served(self, workers: Iterable[WorkerView]) -> bool:
+        """Return whether a step fits on workers if they were empty."""
+        places = 0
+        for worker in workers:
+            places += self.count_places(worker)
+            if places >= self.count:
+                return True
+        return False
+
+    def count_spare(self, workers: Iterable[WorkerView]) -> int:
+        """Return how many of the workers that have places may be away at a time."""
+        places = sorted(filter(None, map(self.count_places, workers)), reverse=True)
+        total = 0
+        for number, count in enumerate(places):
+            total += count
+            if total >= self.count:
+                return len(places) - number - 1
+        return 0
+
+
 ANY_KIND = StepKind()
 """Kind of a step that any worker can serve."""
 
@@ -92,29 +134,11 @@
                 in maintenance at the same time, has to be drained from now on.
         """
         urgent: set[WorkerId] = set()
-        rows = [(worker.worker, worker.labels, worker.capacity) for worker in waiting]
-        member_rows = [(worker.labels, worker.capacity) for worker in members]
-        capacities = {capacity for *_, capacity in [*rows, *member_rows]}
         for kind in self._kinds:
-            label = kind.label
-            # There are many kinds and workers, but few capacities.
-            fitting = {
-                capacity: kind.count_fitting(capacity) for capacity in capacities
-            }
-            suited = [
-                worker
-                for worker, labels, capacity in rows
-                if fitting[capacity] and (not label or label in labels)
-            ]
+            suited = [worker for worker in waiting if kind.count_places(worker)]
             if not suited:
                 continue
-            spare_count = kind.count_spare(
-                [
-                    fitting[capacity]
-                    for labels, capacity in member_rows
-                    if fitting[capacity] and (not label or label in labels)
-                ]
-            )
+            spare_count = kind.count_spare(members)
             if spare_count and is_urgent(len(suited), spare_count):
-                urgent.update(suited)
+                urgent.update(worker.worker for worker in suited)
         return urgent
--- a/jujubebarrow/runtimes/wave_claims.py
+++ b/jujubebarrow/runtimes/wave_claims.py
@@ -22,7 +22,7 @@
     WaveRecord,
 )
 from jujubebarrow.placements.drain_limits import DrainLimit
-from jujubebarrow.workloads.identifiers import MachineId, StepKey, WorkerId
+from jujubebarrow.workloads.identifiers import MachineId, StepKey
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,9 +107,21 @@
         """
         waiting = set(record.waiting)
         absences: dict[StepKey, int] = {}
-        loads, blocked_count = self._measure_waiting(
-            wave.wave, waiting, pool_machines, absences
-        )
+        loads = {
+            name: self._measure_load(machine, absences)
+            for name, machine in pool_machines.items()
+            if name in waiting
+            and machine.state is MachineState.UP
+            and not self._is_cordoned(machine)
+            and self._can_order(name)
+        }
+        blocked = {
+            name
+            for name in loads
+            if not self._may_be_emptied((wave.wave, name), pool_machines[name])
+        }
+        for name in blocked:
+            del loads[name]
         states = {name: record.machines[name].state for name in pool_machines}
         draining = [
             self._measure_load(machine, absences)
@@ -125,8 +137,17 @@
         usage_ratio = _compute_cpu_usage_ratio(pool.members)
         if loads:
             self._record_steps()
-        urgent_workers = self._find_urgent_workers(
-            [pool_machines[name] for name in loads], pool.members, remaining
+        waiting_workers = [
+            worker
+            for name in loads
+            if (worker := self._find_worker(pool_machines[name])) is not None
+        ]
+        urgent_workers = self._limit.find_urgent(
+            waiting_workers,
+            pool.members,
+            lambda count, spare: is_wave_urgent(
+                count, spare, remaining, self._downtime
+            ),
         )
         deferred: set[MachineId] = set()
         claimed: list[MachineId] = []
@@ -174,7 +195,7 @@
         self._log_waits(
             wave.wave,
             {
-                "blocked": blocked_count,
+                "blocked": len(blocked),
                 "absences": sum(
                     not step_drains.admits(load) for load in loads.values()
                 ),
@@ -183,65 +204,6 @@
         )
         return claimed
 
-    def _measure_waiting(
-        self,
-        wave: int,
-        waiting: set[MachineId],
-        pool_machines: dict[MachineId, Machine],
-        absences: dict[StepKey, int],
-    ) -> tuple[dict[MachineId, MachineLoad], int]:
-        """Return the loads of the machines that may be claimed.
-
-        Args:
-            wave: Id of the wave.
-            waiting: Machines of the wave that are not drained yet.
-            pool_machines: Machines of the wave that belong to the pool.
-            absences: Absent tasks of the steps that have been counted; updated.
-
-        Returns:
-            Load by machine, and the number of machines that are left out because they
-            can't be emptied now.
-        """
-        loads = {}
-        blocked_count = 0
-        for name, machine in pool_machines.items():
-            if (
-                name not in waiting
-                or machine.state is not MachineState.UP
-                or self._is_cordoned(machine)
-                or not self._can_order(name)
-            ):
-                continue
-            if self._may_be_emptied((wave, name), machine):
-                loads[name] = self._measure_load(machine, absences)
-            else:
-                blocked_count += 1
-        return loads, blocked_count
-
-    def _find_urgent_workers(
-        self, machines: list[Machine], members: list[WorkerView], remaining: float
-    ) -> set[WorkerId]:
-        """Return the workers that have to be drained although the pool is busy.
-
-        Args:
-            machines: Machines that may be claimed.
-            members: Registered workers of the pool.
-            remaining: Time in seconds until the maintenance of every machine must have
-                begun.
-        """
-        workers = [
-            worker
-            for machine in machines
-            if (worker := self._find_worker(machine)) is not None
-        ]
-        return self._limit.find_urgent(
-            workers,
-            members,
-            lambda count, spare: is_wave_urgent(
-                count, spare, remaining, self._downtime
-            ),
-        )
-
     def _log_waits(self, wave: int, counts: dict[str, int]) -> None:
         """Log how many machines wait for what, whenever that changes."""
         if counts != self._waits.get(wave, dict.fromkeys(counts, 0)):
