Log which former starts a waiting task waits for, and until when

A task that waits for a worker which may still execute a former start wrote no line: tasks_wait is written for planned steps only, and late_start_possible has the recorded end, which the lease of an unreached worker prolongs.

--- a/jujubebarrow/coordinators/late_start_waits.py
+++ b/jujubebarrow/coordinators/late_start_waits.py
@@ -81,9 +81,7 @@
             now: Time in seconds.
         """
         worker = self._state.workers.get(name)
-        if worker is not None and not worker.has_seen_token:
-            end = max(end, self._find_lease_end(worker, end))
-        if now >= end:
+        if now >= self._find_end(name, end):
             return False
         if not is_absence_limited:
             return True
@@ -95,6 +93,24 @@
             or now - (worker.last_contact_at or 0.0) > CONTACT_SECONDS
         )
 
+    def find_ends(self, task: TaskState, now: float) -> dict[WorkerId, float]:
+        """Return the workers that may execute a start of a task or its run.
+
+        Returns:
+            Times in seconds until which they may.
+        """
+        ends = {
+            name: self._find_end(name, end) for name, end in task.late_starts.items()
+        }
+        return {name: end for name, end in ends.items() if end > now}
+
+    def _find_end(self, name: WorkerId, end: float) -> float:
+        """Return until when a worker may execute a start or the run that it began."""
+        worker = self._state.workers.get(name)
+        if worker is None or worker.has_seen_token:
+            return end
+        return max(end, self._find_lease_end(worker, end))
+
     def _find_lease_end(self, worker: WorkerView, end: float) -> float:
         """Return until when an unreached worker may run what it has started late.
 
--- a/jujubebarrow/coordinators/planners.py
+++ b/jujubebarrow/coordinators/planners.py
@@ -238,7 +238,7 @@
         waiting = [
             index
             for index in job.list_recordable(step, self._state.options.row_limit)
-            if not self._is_delayed(job, step, step.tasks[index], now)
+            if not self._is_delayed(job, position, step, step.tasks[index], now)
         ]
         waiting.sort(key=lambda index: step.tasks[index].is_suspect)
         for placed_count, index in enumerate(waiting):
@@ -324,7 +324,12 @@
         return worker, None
 
     def _is_delayed(
-        self, job: JobProgress, step: StepState, task: TaskState, now: float
+        self,
+        job: JobProgress,
+        position: tuple[int, int],
+        step: StepState,
+        task: TaskState,
+        now: float,
     ) -> bool:
         """Return whether a task must not start yet."""
         if now < task.blocked_until:
@@ -333,11 +338,41 @@
             # The result tells whether the start may be executed late.
             return True
         if self._late_start_wait.must_wait(job, step, task, now):
+            self._record_late_start_wait(job, position, step, task, now)
             return True
         if not task.losses:
             return False
         return self._compute_wait(task, now) < step.compute_restart_delay(task)
 
+    def _record_late_start_wait(
+        self,
+        job: JobProgress,
+        position: tuple[int, int],
+        step: StepState,
+        task: TaskState,
+        now: float,
+    ) -> None:
+        def describe() -> dict[str, Any]:
+            ends = self._late_start_wait.find_ends(task, now)
+            workers = self._state.workers
+            registered = [
+                name
+                for name in ends
+                if name in workers and workers[name].entry is not None
+            ]
+            return {
+                "pool": self._state.pool,
+                "task": step.tasks.index(task),
+                "until": {name: round(end, 3) for name, end in ends.items()},
+                "registered": registered,
+                "unresponsive": [
+                    name for name in registered if workers[name].unresponsive_since
+                ],
+            }
+
+        key = (job.record.job, *position)
+        self._waits.record(key, WaitReason.LATE_START, now, describe)
+
     def _choose_worker(
         self,
         step: StepState,
@@ -441,7 +476,7 @@
         indexes = step.waiting
         if len(indexes) < len(step.tasks):
             return []
-        if any(self._is_delayed(job, step, task, now) for task in step.tasks):
+        if any(self._is_delayed(job, position, step, task, now) for task in step.tasks):
             return []
         key = (job.record.job, *position)
         workers = [
--- a/jujubebarrow/coordinators/wait_recorders.py
+++ b/jujubebarrow/coordinators/wait_recorders.py
@@ -1,9 +1,10 @@
-"""Log lines that tell what the tasks of long-running jobs wait for."""
+"""Log lines that tell what tasks wait for."""
 
 from collections.abc import Callable
 from enum import Enum
 from typing import Any
 
+from jujubebarrow.coordinators.late_start_records import StepKey
 from jujubebarrow.identifiers import JobId
 from jujubebarrow.logs.decision_logs import DecisionLog
 
@@ -17,15 +18,17 @@
 
     Attributes:
         GRANT: A part of the team's upper limit that is granted to the pool.
+        LATE_START: The time after which no worker can execute a former start.
         WORKER: A worker that accepts the step's tasks and has free capacity.
     """
 
     GRANT = "grant"
+    LATE_START = "late-start"
     WORKER = "worker"
 
 
 class WaitRecorder:
-    """Writes a line for each step that waits, after two seconds and each doubling.
+    """Writes a line for each wait of a step, after two seconds and each doubling.
 
     Args:
         log: Decision log.
@@ -34,11 +37,11 @@
     def __init__(self, log: DecisionLog):
         self._log = log
         # When each step began to wait, and the next age at which a line is due.
-        self._waits: dict[tuple[JobId, int, int], tuple[float, float]] = {}
+        self._waits: dict[tuple[StepKey, WaitReason], tuple[float, float]] = {}
 
     def record(
         self,
-        step: tuple[JobId, int, int],
+        step: StepKey,
         reason: WaitReason,
         now: float,
         describe: Callable[[], dict[str, Any]],
@@ -52,11 +55,12 @@
             describe: Returns the fields that explain the reason; only called if a line
                 is due.
         """
-        since, due_age = self._waits.setdefault(step, (now, FIRST_LINE_SECONDS))
+        key = (step, reason)
+        since, due_age = self._waits.setdefault(key, (now, FIRST_LINE_SECONDS))
         age = now - since
         if age < due_age:
             return
-        self._waits[step] = (since, 2 * due_age)
+        self._waits[key] = (since, 2 * due_age)
         job, occurrence, number = step
         self._log.write(
             "tasks_wait",
@@ -67,11 +71,12 @@
             **describe(),
         )
 
-    def clear(self, step: tuple[JobId, int, int]) -> None:
+    def clear(self, step: StepKey) -> None:
         """Record that no task of a step waits any more."""
-        self._waits.pop(step, None)
+        for reason in WaitReason:
+            self._waits.pop((step, reason), None)
 
     def remove_job(self, job: JobId) -> None:
         """Remove the steps of a closed job."""
-        for step in [step for step in self._waits if step[0] == job]:
-            del self._waits[step]
+        for key in [key for key in self._waits if key[0][0] == job]:
+            del self._waits[key]
--- a/jujubebarrow/tests/test_lasting_late_starts.py
+++ b/jujubebarrow/tests/test_lasting_late_starts.py
@@ -13,6 +13,7 @@
 from jujubebarrow.coordinators.pool_coordinators import PoolCoordinator
 from jujubebarrow.coordinators.pool_states import TAKEOVER_SECONDS
 from jujubebarrow.coordinators.task_states import DELAYED_CRASH_COUNT
+from jujubebarrow.coordinators.wait_recorders import FIRST_LINE_SECONDS
 from jujubebarrow.identifiers import ZoneId
 from jujubebarrow.tests.fakes.fake_documents import ListLog
 from jujubebarrow.tests.fakes.job_clusters import POOL
@@ -228,3 +229,15 @@
         [line] = [each for each in self.log.lines if "late_start" in each["event"]]
         self.assertEqual((line["worker"], line["reached"]), (FORMER, True))
         self.assertEqual(line["until"], LATE_START_END)
+
+    async def test_wait_for_a_late_start_is_logged_with_the_end_in_force(self) -> None:
+        self.end_run()
+        self.coordinator.handle_deregistration(FORMER)
+        view = self.coordinator.state.workers[FORMER]
+        view.replace_token(self.coordinator.state.issue_token())
+        self.plan(NOW + 1.0)
+        self.plan(NOW + 1.0 + FIRST_LINE_SECONDS)
+        [line] = [each for each in self.log.lines if each["event"] == "tasks_wait"]
+        self.assertEqual((line["lacks"], line["task"]), ("late-start", 0))
+        self.assertGreater(line["until"][FORMER], LATE_START_END)
+        self.assertEqual(line["registered"], [])
