--- a/jujubebarrow/tests/fakes/fake_machines.py
+++ b/jujubebarrow/tests/fakes/fake_machines.py
@@ -7,6 +7,7 @@
 from jujubebarrow.gateways.machine_controls import (
     Machine,
     MachineControl,
+    MachineControlError,
     MachineOrderOutcome,
     MachineState,
 )
@@ -20,15 +21,22 @@
     from jujubebarrow.tests.fakes.job_clusters import JobCluster
 
 STANDBY = PoolId("off")
+MOVE_SECONDS = 1.5
+REGISTRATION_SECONDS = 4.3
+"""Time for which the registration of a worker that has ended stays."""
 
 
 class FakeMachines(MachineControl):
-    """Machines named after their workers; maintenance and moves restart the worker.
+    """Machines named after their first workers.
 
-    Orders with a lower token than an earlier order for the machine are fenced.
+    Maintenance restarts the worker, as does a move unless workers are renamed. Orders
+    with a lower token than an earlier order for the machine are fenced.
 
     Attributes:
         other_machines: Machines in the list that run none of the cluster's workers.
+        renames_workers: Whether a machine that is moved gets a worker with another id,
+            while the registration of the former one stays for some time.
+        loses_move_answers: Whether moves are executed without an answer.
     """
 
     def __init__(self, cluster: "JobCluster"):
@@ -41,23 +49,41 @@
         self.killed_run_count = 0
         self.rejected_order_count = 0
         self.other_machines: list[Machine] = []
+        self.renames_workers = False
+        self.loses_move_answers = False
+        self._targets: dict[MachineId, PoolId] = {}
 
     async def list_machines(self) -> list[Machine]:
         await sleep(0.01)
         return self.other_machines + [
-            Machine(
-                machine=MachineId(f"m-{name}"),
-                pool=worker.pool,
-                state=(
-                    MachineState.MAINTENANCE if name in self.down else MachineState.UP
-                ),
-                zone=ZoneId("z"),
-                labels=worker.labels,
-                worker=name if self._cluster.is_registered(name) else WorkerId(""),
-            )
-            for name, worker in self._cluster.workers.items()
+            self._describe(machine, name)
+            for machine, name in self._find_present_workers().items()
         ]
 
+    def _describe(self, machine: MachineId, name: WorkerId) -> Machine:
+        worker = self._cluster.workers[name]
+        state = MachineState.MAINTENANCE if name in self.down else MachineState.UP
+        if machine in self._targets:
+            state = MachineState.MOVING
+        is_present = state is not MachineState.MOVING and (
+            self._cluster.is_registered(name)
+        )
+        return Machine(
+            machine=machine,
+            pool=self._targets.get(machine, worker.pool),
+            state=state,
+            zone=ZoneId("z"),
+            labels=worker.labels,
+            worker=name if is_present else WorkerId(""),
+        )
+
+    def _find_present_workers(self) -> dict[MachineId, WorkerId]:
+        """Return the last worker of each machine."""
+        return {
+            MachineId(f"m-{name.partition('.')[0]}"): name
+            for name in self._cluster.workers
+        }
+
     async def move(
         self, machine: MachineId, pool: PoolId, token: int
     ) -> MachineOrderOutcome:
@@ -66,18 +92,38 @@
             self.rejected_order_count += 1
             return MachineOrderOutcome.FENCED
         self.tokens[machine] = token
-        name = WorkerId(machine.removeprefix("m-"))
+        name = self._find_present_workers()[machine]
         worker = self._cluster.workers[name]
-        if worker.pool == pool:
+        if self._targets.get(machine, worker.pool) == pool:
             return MachineOrderOutcome.DONE
+        if machine in self._targets:
+            return MachineOrderOutcome.BUSY
         self.moves.append((machine, worker.pool, pool))
         self.killed_run_count += len(worker.running)
         worker.crash()
-        worker.pool = pool
-        self._cluster.unregister_worker(name)
-        get_running_loop().call_later(1.5, self._restart, name)
+        loop = get_running_loop()
+        if self.renames_workers:
+            self._targets[machine] = pool
+            loop.call_later(REGISTRATION_SECONDS, self._cluster.unregister_worker, name)
+            loop.call_later(MOVE_SECONDS, self._join, machine, name)
+        else:
+            worker.pool = pool
+            self._cluster.unregister_worker(name)
+            loop.call_later(MOVE_SECONDS, self._restart, name)
+        if self.loses_move_answers:
+            raise MachineControlError("no answer")
         return MachineOrderOutcome.DONE
 
+    def _join(self, machine: MachineId, former: WorkerId) -> None:
+        """Let another worker join the pool that a machine was moved to."""
+        base, _, number = former.partition(".")
+        name = WorkerId(f"{base}.{int(number or 0) + 1}")
+        pool = self._targets.pop(machine)
+        self._cluster.add_worker(name, pool)
+        if pool == STANDBY:
+            self._cluster.workers[name].crash()
+            self._cluster.unregister_worker(name)
+
     async def maintain(
         self, machine: MachineId, wave: int, token: int
     ) -> MachineOrderOutcome:
@@ -86,7 +132,7 @@
             self.rejected_order_count += 1
             return MachineOrderOutcome.FENCED
         self.tokens[machine] = token
-        name = WorkerId(machine.removeprefix("m-"))
+        name = self._find_present_workers()[machine]
         if (machine, wave) in self.maintenance_orders:
             return MachineOrderOutcome.DONE
         self.maintenance_orders.append((machine, wave))
--- a/jujubebarrow/tests/fakes/job_clusters.py
+++ b/jujubebarrow/tests/fakes/job_clusters.py
@@ -324,11 +324,11 @@
             STANDBY: PoolSpec(pool=STANDBY, is_standby=True),
         }
         for number in range(workers):
-            self._add_worker(WorkerId(f"w{number}"), POOL)
+            self.add_worker(WorkerId(f"w{number}"), POOL)
         if others:
             self._pools[OTHER_POOL] = PoolSpec(pool=OTHER_POOL)
         for number in range(others):
-            self._add_worker(WorkerId(f"o{number}"), OTHER_POOL)
+            self.add_worker(WorkerId(f"o{number}"), OTHER_POOL)
         for number in range(workers, workers + standby):
             name = WorkerId(f"w{number}")
             self.workers[name] = EmulatedWorker(
@@ -344,7 +344,17 @@
         self.write_fleet()
         self.instances = [Instance(self, f"n{number}") for number in range(instances)]
 
-    def _add_worker(self, name: WorkerId, pool: PoolId) -> None:
+    def _write(self, key: str, value: Any) -> None:
+        document = None
+        if value is not None:
+            name = f"o{len(self.reader.objects)}"
+            self.reader.objects[name] = value
+            document = {"object": name}
+        self.store.table.commit(Transaction(writes={key: document}, nonce="world"))
+        get_running_loop().create_task(self.store.table.notify())
+
+    def add_worker(self, name: WorkerId, pool: PoolId) -> None:
+        """Add a worker that registers in a pool."""
         self.workers[name] = EmulatedWorker(
             name,
             pool,
@@ -357,15 +367,6 @@
         self.workers[name].on_restarted = lambda: self.register_worker(name)
         self.register_worker(name)
 
-    def _write(self, key: str, value: Any) -> None:
-        document = None
-        if value is not None:
-            name = f"o{len(self.reader.objects)}"
-            self.reader.objects[name] = value
-            document = {"object": name}
-        self.store.table.commit(Transaction(writes={key: document}, nonce="world"))
-        get_running_loop().create_task(self.store.table.notify())
-
     def register_worker(self, name: WorkerId) -> None:
         entry = self.workers[name].entry
         self._registrations[name].append((get_running_loop().time(), entry))
