Let no task wait for a worker whose machine the owner has moved

Cause: the platform's answer to an order for a move says that everything on the machine has ended, and its next worker has another id. The move controller knew that; the waits for late starts did not. They went on until the start could not be executed any more, with the lease of an unreached worker on top as soon as the registration was gone, and a long-running task until the registration was gone.

The owner now notes the end of a worker when the order for its machine is answered and workers are known to get another id. Nothing waits for it, its state is removed with the next plan, and the registration that it leaves behind is ignored; a worker that starts again under its id is taken back.

--- a/jujubebarrow/coordinators/late_start_waits.py
+++ b/jujubebarrow/coordinators/late_start_waits.py
@@ -80,11 +80,11 @@
                 gives no response. No task counts as lost during such a fault.
             now: Time in seconds.
         """
-        worker = self._state.workers.get(name)
         if now >= self._find_end(name, end):
             return False
         if not is_absence_limited:
             return True
+        worker = self._state.workers.get(name)
         if worker is None or worker.entry is None:
             return False
         return (
@@ -105,7 +105,13 @@
         return {name: end for name, end in ends.items() if end > now}
 
     def _find_end(self, name: WorkerId, end: float) -> float:
-        """Return until when a worker may execute a start or the run that it began."""
+        """Return until when a worker may execute a start or the run that it began.
+
+        Returns:
+            Time in seconds; 0 if the worker has ended.
+        """
+        if name in self._state.ended_workers:
+            return 0.0
         worker = self._state.workers.get(name)
         if worker is None or worker.has_seen_token:
             return end
--- a/jujubebarrow/coordinators/planners.py
+++ b/jujubebarrow/coordinators/planners.py
@@ -514,7 +514,7 @@
         now: float,
     ) -> ActiveRun:
         task = step.tasks[key.index]
-        task.prune_late_starts(now)
+        task.prune_late_starts(now, self._state.ended_workers)
         run = ActiveRun(
             task=key,
             run=number,
--- a/jujubebarrow/coordinators/pool_coordinators.py
+++ b/jujubebarrow/coordinators/pool_coordinators.py
@@ -160,6 +160,8 @@
 
     def handle_registration(self, entry: WorkerEntry, now: float) -> None:
         """Handle the registration, or a changed registration, of a worker."""
+        if self.state.ended_workers.is_outdated(entry):
+            return
         worker = self.state.ensure_worker(entry.worker)
         worker.entry = entry
         worker.address = entry.address
@@ -191,6 +193,27 @@
         worker.entry = None
         self._log.write("worker_gone", worker=worker_id, runs=len(worker.runs))
 
+    def handle_worker_end(self, worker_id: WorkerId, reason: str) -> None:
+        """Handle that a worker has ended for good.
+
+        The next plan releases its runs. No task waits for it any more.
+
+        Args:
+            worker_id: Id of the worker, which no later worker gets.
+            reason: Evidence of the end, for the log.
+        """
+        if worker_id in self.state.ended_workers:
+            return
+        worker = self.state.workers.get(worker_id)
+        started_at_ms = worker.started_at_ms if worker is not None else 0
+        self.state.ended_workers.add(worker_id, started_at_ms)
+        self._log.write(
+            "worker_ended",
+            worker=worker_id,
+            reason=reason,
+            runs=len(worker.runs) if worker is not None else 0,
+        )
+
     def plan(
         self, now: float, wall: float, sendable_starts: float = inf
     ) -> list[ActiveRun]:
@@ -202,6 +225,7 @@
             sendable_starts: Number of starts that can be sent soon, in addition to
                 those of recorded runs.
         """
+        self._remove_ended_workers(now)
         for worker in list(self.state.workers.values()):
             worker.prune_unacknowledged_starts(now)
             self._check_worker(worker, now)
@@ -212,6 +236,19 @@
             run_limit -= self.state.count_planned_runs()
         return self._planner.plan(now, wall, run_limit)
 
+    def _remove_ended_workers(self, now: float) -> None:
+        """Remove the state of the workers that have ended, and release their runs."""
+        ended = [
+            name for name in self.state.workers if name in self.state.ended_workers
+        ]
+        for name in ended:
+            worker = self.state.workers[name]
+            for run in list(worker.runs.values()):
+                self._losses.record_loss(worker, run)
+                reason = "worker ended"
+                self._reconciler.record_unreported_end(worker, run, reason, now)
+            del self.state.workers[name]
+
     def _check_worker(self, worker: WorkerView, now: float) -> None:
         """Expire the runs of a lost worker and stop the runs of a draining worker.
 
--- a/jujubebarrow/coordinators/pool_states.py
+++ b/jujubebarrow/coordinators/pool_states.py
@@ -6,6 +6,7 @@
 
 from jujubebarrow.coordinators.active_runs import ActiveRun, RunStage
 from jujubebarrow.coordinators.coordinator_options import CoordinatorOptions
+from jujubebarrow.coordinators.ended_workers import EndedWorkers
 from jujubebarrow.coordinators.foreign_ends import ForeignEnd
 from jujubebarrow.coordinators.job_changes import FinishedRunRef, JobChange
 from jujubebarrow.coordinators.job_progresses import (
@@ -57,6 +58,7 @@
         self.jobs: dict[JobId, JobProgress] = {}
         self._open_jobs: dict[JobId, JobProgress] = {}
         self.workers: dict[WorkerId, WorkerView] = {}
+        self.ended_workers = EndedWorkers()
         self.grants = GrantRegistry()
         self.advice = AdviceRegistry()
         # Processor time in thousandths of a core reserved by each team's finite runs.
--- a/jujubebarrow/coordinators/reconcilers.py
+++ b/jujubebarrow/coordinators/reconcilers.py
@@ -388,6 +388,8 @@
     def _record_late_start(
         self, worker: WorkerView, run: ActiveRun, task: TaskState, end: float
     ) -> None:
+        if worker.worker in self._state.ended_workers:
+            return
         if not task.record_late_start(worker.worker, end):
             return
         self._log.write(
--- a/jujubebarrow/coordinators/task_states.py
+++ b/jujubebarrow/coordinators/task_states.py
@@ -1,5 +1,6 @@
 """State of one task."""
 
+from collections.abc import Container
 from dataclasses import dataclass, field
 
 from jujubebarrow.coordinators.active_runs import ActiveRun
@@ -79,10 +80,17 @@
             self.late_starts[worker] = end
         return is_later
 
-    def prune_late_starts(self, now: float) -> None:
-        """Drop the former starts that no worker can execute any more."""
+    def prune_late_starts(self, now: float, ended: Container[WorkerId]) -> None:
+        """Drop the former starts that no worker can execute any more.
+
+        Args:
+            now: Time in seconds.
+            ended: Workers that execute no order any more.
+        """
         self.late_starts = {
-            worker: end for worker, end in self.late_starts.items() if end > now
+            worker: end
+            for worker, end in self.late_starts.items()
+            if end > now and worker not in ended
         }
 
     def compute_restart_delay(self, is_long_running: bool) -> float:
--- a/jujubebarrow/runtimes/move_controllers.py
+++ b/jujubebarrow/runtimes/move_controllers.py
@@ -392,9 +392,16 @@
             outcome = outcomes.get(machine.machine)
             if outcome is MachineOrderOutcome.DONE:
                 self._remove_move(worker.worker)
+                self._handle_moved_worker(worker.worker)
             elif outcome is not None and not self._may_move_late(worker):
                 self._cancel_move(worker)
 
+    def _handle_moved_worker(self, worker: WorkerId) -> None:
+        """Handle that the order for its machine has ended a worker."""
+        if not self._worker_ids.may_keep_id:
+            self._coordinator.handle_worker_end(worker, "machine moved")
+            self._hooks.on_change()
+
     def _list_ready_moves(self, now: float) -> list[tuple[WorkerView, Machine, PoolId]]:
         """Return the pending moves of drained workers; cancel overdue moves."""
         ready = []
--- a/jujubebarrow/tests/test_lasting_late_starts.py
+++ b/jujubebarrow/tests/test_lasting_late_starts.py
@@ -241,3 +241,44 @@
         self.assertEqual((line["lacks"], line["task"]), ("late-start", 0))
         self.assertGreater(line["until"][FORMER], LATE_START_END)
         self.assertEqual(line["registered"], [])
+
+    async def test_task_waits_for_no_worker_that_has_ended(self) -> None:
+        self.end_run()
+        self.assertEqual(self.plan(NOW + 2.0), [])
+        self.coordinator.handle_worker_end(FORMER, "machine moved")
+        self.assertEqual(self.plan(NOW + 2.0), [OTHER])
+        self.assertNotIn(FORMER, self.coordinator.state.workers)
+
+    async def test_run_of_a_worker_that_has_ended_starts_elsewhere(self) -> None:
+        run = self.start([OrderOutcome.UNACKNOWLEDGED])
+        self.coordinator.handle_worker_end(FORMER, "machine moved")
+        self.assertEqual(self.plan(NOW + RESTART_SECONDS), [OTHER])
+        self.assertIsNone(self.coordinator.orders.make_start(run, NOW))
+
+    async def test_result_of_a_start_after_the_end_of_its_worker_is_not_waited_for(
+        self,
+    ) -> None:
+        run = self.start([])
+        order = self.coordinator.orders.make_start(run, NOW)
+        assert order is not None
+        run.is_start_sent = True
+        self.coordinator.handle_worker_end(FORMER, "machine moved")
+        self.assertEqual(self.plan(NOW), [])
+        result = OrderResult(OrderOutcome.UNACKNOWLEDGED, NOW + 0.5)
+        self.coordinator.orders.handle_start_result(run, order, result, NOW, NOW + 0.5)
+        self.assertEqual(self.plan(NOW + 0.5), [OTHER])
+
+    async def test_registration_of_a_worker_that_has_ended_is_ignored(self) -> None:
+        self.coordinator.handle_worker_end(FORMER, "machine moved")
+        self.register(OTHER, FIRST_START_MS, WorkerState.DRAINING)
+        self.plan(NOW)
+        self.register(FORMER, FIRST_START_MS)
+        self.assertNotIn(FORMER, self.coordinator.state.workers)
+
+    async def test_worker_that_starts_again_under_its_id_gets_tasks(self) -> None:
+        self.coordinator.handle_worker_end(FORMER, "machine moved")
+        self.register(OTHER, FIRST_START_MS, WorkerState.DRAINING)
+        self.plan(NOW)
+        self.register(FORMER, SECOND_START_MS)
+        self.report(FORMER, SECOND_START_MS, NOW + RESTART_SECONDS)
+        self.assertEqual(self.plan(NOW + RESTART_SECONDS), [FORMER])
