Take an ended worker back if it is seen in another pool, not by what it left behind

An ended worker without a known start was taken back by the registration that it had left behind, so that tasks waited for it again: test_registration_of_an_unknown_ended_worker_is_ignored failed before. The query and the change of EndedWorkers are two methods now.

--- a/jujubebarrow/coordinators/pool_coordinators.py
+++ b/jujubebarrow/coordinators/pool_coordinators.py
@@ -160,7 +160,8 @@
 
     def handle_registration(self, entry: WorkerEntry, now: float) -> None:
         """Handle the registration, or a changed registration, of a worker."""
-        if self.state.ended_workers.is_outdated(entry):
+        self.state.ended_workers.observe_registration(entry)
+        if entry.worker in self.state.ended_workers:
             return
         worker = self.state.ensure_worker(entry.worker)
         worker.entry = entry
@@ -194,19 +195,20 @@
         self._log.write("worker_gone", worker=worker_id, runs=len(worker.runs))
 
     def handle_worker_end(self, worker_id: WorkerId, reason: str) -> None:
-        """Handle that a worker has ended for good.
+        """Handle that a worker has ended and that its machine gets another one.
 
-        The next plan releases its runs. No task waits for it any more.
+        The next plan releases its runs. No task waits for it any more, unless it is
+        seen to start again under its id.
 
         Args:
-            worker_id: Id of the worker, which no later worker gets.
+            worker_id: Id of the worker.
             reason: Evidence of the end, for the log.
         """
         if worker_id in self.state.ended_workers:
             return
         worker = self.state.workers.get(worker_id)
         started_at_ms = worker.started_at_ms if worker is not None else 0
-        self.state.ended_workers.add(worker_id, started_at_ms)
+        self.state.ended_workers.add(worker_id, started_at_ms or None)
         self._log.write(
             "worker_ended",
             worker=worker_id,
--- a/jujubebarrow/runtimes/pool_owners.py
+++ b/jujubebarrow/runtimes/pool_owners.py
@@ -440,6 +440,7 @@
         self._move_controller.observe_registration(entry)
         now = self._clock.monotonic()
         if entry.pool != self.pool:
+            self.coordinator.state.ended_workers.observe_registration(entry)
             self.coordinator.state.record_other_registration(entry.worker, now)
             self.coordinator.handle_deregistration(entry.worker)
             return
--- a/jujubebarrow/tests/test_lasting_late_starts.py
+++ b/jujubebarrow/tests/test_lasting_late_starts.py
@@ -282,3 +282,10 @@
         self.register(FORMER, SECOND_START_MS)
         self.report(FORMER, SECOND_START_MS, NOW + RESTART_SECONDS)
         self.assertEqual(self.plan(NOW + RESTART_SECONDS), [FORMER])
+
+    async def test_registration_of_an_unknown_ended_worker_is_ignored(self) -> None:
+        """Guards against a first sight of a registration that counts as a restart."""
+        self.coordinator.state.workers.pop(FORMER)
+        self.coordinator.handle_worker_end(FORMER, "machine moved")
+        self.register(FORMER, FIRST_START_MS)
+        self.assertNotIn(FORMER, self.coordinator.state.workers)
