Delete the stored late starts of workers that have ended

What callers saw: found by review.

Cause: the row with the starts that workers may execute late is written only when a record grows, so that the records of an ended worker stayed until the next write. A successor lets all tasks of their steps wait for it.

The row is written as well while it names an ended worker.

--- a/jujubebarrow/runtimes/lease_recorders.py
+++ b/jujubebarrow/runtimes/lease_recorders.py
@@ -236,10 +236,7 @@
         late = self._make_late_start_records(now)
         is_changed = self._is_changed(unresponsive)
         if self._is_write_confirmed and not is_changed:
-            if all(
-                self._stored_late.get(name, LateStartRecord()).covers(record)
-                for name, record in late.items()
-            ):
+            if not self._needs_late_starts_write(late):
                 return
         late = {
             name: replace(record, end=record.end + LATE_STARTS_MARGIN_SECONDS)
@@ -267,6 +264,19 @@
             ],
         )
 
+    def _needs_late_starts_write(self, late: dict[WorkerId, LateStartRecord]) -> bool:
+        """Return whether the row lacks starts or has those of an ended worker.
+
+        Args:
+            late: Starts that workers may execute late.
+        """
+        if any(name in self._state.ended_workers for name in self._stored_late):
+            return True
+        return not all(
+            self._stored_late.get(name, LateStartRecord()).covers(record)
+            for name, record in late.items()
+        )
+
     def _is_changed(self, unresponsive: dict[WorkerId, RecordedLease]) -> bool:
         """Return whether the row lacks a worker, a restart or an extended lease."""
         return unresponsive.keys() != self._stored.keys() or any(
