Let no task wait for a worker whose machine is listed with another one

What callers saw: tasks of a worker that had crashed, been maintained, or been moved by an order without an answer, waited for its lease and for late starts although the worker could run nothing any more.

The instance now compares the lists of machines that its pools request. A worker has ended once its machine is listed with another one, in a list that was requested after the machine's worker was known. Owners request lists, at most one every 2 s, while a worker's machine is not known (three lists at most) and while runs or late starts are on a worker out of reach.

--- a/jujubebarrow/runtimes/entry_nodes.py
+++ b/jujubebarrow/runtimes/entry_nodes.py
@@ -41,6 +41,7 @@
 from jujubebarrow.runtimes.job_intakes import JobIntake
 from jujubebarrow.runtimes.job_watchers import JobWatcher
 from jujubebarrow.runtimes.load_registries import LoadRegistry
+from jujubebarrow.runtimes.machine_workers import MachineWorkers
 from jujubebarrow.runtimes.move_controllers import MoveController
 from jujubebarrow.runtimes.order_gates import OrderGate
 from jujubebarrow.runtimes.owner_hooks import OwnerHooks
@@ -149,6 +150,7 @@
         self._on_peers = on_peers
         self.fleet_source = fleet_source
         self._worker_ids = WorkerIdObserver()
+        self._machine_workers = MachineWorkers()
         self._load_registry = LoadRegistry(
             store, clock, metrics, self._worker_ids.record_move
         )
@@ -305,6 +307,7 @@
             self.fleet_source,
             self._wave_store,
             self._machines,
+            self._machine_workers,
             self._order_gate,
             hooks,
             self._options.downtime,
@@ -333,6 +336,7 @@
             coordinator,
             self._load_registry,
             self._worker_ids,
+            self._machine_workers,
             spec is not None and spec.is_standby,
             self._machines,
             self._order_gate,
--- a/jujubebarrow/runtimes/move_controllers.py
+++ b/jujubebarrow/runtimes/move_controllers.py
@@ -21,6 +21,7 @@
 from jujubebarrow.pools.pool_loads import PoolLoad
 from jujubebarrow.pools.surplus_planners import plan_moves
 from jujubebarrow.runtimes.load_registries import MOVES_PER_CLAIM_LIMIT, LoadRegistry
+from jujubebarrow.runtimes.machine_workers import MachineWorkers
 from jujubebarrow.runtimes.order_gates import OrderGate
 from jujubebarrow.runtimes.owner_hooks import OwnerHooks
 from jujubebarrow.runtimes.worker_id_observers import WorkerIdObserver
@@ -38,6 +39,9 @@
 demand peak, and about as long as a move."""
 MACHINE_LIST_AGE_SECONDS = 2.0
 """Age up to which a cached list of machines is used."""
+LISTS_PER_WORKER_COUNT = 3
+"""Most lists that are requested to find the machine of a worker; a registration may be
+that of another program."""
 DRAIN_GRACE_SECONDS = 2.0
 """Time after which the move of a worker that still runs tasks is cancelled; nine in
 ten tasks end within that time."""
@@ -60,6 +64,7 @@
         coordinator: Makes the scheduling decisions of that pool.
         load_registry: Loads of all pools and recent moves.
         worker_ids: Tells whether a worker may keep its id when its machine is moved.
+        machine_workers: Tells which workers have ended, by the listed machines.
         is_standby: Whether that pool's machines are switched off and cost nothing.
         machines: Client for the machine service.
         gate: Checks the permission to send an order.
@@ -79,6 +84,7 @@
         coordinator: PoolCoordinator,
         load_registry: LoadRegistry,
         worker_ids: WorkerIdObserver,
+        machine_workers: MachineWorkers,
         is_standby: bool,
         machines: MachineControl,
         gate: OrderGate,
@@ -94,6 +100,7 @@
         self._pool = coordinator.state.pool
         self._load_registry = load_registry
         self._worker_ids = worker_ids
+        self._machine_workers = machine_workers
         self._is_standby = is_standby
         self._machines = machines
         self._gate = gate
@@ -119,6 +126,8 @@
         # Time until which a move may be carried out whose order got no response.
         self._uncertain_until: dict[WorkerId, float] = {}
         self._unmovable: set[MachineId] = set()
+        # Number of lists that were requested for each worker that is on none.
+        self._unlisted: dict[WorkerId, int] = {}
 
     async def run(self) -> None:
         """Plan and execute moves until cancelled."""
@@ -160,8 +169,13 @@
         )
 
     async def _plan_and_move(self) -> None:
-        if self._is_standby or not self._worker_ids.is_decided:
+        if (
+            self._is_standby
+            or not self._worker_ids.is_decided
+            or self._is_list_needed()
+        ):
             await self._refresh_machines()
+        self._handle_ended_workers()
         load = self._measure_load()
         await self._load_registry.refresh()
         if self._is_report_due(load):
@@ -182,6 +196,44 @@
         sources = [source for source, target in moves if target == self._pool]
         await self._take_spare_machines([s for s in sources if loads[s].is_standby])
 
+    def _is_list_needed(self) -> bool:
+        """Return whether a list may show the machine, or the end, of a worker."""
+        workers = self._coordinator.state.workers
+        self._unlisted = {
+            name: count for name, count in self._unlisted.items() if name in workers
+        }
+        return any(
+            self._may_have_ended(worker)
+            if self._machine_workers.is_listed(name)
+            else self._is_machine_sought(worker)
+            for name, worker in workers.items()
+        )
+
+    def _is_machine_sought(self, worker: WorkerView) -> bool:
+        """Return whether lists are requested to find the machine of a worker."""
+        is_registered = worker.entry is not None
+        return (
+            is_registered
+            and self._unlisted.get(worker.worker, 0) < LISTS_PER_WORKER_COUNT
+        )
+
+    def _may_have_ended(self, worker: WorkerView) -> bool:
+        """Return whether tasks may wait for a worker that is out of reach."""
+        is_out_of_reach = worker.entry is None or bool(worker.unresponsive_since)
+        now = self._clock.monotonic()
+        return is_out_of_reach and (bool(worker.runs) or worker.may_start_late(now))
+
+    def _handle_ended_workers(self) -> None:
+        ended = [
+            name
+            for name in self._coordinator.state.workers
+            if self._machine_workers.has_ended(name)
+        ]
+        for name in ended:
+            self._coordinator.handle_worker_end(name, "machine has another worker")
+        if ended:
+            self._hooks.on_change()
+
     async def _write_load(self, load: PoolLoad) -> None:
         self._load_written_at = self._clock.monotonic()
         await self._load_registry.write_load(load)
@@ -305,6 +357,10 @@
         listed = await self._machines.list_machines()
         self._listed_at = now
         self._listed_machines = listed
+        self._machine_workers.observe(listed, now, self._clock.monotonic())
+        for name in self._coordinator.state.workers:
+            if not self._machine_workers.is_listed(name):
+                self._unlisted[name] = self._unlisted.get(name, 0) + 1
         self._observe_ids(lambda: self._worker_ids.observe(listed))
         self._machines_by_worker = {
             machine.worker: machine for machine in listed if machine.worker
--- a/jujubebarrow/runtimes/wave_controllers.py
+++ b/jujubebarrow/runtimes/wave_controllers.py
@@ -27,6 +27,7 @@
 )
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.runtimes.fleet_sources import FleetSource
+from jujubebarrow.runtimes.machine_workers import MachineWorkers
 from jujubebarrow.runtimes.order_gates import OrderGate
 from jujubebarrow.runtimes.owner_hooks import OwnerHooks
 from jujubebarrow.runtimes.wave_claims import WaveClaims
@@ -63,6 +64,7 @@
         fleet_source: Source of the requested waves.
         store: Reads and writes the progress of waves.
         machines: Client for the machine service.
+        machine_workers: Observes the workers of the listed machines.
         gate: Checks the permission to send an order.
         hooks: Callbacks into the pool's owner.
         downtime: Usual duration of a machine's maintenance in seconds.
@@ -82,6 +84,7 @@
         fleet_source: FleetSource,
         store: WaveStore,
         machines: MachineControl,
+        machine_workers: MachineWorkers,
         gate: OrderGate,
         hooks: OwnerHooks,
         downtime: float,
@@ -97,6 +100,7 @@
         self._fleet_source = fleet_source
         self._store = store
         self._machines = machines
+        self._machine_workers = machine_workers
         self._gate = gate
         self._hooks = hooks
         self._machine_lease = machine_lease
@@ -247,6 +251,7 @@
         if now - self._listed_at > MACHINE_LIST_AGE_SECONDS:
             self._listed = await self._machines.list_machines()
             self._listed_at = now
+            self._machine_workers.observe(self._listed, now, self._clock.monotonic())
 
     def _finish_vanished(
         self, wave: WaveRequest, record: WaveRecord, present: set[MachineId]
--- a/jujubebarrow/tests/fakes/fake_machines.py
+++ b/jujubebarrow/tests/fakes/fake_machines.py
@@ -114,6 +114,20 @@
             raise MachineControlError("no answer")
         return MachineOrderOutcome.DONE
 
+    def replace_worker(self, name: WorkerId) -> None:
+        """Let a worker crash and its machine come back with another one."""
+        [machine] = [
+            machine
+            for machine, present in self._find_present_workers().items()
+            if present == name
+        ]
+        worker = self._cluster.workers[name]
+        worker.crash()
+        self._targets[machine] = worker.pool
+        loop = get_running_loop()
+        loop.call_later(REGISTRATION_SECONDS, self._cluster.unregister_worker, name)
+        loop.call_later(MOVE_SECONDS, self._join, machine, name)
+
     def _join(self, machine: MachineId, former: WorkerId) -> None:
         """Let another worker join the pool that a machine was moved to."""
         base, _, number = former.partition(".")
@@ -132,6 +146,8 @@
             self.rejected_order_count += 1
             return MachineOrderOutcome.FENCED
         self.tokens[machine] = token
+        if machine in self._targets:
+            return MachineOrderOutcome.BUSY
         name = self._find_present_workers()[machine]
         if (machine, wave) in self.maintenance_orders:
             return MachineOrderOutcome.DONE
