Count the age of a wait from its own beginning in the log

Found by review: a step that waited for a second time while other tasks of it still waited was logged with the age since the first wait (61 s for 2 s), or not at all. A wait that is not recorded for a second is over now. test_wait_after_another_one_is_logged_with_its_own_age guards it.

--- a/jujubebarrow/coordinators/wait_recorders.py
+++ b/jujubebarrow/coordinators/wait_recorders.py
@@ -13,6 +13,11 @@
 grant, a store transaction or a preempted run are shorter."""
 
 
+GAP_SECONDS = 1.0
+"""Seconds without a record after which a wait is over; longer than the time between two
+plans."""
+
+
 class WaitReason(Enum):
     """What the waiting tasks of a step lack.
 
@@ -36,8 +41,9 @@
 
     def __init__(self, log: DecisionLog):
         self._log = log
-        # When each step began to wait, and the next age at which a line is due.
-        self._waits: dict[tuple[StepKey, WaitReason], tuple[float, float]] = {}
+        # When each step began to wait, when that was last recorded, and the next age at
+        # which a line is due.
+        self._waits: dict[tuple[StepKey, WaitReason], tuple[float, float, float]] = {}
 
     def record(
         self,
@@ -56,11 +62,15 @@
                 is due.
         """
         key = (step, reason)
-        since, due_age = self._waits.setdefault(key, (now, FIRST_LINE_SECONDS))
+        new = (now, now, FIRST_LINE_SECONDS)
+        since, recorded_at, due_age = self._waits.get(key, new)
+        if now - recorded_at > GAP_SECONDS:
+            since, _, due_age = new
+        self._waits[key] = (since, now, due_age)
         age = now - since
         if age < due_age:
             return
-        self._waits[key] = (since, 2 * due_age)
+        self._waits[key] = (since, now, 2 * due_age)
         job, occurrence, number = step
         self._log.write(
             "tasks_wait",
