Let a worker accept tasks again whose registration lapses before its move

What callers saw: a worker with room got no task until it restarted, although it was up and registered.

Cause: the owner cordons a worker whose machine is to be moved. Once the worker was not registered any more the pending move was dropped and the cordon stayed; registrations lapse while the store is away, and return with the worker as it was.

The move of a worker that is not registered is now cancelled, which ends the cordon. If an order got no response, that waits until the order can not be carried out any more.

test_cordoned_workers.py: two tests failed before (no task within 2 s of the return, at a worker with 8 of 8 cores free); the third, that the cordon lasts while an order without a response may be carried out, passed before and fails if the move is cancelled at once.

--- a/jujubebarrow/runtimes/move_controllers.py
+++ b/jujubebarrow/runtimes/move_controllers.py
@@ -463,9 +463,14 @@
         ready = []
         for name, (target, planned_at) in list(self._pending_moves.items()):
             worker = self._coordinator.state.workers.get(name)
-            if worker is None or worker.entry is None:
+            if worker is None:
                 self._remove_move(name)
                 continue
+            if worker.entry is None:
+                # The registration may return, with the worker as it was.
+                if not self._may_move_late(worker):
+                    self._cancel_move(worker)
+                continue
             machine = self._machines_by_worker.get(name)
             is_free = not worker.runs and not self._may_start_elsewhere(worker, now)
             # Only the move of a known worker shows whether workers keep their ids.
--- a/jujubebarrow/tests/fakes/fake_machines.py
+++ b/jujubebarrow/tests/fakes/fake_machines.py
@@ -37,6 +37,7 @@
         renames_workers: Whether a machine that is moved gets a worker with another id,
             while the registration of the former one stays for some time.
         loses_move_answers: Whether moves are executed without an answer.
+        loses_move_orders: Whether orders for moves get no answer and are not executed.
     """
 
     def __init__(self, cluster: "JobCluster"):
@@ -51,6 +52,7 @@
         self.other_machines: list[Machine] = []
         self.renames_workers = False
         self.loses_move_answers = False
+        self.loses_move_orders = False
         self._targets: dict[MachineId, PoolId] = {}
 
     async def list_machines(self) -> list[Machine]:
@@ -88,6 +90,8 @@
         self, machine: MachineId, pool: PoolId, token: int
     ) -> MachineOrderOutcome:
         await sleep(0.01)
+        if self.loses_move_orders:
+            raise MachineControlError("no answer")
         if token < self.tokens.get(machine, 0):
             self.rejected_order_count += 1
             return MachineOrderOutcome.FENCED
