Cancel overdue moves while machines or claims cannot be read

What callers saw: by the tests, workers with room that were to be moved got no task for as long as the machine service or the table of moves did not answer.

Cause: a move that is not ordered within 2 s is cancelled, but only in a round that has listed the machines and read the other pools. Without an answer from either the round ended before, and the workers stayed cordoned. A round also cordoned workers before it had a list of the machines to move them by.

Overdue moves are now cancelled after each round, whatever its result, and workers are cordoned once the machines are listed. An order without a response still keeps its worker cordoned until it can not be carried out any more.

test_cordoned_workers.py: test_worker_gets_tasks_although_the_machines_cannot_be_listed failed before (still cordoned after 6 s), and test_worker_gets_tasks_although_no_move_can_be_claimed (no task 6 s after the move was planned).

--- a/jujubebarrow/runtimes/move_controllers.py
+++ b/jujubebarrow/runtimes/move_controllers.py
@@ -139,6 +139,7 @@
                 await self._plan_and_move()
             except (StoreError, MachineControlError) as error:
                 self._metrics.count("move_retry", type(error).__name__)
+            self._cancel_overdue_moves()
             await sleep(PLAN_PERIOD_SECONDS)
 
     async def _report_spare_machines(self) -> None:
@@ -428,11 +429,13 @@
         await self._move(list(zip(machines, targets, strict=False)))
 
     async def _move_workers(self, targets: list[PoolId]) -> None:
-        now = self._clock.monotonic()
         requested = list(targets)
         for target, _ in self._pending_moves.values():
             if target in requested:
                 requested.remove(target)
+        if self._pending_moves or (requested and self._find_movable()):
+            await self._refresh_machines()
+        now = self._clock.monotonic()
         movable = self._find_movable()
         for worker, target in zip(movable, requested, strict=False):
             worker.is_cordoned = True
@@ -440,8 +443,6 @@
             if not self._worker_ids.is_decided:
                 worker.needs_contact = True
                 self._hooks.on_change()
-        if self._pending_moves:
-            await self._refresh_machines()
         ready = self._list_ready_moves(now)
         outcomes = await self._move([(machine, target) for _, machine, target in ready])
         for worker, machine, _ in ready:
@@ -459,35 +460,36 @@
             self._hooks.on_change()
 
     def _list_ready_moves(self, now: float) -> list[tuple[WorkerView, Machine, PoolId]]:
-        """Return the pending moves of drained workers; cancel overdue moves."""
+        """Return the pending moves of drained workers."""
         ready = []
-        for name, (target, planned_at) in list(self._pending_moves.items()):
+        for name, (target, _) in self._pending_moves.items():
             worker = self._coordinator.state.workers.get(name)
-            if worker is None:
-                self._remove_move(name)
-                continue
-            if worker.entry is None:
-                # The registration may return, with the worker as it was.
-                if not self._may_move_late(worker):
-                    self._cancel_move(worker)
-                continue
             machine = self._machines_by_worker.get(name)
+            if worker is None or worker.entry is None or machine is None:
+                continue
             is_free = not worker.runs and not self._may_start_elsewhere(worker, now)
             # Only the move of a known worker shows whether workers keep their ids.
             is_known = self._worker_ids.is_decided or worker.is_contact_recent(now)
-            if (
-                is_free
-                and is_known
-                and machine is not None
-                and self._is_movable(machine)
-            ):
+            if is_free and is_known and self._is_movable(machine):
                 ready.append((worker, machine, target))
-            elif now - planned_at > DRAIN_GRACE_SECONDS and not self._may_move_late(
-                worker
-            ):
-                self._cancel_move(worker)
         return ready
 
+    def _cancel_overdue_moves(self) -> None:
+        """Cancel the moves that were not ordered in time, or whose worker is gone.
+
+        A worker without a registration may return as it was. An order without a
+        response may still move a worker.
+        """
+        now = self._clock.monotonic()
+        for name, (_, planned_at) in list(self._pending_moves.items()):
+            worker = self._coordinator.state.workers.get(name)
+            if worker is None:
+                self._remove_move(name)
+            elif self._may_move_late(worker):
+                continue
+            elif worker.entry is None or now - planned_at > DRAIN_GRACE_SECONDS:
+                self._cancel_move(worker)
+
     def _is_movable(self, machine: Machine) -> bool:
         return (
             machine.machine not in self._unmovable
--- a/jujubebarrow/tests/fakes/fake_machines.py
+++ b/jujubebarrow/tests/fakes/fake_machines.py
@@ -38,6 +38,7 @@
             while the registration of the former one stays for some time.
         loses_move_answers: Whether moves are executed without an answer.
         loses_move_orders: Whether orders for moves get no answer and are not executed.
+        is_unavailable: Whether lists of the machines get no answer.
     """
 
     def __init__(self, cluster: "JobCluster"):
@@ -53,10 +54,13 @@
         self.renames_workers = False
         self.loses_move_answers = False
         self.loses_move_orders = False
+        self.is_unavailable = False
         self._targets: dict[MachineId, PoolId] = {}
 
     async def list_machines(self) -> list[Machine]:
         await sleep(0.01)
+        if self.is_unavailable:
+            raise MachineControlError("no answer")
         return self.other_machines + [
             self._describe(machine, name)
             for machine, name in self._find_present_workers().items()
--- a/jujubebarrow/tests/test_cordoned_workers.py
+++ b/jujubebarrow/tests/test_cordoned_workers.py
@@ -8,6 +8,7 @@
 
 from jujubebarrow.coordinators.worker_views import WorkerView
 from jujubebarrow.identifiers import JobId
+from jujubebarrow.runtimes.load_registries import PARTITION
 from jujubebarrow.standins.emulated_workers import TaskBehaviour
 from jujubebarrow.tests.fakes.job_cases import JobCase
 from jujubebarrow.tests.fakes.job_clusters import OTHER_POOL, JobCluster
@@ -22,6 +23,8 @@
 """Time for which an order without a response may be carried out."""
 TASK_LIMIT_SECONDS = 2.0
 POLL_SECONDS = 0.1
+LIST_AGE_SECONDS = 2.0
+"""Age up to which the owner uses a list of the machines."""
 PEAK = StepSpec(count=120, needs=Resources(1000, 100), estimate=2.0)
 PEAK_BEHAVIOUR = TaskBehaviour(seconds=2.0)
 TASKS = StepSpec(
@@ -153,3 +156,40 @@
                 self.assertTrue(cluster.workers[name].running)
 
         self.run_scenario(scenario, **OPTIONS)
+
+    def test_worker_gets_tasks_although_the_machines_cannot_be_listed(self) -> None:
+        async def scenario(cluster: JobCluster) -> None:
+            cluster.machines.loses_move_orders = True
+            await start_peak(cluster)
+            await cluster.wait_for(lambda: list_cordoned(cluster), SETTLE_SECONDS)
+            names = [worker.worker for worker in list_cordoned(cluster)]
+            self.assertTrue(names)
+            cluster.machines.is_unavailable = True
+            await sleep(LIST_AGE_SECONDS + MACHINE_LEASE_SECONDS + LAPSE_SECONDS)
+            self.assertEqual(list_cordoned(cluster), [])
+            await submit_tasks(cluster)
+            await sleep(TASK_LIMIT_SECONDS)
+            for name in names:
+                self.assertTrue(cluster.workers[name].running)
+
+        self.run_scenario(scenario, **OPTIONS)
+
+    def test_worker_gets_tasks_although_no_move_can_be_claimed(self) -> None:
+        async def scenario(cluster: JobCluster) -> None:
+            [route] = cluster.other_routes
+            await start_peak(cluster)
+            # Moves wait for the tasks of the workers.
+            await cluster.submit(
+                HELD_JOB, (HELD,), behaviour=HELD_BEHAVIOUR, route=route
+            )
+            await cluster.wait_for(lambda: list_cordoned(cluster), SETTLE_SECONDS)
+            names = [worker.worker for worker in list_cordoned(cluster)]
+            self.assertTrue(names)
+            cluster.store.unavailable_partitions = {PARTITION}
+            await sleep(SETTLE_SECONDS)
+            await submit_tasks(cluster)
+            await sleep(TASK_LIMIT_SECONDS)
+            for name in names:
+                self.assertTrue(cluster.workers[name].running)
+
+        self.run_scenario(scenario, **OPTIONS)
