Place no run on a worker whose machine was maintained

Cause: a machine comes back 2 s after the order with a worker of another id, and its maintenance counts as done. The owner then let the former worker accept tasks again, which stays registered for 3 to 5 s after its end and, idle, is not polled. As its machine was no longer due for maintenance, it ranked before live workers.

A worker whose machine is listed with another one has ended: the owner notes that instead. A worker that has kept its id is listed as before and accepts tasks.

The stand-in for machines can give a maintained machine a worker with another id.

--- a/jujubebarrow/runtimes/wave_controllers.py
+++ b/jujubebarrow/runtimes/wave_controllers.py
@@ -447,7 +447,8 @@
     def _uncordon_finished(self, wave: WaveRequest, record: WaveRecord) -> None:
         """Let workers accept tasks again whose machines are not being maintained.
 
-        Most workers have restarted by then, which has reset them.
+        Most workers have restarted by then, which has reset them, or have ended, and
+        their machines have other ones.
         """
         for key, incarnation in list(self._cordoned.items()):
             maintenance = record.machines.get(key[1])
@@ -458,7 +459,13 @@
             if key[0] != wave.wave or not is_finished:
                 continue
             del self._cordoned[key]
-            worker = self._coordinator.state.workers.get(WorkerId(incarnation[0]))
+            name = WorkerId(incarnation[0])
+            if self._machine_workers.has_ended(name):
+                reason = "machine has another worker"
+                self._coordinator.handle_worker_end(name, reason)
+                self._hooks.on_change()
+                continue
+            worker = self._coordinator.state.workers.get(name)
             if worker is not None and worker.incarnation == incarnation:
                 worker.is_cordoned = False
                 self._hooks.on_change()
--- a/jujubebarrow/tests/fakes/fake_machines.py
+++ b/jujubebarrow/tests/fakes/fake_machines.py
@@ -22,6 +22,7 @@
 
 STANDBY = PoolId("off")
 MOVE_SECONDS = 1.5
+MAINTENANCE_SECONDS = 2.0
 REGISTRATION_SECONDS = 4.3
 """Time for which the registration of a worker that has ended stays."""
 
@@ -29,13 +30,14 @@
 class FakeMachines(MachineControl):
     """Machines named after their first workers.
 
-    Maintenance restarts the worker, as does a move unless workers are renamed. Orders
-    with a lower token than an earlier order for the machine are fenced.
+    Maintenance and moves restart the worker unless workers are renamed. Orders with a
+    lower token than an earlier order for the machine are fenced.
 
     Attributes:
         other_machines: Machines in the list that run none of the cluster's workers.
-        renames_workers: Whether a machine that is moved gets a worker with another id,
-            while the registration of the former one stays for some time.
+        renames_workers: Whether a machine that is moved or maintained gets a worker
+            with another id, while the registration of the former one stays for some
+            time.
         loses_move_answers: Whether moves are executed without an answer.
         loses_move_orders: Whether orders for moves get no answer and are not executed.
         is_unavailable: Whether lists of the machines get no answer.
@@ -71,9 +73,7 @@
         state = MachineState.MAINTENANCE if name in self.down else MachineState.UP
         if machine in self._targets:
             state = MachineState.MOVING
-        is_present = state is not MachineState.MOVING and (
-            self._cluster.is_registered(name)
-        )
+        is_present = state is MachineState.UP and self._cluster.is_registered(name)
         return Machine(
             machine=machine,
             pool=self._targets.get(machine, worker.pool),
@@ -162,11 +162,23 @@
         self.maintenance_orders.append((machine, wave))
         self.down.add(name)
         self.max_down_count = max(self.max_down_count, len(self.down))
-        self._cluster.workers[name].crash()
-        self._cluster.unregister_worker(name)
-        get_running_loop().call_later(2.0, self._restart, name)
+        worker = self._cluster.workers[name]
+        worker.crash()
+        loop = get_running_loop()
+        if self.renames_workers:
+            loop.call_later(REGISTRATION_SECONDS, self._cluster.unregister_worker, name)
+            loop.call_later(MAINTENANCE_SECONDS, self._return, machine, name)
+        else:
+            self._cluster.unregister_worker(name)
+            loop.call_later(MAINTENANCE_SECONDS, self._restart, name)
         return MachineOrderOutcome.DONE
 
+    def _return(self, machine: MachineId, former: WorkerId) -> None:
+        """Let another worker join the pool after the maintenance of a machine."""
+        self.down.discard(former)
+        self._targets[machine] = self._cluster.workers[former].pool
+        self._join(machine, former)
+
     def _restart(self, name: WorkerId) -> None:
         self.down.discard(name)
         self._cluster.workers[name].restart()
