--- a/jujubebarrow/tests/fakes/fake_machines.py
+++ b/jujubebarrow/tests/fakes/fake_machines.py
@@ -70,10 +70,17 @@
 
     def _describe(self, machine: MachineId, name: WorkerId) -> Machine:
         worker = self._cluster.workers[name]
-        state = MachineState.MAINTENANCE if name in self.down else MachineState.UP
-        if machine in self._targets:
+        is_standby = worker.pool == STANDBY
+        state = MachineState.UP
+        if name in self.down:
+            state = MachineState.MAINTENANCE
+        elif machine in self._targets:
             state = MachineState.MOVING
-        is_present = state is MachineState.UP and self._cluster.is_registered(name)
+        elif not worker.is_up and not is_standby:
+            state = MachineState.DOWN
+        is_present = state is MachineState.UP and (
+            not is_standby or self._cluster.is_registered(name)
+        )
         return Machine(
             machine=machine,
             pool=self._targets.get(machine, worker.pool),
