Let no finite task wait for the lease of a worker that no machine runs

Cause: an owner can't tell a worker that has crashed from one that is cut off. For 13 s after any worker of the pool responds again, the runs of a worker that is gone wait for the end of every lease that a late order may have extended: after a takeover up to 2 + 6.1 + 13 s. No shorter time is safe, as a worker that is cut off runs on until its lease ends.

The list of machines tells them apart: a worker is one life of a machine, whose entry names it. The run of a worker that is neither registered nor listed has ended, if the list was requested after the last time at which a start of the run could be executed: 13 s after an unanswered start, and 13 s after the takeover for a former owner's run. Until then the run stays the active one, so that a later owner knows of it. The machines are listed only while such a run or task waits, at most once a second. Long-running tasks keep their own bound.

--- a/jujubebarrow/coordinators/late_start_waits.py
+++ b/jujubebarrow/coordinators/late_start_waits.py
@@ -113,7 +113,7 @@
         if name in self._state.ended_workers:
             return 0.0
         worker = self._state.workers.get(name)
-        if worker is None or worker.has_seen_token:
+        if worker is None or worker.has_seen_token or worker.was_absent_after(end):
             return end
         return max(end, self._find_lease_end(worker, end))
 
--- a/jujubebarrow/coordinators/late_starts.py
+++ b/jujubebarrow/coordinators/late_starts.py
@@ -48,6 +48,7 @@
         self._in_flight_count = 0
         self._own_end = 0.0
         self._former = LateStartRecord()
+        self._last_end = 0.0
         self._reserved = NO_RESOURCES
         self._step_counts: Counter[StepKey] = Counter()
 
@@ -56,6 +57,11 @@
         """Time in seconds until which the worker may execute unacknowledged starts."""
         return max(self._own_end, self._former.end)
 
+    @property
+    def last_end(self) -> float:
+        """Time in seconds until which any start could be executed, also in the past."""
+        return max(self._last_end, self.end)
+
     @property
     def has_in_flight(self) -> bool:
         """Whether a start order has got no result yet."""
@@ -88,6 +94,7 @@
     def set_former_owners_starts(self, record: LateStartRecord) -> None:
         """Set the starts of former owners of the pool."""
         self._former = record
+        self._last_end = max(self._last_end, record.end)
 
     def open_run(self, run: ActiveRun) -> None:
         """Add a run whose worker has neither acknowledged nor listed it."""
--- a/jujubebarrow/coordinators/pool_coordinators.py
+++ b/jujubebarrow/coordinators/pool_coordinators.py
@@ -2,6 +2,7 @@
 
 from math import inf
 
+from jujubebarrow.coordinators.absent_workers import AbsentWorkers
 from jujubebarrow.coordinators.acknowledgement_holds import AcknowledgementHolds
 from jujubebarrow.coordinators.active_runs import ActiveRun, RunStage
 from jujubebarrow.coordinators.coordinator_options import CoordinatorOptions
@@ -75,6 +76,7 @@
         self._order = JobOrder()
         self._waits = WaitRecorder(log)
         self._late_start_wait = LateStartWait(self.state)
+        self.absent_workers = AbsentWorkers(self.state)
         self.fair_share = FairShare()
         self._planner = TaskPlanner(
             self.state, self._order, self.fair_share, self._waits, log
@@ -257,7 +259,7 @@
         Removes the state of a worker that is not registered, has no runs and whose
         lease has expired.
         """
-        if now > worker.timely_lease_end:
+        if now > worker.timely_lease_end or worker.is_absent:
             self._expire_runs(worker, now)
         self._release_unsent_runs(worker, now)
         self._release_absent_runs(worker, now)
@@ -286,10 +288,14 @@
     def _is_lease_over(self, worker: WorkerView, run: ActiveRun, now: float) -> bool:
         """Return whether an unreachable worker has stopped a run with its lease.
 
+        A worker that no machine runs has stopped it before.
+
         A worker that is not registered has most likely crashed, so that no order is
         executed late there, unless other workers have left orders without a response. A
         long-running task waits for such an order only until its absence counts.
         """
+        if self.absent_workers.has_ended(worker, run):
+            return True
         if worker.is_lease_expired(now) and worker.is_unreachable_after_lease:
             return True
         if worker.entry is not None or not worker.is_lost_after_timely_lease(now):
@@ -356,8 +362,10 @@
             length = self.state.options.longest_lease / CLOCK_RATE
             may_start = now < run.late_start_until + length
         if is_gone or not may_start:
+            is_absent = self.absent_workers.has_ended(worker, run)
+            reason = "no machine runs the worker" if is_absent else "lease expired"
             self._losses.record_loss(worker, run)
-            self._reconciler.record_unreported_end(worker, run, "lease expired", now)
+            self._reconciler.record_unreported_end(worker, run, reason, now)
 
     def handle_stored_changes(
         self, changes: list[JobChange], now: float, wall: float
--- a/jujubebarrow/coordinators/worker_views.py
+++ b/jujubebarrow/coordinators/worker_views.py
@@ -77,6 +77,7 @@
         self._open_renewal_at: float | None = None
         self._lost_start_sent_at = float("-inf")
         self.needs_contact = False
+        self._absent_at = NEVER
         self.unresponsive_since = 0.0
         self.last_failure_at = float("-inf")
         self.acknowledged = 0
@@ -324,6 +325,36 @@
         """Time in seconds until which the worker may execute unacknowledged starts."""
         return self._late_starts.end
 
+    @property
+    def last_late_start_end(self) -> float:
+        """Time in seconds until which it could execute these, also in the past."""
+        return self._late_starts.last_end
+
+    @property
+    def has_start_in_flight(self) -> bool:
+        """Whether a start order has got no result yet."""
+        return self._late_starts.has_in_flight
+
+    def record_absence(self, time: float) -> None:
+        """Record that no machine ran the worker at a time in seconds."""
+        self._absent_at = max(self._absent_at, time)
+
+    @property
+    def is_absent(self) -> bool:
+        """Whether the worker is not registered and no machine ran it lately."""
+        return self.entry is None and self._absent_at > NEVER
+
+    def was_absent_after(self, time: float) -> bool:
+        """Return whether no machine ran the worker at some time after another one.
+
+        What the worker had begun before has ended. A worker that is registered may have
+        started again since.
+
+        Args:
+            time: Time in seconds.
+        """
+        return self.entry is None and self._absent_at > time
+
     def may_start_late(self, now: float) -> bool:
         """Return whether the next incarnation may execute a start that was sent."""
         return self.late_starts_end > now or self._late_starts.has_in_flight
@@ -411,6 +442,7 @@
         self._clock_read_at = None
         self.has_orphans = False
         self.lists_all_ends = True
+        self._absent_at = NEVER
         self.score = WorkerScore()
         self.draining_since = 0.0
         self.is_cordoned = False
@@ -468,6 +500,7 @@
         self._clock_read_at = now
         self.last_contact_at = now
         self.needs_contact = False
+        self._absent_at = NEVER
         self.unresponsive_since = 0.0
 
     def begin_renewal(self, now: float) -> None:
--- a/jujubebarrow/runtimes/entry_nodes.py
+++ b/jujubebarrow/runtimes/entry_nodes.py
@@ -286,6 +286,7 @@
             self._make_wave_controller,
             self._make_move_controller,
             self._make_advice_controller,
+            self._machines,
             self._grant_watcher,
             self._job_watcher.wait_until_loaded,
             self._job_watcher.read_store_time,
--- a/jujubebarrow/runtimes/pool_owners.py
+++ b/jujubebarrow/runtimes/pool_owners.py
@@ -13,6 +13,7 @@
     TransactionConflictError,
 )
 from jujubebarrow.fleets.fleet_maps import FleetMap
+from jujubebarrow.gateways.machine_controls import MachineControl
 from jujubebarrow.gateways.start_relays import StartRelay
 from jujubebarrow.gateways.worker_gateways import WorkerGateway
 from jujubebarrow.identifiers import JobId, PoolId, QueueId
@@ -20,6 +21,7 @@
 from jujubebarrow.logs.decision_logs import DecisionLog
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.ownerships.ownership_rows import DutyId
+from jujubebarrow.runtimes.absence_checkers import AbsenceChecker
 from jujubebarrow.runtimes.advice_controllers import AdviceController
 from jujubebarrow.runtimes.cancellation_sweepers import CancellationSweeper
 from jujubebarrow.runtimes.foreign_end_reporters import ForeignEndReporter
@@ -80,6 +82,7 @@
             pools.
         make_advice_controller: Creates the controller that requests placement advice
             for steps.
+        machines: Client for the machine service.
         grant_watcher: Reports changes of the teams' stored grants.
         wait_for_feed: Waits until the change feed reports each job accepted later.
         read_store_time: Returns the present time of the store's clock in seconds, which
@@ -111,6 +114,7 @@
         make_advice_controller: Callable[
             [PoolCoordinator, OwnerHooks], AdviceController
         ],
+        machines: MachineControl,
         grant_watcher: GrantWatcher,
         wait_for_feed: Callable[[], Awaitable[None]],
         read_store_time: Callable[[], float | None],
@@ -205,6 +209,9 @@
             self.coordinator, self, self._wave_controller
         )
         self._advice_controller = make_advice_controller(self.coordinator, self)
+        self._absence_checker = AbsenceChecker(
+            self.coordinator, machines, self.on_change, clock, log, metrics
+        )
         self._cancellation_sweeper = CancellationSweeper(store, clock, log, metrics)
         self._load_reporter = LoadReporter(reports, self._writer, self._tasks)
 
@@ -304,6 +311,7 @@
         self._tasks.start_loop(self._wave_controller.run)
         self._tasks.start_loop(self._move_controller.run)
         self._tasks.start_loop(self._advice_controller.run)
+        self._tasks.start_loop(self._absence_checker.run)
         self.on_change()
 
     def _find_count_time(self, queue: QueueId) -> float | None:
