Let no long-running task wait for runs that its worker does not execute

Cause: a worker that has restarted neither lists a finite run of a former owner nor accepts its start, but its next incarnation may, so that the run stays recorded for the 13 s in which the start may be executed. It kept its capacity on the present incarnation all the while, and a suspect kept all other tasks away from it. Late starts of ended runs do not: a long-running task ignores them after 1.5 s.

Such a run now counts as a late start only: it is reserved for the next incarnation, not for the present one, until the worker restarts or lists it. Finite tasks still have to fit beside it.

--- a/jujubebarrow/coordinators/active_runs.py
+++ b/jujubebarrow/coordinators/active_runs.py
@@ -41,6 +41,8 @@
         is_long_running: Whether the run lasts until it is stopped.
         stage: Stage that the run has reached.
         is_listed: Whether that incarnation has listed the run.
+        is_absent: Whether that incarnation neither lists the run nor accepts a start of
+            it, so that only a later one may execute the run.
         confirmed_at: Time in seconds at which the worker acknowledged the start or
             first listed the run.
         stop_acknowledged_at: Time in seconds at which the worker acknowledged the stop.
@@ -78,6 +80,7 @@
     is_long_running: bool = False
     stage: RunStage = RunStage.PLANNED
     is_listed: bool = False
+    is_absent: bool = False
     confirmed_at: float = 0.0
     stop_acknowledged_at: float = 0.0
     has_moved: bool = False
--- a/jujubebarrow/coordinators/planners.py
+++ b/jujubebarrow/coordinators/planners.py
@@ -592,7 +592,7 @@
             return None
         free_capacity = worker.unreserved
         for run in worker.runs.values():
-            if run.stage is RunStage.STOPPING:
+            if run.stage is RunStage.STOPPING and not run.is_absent:
                 free_capacity = free_capacity.plus(run.reserved)
         victims: list[ActiveRun] = []
         runs = sorted(worker.runs.values(), key=lambda run: run.progress_percent)
@@ -603,6 +603,8 @@
             is_preemptible = run.stage in (RunStage.CONFIRMED, RunStage.RECORDED)
             if job is None or run.is_long_running or not is_preemptible:
                 continue
+            if run.is_absent:
+                continue
             victims.append(run)
             free_capacity = free_capacity.plus(run.reserved)
         return victims if step.spec.reserved.fits(free_capacity) else None
--- a/jujubebarrow/coordinators/reconcilers.py
+++ b/jujubebarrow/coordinators/reconcilers.py
@@ -144,6 +144,8 @@
             self.record_unreported_end(worker, run, "not in the worker's lists", now)
             if task is not None:
                 self._record_late_start(worker, run, task, late_start_end)
+        else:
+            worker.record_absent_run(run)
 
     def _can_repeat_start(self, run: ActiveRun) -> bool:
         """Return whether the start of a run may be sent again to a new incarnation."""
--- a/jujubebarrow/coordinators/worker_views.py
+++ b/jujubebarrow/coordinators/worker_views.py
@@ -248,6 +248,7 @@
 
     def add_run(self, run: ActiveRun) -> None:
         """Reserve the resources of a run."""
+        run.is_absent = False
         self.runs[run.task, run.run] = run
         self._reserved = self._reserved.plus(run.reserved)
         if run.stage is not RunStage.CONFIRMED:
@@ -262,7 +263,8 @@
     def remove_run(self, run: ActiveRun, now: float) -> None:
         """Release the resources of a run that has ended."""
         if self.runs.pop((run.task, run.run), None) is not None:
-            self._reserved = self._reserved.minus(run.reserved)
+            if not run.is_absent:
+                self._reserved = self._reserved.minus(run.reserved)
             self._late_starts.close_run(run, now)
             self._update_free()
             if run.is_long_running:
@@ -270,6 +272,25 @@
                 self._long_running = self._long_running.minus(run.reserved)
             self._unproven_suspects.discard((run.task, run.run))
 
+    def record_absent_run(self, run: ActiveRun) -> None:
+        """Record that only a later incarnation may execute a run."""
+        if run.is_absent:
+            return
+        run.is_absent = True
+        self._reserved = self._reserved.minus(run.reserved)
+        self._unproven_suspects.discard((run.task, run.run))
+        self._late_starts.open_run(run)
+        self._update_free()
+
+    def _record_present_run(self, run: ActiveRun) -> None:
+        """Record that the present incarnation may execute a run after all."""
+        if run.is_absent:
+            run.is_absent = False
+            self._reserved = self._reserved.plus(run.reserved)
+            self._update_free()
+            if run.is_suspect and not run.is_proven:
+                self._unproven_suspects.add((run.task, run.run))
+
     def _update_free(self) -> None:
         present = self.unreserved
         next_ = self.capacity.minus(self._late_starts.reserved)
@@ -307,6 +328,7 @@
 
     def record_known_run(self, run: ActiveRun, now: float) -> None:
         """Record that the worker has acknowledged or listed a run."""
+        self._record_present_run(run)
         if self._late_starts.close_run(run, now):
             self._update_free()
 
@@ -427,6 +449,8 @@
             token: Fencing token of the orders to the new incarnation.
         """
         self._set_first_token(token)
+        for run in self.runs.values():
+            self._record_present_run(run)
         if self.is_lease_recorded:
             self._leases = LeaseBook(self.timely_lease_end, self.lease_end)
         elif self.started_at_ms:
