--- a/jujubebarrow/tests/fakes/fake_machines.py
+++ b/jujubebarrow/tests/fakes/fake_machines.py
@@ -38,6 +38,7 @@
         renames_workers: Whether a machine that is moved or maintained gets a worker
             with another id, while the registration of the former one stays for some
             time.
+        ended: Workers whose machine has got a worker with another id.
         loses_move_answers: Whether moves are executed without an answer.
         loses_move_orders: Whether orders for moves get no answer and are not executed.
         is_unavailable: Whether lists of the machines get no answer.
@@ -54,6 +55,7 @@
         self.rejected_order_count = 0
         self.other_machines: list[Machine] = []
         self.renames_workers = False
+        self.ended: set[WorkerId] = set()
         self.loses_move_answers = False
         self.loses_move_orders = False
         self.is_unavailable = False
@@ -119,6 +121,7 @@
         loop = get_running_loop()
         if self.renames_workers:
             self._targets[machine] = pool
+            self.ended.add(name)
             loop.call_later(REGISTRATION_SECONDS, self._cluster.unregister_worker, name)
             loop.call_later(MOVE_SECONDS, self._join, machine, name)
         else:
--- a/jujubebarrow/tests/fakes/long_running_faults.py
+++ b/jujubebarrow/tests/fakes/long_running_faults.py
@@ -73,7 +73,7 @@
     async def run(self) -> None:
         """Submit the jobs, inject the faults and wait until all faults are over."""
         for number in range(1, 3):
-            width = self.random.randint(3, len(self.cluster.workers) - 1)
+            width = self.random.randint(3, len(self._list_present()) - 1)
             step = StepSpec(
                 count=width,
                 needs=Resources(LONG_RUNNING_CPU, 500),
@@ -124,10 +124,21 @@
                 continue
 
     def _pick_workers(self, most: int) -> list[EmulatedWorker]:
-        names = sorted(self.cluster.workers.keys() - self.lost)
+        names = sorted(self._list_present())
         chosen = self.random.sample(names, self.random.randint(1, most))
         return [self.cluster.workers[name] for name in chosen]
 
+    def _list_present(self) -> list[WorkerId]:
+        """Return the workers of the jobs' pool that are not gone for good."""
+        return [
+            worker.worker
+            for worker in self.cluster.workers.values()
+            if worker.pool == POOL and not self._is_gone(worker.worker)
+        ]
+
+    def _is_gone(self, worker: WorkerId) -> bool:
+        return worker in self.lost or worker in self.cluster.machines.ended
+
     def _find_instance(self) -> Instance | None:
         return self.cluster.find_owner()
 
@@ -213,12 +224,13 @@
         names = {worker.worker for worker in workers}
         await self._cut_from_all(names, self.random.uniform(1.0, 8.0))
         self._restart_if_down(workers)
-        for name in names - self.lost:
-            self.cluster.register_worker(name)
+        for name in names:
+            if not self._is_gone(name):
+                self.cluster.register_worker(name)
 
     def _restart_if_down(self, workers: list[EmulatedWorker]) -> None:
         for worker in workers:
-            if not worker.is_up and worker.worker not in self.lost:
+            if not worker.is_up and not self._is_gone(worker.worker):
                 worker.restart()
 
     async def truncate_history(self) -> None:
@@ -241,7 +253,7 @@
         for worker in self._pick_workers(2):
             worker.crash()
             await sleep(self.random.uniform(0.2, 3.0))
-            if worker.worker in self.lost:
+            if self._is_gone(worker.worker):
                 continue
             worker.restart()
             self.cluster.register_worker(worker.worker)
@@ -266,7 +278,7 @@
         self.cluster.set_draining(worker.worker)
         await sleep(self.random.uniform(2.0, 4.0))
         worker.state = WorkerState.READY
-        if worker.worker in self.lost:
+        if self._is_gone(worker.worker):
             return
         worker.restart()
         self.cluster.register_worker(worker.worker)
@@ -364,6 +376,7 @@
         used = {name for other, name in running.items() if other.job == task.job}
         return any(
             worker.is_up
+            and worker.pool == POOL
             and worker.state is WorkerState.READY
             and worker.worker not in used
             and self.cluster.is_registered(worker.worker)
