Lend machines to pools whose steps wait for their number or label

Cause: machines are lent, and come back, by the sum of their cores. A gang of one task a worker, a gang spread by the size of its tasks, and a step whose label only a lent or standby machine has wait although their pool has enough cores, so that no plan moves a machine to it.

The fix: twice a second, a pool that is not short of capacity counts the workers that its startable steps would lack if all workers were empty. After 2 s, its load requests as many machines, each with its label. Pools that can do with fewer machines lend them, a standby pool last, and the log has machine_requested. Machines on their way count, a gang larger than the fleet draws none, two pools that lack machines do not swap them, and a pool that requests some is not evened out.

--- a/jujubebarrow/coordinators/job_demands.py
+++ b/jujubebarrow/coordinators/job_demands.py
@@ -4,8 +4,11 @@
 from jujubebarrow.coordinators.job_progresses import JobProgress
 from jujubebarrow.coordinators.pool_states import PoolState
 from jujubebarrow.coordinators.worker_views import WorkerView
+from jujubebarrow.placements.drain_limits import StepKind
 from jujubebarrow.placements.job_orders import LATE_VALUE_SHARE, JobOrder
 from jujubebarrow.workloads.identifiers import WorkerIncarnation
+from jujubebarrow.workloads.resources import Resources
+from jujubebarrow.workloads.step_specs import StepSpec
 
 RANK_GROUP_WEIGHTS = (1.0, 1.0, LATE_VALUE_SHARE, 0.0)
 """Factor of a job's requests in the demand, by the group of the job's rank."""
@@ -94,6 +97,54 @@
         largest_cpu = max((worker.capacity.cpu for worker in workers), default=0)
         return needed_workers * largest_cpu
 
+    def count_lacking_workers(self) -> dict[str, int]:
+        """Return how many workers startable steps lack even if all workers were empty.
+
+        A gang lacks the workers over which it has to spread its tasks; another step
+        lacks one if no worker has its label, whatever its tasks need.
+
+        Returns:
+            Number of lacking workers by their label, which is empty if any worker will
+            do; only labels with lacking workers.
+        """
+        gangs: dict[str, set[StepKind]] = {}
+        for job in self._state.list_open_jobs():
+            if not job.is_selective:
+                continue
+            for _, _, step in job.startable_steps():
+                if step.spec.gang:
+                    kinds = gangs.setdefault(step.spec.label, set())
+                    kinds.add(_make_gang_kind(step.spec))
+                elif step.spec.label:
+                    gangs.setdefault(step.spec.label, set())
+        counts = {label: self._count_lacking(label, gangs[label]) for label in gangs}
+        return {label: count for label, count in counts.items() if count}
+
+    def _count_lacking(self, label: str, gangs: set[StepKind]) -> int:
+        workers = self._list_workers_with(label)
+        if not workers:
+            return 1 if label else 0
+        return _count_missing(gangs, workers)
+
+    def find_scarce_labels(self) -> set[str]:
+        """Return the labels that open jobs require and at most one worker has."""
+        required = {
+            step.spec.label
+            for job in self._state.list_open_jobs()
+            if job.is_selective
+            for _, _, step in job.steps()
+            if step.spec.label and not step.is_done
+        }
+        return {label for label in required if len(self._list_workers_with(label)) <= 1}
+
+    def _list_workers_with(self, label: str) -> list[WorkerView]:
+        """Return the registered workers that have a label."""
+        return [
+            worker
+            for worker in self._state.workers.values()
+            if worker.entry is not None and worker.has_label(label)
+        ]
+
     def count_pending(self) -> dict[str, int]:
         """Return the number of unfinished jobs without a started task, by queue."""
         pending: dict[str, int] = {}
@@ -116,3 +167,25 @@
         workers = [w for w in self._state.workers.values() if w.is_available]
         workers.sort(key=lambda w: (w.score.is_paused(now), -w.free.cpu))
         return [worker.incarnation for worker in workers]
+
+
+def _make_gang_kind(spec: StepSpec) -> StepKind:
+    return StepKind(spec.label, spec.count, spec.most_per_worker, spec.reserved)
+
+
+def _count_missing(kinds: set[StepKind], workers: list[WorkerView]) -> int:
+    """Return how many workers the kind lacks that lacks most.
+
+    Most kinds fit on the smallest workers, which takes no look at each worker.
+    """
+    if not kinds:
+        return 0
+    capacities = [worker.capacity for worker in workers]
+    smallest = Resources(*map(min, zip(*capacities, strict=True)))
+    return max(
+        kind.count_missing(workers)
+        if kind.count_fitting(smallest) * len(workers) < kind.count
+        and not kind.is_served(workers)
+        else 0
+        for kind in kinds
+    )
--- a/jujubebarrow/coordinators/job_progresses.py
+++ b/jujubebarrow/coordinators/job_progresses.py
@@ -47,6 +47,8 @@
         objective: Time in seconds from its acceptance in which the job should complete.
         estimated_work: Estimated work of one occurrence in core-seconds.
         is_long_running: Whether a step runs until the job is cancelled.
+        is_selective: Whether a step requires a label or is a gang, so that it may wait
+            for certain workers.
         has_started_tasks: Whether a worker has acknowledged the start of a task or has
             listed a run; a planned run need not have started.
         held_until: Time in seconds until which the job's progress is not stored, since
@@ -60,6 +62,7 @@
         self.objective = record.objective
         self.estimated_work = record.estimated_work
         self.is_long_running = record.is_long_running
+        self.is_selective = any(step.label or step.gang for step in record.steps)
         self.phase = JobPhase.QUEUED
         self.stored_phase: JobPhase | None = None
         self.has_started_tasks = False
--- a/jujubebarrow/placements/drain_limits.py
+++ b/jujubebarrow/placements/drain_limits.py
@@ -31,8 +31,12 @@
         """Return how many tasks fit on a worker if it were empty, at most `count`."""
         if not worker.has_label(self.label):
             return 0
+        return self.count_fitting(worker.capacity)
+
+    def count_fitting(self, capacity: Resources) -> int:
+        """Return how many tasks fit in the capacity of a worker, at most `count`."""
         limit = min(self.count, self.most_per_worker or self.count)
-        return self.reserved.count_fitting(worker.capacity, limit)
+        return self.reserved.count_fitting(capacity, limit)
 
     def is_served(self, workers: Iterable[WorkerView]) -> bool:
         """Return whether a step fits on workers if they were empty."""
@@ -43,6 +47,16 @@
                 return True
         return False
 
+    def count_missing(self, workers: Iterable[WorkerView]) -> int:
+        """Return how many workers a step lacks on workers if they were empty.
+
+        Those that are missing are taken to be like the best of the workers. If none of
+        these has a place, what the step lacks is not known, and 0 is returned.
+        """
+        places = list(map(self.count_places, workers))
+        most = max(places, default=0)
+        return max(0, -((sum(places) - self.count) // most)) if most else 0
+
     def count_spare(self, workers: Iterable[WorkerView]) -> int:
         """Return how many of the workers that have places may be away at a time."""
         places = sorted(filter(None, map(self.count_places, workers)), reverse=True)
--- a/jujubebarrow/pools/pool_loads.py
+++ b/jujubebarrow/pools/pool_loads.py
@@ -25,6 +25,9 @@
             standby pool, whose other numbers are 0, the number of such machines.
         is_standby: Whether the pool's machines are switched off and cost nothing.
         is_used: Whether the pool has had jobs lately; other pools only lend.
+        requested_labels: Label of each machine that steps wait for although the pool
+            has free capacity; empty if any machine will do.
+        offered_labels: Labels that other pools request and one of the movable has.
     """
 
     pool: PoolId
@@ -36,6 +39,8 @@
     recent_demand: int = 0
     is_standby: bool = False
     is_used: bool = True
+    requested_labels: tuple[str, ...] = ()
+    offered_labels: tuple[str, ...] = ()
 
     @property
     def machine_size(self) -> float:
@@ -44,7 +49,7 @@
 
     def to_document(self) -> dict[str, Any]:
         """Return the document to store."""
-        return {
+        document: dict[str, Any] = {
             "demand": self.demand,
             "capacity": self.capacity,
             "machines": self.machines,
@@ -54,6 +59,11 @@
             "standby": self.is_standby,
             "used": self.is_used,
         }
+        if self.requested_labels:
+            document["requested"] = list(self.requested_labels)
+        if self.offered_labels:
+            document["offered"] = list(self.offered_labels)
+        return document
 
     @classmethod
     def from_document(cls, pool: PoolId, document: dict[str, Any]) -> "PoolLoad":
@@ -73,6 +83,8 @@
             "recent_demand": document.get("recent", 0),
             "is_standby": document["standby"],
             "is_used": document.get("used", True),
+            "requested_labels": document.get("requested", ()),
+            "offered_labels": document.get("offered", ()),
         }
         return convert(fields, cls)
 
@@ -82,11 +94,7 @@
         Args:
             other: Load that was reported last.
         """
-        if (self.machines, self.movable, self.is_used) != (
-            other.machines,
-            other.movable,
-            other.is_used,
-        ):
+        if self._get_states() != other._get_states():
             return True
         step = max(1, self.capacity // REPORT_STEP_COUNT)
         return (
@@ -94,6 +102,16 @@
             or abs(self.backlog - other.backlog) > step
         )
 
+    def _get_states(self) -> tuple[Any, ...]:
+        """Return what is reported at each change."""
+        return (
+            self.machines,
+            self.movable,
+            self.is_used,
+            self.requested_labels,
+            self.offered_labels,
+        )
+
 
 REPORT_STEP_COUNT = 10
 """A changed demand or backlog is reported if the difference is more than the pool's
--- a/jujubebarrow/pools/surplus_planners.py
+++ b/jujubebarrow/pools/surplus_planners.py
@@ -36,9 +36,9 @@
     Pools whose jobs can still finish in time come first. Pools with a backlog of late
     jobs get only machines that no other pool needs. While no pool is short, machines
     that a past demand peak has left in one pool are spread evenly, so that the next
-    peak starts with more of them and depends on fewer lenders. All pool owners derive
-    the same plan from the same loads; each executes the moves whose source is its own
-    pool.
+    peak starts with more of them and depends on fewer lenders; not those of a pool that
+    requests machines for its steps. All pool owners derive the same plan from the same
+    loads; each executes the moves whose source is its own pool.
 
     Args:
         loads: Load by pool.
@@ -81,7 +81,7 @@
         {
             pool: _count_surplus(load, int(equal_part))
             for pool, load in recent_loads.items()
-            if not load.is_standby
+            if not load.is_standby and not load.requested_labels
         },
     )
 
--- a/jujubebarrow/runtimes/move_controllers.py
+++ b/jujubebarrow/runtimes/move_controllers.py
@@ -1,7 +1,7 @@
 """Lends a pool's machines to pools that are short of them."""
 
 from asyncio import gather, sleep
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 
 from jujubebarrow.clocks.clocks import Clock
@@ -19,8 +19,10 @@
 from jujubebarrow.logs.decision_logs import DecisionLog
 from jujubebarrow.metrics.registries import MetricsRegistry
 from jujubebarrow.pools.pool_loads import PoolLoad
+from jujubebarrow.pools.request_planners import RequestedMove, plan_requested_moves
 from jujubebarrow.pools.surplus_planners import plan_moves
 from jujubebarrow.runtimes.load_registries import MOVES_PER_CLAIM_LIMIT, LoadRegistry
+from jujubebarrow.runtimes.machine_requests import MachineRequests
 from jujubebarrow.runtimes.machine_workers import MachineWorkers
 from jujubebarrow.runtimes.order_gates import OrderGate
 from jujubebarrow.runtimes.owner_hooks import OwnerHooks
@@ -110,6 +112,7 @@
         self._clock = clock
         self._log = log
         self._metrics = metrics
+        self._requests = MachineRequests(coordinator, clock)
         self._written_load: PoolLoad | None = None
         self._load_written_at = float("-inf")
         # Times of measurement and demands of the last seconds.
@@ -186,13 +189,20 @@
         incoming = self._load_registry.count_incoming()
         moves = plan_moves(loads, incoming)
         targets = [target for source, target in moves if source == self._pool]
+        sources = [source for source, _ in moves]
+        requested = [
+            move
+            for move in plan_requested_moves(loads, incoming, sources)
+            if move.source == self._pool
+        ]
         self._log_load(load, incoming.get(self._pool, 0))
         self._log_shortage(load, moves, incoming.get(self._pool, 0))
         if not self._hooks.can_order_machines():
             return
         if self._is_standby:
-            await self._move_spare_machines(targets)
+            await self._move_spare_machines(targets, requested)
             return
+        self._drain_requested(requested)
         await self._move_workers(targets)
         sources = [source for source, target in moves if target == self._pool]
         await self._take_spare_machines([s for s in sources if loads[s].is_standby])
@@ -299,6 +309,10 @@
                 machines=0,
                 movable=len(self._spare_machines),
                 is_standby=True,
+                offered_labels=self._requests.find_offered(
+                    self._load_registry.loads,
+                    [machine.labels for machine in self._spare_machines],
+                ),
             )
         workers = [worker for worker in self._list_workers() if not worker.is_cordoned]
         now = self._clock.monotonic()
@@ -306,15 +320,24 @@
         self._recent_demands.append((now, demand))
         while now - self._recent_demands[0][0] > RECENT_SECONDS:
             self._recent_demands.popleft()
+        backlog = self._coordinator.demand.count_backlog()
+        capacity = sum(worker.capacity.cpu for worker in workers)
+        movable = self._find_movable()
         return PoolLoad(
             pool=self._pool,
-            backlog=self._coordinator.demand.count_backlog(),
+            backlog=backlog,
             demand=demand,
             recent_demand=max(demand for _, demand in self._recent_demands),
-            capacity=sum(worker.capacity.cpu for worker in workers),
+            capacity=capacity,
             machines=len(workers),
-            movable=len(self._find_movable()),
+            movable=len(movable),
             is_used=bool(self._coordinator.state.jobs),
+            requested_labels=self._requests.find_requested(
+                max(demand, backlog) > capacity
+            ),
+            offered_labels=self._requests.find_offered(
+                self._load_registry.loads, (worker.labels for worker in movable)
+            ),
         )
 
     def _list_workers(self) -> list[WorkerView]:
@@ -420,13 +443,30 @@
         )
         await self._move([(machine, self._pool) for machine in machines])
 
-    async def _move_spare_machines(self, targets: list[PoolId]) -> None:
+    async def _move_spare_machines(
+        self, targets: list[PoolId], requested: list[RequestedMove]
+    ) -> None:
+        """Move standby machines.
+
+        Args:
+            targets: Pool that each machine moves to.
+            requested: Moves of further machines.
+        """
+        moves = []
+        for move in requested:
+            for machine in self._spare_machines:
+                has_label = not move.label or move.label in machine.labels
+                if has_label and not self._is_under_maintenance(machine.machine):
+                    self._spare_machines.remove(machine)
+                    self._log_requested(move, machine=machine.machine)
+                    moves.append((machine, move.target))
+                    break
         machines = []
         while self._spare_machines and len(machines) < len(targets):
             machine = self._spare_machines.pop()
             if not self._is_under_maintenance(machine.machine):
                 machines.append(machine)
-        await self._move(list(zip(machines, targets, strict=False)))
+        await self._move(moves + list(zip(machines, targets, strict=False)))
 
     async def _move_workers(self, targets: list[PoolId]) -> None:
         requested = list(targets)
@@ -438,11 +478,7 @@
         now = self._clock.monotonic()
         movable = self._find_movable()
         for worker, target in zip(movable, requested, strict=False):
-            worker.is_cordoned = True
-            self._pending_moves[worker.worker] = (target, now)
-            if not self._worker_ids.is_decided:
-                worker.needs_contact = True
-                self._hooks.on_change()
+            self._begin_move(worker, target)
         ready = self._list_ready_moves(now)
         outcomes = await self._move([(machine, target) for _, machine, target in ready])
         for worker, machine, _ in ready:
@@ -453,6 +489,36 @@
             elif outcome is not None and not self._may_move_late(worker):
                 self._cancel_move(worker)
 
+    def _drain_requested(self, moves: list[RequestedMove]) -> None:
+        """Begin to move workers to the pools that request their machines."""
+        pending = Counter(target for target, _ in self._pending_moves.values())
+        for move in moves:
+            if pending[move.target]:
+                pending[move.target] -= 1
+                continue
+            for worker in self._find_movable():
+                if worker.has_label(move.label):
+                    self._log_requested(move, worker=worker.worker)
+                    self._begin_move(worker, move.target)
+                    break
+
+    def _log_requested(self, move: RequestedMove, **names: str) -> None:
+        self._log.write(
+            "machine_requested",
+            pool=self._pool,
+            target=move.target,
+            label=move.label,
+            **names,
+        )
+
+    def _begin_move(self, worker: WorkerView, target: PoolId) -> None:
+        """Keep a worker from new tasks, so that its machine can move."""
+        worker.is_cordoned = True
+        self._pending_moves[worker.worker] = (target, self._clock.monotonic())
+        if not self._worker_ids.is_decided:
+            worker.needs_contact = True
+            self._hooks.on_change()
+
     def _handle_moved_worker(self, worker: WorkerId) -> None:
         """Handle that the order for its machine has ended a worker."""
         if not self._worker_ids.may_keep_id:
