--- a/jujubebarrow/tests/test_long_running_waits.py
+++ b/jujubebarrow/tests/test_long_running_waits.py
@@ -92,6 +92,9 @@
             with self.subTest(seed=seed):
                 self.assertEqual(simulate(seed)[0], [])
 
+    def test_task_whose_start_got_no_response_runs_again_soon(self) -> None:
+        self.assertEqual(simulate(3001)[0], [])
+
     def test_task_of_a_lost_worker_runs_again_soon_after_random_faults(self) -> None:
         """Guards against waits for a worker whose last orders got no response.
 
